--- /dev/null
+++ b/cmd/poststand/cmd/agent.go
@@ -0,0 +1,32 @@
+package cmd
+
+import (
+	"github.com/spf13/cobra"
+
+	"github.com/poststand/poststand/internal/agent"
+	"github.com/poststand/poststand/internal/settings"
+)
+
+func agentCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "agent --settings FILE",
+		Short: "Run the agent of an upstream box",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.LoadAgent(file)
+			if err != nil {
+				return err
+			}
+			a, err := agent.New(s)
+			if err != nil {
+				return err
+			}
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			return a.Run(ctx)
+		},
+	}
+	settingsFlag(c, &file)
+	return c
+}
--- /dev/null
+++ b/cmd/poststand/cmd/root.go
@@ -0,0 +1,74 @@
+// Package cmd holds the subcommands of poststand, a file each.
+package cmd
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"k8s.io/klog/v2"
+
+	"github.com/poststand/poststand/internal/strict"
+)
+
+// Main runs the command line and returns the exit status: 0 when all is well,
+// 1 on failure.
+func Main() int {
+	defer klog.Flush()
+	if err := New().ExecuteContext(context.Background()); err != nil {
+		printError(err)
+		return 1
+	}
+	return 0
+}
+
+// New returns the command tree.
+func New() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "poststand",
+		Short:         "Bring model weights to many boxes at once, and requests to the boxes that have them",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	logs := flag.NewFlagSet("logs", flag.ContinueOnError)
+	klog.InitFlags(logs)
+	root.PersistentFlags().AddGoFlag(logs.Lookup("v"))
+	root.AddCommand(gatewayCommand(), agentCommand(), checkCommand(), planCommand(), statusCommand(), versionCommand())
+	return root
+}
+
+// printError prints every fault of bad input on a line of its own.
+func printError(err error) {
+	var ps strict.Problems
+	if errors.As(err, &ps) {
+		fmt.Fprintln(os.Stderr, ps.Error())
+		return
+	}
+	fmt.Fprintln(os.Stderr, "poststand:", err)
+}
+
+// stopContext ends at the first SIGTERM or interrupt, which asks for a drain. A
+// second one ends the process at once.
+func stopContext(parent context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(parent)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+			return
+		}
+		<-signals
+		klog.InfoS("stopped_at_once", "reason", "second_signal")
+		klog.Flush()
+		os.Exit(1)
+	}()
+	return ctx, cancel
+}
--- /dev/null
+++ b/cmd/poststand/cmd/status.go
@@ -0,0 +1,118 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// summary is what all statuses have in common, and what transfers show.
+type summary struct {
+	Role      string `json:"role"`
+	Box       string `json:"box"`
+	Hall      string `json:"hall"`
+	Revision  uint64 `json:"revision"`
+	Digest    string `json:"configuration"`
+	Fresh     bool   `json:"fresh"`
+	State     string `json:"state"`
+	Transfers map[string]struct {
+		Chunks  int `json:"chunks"`
+		Missing int `json:"missing"`
+	} `json:"transfers"`
+	Weights map[string]struct {
+		Count int `json:"count"`
+		Bytes int `json:"bytes"`
+	} `json:"weights"`
+}
+
+func statusCommand() *cobra.Command {
+	var asJSON bool
+	c := &cobra.Command{
+		Use:   "status ADMIN...",
+		Short: "Show the state of daemons by their admin addresses, and whether they agree",
+		Args:  cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			return printStatus(c.Context(), c.OutOrStdout(), args, asJSON)
+		},
+	}
+	c.Flags().BoolVar(&asJSON, "json", false, "print each daemon's whole status")
+	return c
+}
+
+func printStatus(ctx context.Context, w io.Writer, addrs []string, asJSON bool) error {
+	revisions := map[string]int{}
+	failed := 0
+	for _, addr := range addrs {
+		data, err := getStatus(ctx, addr)
+		if err != nil {
+			failed++
+			_, _ = fmt.Fprintf(w, "admin=%s error=%q\n", addr, err)
+			continue
+		}
+		if asJSON {
+			_, _ = fmt.Fprintln(w, string(data))
+			continue
+		}
+		var s summary
+		if err := json.Unmarshal(data, &s); err != nil {
+			return fault.Wrap(fault.Garbage, err, addr)
+		}
+		revisions[s.Digest]++
+		_, _ = fmt.Fprintln(w, statusLine(&s))
+	}
+	if !asJSON {
+		_, _ = fmt.Fprintf(w, "daemons=%d unreachable=%d configurations=%d\n", len(addrs), failed, len(revisions))
+	}
+	if failed > 0 {
+		return fault.New(fault.Unreachable, fmt.Sprintf("%d of %d daemons", failed, len(addrs)))
+	}
+	return nil
+}
+
+func statusLine(s *summary) string {
+	line := fmt.Sprintf("box=%s hall=%s role=%s revision=%d fresh=%t", s.Box, s.Hall, s.Role, s.Revision, s.Fresh)
+	if s.State != "" {
+		line += " state=" + s.State
+	}
+	chunks, missing := 0, 0
+	for _, t := range s.Transfers {
+		chunks += t.Chunks
+		missing += t.Missing
+	}
+	if chunks > 0 {
+		line += fmt.Sprintf(" chunks=%d missing=%d", chunks, missing)
+	}
+	for _, kind := range []string{"origin", "peer_in_hall", "peer_across", "stall", "corrupt"} {
+		if m := s.Weights[kind]; m.Count > 0 {
+			line += fmt.Sprintf(" %s=%d/%dB", kind, m.Count, m.Bytes)
+		}
+	}
+	return line
+}
+
+func getStatus(ctx context.Context, addr string) ([]byte, error) {
+	const within, most = 3 * time.Second, 16 << 20
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, addr)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, err, addr)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, most))
+	if err != nil {
+		return nil, fault.Wrap(fault.Closed, err, addr)
+	}
+	return data, nil
+}
--- /dev/null
+++ b/cmd/poststand/main.go
@@ -0,0 +1,12 @@
+// Command poststand is every process of poststand and the operators' commands.
+package main
+
+import (
+	"os"
+
+	"github.com/poststand/poststand/cmd/poststand/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Main())
+}
--- /dev/null
+++ b/config/revision.go
@@ -0,0 +1,26 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+)
+
+// Head names a revision: its documents with their digests. Version is the
+// revision's number, given by the platform.
+type Head = Table[string]
+
+// DocumentDigest returns the digest that names a document or manifest.
+func DocumentDigest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// HeadDigest returns the digest of a whole, so that two processes can tell
+// whether they hold the same documents.
+func HeadDigest(docs map[string]string) string {
+	h := sha256.New()
+	for _, name := range sortedKeys(docs) {
+		h.Write([]byte(name + "\x00" + docs[name] + "\n"))
+	}
+	return "sha256:" + hex.EncodeToString(h.Sum(nil))
+}
--- /dev/null
+++ b/config/table.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"fmt"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// maxTombstones bounds the removed entries that a Table remembers. A reader
+// older than the oldest of them is sent the whole table.
+const maxTombstones = 1024
+
+// Entry is one value and the version at which this process saw it change.
+type Entry[V comparable] struct {
+	Value   V
+	Version uint64
+	Gone    bool // A removed entry, kept so that a delta can name it.
+}
+
+// Table is a keyed set with a rising version. The zero value is empty.
+type Table[V comparable] struct {
+	Version uint64 // Never falls.
+	Entries map[string]Entry[V]
+	floor   uint64 // Deltas from before this version cannot name every removal.
+}
+
+// Delta is what changed between two versions of a Table.
+type Delta[V comparable] struct {
+	Base    uint64 // The reader had at least this version.
+	Version uint64
+	Whole   bool // Set holds every entry; all others are gone.
+	Set     map[string]V
+	Gone    []string
+}
+
+// Replace sets the whole contents at a version. An older or equal version is
+// refused with fault.OlderRevision.
+func (t *Table[V]) Replace(version uint64, values map[string]V) error {
+	return t.Apply(Delta[V]{Version: version, Whole: true, Set: values})
+}
+
+// Apply brings the table to the version of d. A delta that is older, or that
+// starts after the table's version, is refused and changes nothing.
+func (t *Table[V]) Apply(d Delta[V]) error {
+	if d.Version <= t.Version {
+		return fault.New(fault.OlderRevision, fmt.Sprintf("have %d, got %d", t.Version, d.Version))
+	}
+	if !d.Whole && d.Base > t.Version {
+		return fault.New(fault.DigestMismatch, fmt.Sprintf("delta from %d, have %d", d.Base, t.Version))
+	}
+	if t.Entries == nil {
+		t.Entries = map[string]Entry[V]{}
+	}
+	for k, v := range d.Set {
+		if e, ok := t.Entries[k]; !ok || e.Gone || e.Value != v {
+			t.Entries[k] = Entry[V]{Value: v, Version: d.Version}
+		}
+	}
+	for _, k := range d.Gone {
+		t.remove(k, d.Version)
+	}
+	if d.Whole {
+		for k := range t.Entries {
+			if _, kept := d.Set[k]; !kept {
+				t.remove(k, d.Version)
+			}
+		}
+	}
+	t.Version = d.Version
+	t.prune()
+	return nil
+}
+
+func (t *Table[V]) remove(k string, version uint64) {
+	if e, ok := t.Entries[k]; ok && !e.Gone {
+		t.Entries[k] = Entry[V]{Version: version, Gone: true}
+	}
+}
+
+// prune forgets all tombstones once there are too many.
+func (t *Table[V]) prune() {
+	var gone []string
+	for k, e := range t.Entries {
+		if e.Gone {
+			gone = append(gone, k)
+		}
+	}
+	if len(gone) <= maxTombstones {
+		return
+	}
+	for _, k := range gone {
+		delete(t.Entries, k)
+	}
+	t.floor = t.Version
+}
+
+// Since returns what a reader at version v lacks.
+func (t *Table[V]) Since(v uint64) Delta[V] {
+	d := Delta[V]{Base: v, Version: t.Version, Whole: v < t.floor || v == 0, Set: map[string]V{}}
+	for k, e := range t.Entries {
+		switch {
+		case !d.Whole && e.Version <= v:
+		case !e.Gone:
+			d.Set[k] = e.Value
+		case !d.Whole:
+			d.Gone = append(d.Gone, k)
+		}
+	}
+	return d
+}
+
+// Values returns the entries that are not gone.
+func (t *Table[V]) Values() map[string]V {
+	out := make(map[string]V, len(t.Entries))
+	for k, e := range t.Entries {
+		if !e.Gone {
+			out[k] = e.Value
+		}
+	}
+	return out
+}
+
+// Clone returns an independent copy.
+func (t *Table[V]) Clone() *Table[V] {
+	c := &Table[V]{Version: t.Version, floor: t.floor, Entries: make(map[string]Entry[V], len(t.Entries))}
+	for k, e := range t.Entries {
+		c.Entries[k] = e
+	}
+	return c
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,189 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/engine"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/feed"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/view"
+	"github.com/poststand/poststand/weights"
+	"github.com/poststand/poststand/wire"
+)
+
+// Codec knows every message that an agent sends or takes.
+var Codec = wire.NewCodec(dispatch.Messages, feed.Messages, weights.Messages)
+
+// Agent is one agent. Use New.
+type Agent struct {
+	Settings *settings.Agent
+	Metrics  *telemetry.Metrics
+
+	started  time.Time
+	holder   *view.Holder
+	feed     *feed.Feed
+	gate     *dispatch.Gate
+	engine   *engine.Client
+	exchange *weights.Exchange
+	requests *wire.Pool // To other agents, about rollouts.
+	homes    homes
+	loader   *loader
+	moved    movedBytes
+	links    *rate.Limiter // Nil where the link is not known.
+	life     context.Context
+	end      context.CancelFunc
+	changed  notifier // Wakes those that report.
+	draining atomic.Bool
+}
+
+// New returns an agent with its parts joined.
+func New(s *settings.Agent) (*Agent, error) {
+	m, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{Settings: s, Metrics: m, started: time.Now(), holder: &view.Holder{}}
+	a.life, a.end = context.WithCancel(context.Background())
+	a.gate = &dispatch.Gate{Incarnation: uint64(a.started.UnixNano()), Slots: s.Slots, Queue: s.Queue}
+	a.engine = &engine.Client{URL: s.Engine, HTTP: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: s.Slots + s.Queue, IdleConnTimeout: time.Minute,
+	}}}
+	a.requests = a.pool(wire.Options{})
+	a.feed = &feed.Feed{
+		Box: s.Box, Hall: s.Hall, Pool: a.requests, Join: s.Join, Holder: a.holder,
+		Event: func(name string, c fault.Code) { m.Event("feed_"+name, c) },
+	}
+	if s.LinkBPS > 0 {
+		a.links = rate.NewLimiter(rate.Inf, weightsPart)
+	}
+	a.exchange = a.newExchange()
+	a.loader = &loader{agent: a}
+	return a, nil
+}
+
+// weightsPart is the bytes of a message with weights.
+const weightsPart = 64 << 10
+
+func (a *Agent) hello() wire.Hello {
+	return wire.Hello{
+		Cluster: a.Settings.Cluster, Box: a.Settings.Box, Hall: a.Settings.Hall,
+		Role: "agent", Incarnation: a.gate.Incarnation,
+	}
+}
+
+func (a *Agent) pool(o wire.Options) *wire.Pool {
+	o.Count = func(c fault.Code) { a.Metrics.Event("connection", c) }
+	o.Traffic = func(sent, received int) {
+		a.Metrics.Bytes("control_sent", sent)
+		a.Metrics.Bytes("control_received", received)
+	}
+	return &wire.Pool{Local: a.hello(), Codec: Codec, Options: o, Lifetime: a.life}
+}
+
+func (a *Agent) newExchange() *weights.Exchange {
+	s := a.Settings
+	o := wire.Options{WriteRing: 8}
+	p := a.pool(o)
+	p.Options.Traffic = nil
+	return &weights.Exchange{
+		Self:  weights.Member{Name: s.Box, Hall: s.Hall, Addr: s.Listen},
+		Store: &weights.Store{Limit: s.Memory}, Pool: p, Strategy: weights.Swarm, Part: weightsPart,
+		FromOrigin: (&weights.OriginClient{URL: s.Origin}).Get,
+		Pace:       a.pace, Event: a.weightsEvent,
+	}
+}
+
+// pace keeps weights to their share of the link while requests run here.
+func (a *Agent) pace(ctx context.Context, n int) error {
+	if a.links == nil {
+		return nil
+	}
+	limit := rate.Inf
+	if cfg := a.holder.Get().Config; cfg != nil && !a.gate.Idle() {
+		limit = rate.Limit(float64(a.Settings.LinkBPS) * float64(cfg.Weights.LinkPercent) / 100)
+	}
+	if a.links.Limit() != limit {
+		a.links.SetLimit(limit)
+	}
+	return a.links.WaitN(ctx, n)
+}
+
+// Run runs the agent until ctx ends, and then drains: it announces that it
+// leaves, lets what it admitted finish, and returns.
+func (a *Agent) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", a.Settings.Listen)
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err, "listen")
+	}
+	admin, err := net.Listen("tcp", a.Settings.Admin)
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err, "admin")
+	}
+	source, err := net.Listen("tcp", a.Settings.Source)
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err, "source")
+	}
+	hs := &wire.Handlers{}
+	a.serve(hs)
+	a.exchange.Serve(hs)
+	a.exchange.Pool.Handlers = hs
+	srv := &wire.Server{Local: a.hello(), Codec: Codec, Handlers: hs, MaxConns: a.Settings.MaxConns, Options: a.requests.Options}
+	var k kernel.Kernel
+	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, ln) })
+	k.Add("feed", a.feed, a.feed.Run)
+	k.Add("loader", a.loader, a.loader.run)
+	k.Add("homes", &a.homes, a.watchHomes)
+	k.Duty(func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, source, &http.Server{Handler: a.sourceHandler()})
+	})
+	k.Duty(func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, admin, &http.Server{Handler: a.admin().Handler()})
+	})
+	k.Duty(func(own context.Context) error { return a.drain(ctx, own) })
+	telemetry.Log("agent_started", "box", a.Settings.Box, "hall", a.Settings.Hall, "incarnation", a.gate.Incarnation)
+	defer a.end()
+	return k.Run(context.Background())
+}
+
+// drain waits for stop, then until nothing runs or the drain deadline.
+func (a *Agent) drain(stop, own context.Context) error {
+	select {
+	case <-stop.Done():
+	case <-own.Done():
+		return nil
+	}
+	deadline := time.Now().Add(a.Settings.DrainFor)
+	telemetry.Log("drain_started", "box", a.Settings.Box, "deadline", deadline)
+	a.draining.Store(true)
+	a.gate.Drain()
+	a.changed.notify()
+	const look = 20 * time.Millisecond
+	for !a.gate.Idle() && time.Now().Before(deadline) {
+		time.Sleep(look)
+	}
+	const flush = 300 * time.Millisecond // For the last frames to leave.
+	time.Sleep(flush)
+	telemetry.Log("drain_ended", "box", a.Settings.Box, "idle", a.gate.Idle())
+	return nil
+}
+
+func (a *Agent) admin() *telemetry.Admin {
+	return &telemetry.Admin{Metrics: a.Metrics, Ready: a.ready, Status: a.status}
+}
+
+func (a *Agent) ready() error {
+	if r := a.gate.Report(time.Now()); !r.Ready {
+		return fault.New(fault.NotReady, r.Service)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/agent/serve.go
@@ -0,0 +1,130 @@
+package agent
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/wire"
+)
+
+func (a *Agent) serve(hs *wire.Handlers) {
+	wire.On(hs, a.serveDispatch)
+	wire.On(hs, a.serveVoid)
+	wire.On(hs, a.serveAttach)
+	wire.On(hs, a.serveSubscribe)
+	wire.On(hs, a.serveStateRequest)
+}
+
+func (a *Agent) serveDispatch(ctx context.Context, s *wire.Stream, d *dispatch.Dispatch) {
+	rec, repeat, err := a.gate.Admit(time.Now(), d, a.homes.of(a.Settings.Box, d, a.holder.Get()))
+	if err != nil {
+		a.refuse(ctx, s, d.ID, err)
+		return
+	}
+	if repeat {
+		a.Metrics.Event("repeat_of_key", "")
+		a.follow(ctx, s, d.ID, rec, 0)
+		return
+	}
+	run, cancel := context.WithDeadline(a.life, d.Deadline)
+	go func() {
+		defer cancel()
+		a.run(run, rec)
+	}()
+	a.follow(ctx, s, d.ID, rec, 0)
+	// A caller that went away frees the engine, if nobody could ask again. A
+	// connection that was lost does not: its gateway may come back for the rest.
+	if fault.Is(context.Cause(ctx), fault.Cancelled) && !d.Unsafe && d.Key == "" {
+		cancel()
+	}
+}
+
+// follow sends the answer of a record as it grows.
+func (a *Agent) follow(ctx context.Context, s *wire.Stream, id dispatch.RequestID, rec *dispatch.Record, from int) {
+	select {
+	case <-rec.Settled:
+	case <-ctx.Done():
+		return
+	}
+	if rec.Reason != "" {
+		a.refuse(ctx, s, id, fault.New(rec.Reason, ""))
+		return
+	}
+	err := rec.Answer.Follow(ctx, id, from, func(m any, last bool) error {
+		if last {
+			return s.SendLast(ctx, m)
+		}
+		return s.Send(ctx, m)
+	})
+	if err != nil && ctx.Err() == nil {
+		_ = s.SendLast(ctx, &dispatch.Refused{ID: id, Reason: fault.CodeOf(err), Ran: true})
+	}
+}
+
+func (a *Agent) refuse(ctx context.Context, s *wire.Stream, id dispatch.RequestID, err error) {
+	code := fault.CodeOf(err)
+	a.Metrics.Refused(code)
+	r := &dispatch.Refused{ID: id, Reason: code, Ran: code == fault.Duplicate || code == fault.OutcomeUnknown}
+	switch code {
+	case fault.HomeRecovering:
+		r.RetryAt = a.started.Add(a.homes.keyWindow())
+	case fault.QueueFull, fault.TableFull, fault.ViewExpired:
+		r.RetryAt = time.Now().Add(time.Second + rand.N(time.Second))
+	}
+	_ = s.SendLast(ctx, r)
+}
+
+func (a *Agent) serveVoid(ctx context.Context, s *wire.Stream, v *dispatch.Void) {
+	state := a.gate.Void(time.Now(), v)
+	a.Metrics.Event("void", fault.Code(state.String()))
+	_ = s.SendLast(ctx, &dispatch.VoidReply{ID: v.ID, State: state})
+}
+
+func (a *Agent) serveAttach(ctx context.Context, s *wire.Stream, m *dispatch.Attach) {
+	rec, ok := a.gate.Find(time.Now(), m.ID)
+	if m.Incarnation != a.gate.Incarnation || !ok {
+		_ = s.SendLast(ctx, &dispatch.Refused{ID: m.ID, Reason: fault.OutcomeUnknown, Ran: true})
+		return
+	}
+	a.Metrics.Event("attach", "")
+	a.follow(ctx, s, m.ID, rec, m.From)
+}
+
+// serveSubscribe reports to a gateway: at once when something that matters for
+// routing changes, and else as often as the control budget allows.
+func (a *Agent) serveSubscribe(ctx context.Context, s *wire.Stream, m *dispatch.Subscribe) {
+	telemetry.Log("subscribed", "gateway", m.Box)
+	for {
+		changed := a.changed.wait()
+		r := a.gate.Report(time.Now())
+		if s.Send(ctx, &r) != nil {
+			return
+		}
+		timer := time.NewTimer(reportEvery(len(a.holder.Get().Boxes)))
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// reportEvery grows with the fleet, so that what a gateway hears from all the
+// agents of its hall stays within its control budget.
+func reportEvery(boxes int) time.Duration {
+	const least, most, perBox = 500 * time.Millisecond, 10 * time.Second, time.Millisecond
+	return min(most, max(least, time.Duration(boxes)*perBox))
+}
+
+func (a *Agent) serveStateRequest(ctx context.Context, s *wire.Stream, _ *dispatch.StateRequest) {
+	r := a.gate.Report(time.Now())
+	_ = s.SendLast(ctx, &r)
+}
--- /dev/null
+++ b/internal/feed/platform.go
@@ -0,0 +1,100 @@
+package feed
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/fleet"
+)
+
+// PlatformHead is the platform's answer to a watch of the configuration.
+type PlatformHead struct {
+	Revision uint64            `json:"revision"`
+	Docs     map[string]string `json:"docs"` // Digests by document name.
+}
+
+// PlatformFleet is the platform's answer to a watch of the fleet list.
+type PlatformFleet struct {
+	Version uint64               `json:"version"`
+	Boxes   map[string]fleet.Box `json:"boxes"`
+}
+
+// Platform reads and watches the platform's service. It never writes.
+type Platform struct {
+	URL    string // Such as "http://127.0.0.1:7000".
+	Client *http.Client
+}
+
+// Head waits until wait for a revision other than known.
+func (p *Platform) Head(ctx context.Context, known uint64, wait time.Duration) (*PlatformHead, error) {
+	var h PlatformHead
+	return &h, p.get(ctx, fmt.Sprintf("/v1/config?known=%d&wait=%s", known, wait), &h)
+}
+
+// Fleet waits until wait for a fleet list other than known.
+func (p *Platform) Fleet(ctx context.Context, known uint64, wait time.Duration) (*PlatformFleet, error) {
+	var f PlatformFleet
+	return &f, p.get(ctx, fmt.Sprintf("/v1/fleet?known=%d&wait=%s", known, wait), &f)
+}
+
+// Doc returns the document with a digest.
+func (p *Platform) Doc(ctx context.Context, digest string) ([]byte, error) {
+	data, err := p.fetch(ctx, "/v1/docs/"+digest, config.MaxDocument)
+	if err != nil {
+		return nil, err
+	}
+	if config.DocumentDigest(data) != digest {
+		return nil, fault.New(fault.DigestMismatch, digest)
+	}
+	return data, nil
+}
+
+func (p *Platform) get(ctx context.Context, path string, out any) error {
+	const maxList = 8 << 20
+	data, err := p.fetch(ctx, path, maxList)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return fault.Wrap(fault.Garbage, err, "platform")
+	}
+	return nil
+}
+
+func (p *Platform) fetch(ctx context.Context, path string, limit int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, p.URL+path, nil)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, path)
+	}
+	c := p.Client
+	if c == nil {
+		c = http.DefaultClient
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, err, "platform")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		code := fault.UpstreamFailed
+		if resp.StatusCode == http.StatusTooManyRequests {
+			code = fault.Throttled
+		}
+		return nil, fault.New(code, "platform: "+strconv.Itoa(resp.StatusCode))
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.Closed, err, "platform")
+	}
+	if int64(len(data)) > limit {
+		return nil, fault.New(fault.TooLarge, "platform answer")
+	}
+	return data, nil
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/feed"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/limit"
+	"github.com/poststand/poststand/route"
+	"github.com/poststand/poststand/view"
+	"github.com/poststand/poststand/wire"
+)
+
+// Codec knows every message that a gateway sends or takes.
+var Codec = wire.NewCodec(dispatch.Messages, feed.Messages)
+
+// Gateway is one gateway. Use New.
+type Gateway struct {
+	Settings *settings.Gateway
+	Metrics  *telemetry.Metrics
+
+	incarnation uint64
+	seq         atomic.Uint64
+	holder      *view.Holder
+	feed        *feed.Feed
+	pool        *wire.Pool
+	router      route.Router
+	rollout     route.Rollout
+	budget      limit.Budget
+	life        context.Context
+	end         context.CancelFunc
+	draining    atomic.Bool
+
+	mu     sync.Mutex
+	queues map[string]*limit.Queue // By service; bounded by the configuration.
+	rates  map[string]*limit.Rate  // By organisation; bounded by the configuration.
+}
+
+// Timing of connections to agents: a frozen peer is noticed well before callers
+// would give up.
+const (
+	pingEvery  = time.Second
+	stallAfter = 4 * time.Second
+)
+
+// New returns a gateway with its parts joined.
+func New(s *settings.Gateway) (*Gateway, error) {
+	m, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{
+		Settings: s, Metrics: m, incarnation: rand.Uint64() | 1, holder: &view.Holder{},
+		queues: map[string]*limit.Queue{}, rates: map[string]*limit.Rate{},
+	}
+	g.life, g.end = context.WithCancel(context.Background())
+	g.pool = &wire.Pool{Local: g.hello(), Codec: Codec, Options: g.options(), Lifetime: g.life}
+	g.feed = &feed.Feed{
+		Box: s.Box, Hall: s.Hall, Gateway: true, Pool: g.pool, Join: s.Join, Holder: g.holder,
+		Platform: &feed.Platform{URL: s.Platform},
+		Event:    func(name string, c fault.Code) { m.Event("feed_"+name, c) },
+	}
+	return g, nil
+}
+
+func (g *Gateway) hello() wire.Hello {
+	return wire.Hello{
+		Cluster: g.Settings.Cluster, Box: g.Settings.Box, Hall: g.Settings.Hall,
+		Role: "gateway", Incarnation: g.incarnation,
+	}
+}
+
+func (g *Gateway) options() wire.Options {
+	return wire.Options{
+		PingEvery: pingEvery, StallAfter: stallAfter,
+		Count: func(c fault.Code) { g.Metrics.Event("connection", c) },
+		Traffic: func(sent, received int) {
+			g.Metrics.Bytes("sent", sent)
+			g.Metrics.Bytes("received", received)
+		},
+	}
+}
+
+// Run runs the gateway until ctx ends, and then drains.
+func (g *Gateway) Run(ctx context.Context) error {
+	s := g.Settings
+	var lns [3]net.Listener
+	for i, addr := range []string{s.Listen, s.Admin, s.HTTP} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err, addr)
+		}
+		lns[i] = ln
+	}
+	hs := &wire.Handlers{}
+	feed.Serve(hs, g.holder, g.feed.FreshFor)
+	wire.On(hs, g.serveForward)
+	g.pool.Handlers = hs
+	peers := &wire.Server{Local: g.hello(), Codec: Codec, Handlers: hs, MaxConns: s.MaxConns, Options: g.options()}
+	callers := &http.Server{
+		Handler: g.callers(), ReadHeaderTimeout: s.HeaderWait, ReadTimeout: s.BodyWait,
+		MaxHeaderBytes: 64 << 10, IdleTimeout: time.Minute,
+	}
+	var k kernel.Kernel
+	k.Add("peers", peers, func(ctx context.Context) error { return peers.Serve(ctx, lns[0]) })
+	k.Add("feed", g.feed, g.feed.Run)
+	k.Add("subscriptions", &g.router, g.subscribe)
+	k.Duty(func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, lns[1], &http.Server{Handler: g.admin().Handler()})
+	})
+	k.Add("callers", callers, func(own context.Context) error { return g.serveCallers(ctx, own, callers, lns[2]) })
+	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.incarnation)
+	defer g.end()
+	return k.Run(context.Background())
+}
+
+// serveCallers serves until stop, and then drains: it says "not ready", still
+// serves for as long as the balancer may take to notice, then stops listening
+// and waits for what is in progress.
+func (g *Gateway) serveCallers(stop, own context.Context, srv *http.Server, ln net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- telemetry.ServeHTTP(own, ln, srv) }()
+	select {
+	case err := <-served:
+		return err
+	case <-stop.Done():
+	}
+	telemetry.Log("drain_started", "box", g.Settings.Box)
+	g.draining.Store(true)
+	time.Sleep(g.Settings.LingerFor)
+	ctx, cancel := context.WithTimeout(own, g.Settings.DrainFor)
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil)
+	return nil
+}
+
+func (g *Gateway) admin() *telemetry.Admin {
+	return &telemetry.Admin{Metrics: g.Metrics, Ready: g.ready, Status: g.status}
+}
+
+// ready holds once the platform and the peers were asked, so that a restarted
+// gateway never serves by an older configuration than it could learn.
+func (g *Gateway) ready() error {
+	if g.draining.Load() {
+		return fault.New(fault.Draining, "")
+	}
+	select {
+	case <-g.feed.Learnt():
+	default:
+		return fault.New(fault.NotReady, "still learning the configuration")
+	}
+	if g.holder.Get().Config == nil {
+		return fault.New(fault.NotReady, "no configuration")
+	}
+	return nil
+}
+
+// queue returns the queue of a service.
+func (g *Gateway) queue(service string) *limit.Queue {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	q, ok := g.queues[service]
+	if !ok {
+		q = &limit.Queue{
+			Running: func() int { return g.capacity(service) },
+			Waiting: func() int { return g.holder.Get().Config.Limits.Queue },
+		}
+		g.queues[service] = q
+	}
+	return q
+}
+
+// capacity is this gateway's part of what the hall's upstreams run at once,
+// and half as much again so that their queues never run dry.
+func (g *Gateway) capacity(service string) int {
+	const ahead, least = 1.5, 2
+	slots := g.router.Slots(time.Now(), service)
+	here := max(1, len(g.holder.Get().Gateways(g.Settings.Hall)))
+	return max(least, int(ahead*float64(slots)/float64(here)))
+}
+
+func (g *Gateway) rate(organisation string) *limit.Rate {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r, ok := g.rates[organisation]
+	if !ok {
+		r = &limit.Rate{}
+		g.rates[organisation] = r
+	}
+	return r
+}
--- /dev/null
+++ b/internal/gateway/writer.go
@@ -0,0 +1,158 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+)
+
+// writer gives one caller its answer: a buffered one only once it is whole, a
+// streamed one as it comes.
+type writer struct {
+	gateway *Gateway
+	w       http.ResponseWriter
+	rq      *request
+	head    *dispatch.AnswerHead
+	buf     bytes.Buffer
+	started bool // Parts of a stream have gone to the caller.
+}
+
+func (o *writer) sink() *sink {
+	return &sink{
+		head: func(h *dispatch.AnswerHead) error {
+			o.head = h
+			o.buf.Reset()
+			return nil
+		},
+		data: o.data,
+	}
+}
+
+func (o *writer) streams() bool { return o.rq.d.Stream && o.head.Status == http.StatusOK }
+
+func (o *writer) data(b []byte) error {
+	if !o.streams() {
+		if o.buf.Len()+len(b) > o.gateway.Settings.MaxAnswer {
+			return fault.New(fault.TooLarge, "answer")
+		}
+		o.buf.Write(b)
+		return nil
+	}
+	if !o.started {
+		o.started = true
+		o.headers("ran")
+		o.w.WriteHeader(http.StatusOK)
+	}
+	rc := http.NewResponseController(o.w)
+	if err := rc.SetWriteDeadline(o.rq.d.Deadline.Add(time.Second)); err != nil {
+		return fault.Wrap(fault.Closed, err, "caller")
+	}
+	if _, err := o.w.Write(b); err != nil {
+		return fault.Wrap(fault.Closed, err, "caller")
+	}
+	if err := rc.Flush(); err != nil {
+		return fault.Wrap(fault.Closed, err, "caller")
+	}
+	return nil
+}
+
+func (o *writer) headers(outcome string) {
+	h := o.w.Header()
+	h.Set("Content-Type", o.head.ContentType)
+	h.Set(HeaderOutcome, outcome)
+	h.Set(HeaderRevision, strconv.FormatUint(o.rq.d.Revision, 10))
+	if o.rq.version != "" {
+		h.Set(HeaderVersion, o.rq.version)
+	}
+}
+
+// finish ends the answer. A stream that is not whole ends with an error event
+// and an aborted body, so that no caller can take it for complete.
+func (o *writer) finish(res dispatch.Result) {
+	switch {
+	case res.Outcome != dispatch.Done && o.started:
+		o.gateway.Metrics.Refused(res.Reason)
+		b, _ := json.Marshal(errorBody(res))
+		_, _ = fmt.Fprintf(o.w, "event: error\ndata: %s\n\n", b)
+		_ = http.NewResponseController(o.w).Flush()
+		panic(http.ErrAbortHandler)
+	case res.Outcome != dispatch.Done:
+		o.gateway.fail(o.w, res)
+	case !o.started:
+		o.headers("ran")
+		o.w.Header().Set("Content-Length", strconv.Itoa(o.buf.Len()))
+		o.w.WriteHeader(o.head.Status)
+		_, _ = o.w.Write(o.buf.Bytes())
+	}
+}
+
+// ErrorBody is the JSON of every refusal.
+type ErrorBody struct {
+	Error ErrorDetail `json:"error"`
+}
+
+// ErrorDetail says what happened and whether the request ran.
+type ErrorDetail struct {
+	Code         fault.Code `json:"code"`
+	Outcome      string     `json:"outcome"` // "not_run" or "unknown".
+	Message      string     `json:"message"`
+	RetryAfterMS int64      `json:"retry_after_ms,omitempty"`
+}
+
+func errorBody(res dispatch.Result) ErrorBody {
+	d := ErrorDetail{Code: res.Reason, Outcome: res.Outcome.String(), Message: message(res)}
+	if !res.RetryAt.IsZero() {
+		d.RetryAfterMS = max(1, time.Until(res.RetryAt).Milliseconds())
+	}
+	return ErrorBody{d}
+}
+
+func message(res dispatch.Result) string {
+	if res.Outcome == dispatch.NotRun {
+		return "The request was not run."
+	}
+	return "The request may have run; its answer could not be had."
+}
+
+// fail gives a caller its refusal, at once.
+func (g *Gateway) fail(w http.ResponseWriter, res dispatch.Result) {
+	g.Metrics.Refused(res.Reason)
+	b := errorBody(res)
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set(HeaderOutcome, b.Error.Outcome)
+	if b.Error.RetryAfterMS > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(b.Error.RetryAfterMS)/1000))))
+	}
+	w.WriteHeader(statusOf(res))
+	_ = json.NewEncoder(w).Encode(b)
+}
+
+// statusOf maps a refusal to an HTTP status.
+func statusOf(res dispatch.Result) int {
+	switch res.Reason {
+	case fault.BadRequest:
+		return http.StatusBadRequest
+	case fault.TooLarge:
+		return http.StatusRequestEntityTooLarge
+	case fault.NoService:
+		return http.StatusNotFound
+	case fault.RateLimited:
+		return http.StatusTooManyRequests
+	case fault.KeyReused:
+		return http.StatusUnprocessableEntity
+	case fault.PastDeadline, fault.Timeout:
+		return http.StatusGatewayTimeout
+	}
+	if res.Outcome == dispatch.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,47 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Plain is a stand-in for a plain service. Its answer is a fixed function of
+// the path and body.
+type Plain struct {
+	Name   string
+	Takes  time.Duration
+	Ledger Ledger
+}
+
+// PlainAnswer is what a plain service answers.
+type PlainAnswer struct {
+	Service string `json:"service"`
+	Path    string `json:"path"`
+	Echo    string `json:"echo"` // Made from the body as Answer does.
+}
+
+// PlainTokens is the length of a plain answer.
+const PlainTokens = 64
+
+// ServeHTTP implements http.Handler.
+func (p *Plain) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/ledger" {
+		p.Ledger.serve(w, r)
+		return
+	}
+	const maxBody = 8 << 20
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	var ref struct {
+		User string `json:"user"`
+	}
+	_ = json.Unmarshal(body, &ref)
+	p.Ledger.Started(ref.User)
+	time.Sleep(p.Takes)
+	reply(w, PlainAnswer{Service: p.Name, Path: r.URL.Path, Echo: Answer(string(body), p.Name, "", PlainTokens)})
+}
--- /dev/null
+++ b/internal/standin/platform.go
@@ -0,0 +1,241 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/feed"
+)
+
+// Mode is a fault of the platform.
+type Mode struct {
+	Down  bool `json:"down"`  // Every call fails.
+	Stale bool `json:"stale"` // Reads show what stood when the mode was set.
+}
+
+// Platform is a stand-in for the platform's service. The zero value is ready.
+type Platform struct {
+	CallsPerSecond float64       // Over all readers; 2000 by default.
+	FleetLag       time.Duration // How late changes of the fleet list show.
+
+	once    sync.Once
+	limit   *rate.Limiter
+	Calls   atomic.Int64 // Every call, a waiting watch as one.
+	Refused atomic.Int64
+
+	mu      sync.Mutex
+	mode    Mode
+	head    feed.PlatformHead
+	fleet   feed.PlatformFleet
+	stale   *snapshot
+	docs    map[string][]byte
+	changed chan struct{}
+}
+
+type snapshot struct {
+	head  feed.PlatformHead
+	fleet feed.PlatformFleet
+}
+
+func (p *Platform) init() {
+	p.once.Do(func() {
+		if p.CallsPerSecond == 0 {
+			p.CallsPerSecond = 2000
+		}
+		p.limit = rate.NewLimiter(rate.Limit(p.CallsPerSecond), int(p.CallsPerSecond))
+		p.docs = map[string][]byte{}
+		p.changed = make(chan struct{})
+	})
+}
+
+// Publish puts a whole in place and returns its revision.
+func (p *Platform) Publish(docs map[string][]byte) uint64 {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	digests := map[string]string{}
+	for name, data := range docs {
+		d := config.DocumentDigest(data)
+		digests[name], p.docs[d] = d, data
+	}
+	p.head = feed.PlatformHead{Revision: p.head.Revision + 1, Docs: digests}
+	p.wake()
+	return p.head.Revision
+}
+
+// SetFleet replaces the fleet list, which shows after FleetLag.
+func (p *Platform) SetFleet(boxes map[string]fleet.Box) {
+	p.init()
+	set := func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.fleet = feed.PlatformFleet{Version: p.fleet.Version + 1, Boxes: boxes}
+		p.wake()
+	}
+	if p.FleetLag == 0 {
+		set()
+		return
+	}
+	time.AfterFunc(p.FleetLag, set)
+}
+
+// SetMode switches a fault on or off.
+func (p *Platform) SetMode(m Mode) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if m.Stale && p.stale == nil {
+		p.stale = &snapshot{p.head, p.fleet}
+	}
+	if !m.Stale {
+		p.stale = nil
+	}
+	p.mode = m
+	p.wake()
+}
+
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+func (p *Platform) read() (snapshot, Mode, chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.stale != nil {
+		return *p.stale, p.mode, p.changed
+	}
+	return snapshot{p.head, p.fleet}, p.mode, p.changed
+}
+
+// ServeHTTP implements http.Handler.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	p.init()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/config", p.counted(p.serveConfig))
+	mux.HandleFunc("GET /v1/fleet", p.counted(p.serveFleet))
+	mux.HandleFunc("GET /v1/docs/{digest}", p.counted(p.serveDoc))
+	mux.HandleFunc("POST /control/publish", p.controlPublish)
+	mux.HandleFunc("POST /control/fleet", p.controlFleet)
+	mux.HandleFunc("POST /control/mode", p.controlMode)
+	mux.HandleFunc("GET /control/stats", p.controlStats)
+	mux.ServeHTTP(w, r)
+}
+
+func (p *Platform) counted(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		p.Calls.Add(1)
+		if _, mode, _ := p.read(); mode.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		if !p.limit.Allow() {
+			p.Refused.Add(1)
+			w.Header().Set("Retry-After", "1")
+			http.Error(w, "too many calls", http.StatusTooManyRequests)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (p *Platform) serveConfig(w http.ResponseWriter, r *http.Request) {
+	p.wait(r, func(s snapshot) uint64 { return s.head.Revision })
+	s, _, _ := p.read()
+	reply(w, s.head)
+}
+
+func (p *Platform) serveFleet(w http.ResponseWriter, r *http.Request) {
+	p.wait(r, func(s snapshot) uint64 { return s.fleet.Version })
+	s, _, _ := p.read()
+	reply(w, s.fleet)
+}
+
+// wait returns once the version differs from the one known to the reader, or
+// its wait is over, or the platform goes down.
+func (p *Platform) wait(r *http.Request, version func(snapshot) uint64) {
+	known, _ := strconv.ParseUint(r.FormValue("known"), 10, 64)
+	wait, _ := time.ParseDuration(r.FormValue("wait"))
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s, mode, changed := p.read()
+		if version(s) != known || mode.Down {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (p *Platform) serveDoc(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	data, ok := p.docs[r.PathValue("digest")]
+	p.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	_, _ = w.Write(data)
+}
+
+func (p *Platform) controlPublish(w http.ResponseWriter, r *http.Request) {
+	var docs map[string]string
+	if !decode(w, r, &docs) {
+		return
+	}
+	whole := map[string][]byte{}
+	for name, text := range docs {
+		if len(text) > config.MaxDocument {
+			http.Error(w, "document over 1 MB: "+name, http.StatusRequestEntityTooLarge)
+			return
+		}
+		whole[name] = []byte(text)
+	}
+	reply(w, map[string]uint64{"revision": p.Publish(whole)})
+}
+
+func (p *Platform) controlFleet(w http.ResponseWriter, r *http.Request) {
+	var boxes map[string]fleet.Box
+	if decode(w, r, &boxes) {
+		p.SetFleet(boxes)
+	}
+}
+
+func (p *Platform) controlMode(w http.ResponseWriter, r *http.Request) {
+	var m Mode
+	if decode(w, r, &m) {
+		p.SetMode(m)
+	}
+}
+
+func (p *Platform) controlStats(w http.ResponseWriter, _ *http.Request) {
+	reply(w, map[string]int64{"calls": p.Calls.Load(), "refused": p.Refused.Load()})
+}
+
+func decode(w http.ResponseWriter, r *http.Request, out any) bool {
+	const maxBody = 32 << 20
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBody)).Decode(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/telemetry/admin.go
@@ -0,0 +1,49 @@
+package telemetry
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Admin serves a process's metrics, health and status.
+type Admin struct {
+	Metrics *Metrics
+	Ready   func() error // Nil when the process may be sent work.
+	Status  func() any   // What `poststand status` prints.
+}
+
+// Handler returns the admin endpoints.
+func (a *Admin) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", a.Metrics.Handler)
+	mux.HandleFunc("GET /live", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if err := a.Ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(a.Status())
+	})
+	return mux
+}
+
+// ServeHTTP serves h on ln until ctx ends.
+func ServeHTTP(ctx context.Context, ln net.Listener, srv *http.Server) error {
+	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
+	defer stop()
+	if srv.ReadHeaderTimeout == 0 {
+		srv.ReadHeaderTimeout = 5 * time.Second
+	}
+	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return fault.Wrap(fault.Closed, err, "http")
+	}
+	return nil
+}
--- /dev/null
+++ b/limit/rate.go
@@ -0,0 +1,111 @@
+package limit
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Rate is one gateway's part of an organisation's limits, which hold over all
+// gateways. The parts are split by the gateways that the view shows live. While
+// views differ, or a part of the fleet is cut off, the sum of the parts is off
+// by at most the ratio of the gateways that exist to those that each one sees.
+type Rate struct {
+	mu       sync.Mutex
+	tokens   float64
+	filled   time.Time
+	inFlight int
+}
+
+// Part is the limit that falls to this gateway.
+type Part struct {
+	PerSecond float64 // 0 is no limit.
+	InFlight  int     // 0 is no limit.
+}
+
+// Split returns the part of a limit for one of n gateways.
+func Split(perSecond float64, inFlight, n int) Part {
+	n = max(1, n)
+	p := Part{PerSecond: perSecond / float64(n)}
+	if inFlight > 0 {
+		p.InFlight = max(1, (inFlight+n-1)/n)
+	}
+	return p
+}
+
+// burstOf is how many requests may come at once at a rate.
+func burstOf(perSecond float64) float64 { return max(1, perSecond) }
+
+// Take admits one request or refuses it with fault.RateLimited and the time to
+// come back. Give must follow an admission.
+func (r *Rate) Take(now time.Time, p Part) (time.Time, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.InFlight > 0 && r.inFlight >= p.InFlight {
+		return now.Add(time.Second), fault.New(fault.RateLimited, "requests in flight")
+	}
+	if p.PerSecond > 0 {
+		r.fill(now, p)
+		if r.tokens < 1 {
+			wait := (1 - r.tokens) / p.PerSecond
+			return now.Add(time.Duration(wait * float64(time.Second))), fault.New(fault.RateLimited, "requests a second")
+		}
+		r.tokens--
+	}
+	r.inFlight++
+	return time.Time{}, nil
+}
+
+func (r *Rate) fill(now time.Time, p Part) {
+	if r.filled.IsZero() {
+		r.tokens = burstOf(p.PerSecond)
+	} else if now.After(r.filled) {
+		r.tokens = min(burstOf(p.PerSecond), r.tokens+now.Sub(r.filled).Seconds()*p.PerSecond)
+	}
+	if now.After(r.filled) {
+		r.filled = now
+	}
+}
+
+// Give ends a request that Take admitted.
+func (r *Rate) Give() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+}
+
+// Budget keeps retries to a share of requests. The zero value allows none.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+// budgetBurst bounds the retries that may come at once after quiet times.
+const budgetBurst = 10
+
+// Request earns a request's share of a retry.
+func (b *Budget) Request(percent int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(budgetBurst, b.tokens+float64(percent)/100)
+}
+
+// Spend takes one retry, if there is one.
+func (b *Budget) Spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// ComeBack spreads the time at which refused callers return: evenly over one
+// to two times the wait that the queue suggests, at least a second.
+func ComeBack(now time.Time, wait time.Duration) time.Time {
+	wait = max(wait, time.Second)
+	return now.Add(wait + rand.N(wait))
+}
--- /dev/null
+++ b/route/router.go
@@ -0,0 +1,356 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/rendezvous"
+)
+
+// Tuning of a Router.
+const (
+	reportHalfLife = 3 * time.Second  // A report of others' load counts half after this.
+	boundFactor    = 1.25             // Load over the mean at which a prefix spills over.
+	boundSlack     = 2.0              // Requests over the bound that are always allowed.
+	slowStart      = 5 * time.Second  // A fresh upstream reaches its full share after this.
+	slowStartLeast = 0.2              // The share that it begins with.
+	ejectFor       = 2 * time.Second  // First time an upstream is left out; doubles.
+	ejectMost      = 30 * time.Second // Bound of that.
+	ejectAfter     = 3                // Failures in a row.
+	ejectShare     = 0.34             // Of a service's upstreams that may be out at once.
+	slowFactor     = 3.0              // Times the median first-token time that counts as slow.
+	slowWeight     = 0.2              // Weight of a new first-token sample.
+	reportExpires  = 45 * time.Second // A silent upstream counts as unknown after this.
+)
+
+// Upstream is what a gateway knows of one box.
+type Upstream struct {
+	Box      fleet.Box
+	Report   dispatch.Report
+	Heard    time.Time // When Report came; zero if none did.
+	InFlight int       // Dispatches of this gateway that are open.
+	// ownThen is InFlight when Report came, so that own work is not counted twice.
+	ownThen   int
+	readyAt   time.Time     // When it was first seen ready in this incarnation.
+	failures  int           // In a row.
+	ejected   time.Time     // Left out until then.
+	ejections int           // In a row, for doubling.
+	first     time.Duration // Smoothed time to the first token.
+}
+
+// Router is the table of upstreams. The zero value is empty.
+type Router struct {
+	// Choose overrides how Pick selects among candidates, for baselines in
+	// measurements. Nil is the policy of this package.
+	Choose func(r *Router, now time.Time, cs []*Upstream, q Query) *Upstream
+
+	mu  sync.Mutex
+	ups map[string]*Upstream
+}
+
+// Query is what Pick needs to know of a request.
+type Query struct {
+	Service string
+	Digest  string          // The version that must answer; empty for plain services.
+	Prefix  string          // Hash key of the prompt's beginning, or empty.
+	Exclude map[string]bool // Boxes that were tried.
+}
+
+// Sync takes the boxes that are placed in this hall; others are forgotten.
+func (r *Router) Sync(boxes []fleet.Box) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.ups == nil {
+		r.ups = map[string]*Upstream{}
+	}
+	keep := map[string]bool{}
+	for _, b := range boxes {
+		keep[b.Name] = true
+		if u, ok := r.ups[b.Name]; ok && u.Box.Addr == b.Addr {
+			u.Box = b
+			continue
+		}
+		r.ups[b.Name] = &Upstream{Box: b}
+	}
+	for name, u := range r.ups {
+		if !keep[name] && u.InFlight == 0 {
+			delete(r.ups, name)
+		} else if !keep[name] {
+			u.Box.Leaving = true
+		}
+	}
+}
+
+// Heard takes a report. One that is older than the last, or from an incarnation
+// that was replaced, is dropped.
+func (r *Router) Heard(now time.Time, name string, rep dispatch.Report) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, ok := r.ups[name]
+	if !ok || rep.Incarnation < u.Report.Incarnation {
+		return
+	}
+	same := rep.Incarnation == u.Report.Incarnation
+	if same && rep.At.Before(u.Report.At) {
+		return
+	}
+	if !same {
+		u.failures, u.ejected, u.ejections, u.readyAt = 0, time.Time{}, 0, time.Time{}
+	}
+	if rep.Ready && (u.readyAt.IsZero() || rep.Digest != u.Report.Digest) {
+		u.readyAt = now
+	}
+	u.Report, u.Heard, u.ownThen = rep, now, u.InFlight
+}
+
+// Lost records that the connection on which an upstream reports has ended, so
+// nothing is known of it.
+func (r *Router) Lost(name string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if u, ok := r.ups[name]; ok {
+		u.Report.Ready = false
+	}
+}
+
+// Ready returns how many upstreams are ready for a service at a version.
+func (r *Router) Ready(now time.Time, service, digest string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.candidates(now, Query{Service: service, Digest: digest}))
+}
+
+// Versions returns the versions that are ready for a service, with how many.
+func (r *Router) Versions(now time.Time, service string) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := map[string]int{}
+	for _, u := range r.ups {
+		if u.usable(now, service) {
+			out[u.Report.Digest]++
+		}
+	}
+	return out
+}
+
+// Slots returns the requests that the ready upstreams of a service run at once.
+func (r *Router) Slots(now time.Time, service string) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := 0
+	for _, u := range r.ups {
+		if u.usable(now, service) {
+			n += u.Report.Slots
+		}
+	}
+	return n
+}
+
+func (u *Upstream) usable(now time.Time, service string) bool {
+	return u.Report.Ready && !u.Report.Draining && !u.Box.Leaving && u.Report.Service == service &&
+		now.Sub(u.Heard) < reportExpires
+}
+
+func (r *Router) candidates(now time.Time, q Query) []*Upstream {
+	var out []*Upstream
+	for _, name := range rendezvous.Sorted(r.ups) {
+		u := r.ups[name]
+		if u.usable(now, q.Service) && u.Report.Digest == q.Digest && !q.Exclude[name] {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Pick chooses an upstream and counts a dispatch to it, which Done must end.
+// The returned value is a copy.
+func (r *Router) Pick(now time.Time, q Query) (Upstream, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	all := r.candidates(now, q)
+	if len(all) == 0 {
+		return Upstream{}, fault.New(fault.NoUpstream, q.Service)
+	}
+	choose := r.Choose
+	if choose == nil {
+		choose = (*Router).choose
+	}
+	u := choose(r, now, inService(now, all), q)
+	u.InFlight++
+	return *u, nil
+}
+
+// inService leaves out ejected upstreams, but never more than a share of them:
+// past that the ones whose time is nearest its end are used.
+func inService(now time.Time, all []*Upstream) []*Upstream {
+	var in, out []*Upstream
+	for _, u := range all {
+		if u.ejected.After(now) {
+			out = append(out, u)
+		} else {
+			in = append(in, u)
+		}
+	}
+	for len(out) > int(ejectShare*float64(len(all))) {
+		soonest := 0
+		for i, u := range out {
+			if u.ejected.Before(out[soonest].ejected) {
+				soonest = i
+			}
+		}
+		in = append(in, out[soonest])
+		out = append(out[:soonest], out[soonest+1:]...)
+	}
+	return in
+}
+
+func (r *Router) choose(now time.Time, cs []*Upstream, q Query) *Upstream {
+	if q.Prefix != "" {
+		if u := byPrefix(now, cs, q.Prefix); u != nil {
+			return u
+		}
+	}
+	a, b := cs[rand.IntN(len(cs))], cs[rand.IntN(len(cs))]
+	if cost(now, b, cs) < cost(now, a, cs) {
+		return b
+	}
+	return a
+}
+
+// byPrefix walks the rendezvous order of a prefix and takes the first upstream
+// whose load is within the bound, so that a hot prefix spills over.
+func byPrefix(now time.Time, cs []*Upstream, prefix string) *Upstream {
+	total := 0.0
+	byName := map[string]*Upstream{}
+	names := make([]string, len(cs))
+	for i, u := range cs {
+		total += u.Load(now)
+		byName[u.Box.Name], names[i] = u, u.Box.Name
+	}
+	bound := boundFactor*total/float64(len(cs)) + boundSlack
+	slow := slowFactor * median(cs)
+	const tries = 2
+	for _, name := range rendezvous.Rank(prefix, names)[:min(tries, len(names))] {
+		u := byName[name]
+		if u.Load(now) <= bound && u.share(now) >= 1 && (slow == 0 || float64(u.first) < slow) {
+			return u
+		}
+	}
+	return nil
+}
+
+// Load estimates the requests at an upstream: this gateway's own, which it
+// knows, and those of others by the last report, which counts less as it ages.
+func (u *Upstream) Load(now time.Time) float64 {
+	others := float64(max(0, u.Report.Running+u.Report.Queued-u.ownThen))
+	age := now.Sub(u.Heard)
+	return float64(u.InFlight) + others*math.Exp2(-float64(age)/float64(reportHalfLife))
+}
+
+// share is the part of its full work that a fresh upstream is given.
+func (u *Upstream) share(now time.Time) float64 {
+	up := float64(now.Sub(u.readyAt)) / float64(slowStart)
+	return min(1, max(slowStartLeast, up))
+}
+
+// cost compares upstreams: load for each slot, weighted by how slow it was and
+// by how fresh it is.
+func cost(now time.Time, u *Upstream, cs []*Upstream) float64 {
+	c := (u.Load(now) + 1) / float64(max(1, u.Report.Slots)) / u.share(now)
+	if m := median(cs); m > 0 && u.first > 0 {
+		c *= max(1, float64(u.first)/m)
+	}
+	return c
+}
+
+// median is the median smoothed first-token time, or 0 while too few are known.
+func median(cs []*Upstream) float64 {
+	var known []float64
+	for _, u := range cs {
+		if u.first > 0 {
+			known = append(known, float64(u.first))
+		}
+	}
+	const fewest = 3
+	if len(known) < fewest {
+		return 0
+	}
+	return middle(known)
+}
+
+// Ended is how a dispatch went, as far as it speaks of the upstream.
+type Ended struct {
+	Failed    bool          // The upstream failed; a refusal is not a failure.
+	FirstData time.Duration // Until the first part of the answer, or 0.
+}
+
+// Done ends a dispatch.
+func (r *Router) Done(now time.Time, name string, incarnation uint64, e Ended) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, ok := r.ups[name]
+	if !ok {
+		return
+	}
+	u.InFlight = max(0, u.InFlight-1)
+	if incarnation != u.Report.Incarnation {
+		return
+	}
+	if e.FirstData > 0 {
+		u.sample(e.FirstData)
+	}
+	if !e.Failed {
+		if e.FirstData > 0 {
+			u.failures, u.ejections = 0, 0
+		}
+		return
+	}
+	u.failures++
+	if u.failures >= ejectAfter {
+		d := min(ejectMost, ejectFor<<min(u.ejections, 4))
+		u.ejected = now.Add(d)
+		u.ejections++
+		u.failures = 0
+	}
+}
+
+func (u *Upstream) sample(d time.Duration) {
+	if u.first == 0 {
+		u.first = d
+		return
+	}
+	u.first += time.Duration(slowWeight * float64(d-u.first))
+}
+
+// Refused records that an upstream refused a dispatch for a reason that lasts,
+// so that it gets no more work until its next report.
+func (r *Router) Refused(name string, incarnation uint64, why fault.Code) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	u, ok := r.ups[name]
+	if !ok || u.Report.Incarnation != incarnation {
+		return
+	}
+	switch why {
+	case fault.Draining:
+		u.Report.Draining = true
+	case fault.NotReady, fault.WrongVersion, fault.StaleView, fault.WrongIncarnation:
+		u.Report.Ready = false
+	}
+}
+
+// Snapshot returns a copy of every upstream, by name.
+func (r *Router) Snapshot() []Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Upstream
+	for _, name := range rendezvous.Sorted(r.ups) {
+		out = append(out, *r.ups[name])
+	}
+	return out
+}
--- /dev/null
+++ b/weights/exchange.go
@@ -0,0 +1,241 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/wire"
+)
+
+// Defaults of an Exchange.
+const (
+	defaultUploadSlots = 2
+	defaultUploadQueue = 6
+	defaultPart        = 256 << 10
+	defaultFlush       = 100 * time.Millisecond
+)
+
+// Exchange does the I/O with weights of one box. Set the exported fields before
+// first use.
+type Exchange struct {
+	Self        Member
+	Store       *Store
+	Pool        *wire.Pool // Connections for weights alone, so that requests never wait behind chunks.
+	Strategy    Strategy
+	UploadSlots int           // Chunks sent at once; 2 by default.
+	UploadQueue int           // Uploads that wait; more are refused. 6 by default.
+	Part        int           // Bytes in a message; 256 KiB by default.
+	Flush       time.Duration // Between two Have messages to a neighbour; 100 ms by default.
+	// FromOrigin fetches a chunk or manifest from the origin by its digest.
+	FromOrigin func(ctx context.Context, digest string) ([]byte, error)
+	// Pace delays each part sent, to leave room for traffic. Nil does not.
+	Pace func(ctx context.Context, bytes int) error
+	// Event counts what happened, with the bytes that moved.
+	Event func(e Event)
+
+	mu        sync.Mutex
+	transfers map[string]*Transfer
+	manifests map[string][]byte
+	uploads   chan struct{}
+	waiting   int
+}
+
+// EventKind names something that an Exchange counts.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventOrigin  EventKind = "origin"       // A chunk came from the origin.
+	EventHall    EventKind = "peer_in_hall" // From a peer in this hall.
+	EventAcross  EventKind = "peer_across"  // From a peer of another hall.
+	EventUpload  EventKind = "upload"       // A chunk was sent to a peer.
+	EventCorrupt EventKind = "corrupt"      // A chunk did not match its digest.
+	EventStall   EventKind = "stall"        // A fetch got nothing in time.
+	EventRefused EventKind = "refused"      // A peer or the origin had no room.
+	EventTurn    EventKind = "seed_takeover"
+)
+
+// Event is one such happening.
+type Event struct {
+	Kind  EventKind
+	Bytes int
+}
+
+func (x *Exchange) event(k EventKind, n int) {
+	if x.Event != nil {
+		x.Event(Event{k, n})
+	}
+}
+
+func orDefault[T comparable](v, d T) T {
+	var zero T
+	if v == zero {
+		return d
+	}
+	return v
+}
+
+// Serve registers the handlers that answer other boxes.
+func (x *Exchange) Serve(hs *wire.Handlers) {
+	x.uploads = make(chan struct{}, orDefault(x.UploadSlots, defaultUploadSlots))
+	wire.On(hs, x.serveJoin)
+	wire.On(hs, x.serveChunk)
+	wire.On(hs, x.serveAsk)
+}
+
+// Transfer returns the transfer of an artifact that is under way or complete
+// here, or nil.
+func (x *Exchange) Transfer(artifact string) *Transfer {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.transfers[artifact]
+}
+
+func (x *Exchange) addTransfer(t *Transfer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.transfers == nil {
+		x.transfers = map[string]*Transfer{}
+	}
+	x.transfers[t.Artifact] = t
+}
+
+func (x *Exchange) dropTransfer(t *Transfer) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.transfers[t.Artifact] == t {
+		delete(x.transfers, t.Artifact)
+	}
+}
+
+func (x *Exchange) queue() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.waiting + len(x.uploads)
+}
+
+func (x *Exchange) serveJoin(ctx context.Context, s *wire.Stream, m *Join) {
+	t := x.Transfer(m.Artifact)
+	if t == nil || !t.started() {
+		_ = s.Fail(ctx, fault.New(fault.NotHeld, m.Artifact))
+		return
+	}
+	t.session(ctx, s, m)
+}
+
+func (x *Exchange) serveAsk(ctx context.Context, s *wire.Stream, m *Ask) {
+	r := &AskReply{}
+	if t := x.Transfer(m.Artifact); t != nil {
+		r.Has, r.Getting = t.state(m.Chunk)
+	}
+	_ = s.SendLast(ctx, r)
+}
+
+func (x *Exchange) serveChunk(ctx context.Context, s *wire.Stream, m *GetChunk) {
+	data, ok := x.Lookup(m.Digest)
+	if !ok {
+		_ = s.Fail(ctx, fault.New(fault.NotHeld, m.Digest))
+		return
+	}
+	if !x.enterUpload(ctx) {
+		_ = s.Fail(ctx, fault.New(fault.Busy, "upload slots"))
+		return
+	}
+	defer func() { <-x.uploads }()
+	if x.sendParts(ctx, s, data) == nil {
+		x.event(EventUpload, len(data))
+	}
+}
+
+// Lookup finds a chunk or a manifest.
+func (x *Exchange) Lookup(digest string) ([]byte, bool) {
+	if data, ok := x.Store.Get(digest); ok {
+		return data, true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	data, ok := x.manifests[digest]
+	return data, ok
+}
+
+// enterUpload waits for an upload slot, unless too many wait already.
+func (x *Exchange) enterUpload(ctx context.Context) bool {
+	x.mu.Lock()
+	if x.waiting >= orDefault(x.UploadQueue, defaultUploadQueue) {
+		x.mu.Unlock()
+		return false
+	}
+	x.waiting++
+	x.mu.Unlock()
+	defer func() {
+		x.mu.Lock()
+		x.waiting--
+		x.mu.Unlock()
+	}()
+	select {
+	case x.uploads <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (x *Exchange) sendParts(ctx context.Context, s *wire.Stream, data []byte) error {
+	size := orDefault(x.Part, defaultPart)
+	for {
+		n := min(size, len(data))
+		if x.Pace != nil {
+			if err := x.Pace(ctx, n); err != nil {
+				return fault.Wrap(fault.Cancelled, err, "pace")
+			}
+		}
+		part, rest := data[:n], data[n:]
+		if len(rest) == 0 {
+			return s.SendLast(ctx, &Part{Data: part})
+		}
+		if err := s.Send(ctx, &Part{Data: part}); err != nil {
+			return err
+		}
+		data = rest
+	}
+}
+
+// receiveParts reads a chunk of at most limit bytes. Each part must come within
+// patience of the one before.
+func receiveParts(ctx context.Context, s *wire.Stream, limit int, first, patience time.Duration) ([]byte, error) {
+	var data []byte
+	for wait := first; ; wait = patience {
+		rctx, cancel := context.WithTimeout(ctx, wait)
+		m, err := s.Recv(rctx)
+		cancel()
+		if err != nil {
+			if fault.Is(err, fault.Timeout) && ctx.Err() == nil {
+				err = fault.New(fault.Stalled, "chunk")
+			}
+			return nil, err
+		}
+		p, ok := m.(*Part)
+		if !ok {
+			return nil, fault.New(fault.Garbage, "chunk part")
+		}
+		if len(data)+len(p.Data) > limit {
+			return nil, fault.New(fault.TooLarge, "chunk")
+		}
+		data = append(data, p.Data...)
+		if s.Finished() {
+			return data, nil
+		}
+	}
+}
+
+// getFrom fetches a chunk or manifest from a peer on its connection.
+func getFrom(ctx context.Context, c *wire.Conn, digest string, limit int, first, patience time.Duration) ([]byte, error) {
+	s, err := c.Open(ctx, &GetChunk{Digest: digest})
+	if err != nil {
+		return nil, err
+	}
+	defer s.Close()
+	return receiveParts(ctx, s, limit, first, patience)
+}
--- /dev/null
+++ b/weights/manifest.go
@@ -0,0 +1,93 @@
+package weights
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"strings"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Chunk is a part of a file.
+type Chunk struct {
+	Digest string `json:"digest"` // "sha256:" and 64 hexadecimal digits.
+	Size   int    `json:"size"`   // Bytes.
+}
+
+// File is one file of an artifact.
+type File struct {
+	Name   string  `json:"name"`
+	Chunks []Chunk `json:"chunks"`
+}
+
+// Manifest describes an artifact.
+type Manifest struct {
+	Model   string `json:"model"`
+	Version string `json:"version"`
+	Files   []File `json:"files"`
+}
+
+// MaxChunk is the largest chunk, in bytes, so that one fits a message.
+const MaxChunk = 64 << 20
+
+// Digest names data by its SHA-256.
+func Digest(data []byte) string {
+	sum := sha256.Sum256(data)
+	return "sha256:" + hex.EncodeToString(sum[:])
+}
+
+// Encode returns the bytes whose digest names the manifest.
+func (m *Manifest) Encode() ([]byte, error) {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "manifest")
+	}
+	return b, nil
+}
+
+// ParseManifest decodes data if it has the given digest and is well formed.
+func ParseManifest(data []byte, digest string) (*Manifest, error) {
+	if Digest(data) != digest {
+		return nil, fault.New(fault.Corrupt, "manifest "+digest)
+	}
+	var m Manifest
+	if err := json.Unmarshal(data, &m); err != nil {
+		return nil, fault.Wrap(fault.Garbage, err, "manifest")
+	}
+	for _, f := range m.Files {
+		for _, c := range f.Chunks {
+			if c.Size < 1 || c.Size > MaxChunk || !strings.HasPrefix(c.Digest, "sha256:") {
+				return nil, fault.New(fault.Garbage, "manifest: chunk of "+f.Name)
+			}
+		}
+	}
+	return &m, nil
+}
+
+// Chunks returns every different chunk once, in order of first use.
+func (m *Manifest) Chunks() []Chunk {
+	var out []Chunk
+	seen := map[string]bool{}
+	for _, f := range m.Files {
+		for _, c := range f.Chunks {
+			if !seen[c.Digest] {
+				seen[c.Digest] = true
+				out = append(out, c)
+			}
+		}
+	}
+	return out
+}
+
+// Split describes data as a file of chunks of the given size, for tools that
+// publish artifacts.
+func Split(name string, data []byte, size int) File {
+	f := File{Name: name}
+	for len(data) > 0 {
+		n := min(size, len(data))
+		f.Chunks = append(f.Chunks, Chunk{Digest: Digest(data[:n]), Size: n})
+		data = data[n:]
+	}
+	return f
+}
--- /dev/null
+++ b/weights/neighbour.go
@@ -0,0 +1,247 @@
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/rendezvous"
+	"github.com/poststand/poststand/wire"
+)
+
+// lookEvery is how often the neighbours are compared with the members.
+const lookEvery = time.Second
+
+// keepNeighbours holds a session with each box that the strategy names.
+func (t *Transfer) keepNeighbours(ctx context.Context) {
+	dialling := map[string]context.CancelFunc{}
+	var last []string
+	for ctx.Err() == nil {
+		members := t.Members()
+		if names := memberNames(members); !equalNames(names, last) {
+			t.mu.Lock()
+			t.plan.SetMembers(names)
+			t.mu.Unlock()
+			last = names
+		}
+		want := map[string]bool{}
+		for _, m := range t.Exchange.Strategy.Neighbours(t.Exchange.Self, members) {
+			want[m.Name] = true
+			if dialling[m.Name] == nil {
+				nctx, cancel := context.WithCancel(ctx)
+				dialling[m.Name] = cancel
+				go t.dial(nctx, m)
+			}
+		}
+		for name, cancel := range dialling {
+			if !want[name] {
+				cancel()
+				delete(dialling, name)
+			}
+		}
+		pause(ctx, lookEvery)
+	}
+	for _, cancel := range dialling {
+		cancel()
+	}
+}
+
+func equalNames(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// dial keeps a session with one neighbour until ctx ends. Waits between tries
+// rise to a cap and differ from pair to pair.
+func (t *Transfer) dial(ctx context.Context, m Member) {
+	const first, most = 100 * time.Millisecond, 4 * time.Second
+	spread := time.Duration(rendezvous.Score(t.Exchange.Self.Name, m.Name) % uint64(first))
+	for wait := first; ctx.Err() == nil; wait = min(2*wait, most) {
+		if t.join(ctx, m) {
+			wait = first
+		}
+		pause(ctx, wait+spread)
+	}
+}
+
+// join opens a session and serves it to its end. It reports whether one was had.
+func (t *Transfer) join(ctx context.Context, m Member) bool {
+	c, err := t.Exchange.Pool.Get(ctx, m.Addr)
+	if err != nil {
+		return false
+	}
+	t.mu.Lock()
+	_, already := t.sessions[m.Name]
+	has := t.plan.Have().Clone()
+	t.mu.Unlock()
+	if already {
+		// The neighbour dialled us; its session serves both ends.
+		pause(ctx, lookEvery)
+		return true
+	}
+	s, err := c.Open(ctx, &Join{Artifact: t.Artifact, Has: has, Queue: t.Exchange.queue()})
+	if err != nil {
+		return false
+	}
+	defer s.Close()
+	first, err := s.Recv(ctx)
+	reply, ok := first.(*Join)
+	if err != nil || !ok || reply.Artifact != t.Artifact {
+		return false
+	}
+	t.exchangeHaves(ctx, s, m, has, reply)
+	return true
+}
+
+// session serves a session that a neighbour opened.
+func (t *Transfer) session(ctx context.Context, s *wire.Stream, m *Join) {
+	remote := s.Conn().Remote()
+	peer := Member{Name: remote.Box, Hall: remote.Hall}
+	t.mu.Lock()
+	has := t.plan.Have().Clone()
+	t.mu.Unlock()
+	if s.Send(ctx, &Join{Artifact: t.Artifact, Has: has, Queue: t.Exchange.queue()}) != nil {
+		return
+	}
+	t.exchangeHaves(ctx, s, peer, has, m)
+}
+
+// exchangeHaves runs a session: told is what the neighbour was told already.
+func (t *Transfer) exchangeHaves(ctx context.Context, s *wire.Stream, peer Member, told Bitmap, first *Join) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	own := &session{peer: peer, conn: s.Conn(), wake: make(chan struct{}, 1)}
+	t.mu.Lock()
+	if t.sessions[peer.Name] != nil {
+		// Both dialled at once. Two sessions do no harm: the second only tells.
+		own = nil
+	} else {
+		t.sessions[peer.Name] = own
+		t.plan.PeerHas(peer.Name, first.Has, first.Queue)
+		for i := range t.plan.Chunks {
+			if t.plan.Have().Has(i) && !told.Has(i) {
+				own.unsent = append(own.unsent, i)
+			}
+		}
+	}
+	t.mu.Unlock()
+	if own == nil {
+		return
+	}
+	t.happened()
+	go t.sendHaves(ctx, s, own)
+	t.receiveHaves(ctx, s, peer.Name)
+	t.mu.Lock()
+	delete(t.sessions, peer.Name)
+	t.plan.PeerGone(peer.Name)
+	t.mu.Unlock()
+	t.happened()
+}
+
+// sendHaves tells a neighbour what came since, at most once in a flush period.
+func (t *Transfer) sendHaves(ctx context.Context, s *wire.Stream, own *session) {
+	flush := orDefault(t.Exchange.Flush, defaultFlush)
+	for {
+		t.mu.Lock()
+		news := own.unsent
+		own.unsent = nil
+		t.mu.Unlock()
+		if len(news) > 0 {
+			if s.Send(ctx, &Have{Chunks: news, Queue: t.Exchange.queue()}) != nil {
+				return
+			}
+		}
+		pause(ctx, flush)
+		select {
+		case <-own.wake:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (t *Transfer) receiveHaves(ctx context.Context, s *wire.Stream, peer string) {
+	for {
+		m, err := s.Recv(ctx)
+		if err != nil {
+			return
+		}
+		h, ok := m.(*Have)
+		if !ok {
+			return
+		}
+		t.mu.Lock()
+		got := NewBitmap(t.plan.Chunks)
+		for _, i := range h.Chunks {
+			got.Set(i)
+		}
+		t.plan.PeerHas(peer, got, h.Queue)
+		t.mu.Unlock()
+		t.happened()
+	}
+}
+
+// getManifest fetches the manifest: the first box in its order from the origin,
+// the others from those ahead of them, and from the origin once that is late.
+func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
+	const retry, patience, grace = 200 * time.Millisecond, 2 * time.Second, 2 * time.Second
+	const maxManifest = 8 << 20
+	x := t.Exchange
+	begin := time.Now()
+	for ctx.Err() == nil {
+		if data, ok := x.Lookup(t.Artifact); ok {
+			return data, nil
+		}
+		members := rank("manifest/"+t.Artifact, t.Members())
+		place := 0
+		for place < len(members) && members[place].Name != x.Self.Name {
+			place++
+		}
+		late := time.Since(begin) > time.Duration(min(place, 8))*grace
+		if x.Strategy.OrderKey == nil || place == 0 || late {
+			if data, err := x.FromOrigin(ctx, t.Artifact); err == nil && Digest(data) == t.Artifact {
+				x.keepManifest(t.Artifact, data)
+				return data, nil
+			}
+		}
+		for _, m := range members[max(0, min(place, len(members))/2-1):min(place, len(members))] {
+			c, err := x.Pool.Get(ctx, m.Addr)
+			if err != nil {
+				continue
+			}
+			data, err := getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
+			if err == nil && Digest(data) == t.Artifact {
+				x.keepManifest(t.Artifact, data)
+				return data, nil
+			}
+			break
+		}
+		pause(ctx, retry)
+	}
+	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
+}
+
+func (x *Exchange) keepManifest(digest string, data []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.manifests == nil {
+		x.manifests = map[string][]byte{}
+	}
+	x.manifests[digest] = data
+}
--- /dev/null
+++ b/weights/origin.go
@@ -0,0 +1,58 @@
+package weights
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// OriginClient fetches chunks and manifests from the origin over HTTP.
+type OriginClient struct {
+	URL  string
+	HTTP *http.Client
+}
+
+// Get returns the bytes with a digest. When the store says 429 or 503 it waits
+// as long as Retry-After asks, at most a few seconds, and fails with
+// fault.Throttled, so that the caller's plan can look elsewhere.
+func (o *OriginClient) Get(ctx context.Context, digest string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.URL+"/blobs/"+digest, nil)
+	if err != nil {
+		return nil, fault.Wrap(fault.BadRequest, err, digest)
+	}
+	c := o.HTTP
+	if c == nil {
+		c = http.DefaultClient
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, err, "origin")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		pause(ctx, retryAfter(resp))
+		return nil, fault.New(fault.Throttled, "origin")
+	default:
+		return nil, fault.New(fault.UpstreamFailed, "origin: "+resp.Status)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxChunk+1))
+	if err != nil {
+		return nil, fault.Wrap(fault.Closed, err, "origin")
+	}
+	return data, nil
+}
+
+func retryAfter(resp *http.Response) time.Duration {
+	const most = 5 * time.Second
+	s, err := strconv.Atoi(resp.Header.Get("Retry-After"))
+	if err != nil || s < 0 {
+		return 0
+	}
+	return min(most, time.Duration(s)*time.Second)
+}
--- /dev/null
+++ b/weights/plan.go
@@ -0,0 +1,409 @@
+package weights
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/rendezvous"
+)
+
+// Origin is the name under which a Plan speaks of the origin.
+const Origin = ""
+
+// Tuning of a Plan. Times are multiples of the time that one chunk takes on a
+// box's idle link.
+const (
+	parallelFetches = 4  // Fetches that a box has open.
+	perPeer         = 1  // Of them with one peer.
+	originAtOnce    = 2  // Of them with the origin.
+	graceChunks     = 24 // Between the turns of two boxes in a chunk's order.
+	minGrace        = 2 * time.Second
+	slowChunks      = 12 // After it a second fetch of a chunk may start.
+	leftOutFor      = 30 * time.Second
+	strikesAllowed  = 2
+	originRetry     = 500 * time.Millisecond
+	pullAhead       = 0.93 // Share of the planned time in which seeds ask.
+)
+
+// Action is one thing to do.
+type Action struct {
+	Chunk int
+	From  string   // A peer's name, or Origin.
+	Ask   []string // If set, ask these boxes about the chunk instead of fetching.
+}
+
+// Plan decides what one box fetches next. It does no I/O and is given the time.
+// Set the exported fields, then call Init. It is not safe for concurrent use.
+type Plan struct {
+	Self     string
+	Strategy Strategy
+	Chunks   int
+	Begin    time.Time     // When this box first wanted the artifact.
+	Inject   time.Duration // The origin's link carries one copy in it.
+	PerChunk time.Duration // One chunk takes this on a box's idle link.
+	Spare    float64       // Copies beyond the first that may leave the origin.
+	Rand     *rand.Rand
+
+	have     Bitmap
+	missing  int
+	names    []string
+	position []int       // Boxes ahead of this one, by chunk.
+	turn     []time.Time // When this box next looks after a chunk.
+	rarity   []int       // Peers known to have a chunk.
+	fetching map[int][]fetch
+	peers    map[string]*peerState
+	order    []string // The names of peers, sorted, so that a plan is repeatable.
+	open     int
+	atOrigin int
+	spare    int // Chunks that this box may still fetch beyond its duty.
+	asking   map[int]bool
+	originAt time.Time // The origin is left alone until then.
+	tieBreak []int
+}
+
+type fetch struct {
+	from  string
+	since time.Time
+}
+
+type peerState struct {
+	has       Bitmap
+	queue     int // Uploads that wait there, by its last word.
+	open      int
+	strikes   int
+	notBefore time.Time // Left out until then.
+	busy      time.Time // Refused for want of a slot; asked again after this.
+}
+
+// Init prepares the plan for what the box has already.
+func (p *Plan) Init(have Bitmap, members []string) {
+	if p.Rand == nil {
+		p.Rand = rand.New(rand.NewPCG(rendezvous.Score("plan", p.Self), 1))
+	}
+	p.have = NewBitmap(p.Chunks)
+	for i := range p.Chunks {
+		if have.Has(i) {
+			p.have.Set(i)
+		}
+	}
+	p.missing = p.Chunks - p.have.Count()
+	p.rarity = make([]int, p.Chunks)
+	p.fetching = map[int][]fetch{}
+	p.peers = map[string]*peerState{}
+	p.asking = map[int]bool{}
+	p.tieBreak = p.Rand.Perm(p.Chunks)
+	p.SetMembers(members)
+	p.spare = int(p.Spare*float64(p.Chunks)/float64(max(1, len(members))) + p.Rand.Float64())
+}
+
+// SetMembers tells which boxes want the artifact now, this one among them.
+func (p *Plan) SetMembers(names []string) {
+	p.names = names
+	fresh := p.position == nil
+	p.position = make([]int, p.Chunks)
+	if fresh {
+		p.turn = make([]time.Time, p.Chunks)
+	}
+	for i := range p.Chunks {
+		if p.Strategy.OrderKey != nil {
+			p.position[i] = rendezvous.Position(p.Strategy.OrderKey(i), p.Self, names)
+		}
+		if fresh {
+			p.turn[i] = p.scheduled(i).Add(time.Duration(p.position[i]) * p.grace())
+		}
+	}
+}
+
+// scheduled is when the origin's link comes to a chunk, one after another.
+func (p *Plan) scheduled(chunk int) time.Time {
+	if p.Strategy.OrderKey == nil {
+		return p.Begin
+	}
+	share := pullAhead * float64(chunk) / float64(p.Chunks)
+	return p.Begin.Add(time.Duration(share * float64(p.Inject)))
+}
+
+func (p *Plan) grace() time.Duration { return max(minGrace, graceChunks*p.PerChunk) }
+
+// Complete reports whether the box has every chunk.
+func (p *Plan) Complete() bool { return p.missing == 0 }
+
+// Have returns what the box has. The caller must not change it.
+func (p *Plan) Have() Bitmap { return p.have }
+
+// Missing returns how many chunks the box lacks.
+func (p *Plan) Missing() int { return p.missing }
+
+func (p *Plan) peer(name string) *peerState {
+	s, ok := p.peers[name]
+	if !ok {
+		s = &peerState{has: NewBitmap(p.Chunks)}
+		p.peers[name] = s
+		i, _ := slices.BinarySearch(p.order, name)
+		p.order = slices.Insert(p.order, i, name)
+	}
+	return s
+}
+
+// PeerHas records that a peer has chunks, and how many uploads wait there.
+func (p *Plan) PeerHas(name string, chunks Bitmap, queue int) {
+	s := p.peer(name)
+	s.queue = queue
+	for i := range p.Chunks {
+		if chunks.Has(i) && !s.has.Has(i) {
+			s.has.Set(i)
+			p.rarity[i]++
+		}
+	}
+}
+
+// PeerGone forgets a peer's chunks. Its strikes are kept, so that a peer that
+// sends corrupt chunks gains nothing by connecting again.
+func (p *Plan) PeerGone(name string) {
+	s := p.peer(name)
+	for i := range p.Chunks {
+		if s.has.Has(i) {
+			p.rarity[i]--
+		}
+	}
+	s.has = NewBitmap(p.Chunks)
+}
+
+// Fetched records how a fetch ended; code is empty when the chunk is kept.
+func (p *Plan) Fetched(now time.Time, chunk int, from string, code fault.Code) {
+	p.endFetch(chunk, from)
+	if code == "" {
+		if !p.have.Has(chunk) {
+			p.have.Set(chunk)
+			p.missing--
+		}
+		return
+	}
+	if from == Origin {
+		p.originAt = now.Add(originRetry/2 + time.Duration(p.Rand.Int64N(int64(originRetry))))
+		return
+	}
+	s := p.peer(from)
+	switch code {
+	case fault.Corrupt:
+		s.strikes++
+		if s.strikes >= strikesAllowed {
+			s.notBefore = now.Add(leftOutFor * time.Duration(s.strikes-1))
+		}
+	case fault.Busy:
+		s.busy = now.Add(p.PerChunk/2 + time.Duration(p.Rand.Int64N(int64(p.PerChunk)+1)))
+	case fault.Cancelled:
+	case fault.NotHeld:
+		if s.has.Has(chunk) {
+			s.has[chunk/64] &^= 1 << (chunk % 64)
+			p.rarity[chunk]--
+		}
+	default:
+		s.notBefore = now.Add(p.grace())
+	}
+}
+
+func (p *Plan) endFetch(chunk int, from string) {
+	for i, f := range p.fetching[chunk] {
+		if f.from != from {
+			continue
+		}
+		p.fetching[chunk] = append(p.fetching[chunk][:i], p.fetching[chunk][i+1:]...)
+		p.open--
+		if from == Origin {
+			p.atOrigin--
+		} else {
+			p.peer(from).open--
+		}
+		break
+	}
+	if len(p.fetching[chunk]) == 0 {
+		delete(p.fetching, chunk)
+	}
+}
+
+// Others returns from whom else a chunk is being fetched, so that the caller
+// can cancel what is no longer needed.
+func (p *Plan) Others(chunk int) []string {
+	var out []string
+	for _, f := range p.fetching[chunk] {
+		out = append(out, f.from)
+	}
+	return out
+}
+
+// Asked records the answer to an Action with Ask: whether a box ahead has the
+// chunk or is getting it. If none does, this box's turn has come.
+func (p *Plan) Asked(now time.Time, chunk int, someoneHas bool) {
+	delete(p.asking, chunk)
+	if someoneHas {
+		p.turn[chunk] = now.Add(p.grace())
+		return
+	}
+	p.position[chunk] = 0
+	p.turn[chunk] = now
+}
+
+// Next returns what to do now, and when to call again if nothing happens.
+func (p *Plan) Next(now time.Time) (todo []Action, wake time.Time) {
+	wake = now.Add(p.grace())
+	if p.missing == 0 {
+		return nil, wake
+	}
+	todo = p.duties(now, &wake, todo)
+	for p.open < parallelFetches {
+		a, ok := p.best(now, &wake)
+		if !ok {
+			a, ok = p.spareFetch(now)
+		}
+		if !ok {
+			break
+		}
+		todo = append(todo, p.begin(now, a))
+	}
+	return todo, wake
+}
+
+func (p *Plan) begin(now time.Time, a Action) Action {
+	p.fetching[a.Chunk] = append(p.fetching[a.Chunk], fetch{a.From, now})
+	p.open++
+	if a.From == Origin {
+		p.atOrigin++
+	} else {
+		p.peer(a.From).open++
+	}
+	return a
+}
+
+// duties looks after the chunks whose turn has come and that no neighbour has:
+// fetch from the origin if nobody is ahead, else ask those who are.
+func (p *Plan) duties(now time.Time, wake *time.Time, todo []Action) []Action {
+	for i := range p.Chunks {
+		if p.have.Has(i) || p.rarity[i] > 0 || len(p.fetching[i]) > 0 || p.asking[i] {
+			continue
+		}
+		switch {
+		case p.turn[i].After(now):
+			earlier(wake, p.turn[i])
+		case p.position[i] > 0:
+			p.asking[i] = true
+			todo = append(todo, Action{Chunk: i, Ask: p.ahead(i)})
+		case p.originAt.After(now):
+			earlier(wake, p.originAt)
+		case p.atOrigin < originAtOnce:
+			todo = append(todo, p.begin(now, Action{Chunk: i, From: Origin}))
+		}
+	}
+	return todo
+}
+
+// ahead returns the nearest boxes before this one in a chunk's order.
+func (p *Plan) ahead(chunk int) []string {
+	const most = 3
+	ranked := rendezvous.Rank(p.Strategy.OrderKey(chunk), p.names)
+	for i, n := range ranked {
+		if n == p.Self {
+			return ranked[max(0, i-most):i]
+		}
+	}
+	return nil
+}
+
+func earlier(t *time.Time, by time.Time) {
+	if by.Before(*t) {
+		*t = by
+	}
+}
+
+// best chooses the rarest chunk that a peer with room has, and of those peers
+// the one with the least to do.
+func (p *Plan) best(now time.Time, wake *time.Time) (Action, bool) {
+	chunk, peer := -1, ""
+	for i := range p.Chunks {
+		if p.have.Has(i) || p.rarity[i] == 0 || !p.mayFetch(now, i) {
+			continue
+		}
+		if chunk >= 0 && !p.rarer(i, chunk) {
+			continue
+		}
+		if name, ok := p.choosePeer(now, i, wake); ok {
+			chunk, peer = i, name
+		}
+	}
+	return Action{Chunk: chunk, From: peer}, chunk >= 0
+}
+
+// rarer orders chunks: those not being fetched first, then the rarest.
+func (p *Plan) rarer(a, b int) bool {
+	if fa, fb := len(p.fetching[a]), len(p.fetching[b]); fa != fb {
+		return fa < fb
+	}
+	if p.rarity[a] != p.rarity[b] {
+		return p.rarity[a] < p.rarity[b]
+	}
+	return p.tieBreak[a] < p.tieBreak[b]
+}
+
+// mayFetch allows a second fetch of a chunk only when the first is slow.
+func (p *Plan) mayFetch(now time.Time, chunk int) bool {
+	fs := p.fetching[chunk]
+	switch len(fs) {
+	case 0:
+		return true
+	case 1:
+		return now.Sub(fs[0].since) > slowChunks*p.PerChunk
+	}
+	return false
+}
+
+func (p *Plan) choosePeer(now time.Time, chunk int, wake *time.Time) (string, bool) {
+	best, load, ties := "", 0, 0
+	for _, name := range p.order {
+		s := p.peers[name]
+		if !s.has.Has(chunk) || s.open >= perPeer {
+			continue
+		}
+		if until := laterOf(s.notBefore, s.busy); until.After(now) {
+			earlier(wake, until)
+			continue
+		}
+		switch {
+		case best == "" || s.queue < load:
+			best, load, ties = name, s.queue, 1
+		case s.queue == load:
+			ties++
+			if p.Rand.IntN(ties) == 0 {
+				best = name
+			}
+		}
+	}
+	return best, best != ""
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// spareFetch spends what the origin may send beyond one copy, once the first
+// copy has left it and no peer has room.
+func (p *Plan) spareFetch(now time.Time) (Action, bool) {
+	if p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
+		return Action{}, false
+	}
+	chunk := -1
+	for i := range p.Chunks {
+		if !p.have.Has(i) && len(p.fetching[i]) == 0 && (chunk < 0 || p.rarer(i, chunk)) {
+			chunk = i
+		}
+	}
+	if chunk < 0 {
+		return Action{}, false
+	}
+	p.spare--
+	return Action{Chunk: chunk, From: Origin}, true
+}
--- /dev/null
+++ b/weights/transfer.go
@@ -0,0 +1,324 @@
+package weights
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/wire"
+)
+
+// Transfer brings one artifact to this box and passes it on. Set the exported
+// fields, then Run it. It goes on serving after it is complete, until its
+// context ends.
+type Transfer struct {
+	Exchange *Exchange
+	Artifact string // Digest of the manifest.
+	Window   time.Duration
+	Copies   float64         // Copies that the origin's link carries in Window.
+	Spare    float64         // Copies beyond the first that may leave the origin.
+	Members  func() []Member // The boxes that want the artifact now, this one among them.
+
+	once     sync.Once
+	complete chan struct{}
+
+	mu       sync.Mutex
+	plan     *Plan // Nil until the manifest is here.
+	manifest *Manifest
+	chunks   []Chunk
+	sessions map[string]*session
+	cancels  map[fetchKey]context.CancelFunc
+	poke     chan struct{} // Something happened; a ring of one, since one look finds all.
+}
+
+type fetchKey struct {
+	chunk int
+	from  string
+}
+
+// session is a neighbour that tells what it has.
+type session struct {
+	peer   Member
+	conn   *wire.Conn
+	unsent []int
+	wake   chan struct{}
+}
+
+func (t *Transfer) init() {
+	t.once.Do(func() {
+		t.complete = make(chan struct{})
+		t.poke = make(chan struct{}, 1)
+		t.sessions = map[string]*session{}
+		t.cancels = map[fetchKey]context.CancelFunc{}
+	})
+}
+
+// Complete is closed when every chunk is in the store.
+func (t *Transfer) Complete() <-chan struct{} {
+	t.init()
+	return t.complete
+}
+
+// Manifest returns the manifest, or nil while it is not here.
+func (t *Transfer) Manifest() *Manifest {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.manifest
+}
+
+// Progress returns how many chunks there are and how many are missing.
+func (t *Transfer) Progress() (chunks, missing int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil {
+		return 0, 0
+	}
+	return t.plan.Chunks, t.plan.Missing()
+}
+
+func (t *Transfer) started() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.plan != nil
+}
+
+// state answers an Ask about a chunk.
+func (t *Transfer) state(chunk int) (has, getting bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil || chunk < 0 || chunk >= t.plan.Chunks {
+		return false, false
+	}
+	return t.plan.Have().Has(chunk), len(t.plan.Others(chunk)) > 0
+}
+
+// Run fetches until complete and serves until ctx ends.
+func (t *Transfer) Run(ctx context.Context) error {
+	t.init()
+	x := t.Exchange
+	x.addTransfer(t)
+	defer x.dropTransfer(t)
+	data, err := t.getManifest(ctx)
+	if err != nil {
+		return err
+	}
+	if err := t.begin(data); err != nil {
+		return err
+	}
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { t.keepNeighbours(ctx) })
+	t.settleIn(ctx)
+	t.loop(ctx, &wg)
+	return nil
+}
+
+// settleIn gives neighbours a moment to tell what they have, so that a box that
+// joins late does not go to the origin for what they hold.
+func (t *Transfer) settleIn(ctx context.Context) {
+	const moment = 200 * time.Millisecond
+	wait, cancel := context.WithTimeout(ctx, moment)
+	defer cancel()
+	<-wait.Done()
+}
+
+func (t *Transfer) begin(data []byte) error {
+	m, err := ParseManifest(data, t.Artifact)
+	if err != nil {
+		return err
+	}
+	chunks := m.Chunks()
+	have, digests := NewBitmap(len(chunks)), make([]string, len(chunks))
+	for i, c := range chunks {
+		digests[i] = c.Digest
+	}
+	t.Exchange.Store.Pin(t.Artifact, digests)
+	for i, d := range digests {
+		if _, ok := t.Exchange.Store.Get(d); ok {
+			have.Set(i)
+		}
+	}
+	p := &Plan{
+		Self: t.Exchange.Self.Name, Strategy: t.Exchange.Strategy, Chunks: len(chunks), Begin: time.Now(),
+		Inject: time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
+		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))),
+	}
+	p.Init(have, memberNames(t.Members()))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.plan, t.manifest, t.chunks = p, m, chunks
+	if p.Complete() {
+		close(t.complete)
+	}
+	return nil
+}
+
+func memberNames(ms []Member) []string {
+	out := make([]string, len(ms))
+	for i, m := range ms {
+		out[i] = m.Name
+	}
+	return out
+}
+
+// loop acts on the plan whenever something happened or its time has come.
+func (t *Transfer) loop(ctx context.Context, wg *sync.WaitGroup) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.poke:
+		case <-timer.C:
+		}
+		t.mu.Lock()
+		todo, wake := t.plan.Next(time.Now())
+		t.mu.Unlock()
+		timer.Reset(time.Until(wake))
+		for _, a := range todo {
+			wg.Go(func() { t.act(ctx, a) })
+		}
+	}
+}
+
+func (t *Transfer) happened() {
+	select {
+	case t.poke <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Transfer) act(ctx context.Context, a Action) {
+	if a.Ask != nil {
+		t.ask(ctx, a)
+		return
+	}
+	key := fetchKey{a.Chunk, a.From}
+	fctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.mu.Lock()
+	t.cancels[key] = cancel
+	c := t.chunks[a.Chunk]
+	s := t.sessions[a.From]
+	t.mu.Unlock()
+	kind, data, err := t.fetch(fctx, a, c, s)
+	if err == nil {
+		err = t.Exchange.Store.Put(c.Digest, data)
+	}
+	t.finish(a, kind, len(data), err)
+}
+
+func (t *Transfer) fetch(ctx context.Context, a Action, c Chunk, s *session) (EventKind, []byte, error) {
+	if a.From == Origin {
+		data, err := t.Exchange.FromOrigin(ctx, c.Digest)
+		return EventOrigin, data, err
+	}
+	if s == nil {
+		return EventHall, nil, fault.New(fault.Closed, a.From)
+	}
+	kind := EventAcross
+	if s.peer.Hall == t.Exchange.Self.Hall {
+		kind = EventHall
+	}
+	first, patience := t.patience()
+	data, err := getFrom(ctx, s.conn, c.Digest, c.Size, first, patience)
+	return kind, data, err
+}
+
+// patience is how long a fetch waits for its first part, with the queue at the
+// other end in mind, and for each further one.
+func (t *Transfer) patience() (first, next time.Duration) {
+	const firstChunks, nextChunks, least = 16, 4, 2 * time.Second
+	per := t.plan.PerChunk
+	return max(least, firstChunks*per), max(least, nextChunks*per)
+}
+
+func (t *Transfer) finish(a Action, kind EventKind, size int, err error) {
+	code := fault.CodeOf(err)
+	t.count(kind, size, code)
+	t.mu.Lock()
+	delete(t.cancels, fetchKey{a.Chunk, a.From})
+	before := t.plan.Complete()
+	had := t.plan.Have().Has(a.Chunk)
+	t.plan.Fetched(time.Now(), a.Chunk, a.From, code)
+	if code == "" && !had {
+		t.announce(a.Chunk)
+	}
+	if !before && t.plan.Complete() {
+		close(t.complete)
+	}
+	t.mu.Unlock()
+	t.happened()
+}
+
+func (t *Transfer) count(kind EventKind, size int, code fault.Code) {
+	x := t.Exchange
+	switch code {
+	case "":
+		x.event(kind, size)
+	case fault.Corrupt:
+		x.event(EventCorrupt, size)
+	case fault.Stalled:
+		x.event(EventStall, 0)
+	case fault.Busy, fault.Throttled:
+		x.event(EventRefused, 0)
+	}
+}
+
+// announce queues a chunk for every neighbour and cancels other fetches of it.
+// The caller holds t.mu.
+func (t *Transfer) announce(chunk int) {
+	for _, s := range t.sessions {
+		s.unsent = append(s.unsent, chunk)
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	}
+	for _, from := range t.plan.Others(chunk) {
+		if cancel := t.cancels[fetchKey{chunk, from}]; cancel != nil {
+			cancel()
+		}
+	}
+}
+
+// ask finds out whether a box ahead in a chunk's order looks after it.
+func (t *Transfer) ask(ctx context.Context, a Action) {
+	const within = 2 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	addrs := map[string]string{}
+	for _, m := range t.Members() {
+		addrs[m.Name] = m.Addr
+	}
+	replies := make(chan bool, len(a.Ask))
+	for _, name := range a.Ask {
+		go func() { replies <- t.askOne(ctx, addrs[name], a.Chunk) }()
+	}
+	some := false
+	for range a.Ask {
+		some = <-replies || some
+	}
+	if !some {
+		t.Exchange.event(EventTurn, 0)
+	}
+	t.mu.Lock()
+	t.plan.Asked(time.Now(), a.Chunk, some)
+	t.mu.Unlock()
+	t.happened()
+}
+
+func (t *Transfer) askOne(ctx context.Context, addr string, chunk int) bool {
+	c, err := t.Exchange.Pool.Get(ctx, addr)
+	if err != nil {
+		return false
+	}
+	m, err := c.Call(ctx, &Ask{Artifact: t.Artifact, Chunk: chunk})
+	if err != nil {
+		return false
+	}
+	r, ok := m.(*AskReply)
+	return ok && (r.Has || r.Getting)
+}
--- /dev/null
+++ b/wire/codec.go
@@ -0,0 +1,96 @@
+package wire
+
+import (
+	"bytes"
+	"reflect"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Kind identifies the type of a message on the wire.
+type Kind uint8
+
+// Reserved kinds.
+const (
+	kindHello  Kind = 1
+	kindPing   Kind = 2
+	kindCancel Kind = 3
+	kindError  Kind = 4
+	lastFlag   Kind = 0x80 // Set on the last frame of a direction.
+)
+
+// MinKind is the lowest kind that a message may be registered under.
+const MinKind Kind = 16
+
+// MaxKind is the highest kind that a message may be registered under.
+const MaxKind Kind = 0x7f
+
+// Entry registers the type of Message under Kind.
+type Entry struct {
+	Kind    Kind
+	Message any // A pointer to a zero value of the message's struct type.
+}
+
+// Codec translates between messages and bodies. It is immutable once made.
+type Codec struct {
+	byKind map[Kind]reflect.Type
+	byType map[reflect.Type]Kind
+}
+
+// NewCodec returns a codec for the given entries. It panics on a kind that is
+// out of range or registered twice, since that is an error of the program.
+func NewCodec(groups ...[]Entry) *Codec {
+	c := &Codec{byKind: map[Kind]reflect.Type{}, byType: map[reflect.Type]Kind{}}
+	for _, g := range groups {
+		for _, e := range g {
+			c.add(e)
+		}
+	}
+	return c
+}
+
+func (c *Codec) add(e Entry) {
+	t := reflect.TypeOf(e.Message).Elem()
+	if _, dup := c.byKind[e.Kind]; dup || e.Kind < MinKind || e.Kind > MaxKind {
+		panic("wire: bad registration of " + t.String())
+	}
+	c.byKind[e.Kind] = t
+	c.byType[t] = e.Kind
+}
+
+func (c *Codec) encode(m any) (Kind, []byte, error) {
+	k, ok := c.byType[reflect.TypeOf(m).Elem()]
+	if !ok {
+		return 0, nil, fault.New(fault.Unsupported, reflect.TypeOf(m).String())
+	}
+	b, err := marshal(m)
+	return k, b, err
+}
+
+// marshal encodes structs as arrays: both ends know the fields.
+func marshal(m any) ([]byte, error) {
+	var buf bytes.Buffer
+	enc := msgpack.GetEncoder()
+	defer msgpack.PutEncoder(enc)
+	enc.Reset(&buf)
+	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
+	if err := enc.Encode(m); err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "encode")
+	}
+	return buf.Bytes(), nil
+}
+
+func (c *Codec) decode(k Kind, body []byte) (any, error) {
+	t, ok := c.byKind[k]
+	if !ok {
+		return nil, fault.New(fault.Unsupported, "unknown message kind")
+	}
+	m := reflect.New(t).Interface()
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return nil, fault.Wrap(fault.Garbage, err, t.String())
+	}
+	return m, nil
+}
--- /dev/null
+++ b/wire/conn.go
@@ -0,0 +1,277 @@
+package wire
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Options bounds a connection. The zero value has safe defaults.
+type Options struct {
+	MaxFrame    int           // Bytes in a body; 9 MiB by default.
+	MaxStreams  int           // Streams that the peer may have open; 4096 by default.
+	StreamRing  int           // Messages buffered for each stream; 512 by default.
+	WriteRing   int           // Frames waiting to be written; 256 by default.
+	PingEvery   time.Duration // Silence after which a ping is sent; 5 s by default.
+	StallAfter  time.Duration // Silence after which the peer is given up; 15 s by default.
+	HelloWithin time.Duration // Time for the handshake; 5 s by default.
+	Count       func(c fault.Code)
+	Traffic     func(sent, received int) // Bytes of each frame, header included.
+}
+
+func (o Options) withDefaults() Options {
+	o.MaxFrame = orInt(o.MaxFrame, 9<<20)
+	o.MaxStreams = orInt(o.MaxStreams, 4096)
+	o.StreamRing = orInt(o.StreamRing, 512)
+	o.WriteRing = orInt(o.WriteRing, 256)
+	o.PingEvery = orDuration(o.PingEvery, 5*time.Second)
+	o.StallAfter = orDuration(o.StallAfter, 15*time.Second)
+	o.HelloWithin = orDuration(o.HelloWithin, 5*time.Second)
+	if o.Count == nil {
+		o.Count = func(fault.Code) {}
+	}
+	if o.Traffic == nil {
+		o.Traffic = func(int, int) {}
+	}
+	return o
+}
+
+func orInt(v, d int) int {
+	if v == 0 {
+		return d
+	}
+	return v
+}
+
+func orDuration(v, d time.Duration) time.Duration {
+	if v == 0 {
+		return d
+	}
+	return v
+}
+
+const headerSize = 4 + 1 + 8
+
+type frame struct {
+	kind   Kind
+	stream uint64
+	body   []byte
+}
+
+// Conn is one connection to a peer process. Its methods are safe for use by
+// many goroutines.
+type Conn struct {
+	nc     net.Conn
+	codec  *Codec
+	serve  *Handlers
+	opts   Options
+	remote Hello
+	out    chan frame
+	ctx    context.Context // Ends with the connection.
+	end    context.CancelCauseFunc
+	nextID atomic.Uint64
+
+	mu      sync.Mutex
+	streams map[uint64]*Stream
+	opened  int // Streams opened by the peer that are still served.
+}
+
+// NewConn introduces local over nc, checks the peer's Hello and starts the
+// connection's goroutines. The dialling end passes dialler true. On failure nc
+// is closed. The connection lives until Close, an error, or the end of ctx.
+func NewConn(ctx context.Context, nc net.Conn, local Hello, codec *Codec, h *Handlers, dialler bool, opts Options) (*Conn, error) {
+	c := &Conn{nc: nc, codec: codec, serve: h, opts: opts.withDefaults(), streams: map[uint64]*Stream{}}
+	c.out = make(chan frame, c.opts.WriteRing)
+	if dialler {
+		c.nextID.Store(1)
+	}
+	r := bufio.NewReaderSize(nc, 32<<10)
+	if err := c.handshake(r, local); err != nil {
+		c.opts.Count(fault.CodeOf(err))
+		_ = nc.Close()
+		return nil, err
+	}
+	c.ctx, c.end = context.WithCancelCause(ctx)
+	go c.readLoop(r)
+	go c.writeLoop()
+	context.AfterFunc(c.ctx, func() { _ = nc.Close() })
+	return c, nil
+}
+
+func (c *Conn) handshake(r *bufio.Reader, local Hello) error {
+	if err := c.nc.SetDeadline(time.Now().Add(c.opts.HelloWithin)); err != nil {
+		return fault.Wrap(fault.Closed, err, "set deadline")
+	}
+	local.Magic, local.Protocol = magic, Protocol
+	sent := make(chan error, 1)
+	go func() { sent <- c.sendHello(local) }()
+	remote, err := c.readHello(r)
+	if err != nil {
+		return err
+	}
+	if err := remote.check(local); err != nil {
+		return err
+	}
+	if err := <-sent; err != nil {
+		return err
+	}
+	c.remote = remote
+	return nil
+}
+
+func (c *Conn) sendHello(local Hello) error {
+	b, err := marshal(&local)
+	if err != nil {
+		return err
+	}
+	if _, err := c.nc.Write(appendFrame(nil, frame{kind: kindHello, body: b})); err != nil {
+		return fault.Wrap(fault.Closed, err, "send hello")
+	}
+	return nil
+}
+
+func (c *Conn) readHello(r *bufio.Reader) (Hello, error) {
+	const maxHello = 4 << 10
+	f, err := readFrame(r, maxHello)
+	if err != nil {
+		return Hello{}, err
+	}
+	var h Hello
+	if f.kind != kindHello || msgpack.Unmarshal(f.body, &h) != nil {
+		return Hello{}, fault.New(fault.Garbage, "no hello")
+	}
+	return h, nil
+}
+
+// Remote returns the peer's introduction.
+func (c *Conn) Remote() Hello { return c.remote }
+
+// Done is closed when the connection has ended.
+func (c *Conn) Done() <-chan struct{} { return c.ctx.Done() }
+
+// Close ends the connection and every stream on it.
+func (c *Conn) Close() { c.end(fault.New(fault.Closed, "closed here")) }
+
+func (c *Conn) cause() error {
+	err := context.Cause(c.ctx)
+	if fault.CodeOf(err) == fault.Internal {
+		return fault.Wrap(fault.Closed, err, "")
+	}
+	return err
+}
+
+func appendFrame(b []byte, f frame) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(len(f.body)))
+	b = append(b, byte(f.kind))
+	b = binary.BigEndian.AppendUint64(b, f.stream)
+	return append(b, f.body...)
+}
+
+func readFrame(r io.Reader, maxBody int) (frame, error) {
+	var h [headerSize]byte
+	if _, err := io.ReadFull(r, h[:]); err != nil {
+		return frame{}, readError(err)
+	}
+	n := int(binary.BigEndian.Uint32(h[:4]))
+	if n > maxBody {
+		return frame{}, fault.New(fault.TooLarge, "frame")
+	}
+	f := frame{kind: Kind(h[4]), stream: binary.BigEndian.Uint64(h[5:]), body: make([]byte, n)}
+	if _, err := io.ReadFull(r, f.body); err != nil {
+		return frame{}, readError(err)
+	}
+	return f, nil
+}
+
+func readError(err error) error {
+	if ne, ok := err.(net.Error); ok && ne.Timeout() {
+		return fault.Wrap(fault.Stalled, err, "read")
+	}
+	return fault.Wrap(fault.Closed, err, "read")
+}
+
+func (c *Conn) readLoop(r *bufio.Reader) {
+	for {
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.opts.StallAfter))
+		f, err := readFrame(r, c.opts.MaxFrame)
+		if err != nil {
+			c.fail(err)
+			return
+		}
+		c.opts.Traffic(0, headerSize+len(f.body))
+		if err := c.receive(f); err != nil {
+			c.fail(err)
+			return
+		}
+	}
+}
+
+func (c *Conn) fail(err error) {
+	if c.ctx.Err() == nil {
+		c.opts.Count(fault.CodeOf(err))
+	}
+	c.end(err)
+}
+
+func (c *Conn) writeLoop() {
+	w := bufio.NewWriterSize(c.nc, 32<<10)
+	ping := time.NewTimer(c.opts.PingEvery)
+	defer ping.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.out:
+			if err := c.writeAll(w, f); err != nil {
+				c.fail(err)
+				return
+			}
+		case <-ping.C:
+			if err := c.writeAll(w, frame{kind: kindPing}); err != nil {
+				c.fail(err)
+				return
+			}
+		}
+		ping.Reset(c.opts.PingEvery)
+	}
+}
+
+// writeAll writes f and whatever else waits, then flushes once.
+func (c *Conn) writeAll(w *bufio.Writer, f frame) error {
+	for {
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.opts.StallAfter))
+		c.opts.Traffic(headerSize+len(f.body), 0)
+		if _, err := w.Write(appendFrame(make([]byte, 0, headerSize+len(f.body)), f)); err != nil {
+			return readError(err)
+		}
+		select {
+		case f = <-c.out:
+			continue
+		default:
+		}
+		if err := w.Flush(); err != nil {
+			return readError(err)
+		}
+		return nil
+	}
+}
+
+func (c *Conn) enqueue(ctx context.Context, f frame) error {
+	select {
+	case c.out <- f:
+		return nil
+	case <-ctx.Done():
+		return fault.Wrap(fault.Cancelled, context.Cause(ctx), "send")
+	case <-c.ctx.Done():
+		return c.cause()
+	}
+}
--- /dev/null
+++ b/wire/conn_test.go
@@ -0,0 +1,144 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/fault"
+)
+
+type echo struct{ Text string }
+
+var testCodec = NewCodec([]Entry{{Kind: 16, Message: &echo{}}})
+
+func echoHandlers() *Handlers {
+	h := &Handlers{}
+	On(h, func(ctx context.Context, s *Stream, m *echo) { _ = s.SendLast(ctx, m) })
+	return h
+}
+
+func hello(cluster string) Hello { return Hello{Cluster: cluster, Box: "a", Incarnation: 1} }
+
+// pair joins two connections over a pipe.
+func pair(t *testing.T, h *Handlers, o Options) (*Conn, *Conn) {
+	t.Helper()
+	a, b := net.Pipe()
+	done := make(chan *Conn, 1)
+	go func() {
+		c, _ := NewConn(t.Context(), b, hello("c"), testCodec, h, false, o)
+		done <- c
+	}()
+	c, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, true, o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c, <-done
+}
+
+func TestCallAnswersOnItsOwnStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, _ := pair(t, echoHandlers(), Options{})
+		defer c.Close()
+		for _, text := range []string{"one", "two"} {
+			m, err := c.Call(t.Context(), &echo{text})
+			is.NoErr(err)
+			is.Equal(m, &echo{text})
+		}
+	})
+}
+
+func TestHandshakeRefusesByName(t *testing.T) {
+	cases := []struct {
+		name  string
+		bytes []byte
+		peer  Hello
+		want  fault.Code
+	}{
+		{name: "garbage", bytes: []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"), want: fault.TooLarge},
+		{name: "short garbage", bytes: make([]byte, headerSize), want: fault.Garbage},
+		{name: "other cluster", peer: Hello{Magic: magic, Protocol: Protocol, Cluster: "other"}, want: fault.OtherFleet},
+		{name: "old protocol", peer: Hello{Magic: magic, Protocol: Protocol - 1, Cluster: "c"}, want: fault.OldProtocol},
+		{name: "silence", want: fault.Stalled},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a, b := net.Pipe()
+				counted := fault.Code("")
+				go func() {
+					if tc.peer.Magic != "" {
+						body, _ := marshal(&tc.peer)
+						tc.bytes = appendFrame(nil, frame{kind: kindHello, body: body})
+					}
+					_, _ = b.Write(tc.bytes)
+				}()
+				go func() { _, _ = b.Read(make([]byte, 1<<10)) }()
+				_, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, false, Options{Count: func(c fault.Code) { counted = c }})
+				is.Equal(fault.CodeOf(err), tc.want)
+				is.Equal(counted, tc.want) // each refusal is counted
+				_ = b.Close()
+			})
+		})
+	}
+}
+
+func TestSlowReaderLosesItsOwnStreamOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &Handlers{}
+		On(h, func(ctx context.Context, s *Stream, m *echo) {
+			for range 8 {
+				_ = s.Send(ctx, m)
+			}
+			_ = s.SendLast(ctx, m)
+		})
+		c, _ := pair(t, h, Options{StreamRing: 4})
+		defer c.Close()
+		slow, err := c.Open(t.Context(), &echo{"slow"})
+		is.NoErr(err)
+		synctest.Wait() // nobody reads
+		quick, err := c.Open(t.Context(), &echo{"quick"})
+		is.NoErr(err)
+		_, err = quick.Recv(t.Context())
+		is.NoErr(err) // another stream goes on
+		for err = nil; err == nil; {
+			_, err = slow.Recv(t.Context())
+		}
+		is.Equal(fault.CodeOf(err), fault.Overflow)
+	})
+}
+
+func TestStalledLinkEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := net.Pipe()
+		go func() { _, _ = NewConn(t.Context(), &mute{Conn: b}, hello("c"), testCodec, echoHandlers(), false, Options{}) }()
+		c, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, true, Options{})
+		is.NoErr(err)
+		began := time.Now()
+		<-c.Done()
+		is.Equal(fault.CodeOf(c.cause()), fault.Stalled)
+		is.Equal(time.Since(began), 15*time.Second)
+	})
+}
+
+// mute passes the handshake and then stalls without closing.
+type mute struct {
+	net.Conn
+	writes int
+}
+
+func (m *mute) Write(b []byte) (int, error) {
+	m.writes++
+	if m.writes > 1 {
+		return len(b), nil
+	}
+	return m.Conn.Write(b)
+}
