--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -119,7 +119,9 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		a, b := net.Pipe()
-		go func() { _, _ = NewConn(t.Context(), &mute{Conn: b}, hello("c"), testCodec, echoHandlers(), false, Options{}) }()
+		go func() {
+			_, _ = NewConn(t.Context(), &mute{Conn: b}, hello("c"), testCodec, echoHandlers(), false, Options{})
+		}()
 		c, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, true, Options{})
 		is.NoErr(err)
 		began := time.Now()
