--- /dev/null
+++ b/internal/simnet/simnet.go
@@ -0,0 +1,207 @@
+// Package simnet fakes links for tests that run real code in virtual time.
+//
+// A Network joins named ends with net.Pipe. Every end has an up and a down
+// Link, which may be one and the same, of a given rate; bytes reserve time on
+// both in turn. Pairs of ends can be cut, which refuses and closes, or stalled,
+// which lets nothing through and closes nothing.
+package simnet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Link carries bytes one after another at a rate.
+type Link struct {
+	Rate float64 // Bytes a second; 0 is no limit.
+
+	mu   sync.Mutex
+	free time.Time
+	sent int64
+}
+
+// reserve books n bytes from a time on and returns when they have passed.
+func (l *Link) reserve(at time.Time, n int) time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent += int64(n)
+	if l.Rate == 0 {
+		return at
+	}
+	if l.free.Before(at) {
+		l.free = at
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.Rate * float64(time.Second)))
+	return l.free
+}
+
+// Sent returns the bytes that the link has carried.
+func (l *Link) Sent() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sent
+}
+
+// Carry takes n bytes over the up link and then the down link, in segments, and
+// returns when they have arrived. The next segment goes up while the one before
+// comes down. Time on a link is only ever booked from now on, so that a sender
+// that waits for one link leaves no gap on the other.
+func Carry(up, down *Link, n int) {
+	const segment = 1 << 10
+	arrived := time.Now()
+	for n > 0 {
+		part := min(n, segment)
+		n -= part
+		time.Sleep(time.Until(up.reserve(time.Now(), part)))
+		time.Sleep(time.Until(arrived))
+		arrived = down.reserve(time.Now(), part)
+	}
+	time.Sleep(time.Until(arrived))
+}
+
+// End is one process of a Network.
+type End struct {
+	Name  string
+	Up    *Link
+	Down  *Link
+	Serve func(ctx context.Context, nc net.Conn) // Takes connections from others.
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Network joins ends. Set its fields before use.
+type Network struct {
+	Latency func(from, to string) time.Duration
+	// Small is the size below which a write rides free of the links' rates. It
+	// keeps control messages, which are counted, from weighing as much against
+	// the small chunks of a test as they never would against real ones.
+	Small int
+
+	mu      sync.Mutex
+	ends    map[string]*End
+	cut     map[[2]string]bool
+	stalled map[[2]string]bool
+	wake    chan struct{}
+	control int64
+}
+
+// Add joins an end, or puts a new one in the place of an old one.
+func (n *Network) Add(e *End) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ends == nil {
+		n.ends = map[string]*End{}
+		n.cut, n.stalled = map[[2]string]bool{}, map[[2]string]bool{}
+		n.wake = make(chan struct{})
+	}
+	e.ctx, e.cancel = context.WithCancel(context.Background())
+	n.ends[e.Name] = e
+}
+
+// Remove takes an end out, as when its box dies: its connections close.
+func (n *Network) Remove(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if e := n.ends[name]; e != nil {
+		e.cancel()
+		delete(n.ends, name)
+	}
+}
+
+// Control returns the bytes of small writes so far.
+func (n *Network) Control() int64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.control
+}
+
+func pairOf(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// Cut refuses connections between two ends, and closes theirs, until healed.
+func (n *Network) Cut(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[pairOf(a, b)] = cut
+	close(n.wake)
+	n.wake = make(chan struct{})
+}
+
+// Stall lets nothing through between two ends and closes nothing.
+func (n *Network) Stall(a, b string, stalled bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stalled[pairOf(a, b)] = stalled
+	close(n.wake)
+	n.wake = make(chan struct{})
+}
+
+func (n *Network) state(a, b string) (cut, stalled bool, wake chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.cut[pairOf(a, b)], n.stalled[pairOf(a, b)], n.wake
+}
+
+// Dial connects two ends by name.
+func (n *Network) Dial(_ context.Context, from, to string) (net.Conn, error) {
+	n.mu.Lock()
+	a, b := n.ends[from], n.ends[to]
+	n.mu.Unlock()
+	if cut, _, _ := n.state(from, to); a == nil || b == nil || b.Serve == nil || cut {
+		return nil, fault.New(fault.Unreachable, to)
+	}
+	near, far := net.Pipe()
+	closed := func() { _, _ = near.Close(), far.Close() }
+	context.AfterFunc(a.ctx, closed)
+	context.AfterFunc(b.ctx, closed)
+	go b.Serve(b.ctx, &conn{Conn: far, net: n, from: b, to: a})
+	return &conn{Conn: near, net: n, from: a, to: b}, nil
+}
+
+// conn is one direction's writes with the delays of its path.
+type conn struct {
+	net.Conn
+	net      *Network
+	from, to *End
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) {
+	for {
+		cut, stalled, wake := c.net.state(c.from.Name, c.to.Name)
+		if cut {
+			_ = c.Close()
+			return 0, net.ErrClosed
+		}
+		if !stalled {
+			break
+		}
+		select {
+		case <-wake:
+		case <-c.from.ctx.Done():
+			return 0, net.ErrClosed
+		case <-c.to.ctx.Done():
+			return 0, net.ErrClosed
+		}
+	}
+	if c.net.Latency != nil {
+		time.Sleep(c.net.Latency(c.from.Name, c.to.Name))
+	}
+	if len(b) >= c.net.Small {
+		Carry(c.from.Up, c.to.Down, len(b))
+	} else {
+		c.net.mu.Lock()
+		c.net.control += int64(len(b))
+		c.net.mu.Unlock()
+	}
+	return c.Conn.Write(b)
+}
--- /dev/null
+++ b/weights/sim_test.go
@@ -0,0 +1,336 @@
+package weights
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/simnet"
+	"github.com/poststand/poststand/rendezvous"
+	"github.com/poststand/poststand/wire"
+)
+
+// burst is one case of a distribution in virtual time: the real code of many
+// boxes over faked links.
+type burst struct {
+	boxes    int
+	chunks   int
+	policy   string // "time" or "origin-bytes".
+	strategy Strategy
+	shared   bool          // One link for up and down.
+	window   time.Duration // A box's link carries 2 copies in it, the origin's 4.
+	faults   bool          // 10% die, 1% of chunks corrupt, 5% of links stall.
+	seed     uint64
+	hook     func(s *sim) // Causes a fault of a test's own, in a goroutine.
+}
+
+// figures is what a burst came to.
+type figures struct {
+	ready     []time.Duration // Of each box that lived, in order.
+	bound     time.Duration
+	origin    float64 // Copies that left the origin.
+	maxUpload float64 // Copies that the busiest box sent.
+	control   float64 // Bytes a second and box.
+	events    map[EventKind]int
+	dead      int
+}
+
+func (f *figures) ratio(share float64) float64 {
+	i := max(0, int(share*float64(len(f.ready))+0.5)-1)
+	return float64(f.ready[i]) / float64(f.bound)
+}
+
+const simChunk = 8 << 10
+
+var simCodec = wire.NewCodec(Messages)
+
+// sim is a burst while it runs.
+type sim struct {
+	burst
+	t          *testing.T
+	net        *simnet.Network
+	origin     *simnet.Link
+	manifest   []byte
+	data       map[string][]byte
+	began      time.Time
+	mu         sync.Mutex
+	boxes      map[string]*simBox
+	members    []Member
+	originDown bool
+	originCut  map[string]bool // Halls.
+	corrupter  map[string]bool // Boxes that corrupt all that they send.
+	events     map[EventKind]int
+}
+
+type simBox struct {
+	Member
+	up, down *simnet.Link
+	transfer *Transfer
+	exchange *Exchange
+	cancel   context.CancelFunc
+	readyAt  time.Time
+	done     chan struct{} // Closed when the box's transfer has returned.
+}
+
+// run plays a burst until every box that lives is ready, or for limit.
+func (b burst) run(t *testing.T, limit time.Duration) *figures {
+	var f *figures
+	synctest.Test(t, func(t *testing.T) {
+		s := newSim(t, b)
+		for i := range b.boxes {
+			s.start(s.name(i))
+		}
+		if b.faults {
+			s.causeFaults()
+		}
+		if b.hook != nil {
+			go b.hook(s)
+		}
+		f = s.wait(limit)
+		s.stopAll()
+	})
+	return f
+}
+
+func newSim(t *testing.T, b burst) *sim {
+	s := &sim{
+		burst: b, t: t, began: time.Now(), data: map[string][]byte{}, boxes: map[string]*simBox{},
+		originCut: map[string]bool{}, corrupter: map[string]bool{}, events: map[EventKind]int{},
+	}
+	model := make([]byte, b.chunks*simChunk)
+	_, _ = rand.NewChaCha8([32]byte{byte(b.seed)}).Read(model)
+	f := Split("model", model, simChunk)
+	m := &Manifest{Model: "m", Version: "v", Files: []File{f}}
+	s.manifest, _ = m.Encode()
+	s.data[Digest(s.manifest)] = s.manifest
+	for i, c := range f.Chunks {
+		s.data[c.Digest] = model[i*simChunk : (i+1)*simChunk]
+	}
+	copyBytes := float64(len(model))
+	s.origin = &simnet.Link{Rate: 4 * copyBytes / b.window.Seconds()}
+	s.net = &simnet.Network{Small: 1 << 10, Latency: s.latency}
+	for i := range b.boxes {
+		s.members = append(s.members, s.member(s.name(i)))
+	}
+	return s
+}
+
+func (s *sim) name(i int) string { return fmt.Sprintf("box-%03d", i) }
+
+func (s *sim) hall(name string) string {
+	return fmt.Sprintf("hall-%d", rendezvous.Score("hall", name)%3)
+}
+
+func (s *sim) member(name string) Member { return Member{Name: name, Hall: s.hall(name), Addr: name} }
+
+// latency differs from pair to pair by nanoseconds, so that few things happen
+// at the very same moment and runs are alike.
+func (s *sim) latency(a, b string) time.Duration {
+	base := 500 * time.Microsecond
+	if s.hall(a) != s.hall(b) {
+		base = 1500 * time.Microsecond
+	}
+	return base + time.Duration(rendezvous.Score(a, b)%100_000)
+}
+
+func (s *sim) start(name string) {
+	rate := 2 * float64(s.chunks*simChunk) / s.window.Seconds()
+	b := &simBox{Member: s.member(name), up: &simnet.Link{Rate: rate}, done: make(chan struct{})}
+	b.down = &simnet.Link{Rate: rate}
+	if s.shared {
+		b.down = b.up
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = cancel
+	hs := &wire.Handlers{}
+	hello := wire.Hello{Cluster: "sim", Box: name, Hall: b.Hall, Incarnation: 1}
+	opts := wire.Options{WriteRing: 2}
+	b.exchange = &Exchange{
+		Self: b.Member, Store: &Store{}, Strategy: s.strategy, Part: simChunk / 4, FromOrigin: s.fromOrigin(b),
+		Event: func(e Event) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.events[e.Kind]++
+		},
+		Pool: &wire.Pool{
+			Local: hello, Codec: simCodec, Handlers: hs, Options: opts, Lifetime: ctx,
+			Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+				nc, err := s.net.Dial(ctx, name, addr)
+				return s.corrupting(nc, name, addr), err
+			},
+		},
+	}
+	b.exchange.Serve(hs)
+	srv := &wire.Server{Local: hello, Codec: simCodec, Handlers: hs, Options: opts}
+	s.net.Add(&simnet.End{Name: name, Up: b.up, Down: b.down, Serve: func(_ context.Context, nc net.Conn) {
+		srv.One(ctx, s.corrupting(nc, name, "any"))
+	}})
+	spare := 0.0
+	if s.policy == "time" {
+		spare = 2.8
+	}
+	b.transfer = &Transfer{
+		Exchange: b.exchange, Artifact: Digest(s.manifest), Window: s.window, Copies: 4, Spare: spare, Members: s.listed,
+	}
+	s.mu.Lock()
+	s.boxes[name] = b
+	s.mu.Unlock()
+	go func() {
+		defer close(b.done)
+		time.Sleep(time.Duration(rendezvous.Score("start", name) % 50_000_000))
+		_ = b.transfer.Run(ctx)
+	}()
+	go func() {
+		select {
+		case <-b.transfer.Complete():
+			s.mu.Lock()
+			b.readyAt = time.Now()
+			s.mu.Unlock()
+		case <-ctx.Done():
+		}
+	}()
+}
+
+func (s *sim) listed() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.members
+}
+
+func (s *sim) fromOrigin(b *simBox) func(context.Context, string) ([]byte, error) {
+	return func(ctx context.Context, digest string) ([]byte, error) {
+		s.mu.Lock()
+		down := s.originDown || s.originCut[b.Hall]
+		s.mu.Unlock()
+		if down {
+			return nil, fault.New(fault.Unreachable, "origin")
+		}
+		data := s.data[digest]
+		if len(data) == simChunk {
+			simnet.Carry(s.origin, b.down, len(data))
+		}
+		return slices.Clone(data), nil
+	}
+}
+
+// corrupting flips a byte in some of the chunks that go over a connection.
+func (s *sim) corrupting(nc net.Conn, from, to string) net.Conn {
+	if nc == nil {
+		return nil
+	}
+	return &flipper{Conn: nc, s: s, from: from, rnd: rand.New(rand.NewPCG(rendezvous.Score(from, to), s.seed))}
+}
+
+type flipper struct {
+	net.Conn
+	s    *sim
+	from string
+	rnd  *rand.Rand
+}
+
+func (f *flipper) Write(b []byte) (int, error) {
+	const share = 0.01 / 4 // Of the parts, so that 1% of chunks are corrupt.
+	f.s.mu.Lock()
+	always := f.s.corrupter[f.from]
+	f.s.mu.Unlock()
+	if len(b) > 1<<10 && (always || f.s.faults && f.rnd.Float64() < share) {
+		b = slices.Clone(b)
+		b[len(b)-100] ^= 1
+	}
+	return f.Conn.Write(b)
+}
+
+// kill ends a box as a power cut does; the fleet list notices late.
+func (s *sim) kill(name string) {
+	s.mu.Lock()
+	b := s.boxes[name]
+	s.mu.Unlock()
+	b.cancel()
+	s.net.Remove(name)
+	const listLag = 20 * time.Second
+	time.AfterFunc(listLag, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.members = slices.DeleteFunc(slices.Clone(s.members), func(m Member) bool { return m.Name == name })
+	})
+}
+
+func (s *sim) causeFaults() {
+	rnd := rand.New(rand.NewPCG(s.seed, 99))
+	for _, i := range rnd.Perm(s.burst.boxes)[:s.burst.boxes/10] {
+		time.AfterFunc(time.Duration(rnd.Int64N(int64(s.window/2))), func() { s.kill(s.name(i)) })
+	}
+	for i := range s.burst.boxes {
+		for j := range i {
+			if rnd.Float64() < 0.05 {
+				time.AfterFunc(time.Duration(rnd.Int64N(int64(s.window/2))), func() { s.net.Stall(s.name(i), s.name(j), true) })
+			}
+		}
+	}
+}
+
+// wait returns the figures once all boxes that live are ready.
+func (s *sim) wait(limit time.Duration) *figures {
+	for time.Since(s.began) < limit && !s.allReady() {
+		time.Sleep(50 * time.Millisecond)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f := &figures{bound: s.window / 2, events: s.events}
+	if s.shared {
+		f.bound = s.window
+	}
+	took := time.Since(s.began)
+	copyBytes := float64(s.chunks * simChunk)
+	f.origin = float64(s.origin.Sent()) / copyBytes
+	for _, b := range s.boxes {
+		sent := float64(b.up.Sent())
+		if s.shared {
+			sent -= copyBytes
+		}
+		f.maxUpload = max(f.maxUpload, sent/copyBytes)
+		switch {
+		case b.exchange.Pool.Lifetime.Err() != nil:
+			f.dead++
+		case b.readyAt.IsZero():
+			f.ready = append(f.ready, limit)
+		default:
+			f.ready = append(f.ready, b.readyAt.Sub(s.began))
+		}
+	}
+	slices.Sort(f.ready)
+	f.control = float64(s.net.Control()) / float64(s.burst.boxes) / took.Seconds()
+	return f
+}
+
+func (s *sim) allReady() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.boxes {
+		if b.readyAt.IsZero() && b.exchange.Pool.Lifetime.Err() == nil {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *sim) stopAll() {
+	s.mu.Lock()
+	boxes := s.boxes
+	s.mu.Unlock()
+	for _, b := range boxes {
+		b.cancel()
+	}
+	for name, b := range boxes {
+		s.net.Remove(name)
+		<-b.done
+	}
+	time.Sleep(time.Minute) // For what still sleeps on a link.
+}
