--- a/cmd/poststand-load/main.go
+++ b/cmd/poststand-load/main.go
@@ -70,6 +70,7 @@
 	f.IntVar(&r.Mix.Unsafe, "unsafe-share", 1, "share of unsafe calls")
 	f.IntVar(&r.Mix.Keyed, "keyed-share", 0, "share of unsafe calls with a key, sent twice")
 	f.Uint64Var(&r.Seed, "seed", 1, "seed of what is drawn")
+	f.BoolVar(&r.GatewaysDie, "gateways-die", false, "count connections cut by a dead gateway apart")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
@@ -83,9 +84,9 @@
 		refused = append(refused, fmt.Sprintf("%s:%d", code, s.Refused[code]))
 	}
 	_, err := fmt.Fprintf(c.OutOrStdout(),
-		"sent=%d answers=%d wrong=%d lost=%d doubled=%d false_not_run=%d unknown=%d versions=%d refused=%s "+
+		"sent=%d answers=%d wrong=%d lost=%d doubled=%d false_not_run=%d cut=%d unknown=%d versions=%d refused=%s "+
 			"first_p50_ms=%.1f first_p95_ms=%.1f first_p99_ms=%.1f gap_p95_ms=%.1f whole_p50_ms=%.1f whole_p99_ms=%.1f\n",
-		s.Sent, s.Answers, s.Wrong, s.Lost, s.Doubled, s.FalseNotRun, s.Unknown, len(s.Versions), strings.Join(refused, ","),
+		s.Sent, s.Answers, s.Wrong, s.Lost, s.Doubled, s.FalseNotRun, s.Cut, s.Unknown, len(s.Versions), strings.Join(refused, ","),
 		s.FirstP50, s.FirstP95, s.FirstP99, s.GapP95, s.WholeP50, s.WholeP99)
 	return err
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -38,6 +38,7 @@
 	Tokens        int
 	Mix           Mix
 	Seed          uint64
+	GatewaysDie   bool // Gateways are killed: their callers' connections end as Cut, not Lost.
 
 	client *http.Client
 	mu     sync.Mutex
@@ -63,6 +64,7 @@
 	Lost        int            `json:"lost"`          // Neither an answer nor a typed refusal.
 	Doubled     int            `json:"doubled"`       // Unsafe requests that ran more than once.
 	FalseNotRun int            `json:"false_not_run"` // Told "not run", but in a ledger.
+	Cut         int            `json:"cut"`           // The gateway died before it answered.
 	Unknown     int            `json:"unknown"`       // Told that it may have run.
 	Refused     map[string]int `json:"refused"`       // Told "not run", by reason.
 	Versions    map[string]int `json:"versions"`      // Answers by the version that gave them.
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -54,6 +55,8 @@
 		case p.outcome == "unknown":
 			r.sum.Unknown++
 			r.sum.Refused["unknown_"+p.code]++
+		case r.GatewaysDie && (p.code == codeConnection || p.code == codeTruncated):
+			r.sum.Cut++
 		default:
 			r.sum.Lost++
 			r.sum.Refused["lost_"+p.code]++
@@ -70,8 +73,15 @@
 	}
 	began := time.Now()
 	resp, err := r.client.Do(req)
+	for tries := 0; refusedDial(err) && tries < len(r.Gateways); tries++ {
+		// As a balancer does: nobody listens there, so nothing was sent.
+		if req, prompt, err = r.request(ctx, q, r.Gateways[tries]); err != nil {
+			return reply{code: "request"}
+		}
+		resp, err = r.client.Do(req)
+	}
 	if err != nil {
-		return reply{code: "connection"}
+		return reply{code: codeConnection}
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.Header.Get(gateway.HeaderOutcome) != "ran" {
@@ -87,7 +97,7 @@
 	default:
 		var a standin.PlainAnswer
 		if json.NewDecoder(resp.Body).Decode(&a) != nil {
-			return reply{code: "truncated"}
+			return reply{code: codeTruncated}
 		}
 		p.whole = true
 		p.right = a.Service == q.service && a.Echo == standin.Answer(prompt, q.service, "", standin.PlainTokens)
@@ -102,6 +112,18 @@
 	return p
 }
 
+// Codes of replies that are neither answers nor typed refusals.
+const (
+	codeConnection = "connection"
+	codeTruncated  = "truncated"
+)
+
+// refusedDial reports whether a connection could not be made at all.
+func refusedDial(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 func (r *Run) record(fn func()) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -157,7 +179,7 @@
 func (r *Run) readChat(body io.Reader, began time.Time, p reply) (string, reply) {
 	var c standin.Completion
 	if json.NewDecoder(body).Decode(&c) != nil || len(c.Choices) != 1 || c.Choices[0].Message == nil {
-		return "", reply{code: "truncated"}
+		return "", reply{code: codeTruncated}
 	}
 	r.record(func() { _ = r.first.RecordValue(time.Since(began).Microseconds()) })
 	p.whole, p.code = true, c.Model
@@ -200,7 +222,7 @@
 		p.code = c.Model
 	}
 	if err := sc.Err(); err != nil && !errors.Is(err, io.EOF) && !p.whole {
-		return "", reply{code: "truncated"}
+		return "", reply{code: codeTruncated}
 	}
 	if !p.whole {
 		return "", reply{code: "no_last_event"}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("POST /cancel/{id}", e.serveCancel)
 	mux.HandleFunc("POST /v1/chat/completions", e.serveChat)
 	mux.HandleFunc("GET /ledger", e.Ledger.serve)
+	mux.HandleFunc("POST /control/forget", func(http.ResponseWriter, *http.Request) { e.forget() })
 	mux.ServeHTTP(w, r)
 }
 
@@ -55,6 +56,13 @@
 	return s
 }
 
+// forget leaves the engine as a restart would, but for its ledger.
+func (e *Engine) forget() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = engine.State{}
+}
+
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var o engine.Order
 	if !decode(w, r, &o) {
