--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -120,7 +120,7 @@
 // reportEvery grows with the fleet, so that what a gateway hears from all the
 // agents of its hall stays within its control budget.
 func reportEvery(boxes int) time.Duration {
-	const least, most, perBox = 500 * time.Millisecond, 10 * time.Second, time.Millisecond
+	const least, most, perBox = 500 * time.Millisecond, 20 * time.Second, 2 * time.Millisecond
 	return min(most, max(least, time.Duration(boxes)*perBox))
 }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -152,8 +152,8 @@
 	if r < watchersEachHall {
 		return true
 	}
-	// A live watcher's answers reach us with at least half of that time to go.
-	late := f.Holder.Get().FreshUntil.Add(-f.FreshFor() / 2).Add(time.Duration(r) * time.Second)
+	// A live watcher's answers reach us with more than a quarter of that time to go.
+	late := f.Holder.Get().FreshUntil.Add(-f.FreshFor() / 4).Add(time.Duration(r) * time.Second)
 	return now.After(late)
 }
 
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -102,6 +102,22 @@
 	p.wake()
 }
 
+// SetStale makes the platform show an older whole from now on, until a mode
+// without Stale is set.
+func (p *Platform) SetStale(revision uint64, docs map[string][]byte) {
+	p.init()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	digests := map[string]string{}
+	for name, data := range docs {
+		d := config.DocumentDigest(data)
+		digests[name], p.docs[d] = d, data
+	}
+	p.mode.Stale = true
+	p.stale = &snapshot{feed.PlatformHead{Revision: revision, Docs: digests}, p.fleet}
+	p.wake()
+}
+
 func (p *Platform) wake() {
 	close(p.changed)
 	p.changed = make(chan struct{})
--- a/route/rollout.go
+++ b/route/rollout.go
@@ -1,16 +1,10 @@
 package route
 
 import (
-	"slices"
 	"sync"
 	"time"
 )
 
-func middle(xs []float64) float64 {
-	slices.Sort(xs)
-	return xs[len(xs)/2]
-}
-
 // Rollout remembers which version each service is asked for. The zero value
 // has none.
 type Rollout struct {
--- a/route/router.go
+++ b/route/router.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,8 +50,16 @@
 	// measurements. Nil is the policy of this package.
 	Choose func(r *Router, now time.Time, cs []*Upstream, q Query) *Upstream
 
-	mu  sync.Mutex
-	ups map[string]*Upstream
+	mu      sync.Mutex
+	ups     map[string]*Upstream
+	order   []string // The names of ups, sorted, so that choices are repeatable.
+	medians map[string]typical
+}
+
+// typical is the median first-token time of a service, kept for a moment.
+type typical struct {
+	first float64 // Nanoseconds; 0 while too few are known.
+	until time.Time
 }
 
 // Query is what Pick needs to know of a request.
@@ -84,6 +93,7 @@
 			u.Box.Leaving = true
 		}
 	}
+	r.order = rendezvous.Sorted(r.ups)
 }
 
 // Heard takes a report. One that is older than the last, or from an incarnation
@@ -158,7 +168,7 @@
 
 func (r *Router) candidates(now time.Time, q Query) []*Upstream {
 	var out []*Upstream
-	for _, name := range rendezvous.Sorted(r.ups) {
+	for _, name := range r.order {
 		u := r.ups[name]
 		if u.usable(now, q.Service) && u.Report.Digest == q.Digest && !q.Exclude[name] {
 			out = append(out, u)
@@ -210,34 +220,38 @@
 }
 
 func (r *Router) choose(now time.Time, cs []*Upstream, q Query) *Upstream {
+	usual := r.median(now, cs, q.Service)
 	if q.Prefix != "" {
-		if u := byPrefix(now, cs, q.Prefix); u != nil {
+		if u := byPrefix(now, cs, q.Prefix, usual); u != nil {
 			return u
 		}
 	}
 	a, b := cs[rand.IntN(len(cs))], cs[rand.IntN(len(cs))]
-	if cost(now, b, cs) < cost(now, a, cs) {
+	if b.cost(now, usual) < a.cost(now, usual) {
 		return b
 	}
 	return a
 }
 
-// byPrefix walks the rendezvous order of a prefix and takes the first upstream
-// whose load is within the bound, so that a hot prefix spills over.
-func byPrefix(now time.Time, cs []*Upstream, prefix string) *Upstream {
+// byPrefix takes the first of the two upstreams that a prefix hashes to whose
+// load is within the bound, so that a hot prefix spills over.
+func byPrefix(now time.Time, cs []*Upstream, prefix string, usual float64) *Upstream {
 	total := 0.0
-	byName := map[string]*Upstream{}
-	names := make([]string, len(cs))
-	for i, u := range cs {
+	var first, second *Upstream
+	var high, next uint64
+	for _, u := range cs {
 		total += u.Load(now)
-		byName[u.Box.Name], names[i] = u, u.Box.Name
+		switch s := rendezvous.Score(prefix, u.Box.Name); {
+		case first == nil || s > high:
+			first, second, high, next = u, first, s, high
+		case second == nil || s > next:
+			second, next = u, s
+		}
 	}
 	bound := boundFactor*total/float64(len(cs)) + boundSlack
-	slow := slowFactor * median(cs)
-	const tries = 2
-	for _, name := range rendezvous.Rank(prefix, names)[:min(tries, len(names))] {
-		u := byName[name]
-		if u.Load(now) <= bound && u.share(now) >= 1 && (slow == 0 || float64(u.first) < slow) {
+	slow := slowFactor * usual
+	for _, u := range []*Upstream{first, second} {
+		if u != nil && u.Load(now) <= bound && u.share(now) >= 1 && (usual == 0 || float64(u.first) < slow) {
 			return u
 		}
 	}
@@ -258,29 +272,39 @@
 	return min(1, max(slowStartLeast, up))
 }
 
-// cost compares upstreams: load for each slot, weighted by how slow it was and
-// by how fresh it is.
-func cost(now time.Time, u *Upstream, cs []*Upstream) float64 {
+// cost compares upstreams: load for each slot, weighted by how slow it was
+// against the usual and by how fresh it is.
+func (u *Upstream) cost(now time.Time, usual float64) float64 {
 	c := (u.Load(now) + 1) / float64(max(1, u.Report.Slots)) / u.share(now)
-	if m := median(cs); m > 0 && u.first > 0 {
-		c *= max(1, float64(u.first)/m)
+	if usual > 0 && u.first > 0 {
+		c *= max(1, float64(u.first)/usual)
 	}
 	return c
 }
 
-// median is the median smoothed first-token time, or 0 while too few are known.
-func median(cs []*Upstream) float64 {
+// median is the median smoothed first-token time of a service, or 0 while too
+// few are known. It moves slowly, so it is not computed for each request.
+func (r *Router) median(now time.Time, cs []*Upstream, service string) float64 {
+	if m := r.medians[service]; now.Before(m.until) {
+		return m.first
+	}
 	var known []float64
 	for _, u := range cs {
 		if u.first > 0 {
 			known = append(known, float64(u.first))
 		}
 	}
-	const fewest = 3
-	if len(known) < fewest {
-		return 0
+	const fewest, keep = 3, 100 * time.Millisecond
+	m := typical{until: now.Add(keep)}
+	if len(known) >= fewest {
+		slices.Sort(known)
+		m.first = known[len(known)/2]
+	}
+	if r.medians == nil {
+		r.medians = map[string]typical{}
 	}
-	return middle(known)
+	r.medians[service] = m
+	return m.first
 }
 
 // Ended is how a dispatch went, as far as it speaks of the upstream.
@@ -349,7 +373,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var out []Upstream
-	for _, name := range rendezvous.Sorted(r.ups) {
+	for _, name := range r.order {
 		out = append(out, *r.ups[name])
 	}
 	return out
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -20,8 +20,8 @@
 	MaxFrame    int           // Bytes in a body; 9 MiB by default.
 	MaxStreams  int           // Streams that the peer may have open; 4096 by default.
 	StreamRing  int           // Messages buffered for each stream; 512 by default.
-	WriteRing   int           // Frames waiting to be written; 256 by default.
-	Buffer      int           // Bytes gathered into one write, and read ahead; 32 KiB by default.
+	WriteRing   int           // Frames waiting to be written; 128 by default.
+	Buffer      int           // Bytes gathered into one write, and read ahead; 8 KiB by default.
 	PingEvery   time.Duration // Silence after which a ping is sent; 5 s by default.
 	StallAfter  time.Duration // Silence after which the peer is given up; 15 s by default.
 	HelloWithin time.Duration // Time for the handshake; 5 s by default.
@@ -33,8 +33,8 @@
 	o.MaxFrame = orInt(o.MaxFrame, 9<<20)
 	o.MaxStreams = orInt(o.MaxStreams, 4096)
 	o.StreamRing = orInt(o.StreamRing, 512)
-	o.WriteRing = orInt(o.WriteRing, 256)
-	o.Buffer = orInt(o.Buffer, 32<<10)
+	o.WriteRing = orInt(o.WriteRing, 128)
+	o.Buffer = orInt(o.Buffer, 8<<10)
 	o.PingEvery = orDuration(o.PingEvery, 5*time.Second)
 	o.StallAfter = orDuration(o.StallAfter, 15*time.Second)
 	o.HelloWithin = orDuration(o.HelloWithin, 5*time.Second)
