weights, gateway: a corrupting seed, and answers at the deadline

Offered now means by a peer that is not left out, and a chunk is left to those ahead three times at most. (2) a caller of a frozen agent waited past its deadline, for the question what became of its request: the question now ends at the deadline, dialling included. (3) the test of a stream without its end was wrong: the cut let the stream be resumed to its whole end; it now withholds the last event for good.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,7 +184,11 @@
 	if a.d.Incarnation == 0 {
 		return nil, unknown
 	}
-	ask, cancel := context.WithTimeout(ctx, askWithin)
+	until := time.Now().Add(askWithin)
+	if a.d.Deadline.Before(until) {
+		until = a.d.Deadline // The caller is answered by then, whatever is known.
+	}
+	ask, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	c, err := a.gateway.pool.Fresh(ask, a.addr)
 	if err != nil {
--- a/internal/stack/doctored_test.go
+++ b/internal/stack/doctored_test.go
@@ -173,15 +173,30 @@
 	})
 }
 
+// endless ends a stream before its last event.
+type endless struct {
+	io.ReadCloser
+	over bool
+}
+
+func (e *endless) Read(p []byte) (int, error) {
+	if e.over {
+		return 0, io.EOF
+	}
+	n, err := e.ReadCloser.Read(p)
+	if i := bytes.Index(p[:n], []byte("data: [DONE]")); i >= 0 {
+		e.over = true
+		return i, nil
+	}
+	return n, err
+}
+
 // An engine that ends its streams without the last event gives no whole answer.
 func TestStreamWithoutItsEndIsNotComplete(t *testing.T) {
 	s := &Stack{Gateways: 1, Engines: 1, Config: limits}
 	s.Transport.Wrap = func(r *http.Request, body io.ReadCloser) io.ReadCloser {
 		if r.URL.Host == "h0-engine0:7200" && strings.HasSuffix(r.URL.Path, "/completions") {
-			return struct {
-				io.Reader
-				io.Closer
-			}{io.LimitReader(body, 500), body}
+			return &endless{ReadCloser: body}
 		}
 		return body
 	}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -26,6 +26,7 @@
 	slowChunks     = 12 // After it a second fetch of a chunk may start.
 	leftOutFor     = 30 * time.Second
 	strikesAllowed = 2
+	mostPutOff     = 3 // Times that a chunk is left to those ahead.
 	originRetry    = 500 * time.Millisecond
 	pullAhead      = 0.93 // Share of the planned time in which seeds ask.
 )
@@ -63,7 +64,9 @@
 	atOrigin int
 	spare    int // Chunks that this box may still fetch beyond its duty.
 	asking   map[int]bool
+	putOff   map[int]int  // How often a box ahead said that it looks after a chunk.
 	granted  map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
+	leftOut  time.Time    // Some peer is left out until then.
 	originAt time.Time    // The origin is left alone until then.
 	tieBreak []int
 }
@@ -97,7 +100,7 @@
 	p.rarity = make([]int, p.Chunks)
 	p.fetching = map[int][]fetch{}
 	p.peers = map[string]*peerState{}
-	p.asking, p.granted = map[int]bool{}, map[int]bool{}
+	p.asking, p.granted, p.putOff = map[int]bool{}, map[int]bool{}, map[int]int{}
 	p.tieBreak = p.Rand.Perm(p.Chunks)
 	p.SetMembers(members)
 	p.spare = int(p.Spare*float64(p.Chunks)/float64(max(1, len(members))) + p.Rand.Float64())
@@ -201,7 +204,7 @@
 	case fault.Corrupt:
 		s.strikes++
 		if s.strikes >= strikesAllowed {
-			s.notBefore = now.Add(leftOutFor * time.Duration(s.strikes-1))
+			p.leaveOut(s, now.Add(leftOutFor*time.Duration(s.strikes-1)))
 		}
 	case fault.Busy:
 		s.busy = now.Add(p.PerChunk/2 + time.Duration(p.Rand.Int64N(int64(p.PerChunk)+1)))
@@ -212,10 +215,15 @@
 			p.rarity[chunk]--
 		}
 	default:
-		s.notBefore = now.Add(p.grace())
+		p.leaveOut(s, now.Add(p.grace()))
 	}
 }
 
+func (p *Plan) leaveOut(s *peerState, until time.Time) {
+	s.notBefore = until
+	p.leftOut = laterOf(p.leftOut, until)
+}
+
 func (p *Plan) endFetch(chunk int, from string) {
 	for i, f := range p.fetching[chunk] {
 		if f.from != from {
@@ -246,10 +254,13 @@
 }
 
 // Asked records the answer to an Action with Ask: whether a box ahead has the
-// chunk or is getting it. If none does, this box's turn has come.
+// chunk or is getting it. If none does, this box's turn has come. So it has if
+// one says so again and again and no neighbour ever gets the chunk: it may be
+// unable to pass it on, or passes it on corrupt.
 func (p *Plan) Asked(now time.Time, chunk int, someoneHas bool) {
 	delete(p.asking, chunk)
-	if someoneHas {
+	p.putOff[chunk]++
+	if someoneHas && p.putOff[chunk] < mostPutOff {
 		p.turn[chunk] = now.Add(p.grace())
 		return
 	}
@@ -292,7 +303,7 @@
 // fetch from the origin if nobody is ahead, else ask those who are.
 func (p *Plan) duties(now time.Time, wake *time.Time, todo []Action) []Action {
 	for i := range p.Chunks {
-		if p.have.Has(i) || p.rarity[i] > 0 || len(p.fetching[i]) > 0 || p.asking[i] {
+		if p.have.Has(i) || len(p.fetching[i]) > 0 || p.asking[i] || p.offered(now, i) {
 			continue
 		}
 		switch {
@@ -310,6 +321,19 @@
 	return todo
 }
 
+// offered reports whether a peer that is not left out has a chunk.
+func (p *Plan) offered(now time.Time, chunk int) bool {
+	if p.rarity[chunk] == 0 || !p.leftOut.After(now) {
+		return p.rarity[chunk] > 0
+	}
+	for _, s := range p.peers {
+		if s.has.Has(chunk) && !s.notBefore.After(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // ahead returns the nearest boxes before this one in a chunk's order.
 func (p *Plan) ahead(chunk int) []string {
 	const most = 3
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -114,10 +114,26 @@
 // Fresh returns a new connection beside the pooled one, for a question that
 // must not share the fate of the first. The caller closes it.
 func (p *Pool) Fresh(ctx context.Context, addr string) (*Conn, error) {
-	if err := ctx.Err(); err != nil {
-		return nil, fault.Wrap(fault.Timeout, err, "dial "+addr)
+	type made struct {
+		c   *Conn
+		err error
+	}
+	done := make(chan made, 1)
+	go func() {
+		c, err := p.dial(addr)
+		done <- made{c, err}
+	}()
+	select {
+	case m := <-done:
+		return m.c, m.err
+	case <-ctx.Done():
+		go func() {
+			if m := <-done; m.c != nil {
+				m.c.Close()
+			}
+		}()
+		return nil, fault.Wrap(fault.Timeout, context.Cause(ctx), "dial "+addr)
 	}
-	return p.dial(addr)
 }
 
 // Drop closes the connection to addr, if there is one.
