--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -171,7 +171,7 @@
 	d := ask(n, epoch.Add(time.Duration(n%7+1)*time.Second))
 	d.Digest = rapid.SampledFrom([]string{"d1", "d2"}).Draw(t, "digest")
 	if n%3 == 0 {
-		d.Key, d.Unsafe = string(rune('a'+n%5)), true
+		d.Key, d.Unsafe = string(rune('a'+n/3%2)), true
 	}
 	rec, repeat, err := l.g.Admit(l.now, d, fakeHome(l.now))
 	switch {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -180,31 +180,28 @@
 // Close ends every connection and request of the agent, as its death would.
 func (a *Agent) Close() { a.end() }
 
-// Drain announces that the agent leaves: it takes no more requests.
-func (a *Agent) Drain() {
-	a.gate.Drain()
-	a.changed.notify()
-}
-
 // Serves reports whether the agent takes requests at a version.
 func (a *Agent) Serves(digest string) bool {
 	r := a.gate.Report(time.Now())
 	return r.Ready && r.Digest == digest
 }
 
-// Idle reports whether the agent runs nothing.
-func (a *Agent) Idle() bool { return a.gate.Idle() }
-
-// drain waits for stop, then until nothing runs or the drain deadline.
+// drain waits for stop, and then drains.
 func (a *Agent) drain(stop, own context.Context) error {
 	select {
 	case <-stop.Done():
+		a.Drain(time.Now().Add(a.Settings.DrainFor))
 	case <-own.Done():
-		return nil
 	}
-	deadline := time.Now().Add(a.Settings.DrainFor)
+	return nil
+}
+
+// Drain announces that the agent leaves, takes no more requests, and returns
+// once nothing runs or the deadline has come.
+func (a *Agent) Drain(deadline time.Time) {
 	telemetry.Log("drain_started", "box", a.Settings.Box, "deadline", deadline)
-	a.Drain()
+	a.gate.Drain()
+	a.changed.notify()
 	const look = 20 * time.Millisecond
 	for !a.gate.Idle() && time.Now().Before(deadline) {
 		time.Sleep(look)
@@ -212,7 +209,6 @@
 	const flush = 300 * time.Millisecond // For the last frames to leave.
 	time.Sleep(flush)
 	telemetry.Log("drain_ended", "box", a.Settings.Box, "idle", a.gate.Idle())
-	return nil
 }
 
 func (a *Agent) admin() *telemetry.Admin {
--- a/internal/stack/stack_test.go
+++ b/internal/stack/stack_test.go
@@ -19,6 +19,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/poststand/poststand/internal/load"
+	"github.com/poststand/poststand/internal/standin"
 )
 
 func TestMain(m *testing.M) {
@@ -164,7 +165,7 @@
 			next[b.Name] = b
 			s.Platform.SetFleet(next)
 		},
-		"announcement": func(s *Stack) { s.Agent("h0-engine0").Drain() },
+		"announcement": func(s *Stack) { go s.Agent("h0-engine0").Drain(time.Now().Add(time.Minute)) },
 		"death":        func(s *Stack) { s.Net.Remove("h0-engine0") },
 		"freeze":       func(s *Stack) { s.Freeze("h0-engine0", true) },
 	}
@@ -196,17 +197,15 @@
 
 // A planned stop under load cuts off nothing.
 func TestDrainUnderLoadCutsOffNothing(t *testing.T) {
-	bubble(t, &Stack{Gateways: 2, Engines: 3, Plains: 2, Config: limits}, func(t *testing.T, s *Stack) {
+	slow := func(int) *standin.Engine {
+		return &standin.Engine{FirstToken: 20 * time.Millisecond, PerToken: 80 * time.Millisecond, Batch: 64}
+	}
+	bubble(t, &Stack{Gateways: 2, Engines: 3, Plains: 2, Slots: 64, Queue: 64, Engine: slow, Config: limits}, func(t *testing.T, s *Stack) {
 		is := is.New(t)
 		go func() {
 			for _, name := range []string{"h0-engine0", "h0-plain0", "h0-engine1"} {
 				time.Sleep(time.Second)
-				a := s.Agent(name)
-				a.Drain()
-				for !a.Idle() {
-					time.Sleep(10 * time.Millisecond)
-				}
-				time.Sleep(300 * time.Millisecond)
+				s.Agent(name).Drain(time.Now().Add(time.Minute))
 				s.Kill(name)
 				time.Sleep(time.Second)
 				_ = s.StartBox(name)
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -29,12 +30,14 @@
 
 // stream is one answer in the making, kept so that it can be resumed.
 type stream struct {
-	digest string
-	tokens []string
-	made   int
-	done   bool
-	cancel bool
-	grow   chan struct{} // Closed and replaced when made rises or it ends.
+	digest  string
+	prompt  string
+	adapter string
+	tokens  []string
+	made    int
+	done    bool
+	cancel  bool
+	grow    chan struct{} // Closed and replaced when made rises or it ends.
 }
 
 // ServeHTTP implements http.Handler.
@@ -79,9 +82,7 @@
 			http.Error(w, err.Error(), http.StatusBadGateway)
 			return
 		}
-		e.mu.Lock()
-		e.state.Digest, e.state.Adapters, e.state.Role = o.Digest, o.Adapters, o.Role
-		e.mu.Unlock()
+		e.swap(o)
 	case engine.OrderUnload:
 		e.mu.Lock()
 		e.state.Digest, e.state.Adapters = "", nil
@@ -105,6 +106,19 @@
 	return true
 }
 
+// swap puts new weights in place. What still runs goes on with them, and so
+// mixes versions, as an engine would that nobody keeps from it.
+func (e *Engine) swap(o engine.Order) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state.Digest, e.state.Adapters, e.state.Role = o.Digest, o.Adapters, o.Role
+	for _, s := range e.streams {
+		for i := s.made; i < len(s.tokens); i++ {
+			s.tokens[i] = Token(s.prompt, o.Digest, s.adapter, i)
+		}
+	}
+}
+
 // load pulls every artifact of an order and checks it whole.
 func (e *Engine) load(o engine.Order) error {
 	digests := []string{o.Digest}
@@ -163,10 +177,9 @@
 			return
 		}
 	}
-	text := ""
-	for _, t := range s.tokens {
-		text += t
-	}
+	e.mu.Lock()
+	text := strings.Join(s.tokens, "")
+	e.mu.Unlock()
 	reply(w, Completion{ID: id, Object: "chat.completion", Model: s.digest, Choices: []Choice{
 		{Message: &Message{Role: "assistant", Content: text}, FinishReason: "stop"},
 	}})
@@ -182,7 +195,7 @@
 	if e.state.Digest == "" {
 		return nil, http.StatusServiceUnavailable
 	}
-	s := &stream{digest: e.state.Digest, grow: make(chan struct{})}
+	s := &stream{digest: e.state.Digest, prompt: req.Prompt(), adapter: adapter, grow: make(chan struct{})}
 	for i := range req.Tokens() {
 		s.tokens = append(s.tokens, Token(req.Prompt(), s.digest, adapter, i))
 	}
@@ -259,8 +272,11 @@
 			panic(http.ErrAbortHandler)
 		}
 		for ; n < made; n++ {
+			e.mu.Lock()
+			token := s.tokens[n]
+			e.mu.Unlock()
 			event, _ := json.Marshal(Completion{ID: id, Object: "chat.completion.chunk", Model: s.digest, Choices: []Choice{
-				{Delta: &Message{Role: "assistant", Content: s.tokens[n]}},
+				{Delta: &Message{Role: "assistant", Content: token}},
 			}})
 			_, _ = fmt.Fprintf(w, "data: %s\n\n", event)
 		}
