--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,12 +211,22 @@
 	return q
 }
 
-// capacity is this gateway's part of what the hall's upstreams run at once,
-// and half as much again so that their queues never run dry.
+// capacity is this gateway's part of what the hall's upstreams run at once. In a
+// hall that has none it is a part of what the others are configured to have, so
+// that what is spilled to them waits there, by their shares, and not here.
 func (g *Gateway) capacity(service string) int {
-	const least = 2
+	const least, assumedSlots = 2, 8
 	slots := g.router.Slots(time.Now(), service)
-	return max(least, int(route.Ahead*float64(slots)/float64(g.gatewaysHere())))
+	if slots > 0 {
+		return max(least, int(route.Ahead*float64(slots)/float64(g.gatewaysHere())))
+	}
+	v := g.holder.Get()
+	for hall, n := range v.Config.Services[service].Replicas {
+		if hall != g.Settings.Hall {
+			slots += assumedSlots * n
+		}
+	}
+	return max(least, slots/max(1, len(v.Gateways(""))))
 }
 
 func (g *Gateway) gatewaysHere() int {
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -36,6 +36,8 @@
 	BurstFactor   float64 // Times Rate during the burst.
 	Timeout       time.Duration
 	Tokens        int
+	VaryTokens    bool // Answers have half of Tokens to one and a half times them.
+	Prefixes      int  // Prompts begin with one of so many system messages; 0 is none.
 	Mix           Mix
 	Seed          uint64
 	Client        *http.Client // Nil is one with many connections.
@@ -148,6 +150,8 @@
 	again        string // The gateway of the repeat of a keyed request.
 	organisation string
 	prompt       string
+	tokens       int
+	system       string // The first message, or empty.
 }
 
 func (r *Run) draw(rnd *rand.Rand, i int) query {
@@ -164,6 +168,13 @@
 	if len(names) > 0 {
 		q.service = names[rnd.IntN(len(names))]
 	}
+	q.tokens = r.Tokens
+	if r.VaryTokens {
+		q.tokens = r.Tokens/2 + rnd.IntN(r.Tokens+1)
+	}
+	if r.Prefixes > 0 {
+		q.system = fmt.Sprintf("You write for newsroom %d.", rnd.IntN(r.Prefixes))
+	}
 	q.prompt = fmt.Sprintf("request %s: summarise precinct %d", q.ref, rnd.IntN(1000))
 	return q
 }
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -108,7 +108,7 @@
 		if p.version == "" {
 			p.version = p.code // From the answer itself.
 		}
-		p.right = text == standin.Answer(prompt, p.version, "", r.Tokens)
+		p.right = text == standin.Answer(prompt, p.version, "", q.tokens)
 	}
 	r.record(func() { _ = r.whole.RecordValue(time.Since(began).Microseconds()) })
 	return p
@@ -139,7 +139,10 @@
 	path := "/services/" + q.service + "/run"
 	chat := standin.ChatRequest{
 		Model: q.service, Messages: []standin.Message{{Role: "user", Content: q.prompt}},
-		MaxTokens: r.Tokens, Stream: q.kind == kindStream, User: q.ref,
+		MaxTokens: q.tokens, Stream: q.kind == kindStream, User: q.ref,
+	}
+	if q.system != "" {
+		chat.Messages = append([]standin.Message{{Role: "system", Content: q.system}}, chat.Messages...)
 	}
 	body = chat
 	if q.kind <= kindStream {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	FirstToken   time.Duration // Before the first token of an answer.
 	PerToken     time.Duration // Between tokens while at most Batch run.
 	Batch        int           // Requests that run at full speed.
+	Prefixes     int           // Prompts' beginnings that are cached; a hit saves most of FirstToken.
 	Ledger       Ledger
 	HTTP         *http.Client // By which weights are pulled; nil is the default.
 
@@ -26,6 +28,9 @@
 	state   engine.State
 	running int
 	streams map[string]*stream
+	cached  []string // The most recently used last.
+	hits    int
+	asked   int
 }
 
 // stream is one answer in the making, kept so that it can be resumed.
@@ -205,13 +210,42 @@
 	e.streams[id] = s
 	e.running++
 	e.Ledger.Started(req.User)
-	go e.generate(id, s)
+	go e.generate(id, s, e.untilFirst(req))
 	return s, http.StatusOK
 }
 
+// untilFirst is how long the first token takes: less when the beginning of the
+// prompt, its first message, is cached. The caller holds e.mu.
+func (e *Engine) untilFirst(req *ChatRequest) time.Duration {
+	if e.Prefixes == 0 || len(req.Messages) < 2 {
+		return e.FirstToken
+	}
+	const saved = 0.7
+	prefix := req.Messages[0].Content
+	e.asked++
+	if i := slices.Index(e.cached, prefix); i >= 0 {
+		e.hits++
+		e.cached = append(slices.Delete(e.cached, i, i+1), prefix)
+		return e.FirstToken - time.Duration(saved*float64(e.FirstToken))
+	}
+	e.cached = append(e.cached, prefix)
+	if len(e.cached) > e.Prefixes {
+		e.cached = e.cached[1:]
+	}
+	return e.FirstToken
+}
+
+// CacheHits returns how many prompts found their beginning cached, and of how
+// many.
+func (e *Engine) CacheHits() (hits, asked int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.hits, e.asked
+}
+
 // generate makes the tokens at the engine's pace, whoever listens.
-func (e *Engine) generate(id string, s *stream) {
-	time.Sleep(e.FirstToken)
+func (e *Engine) generate(id string, s *stream, first time.Duration) {
+	time.Sleep(first)
 	for range s.tokens {
 		time.Sleep(e.pace())
 		e.mu.Lock()
--- /dev/null
+++ b/limit/limit_test.go
@@ -0,0 +1,136 @@
+package limit
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Any order of arrivals, ends and givings-up keeps the bounds, loses no turn and
+// leaves nothing behind.
+func TestQueueKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		const slots, room = 3, 4
+		q := &Queue{Running: func() int { return slots }, Waiting: func() int { return room }}
+		n := rapid.IntRange(1, 40).Draw(rt, "requests")
+		orgs := make([]string, n)
+		patience := make([]int, n)
+		for i := range n {
+			orgs[i] = rapid.SampledFrom([]string{"a", "b", "c"}).Draw(rt, "org")
+			patience[i] = rapid.IntRange(1, 30).Draw(rt, "patience")
+		}
+		synctest.Test(t, func(t *testing.T) {
+			for i := range n {
+				go func() {
+					release, err := q.Acquire(t.Context(), Ticket{Organisation: orgs[i], Priority: i % 3, Deadline: time.Now().Add(time.Duration(patience[i]) * time.Millisecond)})
+					if err != nil {
+						return
+					}
+					time.Sleep(time.Duration(i%5) * time.Millisecond)
+					release()
+				}()
+				if i%3 == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				running, waiting := q.Load()
+				if running > slots || waiting > room+1 {
+					t.Fatalf("%d run and %d wait", running, waiting)
+				}
+			}
+			time.Sleep(time.Second)
+			if running, waiting := q.Load(); running != 0 || waiting != 0 {
+				t.Fatalf("left behind: %d run, %d wait", running, waiting)
+			}
+		})
+	})
+}
+
+// A burst of one organisation does not starve another, whatever priority it
+// claims; the one over its share is refused for it.
+func TestSmallOrganisationIsServedBesideABurst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		q := &Queue{Running: func() int { return 4 }, Waiting: func() int { return 20 }}
+		refused := 0
+		for range 100 {
+			go func() {
+				release, err := q.Acquire(t.Context(), Ticket{Organisation: "large", Priority: 9, Deadline: time.Now().Add(time.Hour)})
+				if err != nil {
+					refused++
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+				release()
+			}()
+			synctest.Wait()
+		}
+		is.True(refused > 0)
+		for range 10 {
+			began := time.Now()
+			release, err := q.Acquire(t.Context(), Ticket{Organisation: "small", Deadline: time.Now().Add(time.Hour)})
+			is.NoErr(err)
+			is.True(time.Since(began) <= 100*time.Millisecond) // The next slot that comes free.
+			release()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestRateRefusesAtOnceAndSaysWhen(t *testing.T) {
+	is := is.New(t)
+	r := &Rate{}
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	p := Split(20, 8, 4) // 5 a second and 2 at once for each of 4 gateways.
+	is.Equal(p, Part{PerSecond: 5, InFlight: 2})
+	for range 2 {
+		_, err := r.Take(now, p)
+		is.NoErr(err)
+	}
+	_, err := r.Take(now, p)
+	is.Equal(fault.CodeOf(err), fault.RateLimited) // Two are in flight.
+	for range 3 {
+		r.Give()
+		_, err = r.Take(now, p)
+		is.NoErr(err)
+	}
+	r.Give()
+	at, err := r.Take(now, p)
+	is.Equal(fault.CodeOf(err), fault.RateLimited) // The second's five are spent.
+	is.Equal(at, now.Add(200*time.Millisecond))
+	_, err = r.Take(at, p)
+	is.NoErr(err)
+}
+
+// Retries stay within their share of requests, and a second's worth.
+func TestBudgetBoundsRetries(t *testing.T) {
+	is := is.New(t)
+	b := &Budget{}
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	spent := 0
+	for range 1000 {
+		b.Request(now, 10)
+		if b.Spend(now) {
+			spent++
+		}
+	}
+	is.True(spent <= 1000*10/100+budgetBurst)
+	is.True(spent >= 100)
+}
+
+func TestAcquireGivesUpWithItsCaller(t *testing.T) {
+	is := is.New(t)
+	q := &Queue{Running: func() int { return 1 }, Waiting: func() int { return 1 }}
+	release, err := q.Acquire(t.Context(), Ticket{Deadline: time.Now().Add(time.Hour)})
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = q.Acquire(ctx, Ticket{Deadline: time.Now().Add(time.Hour)})
+	is.Equal(fault.CodeOf(err), fault.Cancelled)
+	release()
+}
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -35,6 +35,8 @@
 	weight  float64
 	last    float64 // Virtual finish of its last admitted request.
 	waiters []*waiter
+	running int
+	asked   time.Time // When it last asked.
 }
 
 type waiter struct {
@@ -46,7 +48,7 @@
 // Acquire waits for a turn. The returned function must be called when the
 // request has ended. A refusal has type fault.QueueFull or fault.PastDeadline.
 func (q *Queue) Acquire(ctx context.Context, t Ticket) (func(), error) {
-	w, err := q.enter(t)
+	w, err := q.enter(time.Now(), t)
 	if err != nil {
 		return nil, err
 	}
@@ -62,10 +64,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return sync.OnceFunc(q.release), nil
+	return sync.OnceFunc(func() { q.release(t.Organisation) }), nil
 }
 
-func (q *Queue) enter(t Ticket) (*waiter, error) {
+func (q *Queue) enter(now time.Time, t Ticket) (*waiter, error) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.orgs == nil {
@@ -76,12 +78,12 @@
 		s = &share{}
 		q.orgs[t.Organisation] = s
 	}
-	s.weight = float64(max(1, t.Weight))
+	s.weight, s.asked = float64(max(1, t.Weight)), now
+	q.dropIdle(now)
 	q.order++
 	w := &waiter{ticket: t, order: q.order, ready: make(chan error, 1)}
-	full := q.running >= q.limit() && q.waiting >= q.Waiting()
+	full := q.waiting >= q.Waiting() && !q.mayTake(s)
 	if full && !q.displace(s) {
-		q.dropIdle()
 		return nil, fault.New(fault.QueueFull, t.Organisation)
 	}
 	s.waiters = append(s.waiters, w)
@@ -125,29 +127,51 @@
 	return w
 }
 
+// reserved is the part of the slots that organisations over their share leave to
+// those that are not, so that a small one hardly waits for a slot to come free.
+const reserved = 0.1
+
+// mayTake reports whether s may have a slot now.
+func (q *Queue) mayTake(s *share) bool {
+	limit := q.limit()
+	total := 0.0
+	for _, o := range q.orgs {
+		total += o.weight
+	}
+	if float64(s.running) < float64(limit)*s.weight/total {
+		return q.running < limit
+	}
+	keep := 0
+	if len(q.orgs) > 1 {
+		keep = int(math.Ceil(reserved * float64(limit)))
+	}
+	return q.running < max(1, limit-keep)
+}
+
 // admit lets the next requests run while there is room: of the organisation
 // whose next virtual finish is the least, its most urgent and then oldest.
 func (q *Queue) admit() {
-	for q.running < q.limit() && q.waiting > 0 {
+	for q.waiting > 0 {
 		var next *share
 		at := math.Inf(1)
 		name := ""
 		for n, s := range q.orgs {
-			if len(s.waiters) == 0 {
+			if len(s.waiters) == 0 || !q.mayTake(s) {
 				continue
 			}
 			if f := s.finish(q.virtual); f < at || f == at && n < name {
 				next, at, name = s, f, n
 			}
 		}
+		if next == nil {
+			return
+		}
 		q.virtual = max(q.virtual, at-1/next.weight)
 		next.last = at
 		next.remove(next.first()).ready <- nil
 		q.waiting--
 		q.running++
-	}
-	if q.waiting == 0 {
-		q.dropIdle()
+		next.running++
 	}
 }
 
@@ -164,11 +188,12 @@
 	return best
 }
 
-// dropIdle forgets organisations that have nothing waiting and no debt, so that
-// the table is bounded by what is in use.
-func (q *Queue) dropIdle() {
+// dropIdle forgets organisations that have nothing here and have not asked for a
+// while, so that the table is bounded by what is in use.
+func (q *Queue) dropIdle(now time.Time) {
+	const idle = time.Second
 	for n, s := range q.orgs {
-		if len(s.waiters) == 0 && s.last <= q.virtual {
+		if len(s.waiters) == 0 && s.running == 0 && now.Sub(s.asked) > idle {
 			delete(q.orgs, n)
 		}
 	}
@@ -192,14 +217,15 @@
 	if err := <-w.ready; err != nil {
 		return err
 	}
-	q.release()
+	q.release(w.ticket.Organisation)
 	return why
 }
 
-func (q *Queue) release() {
+func (q *Queue) release(organisation string) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.running--
+	q.orgs[organisation].running--
 	if q.running < 0 {
 		panic("limit: released more than was admitted")
 	}
--- a/route/router.go
+++ b/route/router.go
@@ -32,9 +32,10 @@
 	reportExpires  = 45 * time.Second       // A silent upstream counts as unknown after this.
 )
 
-// Ahead is how much more than an upstream's slots its gateways together have in
-// flight to it, so that its queue never runs dry.
-const Ahead = 1.5
+// Ahead is how many requests the gateways of a hall together have in flight to
+// an upstream, for each of its slots. More would wait at the upstream, where
+// shares between organisations no longer count (docs/design/load.md).
+const Ahead = 1.0
 
 // Upstream is what a gateway knows of one box.
 type Upstream struct {
@@ -195,11 +196,12 @@
 	if len(all) == 0 {
 		return Upstream{}, fault.New(fault.NoUpstream, q.Service)
 	}
-	choose := r.Choose
-	if choose == nil {
-		choose = (*Router).choose
+	var u *Upstream
+	if r.Choose != nil {
+		u = r.Choose(r, now, all, q)
+	} else {
+		u = r.choose(now, withRoom(inService(now, all), q), q)
 	}
-	u := choose(r, now, withRoom(inService(now, all), q), q)
 	if u.InFlight == 0 {
 		u.sign = now // Silence counts from when there is something to say.
 	}
@@ -325,7 +327,8 @@
 func (u *Upstream) cost(now time.Time, usual float64) float64 {
 	c := (u.Load(now) + 1) / float64(max(1, u.Report.Slots)) / u.share(now)
 	if usual > 0 && u.first > 0 {
-		c *= max(1, float64(u.first)/usual)
+		times := max(1, float64(u.first)/usual)
+		c *= times * times // An empty slow upstream must not look better than a busy good one.
 	}
 	if u.silent(now, usual) {
 		c *= silentCost
