--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -67,6 +68,9 @@
 			MaxIdleConnsPerHost: s.Slots + s.Queue, IdleConnTimeout: time.Minute,
 		}}
 	}
+	if o.Origin == nil {
+		o.Origin = &http.Client{Transport: &http.Transport{DialContext: a.fromOwnAddress()}}
+	}
 	a.engine = &engine.Client{URL: s.Engine, HTTP: o.Engine}
 	a.requests = a.pool(wire.Options{})
 	a.requests.Dial = o.Dial
@@ -75,7 +79,7 @@
 		Event: func(name string, c fault.Code) { m.Event("feed_"+name, c) },
 	}
 	if s.LinkBPS > 0 {
-		a.links = rate.NewLimiter(rate.Inf, weightsPart)
+		a.links = rate.NewLimiter(rate.Limit(s.LinkBPS), weightsPart)
 	}
 	a.exchange = a.newExchange(o)
 	a.loader = &loader{agent: a}
@@ -86,6 +90,22 @@
 	return a, nil
 }
 
+// strategies are the ways of distribution that settings may name. All boxes of
+// a fleet must use the same; the others are baselines for measurements.
+var strategies = map[string]weights.Strategy{
+	settings.StrategySwarm: weights.Swarm, settings.StrategyTree: weights.Tree, settings.StrategyDirect: weights.Direct,
+}
+
+// fromOwnAddress dials from the address that the process was given, by which the
+// origin knows the box.
+func (a *Agent) fromOwnAddress() func(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{}
+	if own, err := netip.ParseAddrPort(a.Settings.Listen); err == nil {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(own.Addr(), 0))
+	}
+	return d.DialContext
+}
+
 // weightsPart is the bytes of a message with weights.
 const weightsPart = 64 << 10
 
@@ -111,7 +131,7 @@
 	p.Options.Traffic, p.Dial = nil, o.Dial
 	return &weights.Exchange{
 		Self:  weights.Member{Name: s.Box, Hall: s.Hall, Addr: s.Listen},
-		Store: &weights.Store{Limit: s.Memory}, Pool: p, Strategy: weights.Swarm, Part: weightsPart,
+		Store: &weights.Store{Limit: s.Memory}, Pool: p, Strategy: strategies[s.Strategy], Part: weightsPart,
 		FromOrigin: (&weights.OriginClient{URL: s.Origin, HTTP: o.Origin}).Get,
 		Pace:       a.pace, Event: a.weightsEvent,
 	}
@@ -122,9 +142,9 @@
 	if a.links == nil {
 		return nil
 	}
-	limit := rate.Inf
+	limit := rate.Limit(a.Settings.LinkBPS)
 	if cfg := a.holder.Get().Config; cfg != nil && !a.gate.Idle() {
-		limit = rate.Limit(float64(a.Settings.LinkBPS) * float64(cfg.Weights.LinkPercent) / 100)
+		limit *= rate.Limit(cfg.Weights.LinkPercent) / 100
 	}
 	if a.links.Limit() != limit {
 		a.links.SetLimit(limit)
--- /dev/null
+++ b/internal/gateway/hop_test.go
@@ -0,0 +1,115 @@
+package gateway_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/agent"
+	"github.com/poststand/poststand/internal/gateway"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/standin"
+)
+
+// hopStack is one gateway, one agent and one engine over loopback.
+func hopStack(b *testing.B) (direct, through string) {
+	b.Helper()
+	origin, platform := &standin.Origin{}, &standin.Platform{}
+	digest, err := origin.Add(standin.Artifact{Model: "m", Version: "v", Bytes: 1 << 16, ChunkSize: 1 << 14})
+	if err != nil {
+		b.Fatal(err)
+	}
+	e := &standin.Engine{FirstToken: 2 * time.Millisecond, PerToken: time.Millisecond, Batch: 64}
+	serve := func(h http.Handler) string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		srv := &http.Server{Handler: h}
+		b.Cleanup(func() { _ = srv.Close() })
+		go func() { _ = srv.Serve(ln) }()
+		return "http://" + ln.Addr().String()
+	}
+	free := func() string {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer func() { _ = ln.Close() }()
+		return ln.Addr().String()
+	}
+	direct = serve(e)
+	gwAddr, agAddr, callers := free(), free(), free()
+	platform.Publish(map[string][]byte{"a.yaml": fmt.Appendf(nil, "halls: {h: {}}\nmodels: {m: {versions: {v: {manifest: %q}}}}\n"+
+		"services: {chat: {boxes: engine, model: m, version: v, replicas: {h: 1}}}\nweights: {window: 400ms}\n", digest)})
+	platform.SetFleet(map[string]fleet.Box{
+		"gw": {Name: "gw", Hall: "h", Class: fleet.ClassGateway, Addr: gwAddr},
+		"ag": {Name: "ag", Hall: "h", Class: "engine", Addr: agAddr},
+	})
+	common := settings.Common{Cluster: "c", Hall: "h", Join: []string{gwAddr}, DrainFor: time.Second, MaxConns: 64}
+	gs := &settings.Gateway{Common: common, HTTP: callers, Platform: serve(platform), MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxAttempts: 4}
+	gs.Box, gs.Listen, gs.Admin = "gw", gwAddr, free()
+	as := &settings.Agent{Common: common, Engine: direct, Source: free(), Origin: serve(origin), Memory: 1 << 24, Strategy: settings.StrategySwarm, Slots: 64, Queue: 64}
+	as.Box, as.Listen, as.Admin = "ag", agAddr, free()
+	g, err := gateway.New(gs, gateway.Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	a, err := agent.New(as, agent.Options{})
+	if err != nil {
+		b.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { _ = g.Run(ctx) })
+	wg.Go(func() { _ = a.Run(ctx) })
+	b.Cleanup(func() { cancel(); wg.Wait() })
+	for range 400 {
+		if a.Serves(digest) {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	return direct, "http://" + callers
+}
+
+// BenchmarkHop prints what the hop through gateway and agent costs against
+// asking the engine directly, in one run, the two in turn.
+func BenchmarkHop(b *testing.B) {
+	direct, through := hopStack(b)
+	hs := [2]*hdrhistogram.Histogram{hdrhistogram.New(1, 1e7, 3), hdrhistogram.New(1, 1e7, 3)}
+	body, _ := json.Marshal(standin.ChatRequest{
+		Model: "chat", MaxTokens: 8, Stream: true, Messages: []standin.Message{{Role: "user", Content: "hello"}},
+	})
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
+	for b.Loop() {
+		for i, url := range []string{direct, through} {
+			began := time.Now()
+			resp, err := client.Post(url+"/v1/chat/completions", "application/json", bytes.NewReader(body))
+			if err != nil {
+				b.Fatal(err)
+			}
+			_, _ = io.Copy(io.Discard, resp.Body)
+			_ = resp.Body.Close()
+			if resp.StatusCode != http.StatusOK {
+				b.Fatal(resp.Status)
+			}
+			_ = hs[i].RecordValue(time.Since(began).Microseconds())
+		}
+	}
+	for _, q := range []float64{50, 99} {
+		d, t := hs[0].ValueAtQuantile(q), hs[1].ValueAtQuantile(q)
+		fmt.Printf("quantile=%.0f direct_us=%d through_us=%d ratio=%.3f added_us=%d\n", q, d, t, float64(t)/float64(d), t-d)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -42,14 +42,15 @@
 
 // Agent is the settings of an agent.
 type Agent struct {
-	Common  `yaml:",inline"`
-	Engine  string `yaml:"engine"`            // URL of the engine or plain service on this box.
-	Source  string `yaml:"source"`            // IP and port from which the engine pulls weights.
-	Origin  string `yaml:"origin"`            // URL of the origin of weights.
-	Memory  int64  `yaml:"memory"`            // Bytes of weights kept; 1 GiB by default.
-	Slots   int    `yaml:"slots"`             // Requests that run at once; 8 by default.
-	Queue   int    `yaml:"queue"`             // Requests that wait; 16 by default.
-	LinkBPS int64  `yaml:"link_bytes_second"` // The box's link; 0 is unknown, and not paced.
+	Common   `yaml:",inline"`
+	Engine   string `yaml:"engine"`            // URL of the engine or plain service on this box.
+	Source   string `yaml:"source"`            // IP and port from which the engine pulls weights.
+	Origin   string `yaml:"origin"`            // URL of the origin of weights.
+	Memory   int64  `yaml:"memory"`            // Bytes of weights kept; 1 GiB by default.
+	Slots    int    `yaml:"slots"`             // Requests that run at once; 8 by default.
+	Queue    int    `yaml:"queue"`             // Requests that wait; 16 by default.
+	Strategy string `yaml:"strategy"`          // Of distribution; swarm by default, and the same on all boxes.
+	LinkBPS  int64  `yaml:"link_bytes_second"` // The box's link; 0 is unknown, and not paced.
 }
 
 const (
@@ -66,6 +67,13 @@
 	defaultQueue       = 16
 )
 
+// Strategies of distribution.
+const (
+	StrategySwarm  = "swarm"
+	StrategyTree   = "tree"
+	StrategyDirect = "direct"
+)
+
 func setDefault[T comparable](v *T, d T) {
 	var zero T
 	if *v == zero {
@@ -105,6 +113,12 @@
 	setDefault(&a.Memory, defaultMemory)
 	setDefault(&a.Slots, defaultSlots)
 	setDefault(&a.Queue, defaultQueue)
+	setDefault(&a.Strategy, StrategySwarm)
+	switch a.Strategy {
+	case StrategySwarm, StrategyTree, StrategyDirect:
+	default:
+		d.Report("strategy", fmt.Sprintf("want swarm, tree or direct, not %q", a.Strategy))
+	}
 	checkCommon(d, &a.Common)
 	checkURL(d, "engine", a.Engine)
 	checkAddr(d, "source", a.Source)
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -186,7 +186,7 @@
 	} else {
 		a, err := agent.New(&settings.Agent{
 			Common: s.common(b), Engine: "http://" + name + ":7200", Source: name + ":7500", Origin: "http://origin:1",
-			Memory: 1 << 20, Slots: max(8, s.Slots), Queue: max(16, s.Queue),
+			Memory: 1 << 20, Strategy: settings.StrategySwarm, Slots: max(8, s.Slots), Queue: max(16, s.Queue),
 		}, agent.Options{Dial: dial, Engine: &http.Client{Transport: &s.Transport}, Origin: &http.Client{Transport: &s.Transport}})
 		if err != nil {
 			cancel()
--- a/scripts/lib/cluster.sh
+++ b/scripts/lib/cluster.sh
@@ -53,7 +53,7 @@
   start_gateway "$1"
 }
 
-add_agent() { # NAME HALL IP
+add_agent() { # NAME HALL IP [SETTING] [LINK]
   cat >"$dir/$1.yaml" <<Y
 cluster: izbori
 box: $1
@@ -65,7 +65,8 @@
 origin: http://$origin
 join: $join
 memory: 67108864
-link_bytes_second: 8000000
+link_bytes_second: ${5:-8000000}
+${4:-}
 drain_for: 5s
 Y
   admins+=("$3:7480") ledgers+=("http://$3:7200") agents+=("$1")
