--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,12 +46,13 @@
 	rates  map[string]*limit.Rate  // By organisation; bounded by the configuration.
 }
 
-// Timing of connections to agents: a frozen peer is noticed well before callers
-// would give up.
-const (
-	pingEvery  = time.Second
-	stallAfter = 4 * time.Second
-)
+// pingEvery is the time between pings on an idle connection: short, so that a
+// frozen peer is noticed well before callers would give up, but longer in a
+// large hall, so that the pings to all of its boxes stay within the budget.
+func (g *Gateway) pingEvery() time.Duration {
+	const least, most, perBox = time.Second, 10 * time.Second, 20 * time.Millisecond
+	return min(most, max(least, time.Duration(g.router.Size())*perBox))
+}
 
 // Options are the seams at which tests put fakes. The zero value is the real
 // thing.
@@ -93,7 +94,7 @@
 
 func (g *Gateway) options() wire.Options {
 	return wire.Options{
-		PingEvery: pingEvery, StallAfter: stallAfter,
+		Pings: g.pingEvery,
 		Count: func(c fault.Code) { g.Metrics.Event("connection", c) },
 		Traffic: func(sent, received int) {
 			g.Metrics.Bytes("sent", sent)
--- a/route/router.go
+++ b/route/router.go
@@ -425,6 +425,13 @@
 	}
 }
 
+// Size returns how many upstreams the table holds.
+func (r *Router) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ups)
+}
+
 // Snapshot returns a copy of every upstream, by name.
 func (r *Router) Snapshot() []Upstream {
 	r.mu.Lock()
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -17,13 +17,15 @@
 
 // Options bounds a connection. The zero value has safe defaults.
 type Options struct {
-	MaxFrame    int           // Bytes in a body; 9 MiB by default.
-	MaxStreams  int           // Streams that the peer may have open; 4096 by default.
-	StreamRing  int           // Messages buffered for each stream; 512 by default.
-	WriteRing   int           // Frames waiting to be written; 128 by default.
-	Buffer      int           // Bytes gathered into one write, and read ahead; 8 KiB by default.
-	PingEvery   time.Duration // Silence after which a ping is sent; 5 s by default.
-	StallAfter  time.Duration // Silence after which the peer is given up; 15 s by default.
+	MaxFrame   int           // Bytes in a body; 9 MiB by default.
+	MaxStreams int           // Streams that the peer may have open; 4096 by default.
+	StreamRing int           // Messages buffered for each stream; 512 by default.
+	WriteRing  int           // Frames waiting to be written; 128 by default.
+	Buffer     int           // Bytes gathered into one write, and read ahead; 8 KiB by default.
+	PingEvery  time.Duration // Silence after which a ping is sent; 5 s by default.
+	StallAfter time.Duration // Silence after which the peer is given up; 15 s by default.
+	// Pings, if set, gives PingEvery as it is now; StallAfter is then some pings.
+	Pings       func() time.Duration
 	HelloWithin time.Duration // Time for the handshake; 5 s by default.
 	Count       func(c fault.Code)
 	Traffic     func(sent, received int) // Bytes of each frame, header included.
@@ -63,6 +65,23 @@
 
 const headerSize = 4 + 1 + 8
 
+// stallPings is how many pings may go unanswered where Options.Pings is set.
+const stallPings = 4
+
+func (o *Options) pingEvery() time.Duration {
+	if o.Pings != nil {
+		return o.Pings()
+	}
+	return o.PingEvery
+}
+
+func (o *Options) stallAfter() time.Duration {
+	if o.Pings != nil {
+		return stallPings * o.Pings()
+	}
+	return o.StallAfter
+}
+
 type frame struct {
 	kind   Kind
 	stream uint64
@@ -203,7 +222,7 @@
 
 func (c *Conn) readLoop(r *bufio.Reader) {
 	for {
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.opts.StallAfter))
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.opts.stallAfter()))
 		f, err := readFrame(r, c.opts.MaxFrame)
 		if err != nil {
 			c.fail(err)
@@ -226,7 +245,7 @@
 
 func (c *Conn) writeLoop() {
 	w := bufio.NewWriterSize(c.nc, c.opts.Buffer)
-	ping := time.NewTimer(c.opts.PingEvery)
+	ping := time.NewTimer(c.opts.pingEvery())
 	defer ping.Stop()
 	for {
 		select {
@@ -243,14 +262,14 @@
 				return
 			}
 		}
-		ping.Reset(c.opts.PingEvery)
+		ping.Reset(c.opts.pingEvery())
 	}
 }
 
 // writeAll writes f and whatever else waits, then flushes once.
 func (c *Conn) writeAll(w *bufio.Writer, f frame) error {
 	for {
-		_ = c.nc.SetWriteDeadline(time.Now().Add(c.opts.StallAfter))
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.opts.stallAfter()))
 		c.opts.Traffic(headerSize+len(f.body), 0)
 		if _, err := w.Write(appendFrame(make([]byte, 0, headerSize+len(f.body)), f)); err != nil {
 			return readError(err)
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -144,3 +144,21 @@
 	}
 	return m.Conn.Write(b)
 }
+
+// A connection on which nothing is said lives, though one end gives up sooner
+// than the other would speak by itself.
+func TestIdleConnectionLives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, b := net.Pipe()
+		go func() { _, _ = NewConn(t.Context(), b, hello("c"), testCodec, echoHandlers(), false, Options{}) }()
+		quick := Options{Pings: func() time.Duration { return time.Second }}
+		c, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, true, quick)
+		is.NoErr(err)
+		time.Sleep(10 * time.Minute)
+		m, err := c.Call(t.Context(), &echo{"still here"})
+		is.NoErr(err)
+		is.Equal(m, &echo{"still here"})
+		c.Close()
+	})
+}
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -88,6 +88,7 @@
 // receive routes one frame from the peer. An error ends the connection.
 func (c *Conn) receive(f frame) error {
 	if f.kind == kindPing {
+		c.answerPing(f)
 		return nil
 	}
 	c.mu.Lock()
@@ -109,6 +110,18 @@
 	return nil
 }
 
+// answerPing answers a ping, so that the peer hears from us as often as it asks.
+// An answer carries a stream number, and is not answered again.
+func (c *Conn) answerPing(f frame) {
+	if f.stream != 0 {
+		return
+	}
+	select {
+	case c.out <- frame{kind: kindPing, stream: 1}:
+	default: // What waits to be written will do.
+	}
+}
+
 // accept opens the stream of a first frame. A frame that cannot be one, since
 // the stream is ours and forgotten, is dropped and counted.
 func (c *Conn) accept(f frame) error {
