all: shorter files, one way to send, bounded tables

Cause: reading as a newcomer: three files over 400 lines held two jobs, two functions sent a dispatch alike, the tests' start of a gateway and an agent was one function twice, a caller could grow the table of rates with made-up organisations, manifests were never let go, status asked one daemon at a time. Change: gate/expiry, plan/choose, router/choose split; attempt.send; stack's starts; undeclared organisations share one entry; 64 manifests; 64 at once.

--- a/cmd/poststand/cmd/status.go
+++ b/cmd/poststand/cmd/status.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -49,20 +50,19 @@
 func printStatus(ctx context.Context, w io.Writer, addrs []string, asJSON bool) error {
 	revisions := map[string]int{}
 	failed := 0
-	for _, addr := range addrs {
-		data, err := getStatus(ctx, addr)
-		if err != nil {
+	for i, a := range askAll(ctx, addrs) {
+		if a.err != nil {
 			failed++
-			_, _ = fmt.Fprintf(w, "admin=%s error=%q\n", addr, err)
+			_, _ = fmt.Fprintf(w, "admin=%s error=%q\n", addrs[i], a.err)
 			continue
 		}
 		if asJSON {
-			_, _ = fmt.Fprintln(w, string(data))
+			_, _ = fmt.Fprintln(w, string(a.data))
 			continue
 		}
 		var s summary
-		if err := json.Unmarshal(data, &s); err != nil {
-			return fault.Wrap(fault.Garbage, err, addr)
+		if err := json.Unmarshal(a.data, &s); err != nil {
+			return fault.Wrap(fault.Garbage, err, addrs[i])
 		}
 		revisions[s.Digest]++
 		_, _ = fmt.Fprintln(w, statusLine(&s))
@@ -76,6 +76,28 @@
 	return nil
 }
 
+type answer struct {
+	data []byte
+	err  error
+}
+
+// askAll asks many daemons at once and returns their answers in order.
+func askAll(ctx context.Context, addrs []string) []answer {
+	const atOnce = 64
+	answers := make([]answer, len(addrs))
+	slots := make(chan struct{}, atOnce)
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			answers[i].data, answers[i].err = getStatus(ctx, addr)
+		})
+	}
+	wg.Wait()
+	return answers
+}
+
 func statusLine(s *summary) string {
 	line := fmt.Sprintf("box=%s hall=%s role=%s revision=%d fresh=%t", s.Box, s.Hall, s.Role, s.Revision, s.Fresh)
 	if s.State != "" {
--- /dev/null
+++ b/dispatch/expiry.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// clock returns now, or the latest time seen if the clock was set back, and
+// forgets what has expired.
+func (g *Gate) clock(now time.Time) time.Time {
+	now = now.Round(0)
+	if now.After(g.latest) {
+		g.latest = now
+	}
+	if g.records == nil {
+		g.records = map[RequestID]*Record{}
+		g.keys = map[string]*Record{}
+	}
+	for len(g.expiry) > 0 && g.expiry[0].Until.Before(g.latest) {
+		r := g.expiry[0]
+		if r.State == Running {
+			// Still running past its deadline: it must not be forgotten.
+			r.Until = g.latest.Add(time.Second)
+			heap.Fix(&g.expiry, 0)
+			continue
+		}
+		heap.Pop(&g.expiry)
+		g.forget(r)
+	}
+	return g.latest
+}
+
+func (g *Gate) forget(r *Record) {
+	g.settle(r, Dropped, fault.PastDeadline)
+	delete(g.records, r.ID)
+	if g.keys[r.key] == r {
+		delete(g.keys, r.key)
+	}
+	if r.Answer != nil {
+		g.kept -= r.Answer.release()
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// expiryHeap orders records by when they may be forgotten.
+type expiryHeap []*Record
+
+func (h expiryHeap) Len() int           { return len(h) }
+func (h expiryHeap) Less(i, j int) bool { return h[i].Until.Before(h[j].Until) }
+func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*Record)) }
+
+// Pop implements heap.Interface.
+func (h *expiryHeap) Pop() any {
+	old := *h
+	r := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return r
+}
--- a/dispatch/gate.go
+++ b/dispatch/gate.go
@@ -82,42 +82,6 @@
 	defaultMaxKept     = 32 << 20
 )
 
-// clock returns now, or the latest time seen if the clock was set back, and
-// forgets what has expired.
-func (g *Gate) clock(now time.Time) time.Time {
-	now = now.Round(0)
-	if now.After(g.latest) {
-		g.latest = now
-	}
-	if g.records == nil {
-		g.records = map[RequestID]*Record{}
-		g.keys = map[string]*Record{}
-	}
-	for len(g.expiry) > 0 && g.expiry[0].Until.Before(g.latest) {
-		r := g.expiry[0]
-		if r.State == Running {
-			// Still running past its deadline: it must not be forgotten.
-			r.Until = g.latest.Add(time.Second)
-			heap.Fix(&g.expiry, 0)
-			continue
-		}
-		heap.Pop(&g.expiry)
-		g.forget(r)
-	}
-	return g.latest
-}
-
-func (g *Gate) forget(r *Record) {
-	g.settle(r, Dropped, fault.PastDeadline)
-	delete(g.records, r.ID)
-	if g.keys[r.key] == r {
-		delete(g.keys, r.key)
-	}
-	if r.Answer != nil {
-		g.kept -= r.Answer.release()
-	}
-}
-
 // settle moves a queued record on. It does nothing to others.
 func (g *Gate) settle(r *Record, to State, why fault.Code) {
 	if r.State != Queued || r.Answer == nil {
@@ -319,13 +283,6 @@
 	return r
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // start runs the best of those that wait while there are slots: the highest
 // priority first, then the oldest.
 func (g *Gate) start() {
@@ -407,21 +364,3 @@
 	r, ok := g.records[id]
 	return r, ok && r.Answer != nil
 }
-
-// expiryHeap orders records by when they may be forgotten.
-type expiryHeap []*Record
-
-func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].Until.Before(h[j].Until) }
-func (h expiryHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *expiryHeap) Push(x any) { *h = append(*h, x.(*Record)) }
-
-// Pop implements heap.Interface.
-func (h *expiryHeap) Pop() any {
-	old := *h
-	r := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return r
-}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -33,6 +33,7 @@
 	d       *dispatch.Dispatch
 	addr    string
 	box     string // Its name, where the router has it.
+	forward bool   // To a gateway of another hall.
 	sink    *sink
 	next    int // The next AnswerData wanted.
 	sum     hash.Hash
@@ -48,15 +49,9 @@
 
 // run dispatches and follows the answer to its end.
 func (a *attempt) run(ctx context.Context) dispatch.Result {
-	a.sum = sha256.New()
 	giveUp, cancel := context.WithDeadline(ctx, a.d.Deadline.Add(-voidWithin))
 	defer cancel()
-	c, err := a.gateway.pool.Get(giveUp, a.addr)
-	if err != nil {
-		return a.notSent(giveUp, err)
-	}
-	a.d.Incarnation = c.Remote().Incarnation
-	s, err := c.Open(giveUp, a.d)
+	s, err := a.send(giveUp)
 	if err != nil {
 		return a.notSent(giveUp, err)
 	}
@@ -82,6 +77,21 @@
 	}
 }
 
+// send sends the dispatch. On an error no byte of it has left this process. A
+// dispatch to an agent names the incarnation that the connection reached, so no
+// other one can run it.
+func (a *attempt) send(ctx context.Context) (*wire.Stream, error) {
+	a.sum = sha256.New()
+	c, err := a.gateway.pool.Get(ctx, a.addr)
+	if err != nil {
+		return nil, err
+	}
+	if !a.forward {
+		a.d.Incarnation = c.Remote().Incarnation
+	}
+	return c.Open(ctx, a.d)
+}
+
 // notSent is the result when no byte of the dispatch left this process.
 func (a *attempt) notSent(ctx context.Context, err error) dispatch.Result {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
@@ -177,13 +187,9 @@
 
 // recover asks, on a connection of its own, what became of the request: fenced,
 // and so not run; or under way, and then it attaches to the rest. Any other
-// reply, or none, leaves the outcome unknown. A forwarded request has no agent
-// that could be asked from here.
+// reply, or none, leaves the outcome unknown.
 func (a *attempt) recover(ctx, giveUp context.Context, why error) (*wire.Stream, dispatch.Result) {
 	unknown := a.result(dispatch.Unknown, fault.CodeOf(why))
-	if a.d.Incarnation == 0 {
-		return nil, unknown
-	}
 	until := time.Now().Add(askWithin)
 	if a.d.Deadline.Before(until) {
 		until = a.d.Deadline // The caller is answered by then, whatever is known.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -14,14 +14,9 @@
 // runForward dispatches to a gateway of another hall. There is no agent to ask
 // after a lost connection, so that leaves the outcome unknown.
 func (a *attempt) runForward(ctx context.Context) dispatch.Result {
-	a.sum = sha256.New()
 	giveUp, cancel := context.WithDeadline(ctx, a.d.Deadline.Add(-voidWithin))
 	defer cancel()
-	c, err := a.gateway.pool.Get(giveUp, a.addr)
-	if err != nil {
-		return a.notSent(giveUp, err)
-	}
-	s, err := c.Open(giveUp, a.d)
+	s, err := a.send(giveUp)
 	if err != nil {
 		return a.notSent(giveUp, err)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -234,7 +234,12 @@
 	return max(1, len(g.holder.Get().Gateways(g.Settings.Hall)))
 }
 
+// rate returns an organisation's part of its limits. Organisations that are not
+// declared have none, and share one, so that callers cannot grow the table.
 func (g *Gateway) rate(organisation string) *limit.Rate {
+	if _, declared := g.holder.Get().Config.Organisations[organisation]; !declared {
+		organisation = ""
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	r, ok := g.rates[organisation]
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -181,7 +181,7 @@
 	g.Metrics.Event("spill", fault.Code(gw.Hall))
 	rq.version = "" // Another hall's gateway decides it.
 	d.Digest = ""
-	a := &attempt{gateway: g, d: &d, addr: gw.Addr, sink: out}
+	a := &attempt{gateway: g, d: &d, addr: gw.Addr, forward: true, sink: out}
 	return a.runForward(ctx)
 }
 
--- a/internal/stack/measure_test.go
+++ b/internal/stack/measure_test.go
@@ -7,7 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/poststand/poststand/internal/load"
@@ -132,14 +131,7 @@
 // play runs one case under one policy and prints its line.
 func (c *measured) play(t *testing.T, policy string, choose chooser) {
 	s, engines := c.stack(choose)
-	synctest.Test(t, func(t *testing.T) {
-		if err := s.Start(); err != nil {
-			t.Fatal(err)
-		}
-		defer s.Stop()
-		if err := s.Ready("v1"); err != nil {
-			t.Fatal(err)
-		}
+	bubble(t, s, func(t *testing.T, s *Stack) {
 		time.Sleep(10 * time.Second) // Past the slow start.
 		if c.lost {
 			time.AfterFunc(2*time.Second, func() {
@@ -221,14 +213,7 @@
 	for _, c := range cases {
 		m := &measured{config: declared}
 		s, _ := m.stack(nil)
-		synctest.Test(t, func(t *testing.T) {
-			if err := s.Start(); err != nil {
-				t.Fatal(err)
-			}
-			defer s.Stop()
-			if err := s.Ready("v1"); err != nil {
-				t.Fatal(err)
-			}
+		bubble(t, s, func(t *testing.T, s *Stack) {
 			time.Sleep(10 * time.Second)
 			sum := s.loads(t, c.loads, 0)[0]
 			fmt.Printf("case=%s policy=poststand sent=%d answers=%d first_p50_ms=%.0f first_p95_ms=%.0f first_p99_ms=%.0f wrong=%d lost=%d\n",
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -35,7 +35,7 @@
 	Options  gateway.Options
 	// WrapConn, if set, may break a connection between two boxes.
 	WrapConn func(nc net.Conn, from, to string) net.Conn
-	// WrapBody, if set, may break an engine's answer.
+	// Transport reaches the stand-ins; its Wrap may break their answers.
 	Transport simnet.Transport
 
 	Net      *simnet.Network
@@ -44,16 +44,16 @@
 	Boxes    map[string]fleet.Box
 	Digests  map[string]string // Of the versions v1 and v2.
 
-	mu       sync.Mutex
-	gateways map[string]*running[*gateway.Gateway]
-	agents   map[string]*running[*agent.Agent]
-	hosts    map[string]http.Handler
-	Ledgers  map[string]*standin.Ledger
+	Ledgers map[string]*standin.Ledger
+
+	mu        sync.Mutex
+	processes map[string]process
+	agents    map[string]*agent.Agent
+	hosts     map[string]http.Handler
 }
 
-// running is a process with the means to end it.
-type running[P any] struct {
-	p      P
+// process is the means to end a process.
+type process struct {
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -64,7 +64,7 @@
 	s.Net = &simnet.Network{Small: 1 << 30, Latency: latency}
 	s.Platform, s.Origin = &standin.Platform{}, &standin.Origin{}
 	s.Boxes, s.Digests = map[string]fleet.Box{}, map[string]string{}
-	s.gateways, s.agents = map[string]*running[*gateway.Gateway]{}, map[string]*running[*agent.Agent]{}
+	s.processes, s.agents = map[string]process{}, map[string]*agent.Agent{}
 	s.hosts, s.Ledgers = map[string]http.Handler{}, map[string]*standin.Ledger{}
 	s.hosts["platform:1"], s.hosts["origin:1"] = s.Platform, s.Origin
 	s.Transport.Find = s.find
@@ -155,50 +155,17 @@
 // StartBox starts the process of a box.
 func (s *Stack) StartBox(name string) error {
 	b := s.Boxes[name]
-	dial := func(ctx context.Context, addr string) (net.Conn, error) {
-		nc, err := s.Net.Dial(ctx, name, addr)
-		if err != nil || s.WrapConn == nil {
-			return nc, err
-		}
-		return s.WrapConn(nc, name, addr), nil
+	ctx, cancel := context.WithCancel(context.Background())
+	start := s.startAgent
+	if b.Class == fleet.ClassGateway {
+		start = s.startGateway
 	}
 	var k kernel.Kernel
-	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
-	var srv *wire.Server
-	if b.Class == fleet.ClassGateway {
-		o := s.Options
-		o.Dial, o.Platform = dial, &http.Client{Transport: &s.Transport}
-		g, err := gateway.New(&settings.Gateway{
-			Common: s.common(b), Platform: "http://platform:1", MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxAttempts: 4,
-		}, o)
-		if err != nil {
-			cancel()
-			return err
-		}
-		g.Duties(&k)
-		srv = g.Server()
-		s.mu.Lock()
-		s.gateways[name] = &running[*gateway.Gateway]{g, cancel, done}
-		s.hosts[name+":80"] = g.Callers()
-		s.mu.Unlock()
-		context.AfterFunc(ctx, g.Close)
-	} else {
-		a, err := agent.New(&settings.Agent{
-			Common: s.common(b), Engine: "http://" + name + ":7200", Source: name + ":7500", Origin: "http://origin:1",
-			Memory: 1 << 20, Strategy: settings.StrategySwarm, Slots: max(8, s.Slots), Queue: max(16, s.Queue),
-		}, agent.Options{Dial: dial, Engine: &http.Client{Transport: &s.Transport}, Origin: &http.Client{Transport: &s.Transport}})
-		if err != nil {
-			cancel()
-			return err
-		}
-		a.Duties(&k)
-		srv = a.Server()
-		s.mu.Lock()
-		s.agents[name] = &running[*agent.Agent]{a, cancel, done}
-		s.hosts[name+":7500"] = a.Source()
-		s.mu.Unlock()
-		context.AfterFunc(ctx, a.Close)
+	srv, err := start(ctx, b, &k, process{cancel, done})
+	if err != nil {
+		cancel()
+		return err
 	}
 	s.Net.Add(&simnet.End{Name: name, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: func(_ context.Context, nc net.Conn) {
 		if s.WrapConn != nil {
@@ -213,28 +180,68 @@
 	return nil
 }
 
+func (s *Stack) dial(from string) func(ctx context.Context, addr string) (net.Conn, error) {
+	return func(ctx context.Context, addr string) (net.Conn, error) {
+		nc, err := s.Net.Dial(ctx, from, addr)
+		if err != nil || s.WrapConn == nil {
+			return nc, err
+		}
+		return s.WrapConn(nc, from, addr), nil
+	}
+}
+
+func (s *Stack) startGateway(ctx context.Context, b fleet.Box, k *kernel.Kernel, p process) (*wire.Server, error) {
+	o := s.Options
+	o.Dial, o.Platform = s.dial(b.Name), s.Client()
+	g, err := gateway.New(&settings.Gateway{
+		Common: s.common(b), Platform: "http://platform:1", MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxAttempts: 4,
+	}, o)
+	if err != nil {
+		return nil, err
+	}
+	g.Duties(k)
+	context.AfterFunc(ctx, g.Close)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[b.Name] = p
+	s.hosts[b.Name+":80"] = g.Callers()
+	return g.Server(), nil
+}
+
+func (s *Stack) startAgent(ctx context.Context, b fleet.Box, k *kernel.Kernel, p process) (*wire.Server, error) {
+	a, err := agent.New(&settings.Agent{
+		Common: s.common(b), Engine: "http://" + b.Name + ":7200", Source: b.Name + ":7500", Origin: "http://origin:1",
+		Memory: 1 << 20, Strategy: settings.StrategySwarm, Slots: max(8, s.Slots), Queue: max(16, s.Queue),
+	}, agent.Options{Dial: s.dial(b.Name), Engine: s.Client(), Origin: s.Client()})
+	if err != nil {
+		return nil, err
+	}
+	a.Duties(k)
+	context.AfterFunc(ctx, a.Close)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.processes[b.Name] = p
+	s.agents[b.Name] = a
+	s.hosts[b.Name+":7500"] = a.Source()
+	return a.Server(), nil
+}
+
 // Kill ends a box's process as a power cut would.
 func (s *Stack) Kill(name string) {
 	s.mu.Lock()
-	var cancel context.CancelFunc
-	var done chan struct{}
-	if g := s.gateways[name]; g != nil {
-		cancel, done = g.cancel, g.done
-	} else {
-		cancel, done = s.agents[name].cancel, s.agents[name].done
-	}
+	p := s.processes[name]
 	delete(s.hosts, name+":80")
 	s.mu.Unlock()
 	s.Net.Remove(name)
-	cancel()
-	<-done
+	p.cancel()
+	<-p.done
 }
 
 // Agent returns the agent of a box.
 func (s *Stack) Agent(name string) *agent.Agent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.agents[name].p
+	return s.agents[name]
 }
 
 // Caller returns what a caller reaches a gateway by.
@@ -260,7 +267,7 @@
 		n := 0
 		s.mu.Lock()
 		for _, a := range s.agents {
-			if a.p.Serves(s.Digests[version]) || a.p.Serves("") {
+			if a.Serves(s.Digests[version]) || a.Serves("") {
 				n++
 			}
 		}
@@ -278,13 +285,7 @@
 // Stop ends every process.
 func (s *Stack) Stop() {
 	s.Platform.SetMode(standin.Mode{Down: true})
-	s.mu.Lock()
-	var names []string
 	for name := range s.Boxes {
-		names = append(names, name)
-	}
-	s.mu.Unlock()
-	for _, name := range names {
 		s.Kill(name)
 	}
 	time.Sleep(3 * time.Minute) // For what still sleeps.
--- a/weights/neighbour.go
+++ b/weights/neighbour.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/wire"
 )
@@ -196,52 +195,3 @@
 		t.happened()
 	}
 }
-
-// getManifest fetches the manifest: the first box in its order from the origin,
-// the others from those ahead of them, and from the origin once that is late.
-func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
-	const retry, patience, grace = 200 * time.Millisecond, 2 * time.Second, 2 * time.Second
-	const maxManifest = 8 << 20
-	x := t.Exchange
-	begin := time.Now()
-	for ctx.Err() == nil {
-		if data, ok := x.Lookup(t.Artifact); ok {
-			return data, nil
-		}
-		members := rank("manifest/"+t.Artifact, t.Members())
-		place := 0
-		for place < len(members) && members[place].Name != x.Self.Name {
-			place++
-		}
-		late := time.Since(begin) > time.Duration(min(place, 8))*grace
-		if x.Strategy.OrderKey == nil || place == 0 || late {
-			if data, err := x.FromOrigin(ctx, t.Artifact); err == nil && Digest(data) == t.Artifact {
-				x.keepManifest(t.Artifact, data)
-				return data, nil
-			}
-		}
-		for _, m := range members[max(0, min(place, len(members))/2-1):min(place, len(members))] {
-			c, err := x.Pool.Get(ctx, m.Addr)
-			if err != nil {
-				continue
-			}
-			data, err := getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
-			if err == nil && Digest(data) == t.Artifact {
-				x.keepManifest(t.Artifact, data)
-				return data, nil
-			}
-			break
-		}
-		pause(ctx, retry)
-	}
-	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
-}
-
-func (x *Exchange) keepManifest(digest string, data []byte) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	if x.manifests == nil {
-		x.manifests = map[string][]byte{}
-	}
-	x.manifests[digest] = data
-}
--- /dev/null
+++ b/weights/spread.go
@@ -0,0 +1,74 @@
+package weights
+
+import (
+	"context"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// maxManifests bounds the manifests that an Exchange keeps.
+const maxManifests = 64
+
+// maxManifest is the largest manifest, in bytes.
+const maxManifest = 8 << 20
+
+// getManifest fetches the manifest: the first box in its order from the origin,
+// the others from a box ahead of them, and from the origin once that is late.
+func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
+	const retry, grace, mostGraces = 200 * time.Millisecond, 2 * time.Second, 8
+	x := t.Exchange
+	begin := time.Now()
+	for ; ctx.Err() == nil; pause(ctx, retry) {
+		if data, ok := x.Lookup(t.Artifact); ok {
+			return data, nil
+		}
+		order := rank("manifest/"+t.Artifact, t.Members())
+		place := 0
+		for place < len(order) && order[place].Name != x.Self.Name {
+			place++
+		}
+		turn := begin.Add(time.Duration(min(place, mostGraces)) * grace)
+		data, err := t.manifestFrom(ctx, order[:min(place, len(order))], time.Now().After(turn))
+		if err == nil && Digest(data) == t.Artifact {
+			x.keepManifest(t.Artifact, data)
+			return data, nil
+		}
+	}
+	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
+}
+
+// manifestFrom tries one source: the origin for the first in the order and for
+// one whose turn has come, else the box half way ahead, so that the manifest
+// spreads as down a tree.
+func (t *Transfer) manifestFrom(ctx context.Context, ahead []Member, turn bool) ([]byte, error) {
+	const patience = 2 * time.Second
+	x := t.Exchange
+	if x.Strategy.OrderKey == nil || len(ahead) == 0 || turn {
+		return x.FromOrigin(ctx, t.Artifact)
+	}
+	c, err := x.Pool.Get(ctx, ahead[len(ahead)/2].Addr)
+	if err != nil {
+		return nil, err
+	}
+	return getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
+}
+
+// keepManifest keeps a manifest, and lets go of one that no transfer uses when
+// there are too many.
+func (x *Exchange) keepManifest(digest string, data []byte) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.manifests == nil {
+		x.manifests = map[string][]byte{}
+	}
+	for old := range x.manifests {
+		if len(x.manifests) < maxManifests {
+			break
+		}
+		if x.transfers[old] == nil {
+			delete(x.manifests, old)
+		}
+	}
+	x.manifests[digest] = data
+}
