--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/fleet"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if os.Getenv("POSTSTAND_RANDOM") == "" {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	os.Exit(m.Run())
+}
+
+var epoch = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+
+func box(i int) fleet.Box {
+	return fleet.Box{Name: fmt.Sprintf("b%d", i), Hall: "h", Class: "engine", Addr: fmt.Sprint(i)}
+}
+
+func report(digest string, at time.Time) dispatch.Report {
+	return dispatch.Report{Incarnation: 1, Service: "s", Digest: digest, Ready: true, Slots: 8, At: at}
+}
+
+func ready(n int, digest string) *Router {
+	r := &Router{}
+	var boxes []fleet.Box
+	for i := range n {
+		boxes = append(boxes, box(i))
+	}
+	r.Sync(boxes)
+	for i := range n {
+		r.Heard(epoch, box(i).Name, report(digest, epoch))
+	}
+	return r
+}
+
+// A gateway moves to the wanted version once enough replicas confirmed it, and
+// not back to the older one when they go, until a newer configuration says so.
+func TestRolloutDoesNotGoBackByItself(t *testing.T) {
+	is := is.New(t)
+	r, o := ready(4, "v1"), &Rollout{}
+	v1 := Wanted{Service: "s", Digest: "v1", Revision: 1, AtLeast: 2}
+	v2 := Wanted{Service: "s", Digest: "v2", Revision: 2, AtLeast: 2}
+	is.Equal(o.Version(epoch, v1, r), "v1")
+	r.Heard(epoch, "b0", report("v2", epoch.Add(1)))
+	is.Equal(o.Version(epoch, v2, r), "v1") // One of two that are needed.
+	r.Heard(epoch, "b1", report("v2", epoch.Add(1)))
+	is.Equal(o.Version(epoch, v2, r), "v2")
+	r.Lost("b0")
+	r.Lost("b1")
+	is.Equal(o.Version(epoch, v2, r), "v2") // Two boxes of v1 are ready, and are not asked.
+	is.Equal(o.Version(epoch, v1, r), "v2") // A request that an older view decided.
+	v3 := v1
+	v3.Revision = 3
+	is.Equal(o.Version(epoch, v3, r), "v1") // Rolled back by a newer configuration.
+}
+
+// Whatever order reports come in, and however often, the table ends with the
+// newest of the newest incarnation.
+func TestReportsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "reports")
+		var reports []dispatch.Report
+		best := 0
+		for i := range n {
+			rep := report("v", epoch.Add(time.Duration(i)))
+			rep.Incarnation = uint64(1 + i/4)
+			rep.Running = i
+			reports = append(reports, rep)
+			best = i
+		}
+		order := rapid.Permutation(reports).Draw(t, "order")
+		order = append(order, rapid.SampledFrom(reports).Draw(t, "again"))
+		r := &Router{}
+		r.Sync([]fleet.Box{box(0)})
+		for _, rep := range order {
+			r.Heard(epoch, "b0", rep)
+		}
+		if got := r.Snapshot()[0].Report.Running; got != best {
+			t.Fatalf("ended with report %d of %d", got, best)
+		}
+	})
+}
+
+// A bad moment, in which every upstream fails, cannot empty a hall.
+func TestEjectionLeavesMostInService(t *testing.T) {
+	is := is.New(t)
+	r := ready(9, "v")
+	for i := range 9 {
+		for range 5 * ejectAfter {
+			r.Done(epoch, box(i).Name, 1, Ended{Failed: true})
+		}
+	}
+	picked := map[string]bool{}
+	for range 500 {
+		u, err := r.Pick(epoch, Query{Service: "s", Digest: "v"})
+		is.NoErr(err)
+		r.Done(epoch, u.Box.Name, 1, Ended{})
+		picked[u.Box.Name] = true
+	}
+	is.True(len(picked) >= 6)
+}
+
+func TestPickLeavesOut(t *testing.T) {
+	later := epoch.Add(10 * time.Second) // Past the slow start.
+	cases := []struct {
+		name string
+		do   func(r *Router)
+	}{
+		{"one that drains", func(r *Router) { r.Refused("b0", 1, fault.Draining) }},
+		{"one that is not ready", func(r *Router) { r.Refused("b0", 1, fault.NotReady) }},
+		{"one whose connection ended", func(r *Router) { r.Lost("b0") }},
+		{"one of another version", func(r *Router) { r.Heard(later, "b0", report("w", later)) }},
+		{"one that is no longer placed", func(r *Router) { r.Sync([]fleet.Box{box(1), box(2)}) }},
+		{"one that failed again and again", func(r *Router) {
+			for range ejectAfter {
+				r.Done(later, "b0", 1, Ended{Failed: true})
+			}
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			r := ready(3, "v")
+			tc.do(r)
+			for range 200 {
+				u, err := r.Pick(later, Query{Service: "s", Digest: "v"})
+				is.NoErr(err)
+				is.True(u.Box.Name != "b0")
+				r.Done(later, u.Box.Name, 1, Ended{})
+			}
+		})
+	}
+}
+
+// One prompt's beginning goes to one upstream while that has room, and spills
+// over when it has not.
+func TestPrefixIsKeptTogetherUntilItIsTooMuch(t *testing.T) {
+	is := is.New(t)
+	later := epoch.Add(10 * time.Second)
+	r := ready(5, "v")
+	q := Query{Service: "s", Digest: "v", Prefix: "the same beginning"}
+	first, err := r.Pick(later, q)
+	is.NoErr(err)
+	r.Done(later, first.Box.Name, 1, Ended{})
+	used := map[string]int{}
+	for range 30 {
+		u, err := r.Pick(later, q)
+		is.NoErr(err)
+		used[u.Box.Name]++
+	}
+	is.True(used[first.Box.Name] >= 3)
+	is.True(len(used) >= 4)
+}
+
+func TestNobodyReadyIsSaid(t *testing.T) {
+	is := is.New(t)
+	_, err := (&Router{}).Pick(epoch, Query{Service: "s"})
+	is.Equal(fault.CodeOf(err), fault.NoUpstream)
+}
