--- a/cmd/poststand/cmd/script_test.go
+++ b/cmd/poststand/cmd/script_test.go
@@ -1,6 +1,7 @@
 package cmd_test
 
 import (
+	"flag"
 	"os"
 	"path/filepath"
 	"testing"
@@ -14,13 +15,15 @@
 	testscript.Main(m, map[string]func(){"poststand": func() { os.Exit(cmd.Main()) }})
 }
 
+var update = flag.Bool("update", false, "write what the commands print into the scripts")
+
 func TestScript(t *testing.T) {
 	examples, err := filepath.Abs("../../../examples")
 	if err != nil {
 		t.Fatal(err)
 	}
 	testscript.Run(t, testscript.Params{
-		Dir: "testdata/script",
+		Dir: "testdata/script", UpdateScripts: *update,
 		Setup: func(e *testscript.Env) error {
 			e.Setenv("EXAMPLES", examples)
 			return nil
