telemetry, weights, gateway: details are not failures; time left; slow readers

Change: Event takes a detail, Failed an error; CompleteBy, shown as left=; a write deadline before every answer.

--- a/cmd/poststand/cmd/status.go
+++ b/cmd/poststand/cmd/status.go
@@ -24,8 +24,9 @@
 	Fresh     bool   `json:"fresh"`
 	State     string `json:"state"`
 	Transfers map[string]struct {
-		Chunks  int `json:"chunks"`
-		Missing int `json:"missing"`
+		Chunks     int       `json:"chunks"`
+		Missing    int       `json:"missing"`
+		CompleteBy time.Time `json:"complete_by"`
 	} `json:"transfers"`
 	Weights map[string]struct {
 		Count int `json:"count"`
@@ -104,13 +105,20 @@
 		line += " state=" + s.State
 	}
 	chunks, missing := 0, 0
+	var by time.Time
 	for _, t := range s.Transfers {
 		chunks += t.Chunks
 		missing += t.Missing
+		if t.CompleteBy.After(by) {
+			by = t.CompleteBy
+		}
 	}
 	if chunks > 0 {
 		line += fmt.Sprintf(" chunks=%d missing=%d", chunks, missing)
 	}
+	if left := time.Until(by).Round(time.Second); left > 0 {
+		line += fmt.Sprintf(" left=%s", left)
+	}
 	for _, kind := range []string{"origin", "peer_in_hall", "peer_across", "stall", "corrupt"} {
 		if m := s.Weights[kind]; m.Count > 0 {
 			line += fmt.Sprintf(" %s=%d/%dB", kind, m.Count, m.Bytes)
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -11,20 +11,21 @@
 
 // Codes of transport failures.
 const (
-	Garbage     Code = "garbage"           // Bytes that are not a frame of ours.
-	TooLarge    Code = "too_large"         // A frame, body or document over its bound.
-	OldProtocol Code = "old_protocol"      // The peer speaks an unsupported version.
-	OtherFleet  Code = "other_cluster"     // The peer belongs to another cluster.
-	Closed      Code = "connection_lost"   // The connection ended.
-	Stalled     Code = "link_stalled"      // Nothing arrived before the deadline.
-	Overflow    Code = "stream_overflow"   // The reader of a stream did not keep up.
-	Busy        Code = "busy"              // A bounded table or queue is full.
-	Unsupported Code = "unsupported"       // No handler for this message.
-	Unreachable Code = "unreachable"       // Dialling failed.
-	Cancelled   Code = "cancelled"         // The caller gave up.
-	Internal    Code = "internal"          // A broken invariant; never expected.
-	BadRequest  Code = "bad_request"       // A malformed request of a caller.
-	Timeout     Code = "deadline_exceeded" // The deadline passed.
+	Garbage       Code = "garbage"                  // Bytes that are not a frame of ours.
+	TooLarge      Code = "too_large"                // A frame, body or document over its bound.
+	OldProtocol   Code = "old_protocol"             // The peer speaks an unsupported version.
+	OtherFleet    Code = "other_cluster"            // The peer belongs to another cluster.
+	Closed        Code = "connection_lost"          // The connection ended.
+	Stalled       Code = "link_stalled"             // Nothing arrived before the deadline.
+	UnknownStream Code = "frame_for_unknown_stream" // Dropped: its stream is over.
+	Overflow      Code = "stream_overflow"          // The reader of a stream did not keep up.
+	Busy          Code = "busy"                     // A bounded table or queue is full.
+	Unsupported   Code = "unsupported"              // No handler for this message.
+	Unreachable   Code = "unreachable"              // Dialling failed.
+	Cancelled     Code = "cancelled"                // The caller gave up.
+	Internal      Code = "internal"                 // A broken invariant; never expected.
+	BadRequest    Code = "bad_request"              // A malformed request of a caller.
+	Timeout       Code = "deadline_exceeded"        // The deadline passed.
 )
 
 // Codes of refusals by gateways and agents.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -76,7 +76,7 @@
 	a.requests.Dial = o.Dial
 	a.feed = &feed.Feed{
 		Box: s.Box, Hall: s.Hall, Pool: a.requests, Join: s.Join, Holder: a.holder,
-		Event: func(name string, c fault.Code) { m.Event("feed_"+name, c) },
+		Event: func(name string, c fault.Code) { m.Event("feed_"+name, string(c)) },
 	}
 	if s.LinkBPS > 0 {
 		a.links = rate.NewLimiter(rate.Limit(s.LinkBPS), weightsPart)
@@ -117,7 +117,7 @@
 }
 
 func (a *Agent) pool(o wire.Options) *wire.Pool {
-	o.Count = func(c fault.Code) { a.Metrics.Event("connection", c) }
+	o.Count = func(c fault.Code) { a.Metrics.Event("connection", string(c)) }
 	o.Traffic = func(sent, received int) {
 		a.Metrics.Bytes("control_sent", sent)
 		a.Metrics.Bytes("control_received", received)
--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -295,7 +295,7 @@
 		Digest: t.Digest, Adapters: t.Adapters, Role: t.Role, Source: "http://" + a.Settings.Source,
 	})
 	if err != nil || !confirms(s, t) {
-		a.Metrics.Event("load_failed", fault.CodeOf(err))
+		a.Metrics.Failed("load_failed", err)
 		telemetry.LogError(err, "load_failed", "digest", t.Digest)
 		l.setLoaded(target{})
 		l.say("load_failed")
@@ -322,7 +322,7 @@
 	if err == nil && confirms(s, t) {
 		return
 	}
-	l.agent.Metrics.Event("engine_changed", fault.CodeOf(err))
+	l.agent.Metrics.Failed("engine_changed", err)
 	l.agent.gate.Shut()
 	l.setLoaded(target{})
 	l.say("engine_changed")
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -33,7 +33,7 @@
 	}
 	err := a.execute(ctx, rec)
 	if err != nil {
-		a.Metrics.Event("run_failed", fault.CodeOf(err))
+		a.Metrics.Failed("run_failed", err)
 		rec.Answer.Break(err)
 	}
 	a.gate.Finish(time.Now(), rec)
--- a/internal/agent/serve.go
+++ b/internal/agent/serve.go
@@ -80,7 +80,7 @@
 
 func (a *Agent) serveVoid(ctx context.Context, s *wire.Stream, v *dispatch.Void) {
 	state := a.gate.Void(time.Now(), v)
-	a.Metrics.Event("void", fault.Code(state.String()))
+	a.Metrics.Event("void", state.String())
 	_ = s.SendLast(ctx, &dispatch.VoidReply{ID: v.ID, State: state})
 }
 
--- a/internal/agent/status.go
+++ b/internal/agent/status.go
@@ -27,8 +27,9 @@
 
 // Progress is how far a transfer is.
 type Progress struct {
-	Chunks  int `json:"chunks"`
-	Missing int `json:"missing"`
+	Chunks     int       `json:"chunks"`
+	Missing    int       `json:"missing"`
+	CompleteBy time.Time `json:"complete_by"` // An estimate; zero when there is none.
 }
 
 func (a *Agent) status() any {
@@ -46,7 +47,7 @@
 	for _, digest := range s.Wanted.artifacts() {
 		if t := a.exchange.Transfer(digest); t != nil {
 			n, missing := t.Progress()
-			s.Transfers[digest] = Progress{n, missing}
+			s.Transfers[digest] = Progress{n, missing, t.CompleteBy(time.Now())}
 		}
 	}
 	return s
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -67,7 +67,7 @@
 		if fault.Is(err, errSink) {
 			return a.result(dispatch.Unknown, errSink)
 		}
-		a.gateway.Metrics.Event("dispatch_lost", fault.CodeOf(err))
+		a.gateway.Metrics.Failed("dispatch_lost", err)
 		if recovered >= maxRecovers {
 			return a.result(dispatch.Unknown, fault.CodeOf(err))
 		}
@@ -206,7 +206,7 @@
 		c.Close()
 		return nil, unknown
 	}
-	a.gateway.Metrics.Event("void", fault.Code(reply.State.String()))
+	a.gateway.Metrics.Event("void", reply.State.String())
 	switch reply.State {
 	case dispatch.VoidFenced:
 		c.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -79,7 +79,7 @@
 	g.feed = &feed.Feed{
 		Box: s.Box, Hall: s.Hall, Gateway: true, Pool: g.pool, Join: s.Join, Holder: g.holder,
 		Platform: &feed.Platform{URL: s.Platform, Client: o.Platform},
-		Event:    func(name string, c fault.Code) { m.Event("feed_"+name, c) },
+		Event:    func(name string, c fault.Code) { m.Event("feed_"+name, string(c)) },
 	}
 	g.pool.Handlers = g.Handlers()
 	return g, nil
@@ -95,7 +95,7 @@
 func (g *Gateway) options() wire.Options {
 	return wire.Options{
 		Pings: g.pingEvery,
-		Count: func(c fault.Code) { g.Metrics.Event("connection", c) },
+		Count: func(c fault.Code) { g.Metrics.Event("connection", string(c)) },
 		Traffic: func(sent, received int) {
 			g.Metrics.Bytes("sent", sent)
 			g.Metrics.Bytes("received", received)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -178,7 +178,7 @@
 	if !ok {
 		return refused(why, g.comeBack(rq))
 	}
-	g.Metrics.Event("spill", fault.Code(gw.Hall))
+	g.Metrics.Event("spill", gw.Hall)
 	rq.version = "" // Another hall's gateway decides it.
 	d.Digest = ""
 	a := &attempt{gateway: g, d: &d, addr: gw.Addr, forward: true, sink: out}
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -52,8 +52,8 @@
 		o.w.WriteHeader(http.StatusOK)
 	}
 	rc := http.NewResponseController(o.w)
-	if err := rc.SetWriteDeadline(o.rq.d.Deadline.Add(time.Second)); err != nil && !errors.Is(err, http.ErrNotSupported) {
-		return fault.Wrap(fault.Closed, err, "caller")
+	if err := writeBy(o.w, o.rq.d.Deadline.Add(time.Second)); err != nil {
+		return err
 	}
 	if _, err := o.w.Write(b); err != nil {
 		return fault.Wrap(fault.Closed, err, "caller")
@@ -64,6 +64,18 @@
 	return nil
 }
 
+// slowCaller is how long a caller may take to read an answer that is all there.
+const slowCaller = 30 * time.Second
+
+// writeBy bounds what a caller that does not read can hold up.
+func writeBy(w http.ResponseWriter, deadline time.Time) error {
+	err := http.NewResponseController(w).SetWriteDeadline(deadline)
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return fault.Wrap(fault.Closed, err, "caller")
+	}
+	return nil
+}
+
 func (o *writer) headers(outcome string) {
 	h := o.w.Header()
 	h.Set("Content-Type", o.head.ContentType)
@@ -87,6 +99,7 @@
 	case res.Outcome != dispatch.Done:
 		o.gateway.fail(o.w, res)
 	case !o.started:
+		_ = writeBy(o.w, time.Now().Add(slowCaller))
 		o.headers("ran")
 		o.w.Header().Set("Content-Length", strconv.Itoa(o.buf.Len()))
 		o.w.WriteHeader(o.head.Status)
@@ -127,6 +140,7 @@
 	g.Metrics.Refused(res.Reason)
 	b := errorBody(res)
 	h := w.Header()
+	_ = writeBy(w, time.Now().Add(slowCaller))
 	h.Set("Content-Type", "application/json")
 	h.Set(HeaderOutcome, b.Error.Outcome)
 	if b.Error.RetryAfterMS > 0 {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -96,11 +96,14 @@
 	m.outcomes.Add(context.Background(), 1, with("outcome", outcome, "reason", string(reason)))
 }
 
-// Event counts anything else.
-func (m *Metrics) Event(name string, reason fault.Code) {
-	m.events.Add(context.Background(), 1, with("event", name, "reason", string(reason)))
+// Event counts anything else, with a detail that is one of few words, or empty.
+func (m *Metrics) Event(name, detail string) {
+	m.events.Add(context.Background(), 1, with("event", name, "reason", detail))
 }
 
+// Failed counts a failure that is neither a refusal nor a retry.
+func (m *Metrics) Failed(name string, err error) { m.Event(name, string(fault.CodeOf(err))) }
+
 // Bytes counts bytes moved.
 func (m *Metrics) Bytes(what string, n int) {
 	m.bytes.Add(context.Background(), int64(n), with("what", what))
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -24,13 +24,14 @@
 	complete chan struct{}
 	begun    chan struct{} // Closed when the manifest is here.
 
-	mu       sync.Mutex
-	plan     *Plan // Nil until the manifest is here.
-	manifest *Manifest
-	chunks   []Chunk
-	sessions map[string]*session
-	cancels  map[fetchKey]context.CancelFunc
-	poke     chan struct{} // Something happened; a ring of one, since one look finds all.
+	mu             sync.Mutex
+	plan           *Plan // Nil until the manifest is here.
+	manifest       *Manifest
+	chunks         []Chunk
+	missingAtFirst int
+	sessions       map[string]*session
+	cancels        map[fetchKey]context.CancelFunc
+	poke           chan struct{} // Something happened; a ring of one, since one look finds all.
 }
 
 type fetchKey struct {
@@ -79,6 +80,22 @@
 	return t.plan.Chunks, t.plan.Missing()
 }
 
+// CompleteBy estimates when the transfer will be complete, if it goes on as it did so
+// far. It is zero while nothing is known, and when the transfer is complete.
+func (t *Transfer) CompleteBy(now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil {
+		return time.Time{}
+	}
+	missing := t.plan.Missing()
+	got := t.missingAtFirst - missing
+	if missing == 0 || got == 0 {
+		return time.Time{}
+	}
+	return now.Add(now.Sub(t.plan.Begin) / time.Duration(got) * time.Duration(missing))
+}
+
 // state answers an Ask about a chunk.
 func (t *Transfer) state(chunk int) (has, getting bool) {
 	t.mu.Lock()
@@ -144,7 +161,7 @@
 	p.Init(have, memberNames(t.Members()))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.plan, t.manifest, t.chunks = p, m, chunks
+	t.plan, t.manifest, t.chunks, t.missingAtFirst = p, m, chunks, p.Missing()
 	close(t.begun)
 	if p.Complete() {
 		close(t.complete)
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -127,7 +127,7 @@
 func (c *Conn) accept(f frame) error {
 	ours := f.stream%2 == c.nextID.Load()%2
 	if ours || f.kind == kindCancel || f.kind&^lastFlag < MinKind {
-		c.opts.Count("frame_for_unknown_stream")
+		c.opts.Count(fault.UnknownStream)
 		return nil
 	}
 	m, err := c.codec.decode(f.kind&^lastFlag, f.body)
