feed, wire: ask the peers of the settings again; forget dead addresses

Cause: (1) a gateway that started with the platform down and its peers out of reach asked the addresses of its settings once, for 2 s, and then nobody until the platform came back: with no fleet list it knew no gateway. Change: without a configuration the addresses of the settings are followed, but for one's own; past 4,096 addresses the dead ones are dropped.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -75,7 +75,7 @@
 	a.requests = a.pool(wire.Options{})
 	a.requests.Dial = o.Dial
 	a.feed = &feed.Feed{
-		Box: s.Box, Hall: s.Hall, Pool: a.requests, Join: s.Join, Holder: a.holder,
+		Box: s.Box, Hall: s.Hall, Addr: s.Listen, Pool: a.requests, Join: s.Join, Holder: a.holder,
 		Event: func(name string, c fault.Code) { m.Event("feed_"+name, string(c)) },
 	}
 	if s.LinkBPS > 0 {
--- a/internal/feed/cluster_test.go
+++ b/internal/feed/cluster_test.go
@@ -96,7 +96,7 @@
 		p.bytes += sent + received
 	}
 	p.feed = &feed.Feed{
-		Box: name, Hall: b.Hall, Gateway: b.Class == fleet.ClassGateway, Holder: p.holder,
+		Box: name, Hall: b.Hall, Addr: name, Gateway: b.Class == fleet.ClassGateway, Holder: p.holder,
 		Join:     []string{"gw-000", "gw-001", "gw-002"},
 		Platform: &feed.Platform{URL: "http://platform", Client: &http.Client{Transport: &direct{c: c, hall: b.Hall}}},
 		Pool: &wire.Pool{
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	Gateway  bool // Only gateways watch the platform and other halls.
 	Platform *Platform
 	Pool     *wire.Pool
+	Addr     string   // This process's own address, which it does not ask.
 	Join     []string // Addresses of gateways to ask before a fleet list is known.
 	Holder   *view.Holder
 	Event    Event
@@ -275,8 +277,8 @@
 			out = append(out, byName[name])
 		}
 	}
-	if len(out) == 0 && !f.Gateway {
-		return f.Join
+	if len(out) == 0 && (!f.Gateway || f.Holder.Get().Config == nil) {
+		out = slices.DeleteFunc(slices.Clone(f.Join), func(addr string) bool { return addr == f.Addr })
 	}
 	return out
 }
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -244,3 +244,21 @@
 	}
 	return n
 }
+
+// A gateway that starts while the platform is down and its peers are out of reach
+// asks those of its settings again, and not only once.
+func TestGatewayKeepsAskingItsPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 6, 3)
+		defer c.stop()
+		is.True(c.await(1, 10*time.Second, all) != nil)
+		c.platform.SetMode(standin.Mode{Down: true})
+		c.cutHall("h0", true, true)
+		p := c.restart("gw-000") // Whose own address is the first in its settings.
+		time.Sleep(time.Minute)
+		is.Equal(p.holder.Get().Revision(), uint64(0))
+		c.cutHall("h0", false, true)
+		is.True(c.await(1, 10*time.Second, all) != nil)
+	})
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -77,7 +77,7 @@
 	g.pool.Dial = o.Dial
 	g.router.Choose = o.Choose
 	g.feed = &feed.Feed{
-		Box: s.Box, Hall: s.Hall, Gateway: true, Pool: g.pool, Join: s.Join, Holder: g.holder,
+		Box: s.Box, Hall: s.Hall, Addr: s.Listen, Gateway: true, Pool: g.pool, Join: s.Join, Holder: g.holder,
 		Platform: &feed.Platform{URL: s.Platform, Client: o.Platform},
 		Event:    func(name string, c fault.Code) { m.Event("feed_"+name, string(c)) },
 	}
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -162,3 +162,20 @@
 		c.Close()
 	})
 }
+
+// Addresses of boxes that were replaced do not stay in a pool for ever.
+func TestPoolForgetsDeadAddresses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		p := &Pool{
+			Local: hello("c"), Codec: testCodec, MaxAddrs: 8,
+			Dial: func(context.Context, string) (net.Conn, error) { return nil, fault.New(fault.Unreachable, "") },
+		}
+		for i := range 100 {
+			_, err := p.Get(t.Context(), string(rune('a'+i)))
+			is.Equal(fault.CodeOf(err), fault.Unreachable)
+			time.Sleep(time.Second)
+		}
+		is.True(len(p.conns) <= 8)
+	})
+}
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -21,6 +21,7 @@
 	Options  Options
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
 	Lifetime context.Context                                          // Ends every connection.
+	MaxAddrs int                                                      // Addresses remembered beyond the live ones; 4096 by default.
 
 	mu    sync.Mutex
 	conns map[string]*pooled
@@ -58,11 +59,24 @@
 	if e, ok := p.conns[addr]; ok && !e.spent() {
 		return e, false
 	}
+	p.forget()
 	e := &pooled{ready: make(chan struct{})}
 	p.conns[addr] = e
 	return e, true
 }
 
+// forget drops what is of no use once there is much of it. The caller holds p.mu.
+func (p *Pool) forget() {
+	if len(p.conns) < orInt(p.MaxAddrs, 4096) {
+		return
+	}
+	for addr, e := range p.conns {
+		if e.spent() {
+			delete(p.conns, addr)
+		}
+	}
+}
+
 // spent reports whether a new connection may be tried.
 func (e *pooled) spent() bool {
 	select {
