gateway, load: adapters are checked, and answers by them verified

Cause: docs/promises.md listed that an answer's adapter was never checked; looking at it, a request for an adapter that the service does not have went to the engine.

--- a/internal/gateway/callers.go
+++ b/internal/gateway/callers.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -169,6 +170,9 @@
 	if err == nil && rq.service.Kind != kind {
 		err = fault.New(fault.NoService, d.Service+" is not a "+kind+" service")
 	}
+	if err == nil && d.Adapter != "" && !slices.Contains(rq.service.Adapters, d.Adapter) {
+		err = fault.New(fault.NoService, d.Service+" has no adapter "+d.Adapter)
+	}
 	if err == nil {
 		err = checkOrganisation(rq)
 	}
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -108,7 +108,8 @@
 		if p.version == "" {
 			p.version = p.code // From the answer itself.
 		}
-		p.right = text == standin.Answer(prompt, p.version, "", q.tokens)
+		_, adapter, _ := strings.Cut(q.service, ":")
+		p.right = text == standin.Answer(prompt, p.version, adapter, q.tokens)
 	}
 	r.record(func() { _ = r.whole.RecordValue(time.Since(began).Microseconds()) })
 	return p
--- a/internal/stack/badinput_test.go
+++ b/internal/stack/badinput_test.go
@@ -30,6 +30,7 @@
 		{"no such service", "POST", "/v1/chat/completions", [2]string{}, `{"model":"none"}`, 404, fault.NoService},
 		{"a plain service as a model", "POST", "/v1/chat/completions", [2]string{}, `{"model":"plain"}`, 404, fault.NoService},
 		{"a model as a plain service", "POST", "/services/chat/x", [2]string{}, "", 404, fault.NoService},
+		{"no such adapter", "POST", "/v1/chat/completions", [2]string{}, `{"model":"chat:none"}`, 404, fault.NoService},
 		{"no such path", "GET", "/elsewhere", [2]string{}, "", 404, fault.NoService},
 		{"a body over the bound", "POST", "/v1/chat/completions", [2]string{}, strings.Repeat("x", 2<<20), 413, fault.TooLarge},
 		{"a priority out of range", "POST", "/v1/chat/completions", [2]string{gateway.HeaderPriority, "10"}, chat, 400, fault.BadRequest},
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -31,7 +31,6 @@
 	Queue    int // Of each agent; 16 by default.
 	Engine   func(i int) *standin.Engine
 	Config   string // Further sections of the configuration.
-	Service  string // Further keys of the model service, such as ", version: v2".
 	Options  gateway.Options
 	// WrapConn, if set, may break a connection between two boxes.
 	WrapConn func(nc net.Conn, from, to string) net.Conn
@@ -76,6 +75,11 @@
 		}
 		s.Digests[v] = d
 	}
+	d, err := s.Origin.Add(standin.Artifact{Model: "m-adapter", Version: "v1", Bytes: 4 << 10, ChunkSize: 2 << 10})
+	if err != nil {
+		return err
+	}
+	s.Digests[adapter] = d
 	for h := range s.Halls {
 		s.addHall(h)
 	}
@@ -89,6 +93,9 @@
 	return nil
 }
 
+// adapter is the one that the model service has.
+const adapter = "gentle"
+
 func latency(a, b string) time.Duration {
 	return 500*time.Microsecond + time.Duration(rendezvous.Score(a, b)%100_000)
 }
@@ -136,8 +143,9 @@
 		plains += fmt.Sprintf("h%d: %d, ", h, s.Plains)
 	}
 	fmt.Fprintf(&b, "halls: {%s}\n", halls)
-	fmt.Fprintf(&b, "models: {m: {versions: {v1: {manifest: %q}, v2: {manifest: %q}}}}\n", s.Digests["v1"], s.Digests["v2"])
-	fmt.Fprintf(&b, "services:\n  chat: {boxes: engine, model: m, version: %s, replicas: {%s}%s}\n", version, engines, s.Service)
+	fmt.Fprintf(&b, "models: {m: {versions: {v1: {manifest: %q}, v2: {manifest: %q}}, adapters: {%s: {manifest: %q}}}}\n",
+		s.Digests["v1"], s.Digests["v2"], adapter, s.Digests[adapter])
+	fmt.Fprintf(&b, "services:\n  chat: {boxes: engine, model: m, version: %s, adapters: [%s], replicas: {%s}}\n", version, adapter, engines)
 	if s.Plains > 0 {
 		fmt.Fprintf(&b, "  plain: {kind: plain, boxes: plain, replicas: {%s}}\n", plains)
 	}
--- a/internal/stack/stack_test.go
+++ b/internal/stack/stack_test.go
@@ -51,7 +51,7 @@
 // runner returns a load on all gateways and ledgers.
 func (s *Stack) runner(rate float64, over time.Duration) *load.Run {
 	r := &load.Run{
-		Services: []string{"chat"}, Plains: []string{"plain"}, Rate: rate, For: over, Timeout: 5 * time.Second,
+		Services: []string{"chat", "chat:" + adapter}, Plains: []string{"plain"}, Rate: rate, For: over, Timeout: 5 * time.Second,
 		Tokens: 12, Mix: load.Mix{Whole: 3, Stream: 3, Plain: 1, Unsafe: 2, Keyed: 2}, Seed: 1, Client: s.Client(),
 	}
 	for name, b := range s.Boxes {
