weights: a full store is not the peers' fault

Cause: reading: a box whose memory is too small counted the refusal of its own store against the peer that had sent the chunk, left it out, and fetched again. Change: it fetches nothing for five graces, counts store_full, blames nobody. Figures: TestFullStoreIsNotThePeersFault red before (1 fetch at once), green after.

--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -49,14 +49,15 @@
 
 // Kinds of events.
 const (
-	EventOrigin  EventKind = "origin"       // A chunk came from the origin.
-	EventHall    EventKind = "peer_in_hall" // From a peer in this hall.
-	EventAcross  EventKind = "peer_across"  // From a peer of another hall.
-	EventUpload  EventKind = "upload"       // A chunk was sent to a peer.
-	EventCorrupt EventKind = "corrupt"      // A chunk did not match its digest.
-	EventStall   EventKind = "stall"        // A fetch got nothing in time.
-	EventRefused EventKind = "refused"      // A peer or the origin had no room.
-	EventTurn    EventKind = "seed_takeover"
+	EventOrigin  EventKind = "origin"        // A chunk came from the origin.
+	EventHall    EventKind = "peer_in_hall"  // From a peer in this hall.
+	EventAcross  EventKind = "peer_across"   // From a peer of another hall.
+	EventUpload  EventKind = "upload"        // A chunk was sent to a peer.
+	EventCorrupt EventKind = "corrupt"       // A chunk did not match its digest.
+	EventStall   EventKind = "stall"         // A fetch got nothing in time.
+	EventRefused EventKind = "refused"       // A peer or the origin had no room.
+	EventTurn    EventKind = "seed_takeover" // This box took over from those ahead of it.
+	EventFull    EventKind = "store_full"    // The memory for weights is too small.
 )
 
 // Event is one such happening.
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -16,19 +16,20 @@
 // docs/design/weights.md.
 const defaultParallel = 8
 
-// Tuning of a Plan. Times are multiples of the time that one chunk takes on a
-// box's idle link.
+// Tuning of a Plan. Those in chunks are multiples of the time that one chunk
+// takes on a box's idle link.
 const (
-	perPeer        = 1  // Of them with one peer.
-	originAtOnce   = 2  // Of them with the origin.
-	graceChunks    = 24 // Between the turns of two boxes in a chunk's order.
-	minGrace       = 2 * time.Second
-	slowChunks     = 12 // After it a second fetch of a chunk may start.
-	leftOutFor     = 30 * time.Second
-	strikesAllowed = 2
-	mostPutOff     = 3 // Times that a chunk is left to those ahead.
-	originRetry    = 500 * time.Millisecond
-	pullAhead      = 0.93 // Share of the planned time in which seeds ask.
+	perPeer        = 1                      // Open fetches from one peer.
+	originAtOnce   = 2                      // Open fetches from the origin.
+	graceChunks    = 24                     // Between the turns of two boxes in a chunk's order,
+	minGrace       = 2 * time.Second        // and at least this.
+	slowChunks     = 12                     // After it a second fetch of a chunk may start.
+	strikesAllowed = 2                      // Corrupt chunks after which a peer is left out
+	leftOutFor     = 30 * time.Second       // for this, and longer each time.
+	mostPutOff     = 3                      // Times that a chunk is left to those ahead.
+	originRetry    = 500 * time.Millisecond // Between tries at the origin, with jitter.
+	pullAhead      = 0.93                   // Share of the planned time in which seeds ask.
+	fullGraces     = 5                      // Without room, nothing is fetched for so many graces.
 )
 
 // Action is one thing to do.
@@ -68,6 +69,7 @@
 	granted  map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
 	leftOut  time.Time    // Some peer is left out until then.
 	originAt time.Time    // The origin is left alone until then.
+	fullTill time.Time    // The store had no room; nothing is fetched until then.
 	tieBreak []int
 }
 
@@ -189,6 +191,10 @@
 		}
 		return
 	}
+	if code == fault.StoreFull {
+		p.fullTill = now.Add(fullGraces * p.grace())
+		return
+	}
 	if from == Origin {
 		// The next try asks those ahead again: when the origin comes back, one of
 		// all that were waiting for it may have the chunk by then.
@@ -274,6 +280,9 @@
 	if p.missing == 0 {
 		return nil, wake
 	}
+	if p.fullTill.After(now) {
+		return nil, p.fullTill
+	}
 	todo = p.duties(now, &wake, todo)
 	for p.open < orDefault(p.Parallel, defaultParallel) {
 		a, ok := p.best(now, &wake)
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -279,6 +279,8 @@
 		x.event(EventStall, 0)
 	case fault.Busy, fault.Throttled:
 		x.event(EventRefused, 0)
+	case fault.StoreFull:
+		x.event(EventFull, 0)
 	}
 }
 
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -176,3 +176,26 @@
 	is.NoErr(tr.begin(b))
 	<-tr.Complete()
 }
+
+// A box whose memory is too small says so and leaves its peers alone: it does not
+// fetch the same chunks again and again, nor blame those who sent them.
+func TestFullStoreIsNotThePeersFault(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	p := &Plan{Self: "a", Strategy: Swarm, Chunks: 4, Begin: now, Inject: time.Second, PerChunk: 10 * time.Millisecond}
+	p.Init(nil, []string{"a", "b"})
+	all := NewBitmap(4)
+	for i := range 4 {
+		all.Set(i)
+	}
+	p.PeerHas("b", all, 0)
+	todo, _ := p.Next(now)
+	is.Equal(len(todo), 1)
+	p.Fetched(now, todo[0].Chunk, "b", fault.StoreFull)
+	todo, wake := p.Next(now)
+	is.Equal(len(todo), 0)
+	is.True(wake.After(now.Add(time.Second)))
+	todo, _ = p.Next(wake)
+	is.Equal(len(todo), 1) // Room may have been made.
+	is.Equal(todo[0].From, "b")
+}
