--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/standin"
 	"github.com/poststand/poststand/rendezvous"
@@ -262,3 +263,85 @@
 		is.True(c.await(1, 10*time.Second, all) != nil)
 	})
 }
+
+// Two operators publish at the same moment: one of the two wholes is in force
+// everywhere, the one that the platform numbered last.
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 6, 9)
+		defer c.stop()
+		is.True(c.await(1, 10*time.Second, all) != nil)
+		for i := range 10 {
+			go c.platform.Publish(docs(100 + i))
+			last := c.platform.Publish(docs(200 + i))
+			synctest.Wait()
+			is.True(c.await(last, 5*time.Second, all) != nil)
+			time.Sleep(2 * time.Second)
+			whole := map[string]int{}
+			for _, p := range c.procs {
+				whole[p.holder.Get().Digest]++
+			}
+			is.Equal(len(whole), 1)
+		}
+	})
+}
+
+// A document of the largest size reaches every process; one that is larger is
+// refused as a whole.
+func TestDocumentAtTheSizeLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 6, 6)
+		defer c.stop()
+		is.True(c.await(1, 10*time.Second, all) != nil)
+		padded := func(size int) map[string][]byte {
+			d := docs(2)
+			text := append(d["all.yaml"], "# "...)
+			for len(text) < size {
+				text = append(text, 'x')
+			}
+			return map[string][]byte{"all.yaml": text}
+		}
+		rev := c.platform.Publish(padded(config.MaxDocument))
+		is.True(c.await(rev, 10*time.Second, all) != nil)
+		c.platform.Publish(padded(config.MaxDocument + 1))
+		time.Sleep(20 * time.Second)
+		for _, p := range c.procs {
+			is.Equal(p.holder.Get().Revision(), rev)
+		}
+	})
+}
+
+// A process that is paused for minutes and woken knows that its view is not
+// vouched for any more, and comes to the newest.
+func TestPausedProcessKnowsItsViewIsOld(t *testing.T) {
+	for _, name := range []string{"gw-001", "box-001"} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 6, 6)
+				defer c.stop()
+				is.True(c.await(1, 10*time.Second, all) != nil)
+				pause := func(paused bool) {
+					for other := range c.boxes {
+						if other != name {
+							c.net.Stall(name, other, paused)
+						}
+					}
+					c.mu.Lock()
+					c.cutOff[c.boxes[name].Hall] = paused
+					c.mu.Unlock()
+				}
+				pause(true)
+				rev := c.platform.Publish(docs(2))
+				time.Sleep(3 * time.Minute)
+				v := c.procs[name].holder.Get()
+				is.Equal(v.Revision(), uint64(1))
+				is.True(time.Now().After(v.FreshUntil))
+				pause(false)
+				is.True(c.await(rev, 20*time.Second, all) != nil)
+			})
+		})
+	}
+}
--- a/internal/gateway/hop_test.go
+++ b/internal/gateway/hop_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	"k8s.io/klog/v2"
 
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/internal/agent"
@@ -21,9 +22,18 @@
 	"github.com/poststand/poststand/internal/standin"
 )
 
-// hopStack is one gateway, one agent and one engine over loopback.
-func hopStack(b *testing.B) (direct, through string) {
+// sockets is where one gateway, one agent and one engine listen.
+type sockets struct {
+	direct, through  string // URLs of the engine and of the gateway's callers.
+	gateway, agent   string // Addresses for other processes.
+	admin, agentHTTP string // Of the gateway, and where the engine pulls weights.
+}
+
+// overLoopback runs one gateway, one agent and one engine.
+func overLoopback(b testing.TB) sockets {
 	b.Helper()
+	klog.SetOutput(io.Discard)
+	klog.LogToStderr(false)
 	origin, platform := &standin.Origin{}, &standin.Platform{}
 	digest, err := origin.Add(standin.Artifact{Model: "m", Version: "v", Bytes: 1 << 16, ChunkSize: 1 << 14})
 	if err != nil {
@@ -48,7 +58,7 @@
 		defer func() { _ = ln.Close() }()
 		return ln.Addr().String()
 	}
-	direct = serve(e)
+	direct := serve(e)
 	gwAddr, agAddr, callers := free(), free(), free()
 	platform.Publish(map[string][]byte{"a.yaml": fmt.Appendf(nil, "halls: {h: {}}\nmodels: {m: {versions: {v: {manifest: %q}}}}\n"+
 		"services: {chat: {boxes: engine, model: m, version: v, replicas: {h: 1}}}\nweights: {window: 400ms}\n", digest)})
@@ -58,6 +68,7 @@
 	})
 	common := settings.Common{Cluster: "c", Hall: "h", Join: []string{gwAddr}, DrainFor: time.Second, MaxConns: 64}
 	gs := &settings.Gateway{Common: common, HTTP: callers, Platform: serve(platform), MaxBody: 1 << 20, MaxAnswer: 1 << 20, MaxAttempts: 4}
+	gs.HeaderWait, gs.BodyWait = 300*time.Millisecond, 600*time.Millisecond
 	gs.Box, gs.Listen, gs.Admin = "gw", gwAddr, free()
 	as := &settings.Agent{Common: common, Engine: direct, Source: free(), Origin: serve(origin), Memory: 1 << 24, Strategy: settings.StrategySwarm, Slots: 64, Queue: 64}
 	as.Box, as.Listen, as.Admin = "ag", agAddr, free()
@@ -81,20 +92,20 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
-	return direct, "http://" + callers
+	return sockets{direct, "http://" + callers, gwAddr, agAddr, gs.Admin, as.Source}
 }
 
 // BenchmarkHop prints what the hop through gateway and agent costs against
 // asking the engine directly, in one run, the two in turn.
 func BenchmarkHop(b *testing.B) {
-	direct, through := hopStack(b)
+	at := overLoopback(b)
 	hs := [2]*hdrhistogram.Histogram{hdrhistogram.New(1, 1e7, 3), hdrhistogram.New(1, 1e7, 3)}
 	body, _ := json.Marshal(standin.ChatRequest{
 		Model: "chat", MaxTokens: 8, Stream: true, Messages: []standin.Message{{Role: "user", Content: "hello"}},
 	})
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}
 	for b.Loop() {
-		for i, url := range []string{direct, through} {
+		for i, url := range []string{at.direct, at.through} {
 			began := time.Now()
 			resp, err := client.Post(url+"/v1/chat/completions", "application/json", bytes.NewReader(body))
 			if err != nil {
--- a/internal/stack/stack_test.go
+++ b/internal/stack/stack_test.go
@@ -302,3 +302,39 @@
 	noPromiseBroken(t, sum)
 	is.True(sum.Answers > sum.Sent/2)
 }
+
+// A version is withdrawn while its transfer is under way, wanted again, and then
+// rolled back: the service answers throughout, and what a box still holds is
+// loaded without a fetch.
+func TestVersionChangedInMidTransfer(t *testing.T) {
+	slow := strings.Replace(limits, "window: 400ms", "window: 16s", 1)
+	bubble(t, &Stack{Halls: 2, Gateways: 1, Engines: 3, Plains: 1, Config: slow}, func(t *testing.T, s *Stack) {
+		is := is.New(t)
+		done := make(chan *load.Summary)
+		go func() {
+			r := s.runner(50, 40*time.Second)
+			r.Mix.Keyed = 0
+			sum, err := r.Do(t.Context())
+			is.NoErr(err)
+			done <- sum
+		}()
+		before := s.Origin.Sent.Load()
+		s.Apply("v2")
+		time.Sleep(2 * time.Second) // Its chunks are on their way.
+		is.True(s.Origin.Sent.Load() > before)
+		is.True(!s.Agent("h0-engine0").Serves(s.Digests["v2"]))
+		s.Apply("v1")
+		time.Sleep(5 * time.Second)
+		is.NoErr(s.Ready("v1"))
+		s.Apply("v2")
+		is.NoErr(s.Ready("v2"))
+		fetched := s.Origin.Sent.Load()
+		s.Apply("v1")
+		is.NoErr(s.Ready("v1"))
+		is.Equal(s.Origin.Sent.Load(), fetched) // The rollback fetched nothing.
+		sum := <-done
+		noPromiseBroken(t, sum)
+		is.Equal(sum.Unknown, 0)
+		is.Equal(len(sum.Versions), 2)
+	})
+}
