--- a/config/place_test.go
+++ b/config/place_test.go
@@ -1,24 +1,17 @@
 package config
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("POSTSTAND_RANDOM") == "" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 // A placement serves as many replicas as are asked for and can be had, uses no
 // box twice, none that leaves, and moves no more than it must when a box goes.
--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,15 +10,10 @@
 	"pgregory.net/rapid"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("POSTSTAND_RANDOM") == "" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 var epoch = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
 
--- a/internal/feed/cluster_test.go
+++ b/internal/feed/cluster_test.go
@@ -9,8 +9,11 @@
 	"slices"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/internal/feed"
@@ -57,6 +60,18 @@
 	return map[string][]byte{"all.yaml": []byte("halls: {h0: {}}\nlimits: {queu: 3}\n")}
 }
 
+// settled runs a test on a cluster that has the first revision everywhere.
+func settled(t *testing.T, gateways, followers int, fn func(is *is.I, c *cluster)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, gateways, followers)
+		defer c.stop()
+		is.True(c.await(1, 10*time.Second, all) != nil)
+		fn(is, c)
+	})
+}
+
 // newCluster starts gateways and followers in three halls.
 func newCluster(t *testing.T, gateways, followers int) *cluster {
 	c := &cluster{
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -17,22 +17,14 @@
 )
 
 func TestChangeReachesEveryProcess(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 16)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil) // the first revision
+	settled(t, 6, 16, func(is *is.I, c *cluster) {
 		time.Sleep(30 * time.Second)
 		is.True(c.await(c.platform.Publish(docs(2)), 2*time.Second, all) != nil)
 	})
 }
 
 func TestHallCutFromThePlatformIsFedByOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 16)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 16, func(is *is.I, c *cluster) {
 		c.cutHall("h1", true, false)
 		time.Sleep(time.Minute)
 		is.True(c.await(c.platform.Publish(docs(2)), 5*time.Second, all) != nil)
@@ -40,11 +32,7 @@
 }
 
 func TestHallCutFromAllKeepsWhatItHasAndCatchesUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 16)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 16, func(is *is.I, c *cluster) {
 		c.cutHall("h1", true, true)
 		rev := c.platform.Publish(docs(2))
 		time.Sleep(5 * time.Minute)
@@ -66,11 +54,7 @@
 func TestRestartedProcessLearnsTheNewestFromPeers(t *testing.T) {
 	for _, name := range []string{"gw-003", "box-003"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newCluster(t, 6, 6)
-				defer c.stop()
-				is.True(c.await(1, 10*time.Second, all) != nil)
+			settled(t, 6, 6, func(is *is.I, c *cluster) {
 				c.platform.SetMode(standin.Mode{Stale: true}) // Shows revision 1 from now on.
 				c.platform.SetMode(standin.Mode{Stale: true})
 				c.deliver(docs(2))
@@ -99,11 +83,7 @@
 }
 
 func TestBadRevisionIsRefusedWhole(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 6)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 6, func(is *is.I, c *cluster) {
 		c.platform.Publish(badDocs())
 		time.Sleep(20 * time.Second)
 		for _, p := range c.procs {
@@ -123,17 +103,13 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(12) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { randomFaults(t, seed) })
+			settled(t, 6, 9, func(is *is.I, c *cluster) { randomFaults(t, is, c, seed) })
 		})
 	}
 }
 
-func randomFaults(t *testing.T, seed uint64) {
-	is := is.New(t)
+func randomFaults(t *testing.T, is *is.I, c *cluster, seed uint64) {
 	rnd := rand.New(rand.NewPCG(seed, 5))
-	c := newCluster(t, 6, 9)
-	defer c.stop()
-	is.True(c.await(1, 10*time.Second, all) != nil)
 	names := rendezvous.Sorted(c.boxes)
 	seen := map[*proc]uint64{}
 	for step := range 60 {
@@ -249,11 +225,7 @@
 // A gateway that starts while the platform is down and its peers are out of reach
 // asks those of its settings again, and not only once.
 func TestGatewayKeepsAskingItsPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 3)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 3, func(is *is.I, c *cluster) {
 		c.platform.SetMode(standin.Mode{Down: true})
 		c.cutHall("h0", true, true)
 		p := c.restart("gw-000") // Whose own address is the first in its settings.
@@ -267,11 +239,7 @@
 // Two operators publish at the same moment: one of the two wholes is in force
 // everywhere, the one that the platform numbered last.
 func TestTwoOperatorsAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 9)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 9, func(is *is.I, c *cluster) {
 		for i := range 10 {
 			go c.platform.Publish(docs(100 + i))
 			last := c.platform.Publish(docs(200 + i))
@@ -290,11 +258,7 @@
 // A document of the largest size reaches every process; one that is larger is
 // refused as a whole.
 func TestDocumentAtTheSizeLimit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		c := newCluster(t, 6, 6)
-		defer c.stop()
-		is.True(c.await(1, 10*time.Second, all) != nil)
+	settled(t, 6, 6, func(is *is.I, c *cluster) {
 		padded := func(size int) map[string][]byte {
 			d := docs(2)
 			text := append(d["all.yaml"], "# "...)
@@ -318,11 +282,7 @@
 func TestPausedProcessKnowsItsViewIsOld(t *testing.T) {
 	for _, name := range []string{"gw-001", "box-001"} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				is := is.New(t)
-				c := newCluster(t, 6, 6)
-				defer c.stop()
-				is.True(c.await(1, 10*time.Second, all) != nil)
+			settled(t, 6, 6, func(is *is.I, c *cluster) {
 				pause := func(paused bool) {
 					for other := range c.boxes {
 						if other != name {
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -10,8 +10,11 @@
 	"pgregory.net/rapid"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/rapidseed"
 )
 
+func TestMain(m *testing.M) { rapidseed.Main(m) }
+
 // Any order of arrivals, ends and givings-up keeps the bounds, loses no turn and
 // leaves nothing behind.
 func TestQueueKeepsItsBounds(t *testing.T) {
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -1,9 +1,7 @@
 package route
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,15 +11,10 @@
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/rapidseed"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if os.Getenv("POSTSTAND_RANDOM") == "" {
-		_ = flag.Set("rapid.seed", "1")
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { rapidseed.Main(m) }
 
 var epoch = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
 
--- a/view/view_test.go
+++ b/view/view_test.go
@@ -9,8 +9,11 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/rapidseed"
 )
 
+func TestMain(m *testing.M) { rapidseed.Main(m) }
+
 func whole(version uint64, queue int) (*config.Head, map[string][]byte) {
 	data := []byte(fmt.Sprintf("halls: {h: {}}\nlimits: {queue: %d}\n", queue))
 	d := config.DocumentDigest(data)
