gateway: a broken answer of which nothing was shown is tried elsewhere

Cause: reading: a safe request answered whole, whose box broke off in the middle, was given up as if parts had gone to its caller; they were in the gateway's buffer. Change: the sink says whether anything was shown; the buffer is emptied when another attempt begins.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -23,8 +23,9 @@
 
 // sink takes an answer as it comes.
 type sink struct {
-	head func(h *dispatch.AnswerHead) error
-	data func(b []byte) error
+	head  func(h *dispatch.AnswerHead) error // Called again when another attempt begins.
+	data  func(b []byte) error
+	shown func() bool // Whether parts have gone to the caller.
 }
 
 // attempt is one dispatch to one box and what was seen of its answer.
@@ -37,7 +38,7 @@
 	sink    *sink
 	next    int // The next AnswerData wanted.
 	sum     hash.Hash
-	begun   bool
+	begun   bool      // Parts have come.
 	firstAt time.Time // When the first part came.
 }
 
@@ -101,7 +102,7 @@
 }
 
 func (a *attempt) result(o dispatch.Outcome, why fault.Code) dispatch.Result {
-	return dispatch.Result{Outcome: o, Reason: why, Begun: a.begun}
+	return dispatch.Result{Outcome: o, Reason: why, Begun: a.sink.shown()}
 }
 
 // errSink is the type of a failure to pass the answer to the caller.
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -55,6 +55,7 @@
 			sum.Write(b)
 			return s.Send(ctx, &dispatch.AnswerData{ID: id, Seq: parts - 1, Data: b})
 		},
+		shown: func() bool { return parts > 0 },
 	})
 	if res.Outcome != dispatch.Done {
 		fail(res)
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -32,7 +32,8 @@
 			o.buf.Reset()
 			return nil
 		},
-		data: o.data,
+		data:  o.data,
+		shown: func() bool { return o.started },
 	}
 }
 
--- a/internal/stack/doctored_test.go
+++ b/internal/stack/doctored_test.go
@@ -228,3 +228,32 @@
 		is.Equal(s.Ledgers["h0-engine0"].Runs()["unsafe"], 0)
 	})
 }
+
+// A safe request whose answer breaks off before any of it reached its caller is
+// tried elsewhere; a streamed one, of which parts went out, is not.
+func TestBrokenAnswerIsTriedElsewhereIfNothingWasShown(t *testing.T) {
+	bubble(t, &Stack{Gateways: 1, Engines: 2, Config: limits}, func(t *testing.T, s *Stack) {
+		is := is.New(t)
+		doctor(s, "h0-engine0", func(d *dispatch.Dispatch) []any {
+			return []any{
+				&dispatch.AnswerHead{ID: d.ID, Digest: d.Digest, Status: 200, ContentType: "application/json"},
+				&dispatch.AnswerData{ID: d.ID, Data: []byte("{")},
+				&dispatch.Refused{ID: d.ID, Reason: "upstream_failed", Ran: true},
+			}
+		})
+		time.Sleep(2 * time.Second)
+		broken := 0
+		for i := range 20 {
+			resp, text, err := s.chat(t, "safe", i%2 == 0)
+			if i%2 == 1 {
+				is.NoErr(err)
+				is.Equal(resp.StatusCode, http.StatusOK)
+				is.True(json.Valid([]byte(text))) // And not what the broken one began with.
+			} else if err != nil || strings.Contains(text, "event: error") {
+				broken++
+			}
+			time.Sleep(time.Second)
+		}
+		is.True(broken > 0)
+	})
+}
