standin, stack: the same lines once

Cause: reading the whole change again: the platform stand-in named documents by digest twice, and two tests of keys began with the same run. Change: Platform.keep, Stack.firstRun; no check is changed.

--- a/internal/stack/keys_test.go
+++ b/internal/stack/keys_test.go
@@ -51,6 +51,14 @@
 
 const keyWindow = 18 * time.Second // As in limits.
 
+// firstRun waits until homes take keys, and has key k1 run once.
+func (s *Stack) firstRun(t *testing.T, is *is.I) {
+	t.Helper()
+	time.Sleep(keyWindow)
+	status, _ := s.keyed(t, "h0-gateway0", "k1")
+	is.Equal(status, http.StatusOK)
+}
+
 func TestKeyRepeatedThroughAnotherGatewayGetsTheFirstAnswer(t *testing.T) {
 	bubble(t, keyStack(), func(t *testing.T, s *Stack) {
 		is := is.New(t)
@@ -70,9 +78,7 @@
 func TestKeyIsNotRunAgainByARestartedHome(t *testing.T) {
 	bubble(t, keyStack(), func(t *testing.T, s *Stack) {
 		is := is.New(t)
-		time.Sleep(keyWindow)
-		status, _ := s.keyed(t, "h0-gateway0", "k1")
-		is.Equal(status, http.StatusOK)
+		s.firstRun(t, is)
 		s.Kill(s.home("k1"))
 		status, text := s.keyed(t, "h1-gateway0", "k1")
 		is.True(status >= 500)
@@ -111,9 +117,7 @@
 func TestKeyThatMovesHomeIsNotRunAgain(t *testing.T) {
 	bubble(t, keyStack(), func(t *testing.T, s *Stack) {
 		is := is.New(t)
-		time.Sleep(keyWindow)
-		status, _ := s.keyed(t, "h0-gateway0", "k1")
-		is.Equal(status, http.StatusOK)
+		s.firstRun(t, is)
 		old := s.home("k1")
 		b := s.Boxes[old]
 		b.Leaving = true
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -61,14 +61,20 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.head = feed.PlatformHead{Revision: p.head.Revision + 1, Docs: p.keep(docs)}
+	p.wake()
+	return p.head.Revision
+}
+
+// keep holds documents by digest and returns the digests by name. The caller
+// holds p.mu.
+func (p *Platform) keep(docs map[string][]byte) map[string]string {
 	digests := map[string]string{}
 	for name, data := range docs {
 		d := config.DocumentDigest(data)
 		digests[name], p.docs[d] = d, data
 	}
-	p.head = feed.PlatformHead{Revision: p.head.Revision + 1, Docs: digests}
-	p.wake()
-	return p.head.Revision
+	return digests
 }
 
 // SetFleet replaces the fleet list, which shows after FleetLag.
@@ -108,13 +114,8 @@
 	p.init()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	digests := map[string]string{}
-	for name, data := range docs {
-		d := config.DocumentDigest(data)
-		digests[name], p.docs[d] = d, data
-	}
 	p.mode.Stale = true
-	p.stale = &snapshot{feed.PlatformHead{Revision: revision, Docs: digests}, p.fleet}
+	p.stale = &snapshot{feed.PlatformHead{Revision: revision, Docs: p.keep(docs)}, p.fleet}
 	p.wake()
 }
 
