--- /dev/null
+++ b/catalog/catalog.go
@@ -0,0 +1,87 @@
+// Package catalog joins what a process believes of the published state: the
+// configuration, the upstreams and the versions that are wanted.
+//
+// A Catalog is an immutable snapshot. A Holder keeps the newest; the version of
+// the configuration in force never falls.
+package catalog
+
+import (
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fleet"
+)
+
+// Wanted is the newest version of a model's weights that was named.
+type Wanted struct {
+	Model   string
+	Version uint64
+	Named   time.Time // When this process first heard of it.
+	// Before is the version that it replaced, as far as this process knows.
+	Before uint64
+}
+
+// Catalog is one snapshot. Nothing in it changes once it is published.
+type Catalog struct {
+	Revision  uint64          // Of the published records.
+	Version   uint64          // Of the configuration.
+	Config    *config.Config  // Nil until one is known.
+	Routing   *config.Routing // Of Config.
+	Upstreams map[string]fleet.Upstream
+	Wanted    map[string]Wanted // By model.
+}
+
+// Of returns the upstreams of a service, in no order.
+func (c *Catalog) Of(service string) []fleet.Upstream {
+	var out []fleet.Upstream
+	for _, u := range c.Upstreams {
+		if u.Service == service {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// Holder keeps the newest Catalog. The zero value holds an empty one.
+type Holder struct {
+	mu      sync.Mutex
+	now     *Catalog
+	changed chan struct{}
+}
+
+func (h *Holder) init() {
+	if h.now == nil {
+		h.now = &Catalog{}
+		h.changed = make(chan struct{})
+	}
+}
+
+// Get returns the newest catalog.
+func (h *Holder) Get() *Catalog {
+	c, _ := h.Watch()
+	return c
+}
+
+// Watch returns the newest catalog and a channel that is closed when the next
+// one is there.
+func (h *Holder) Watch() (*Catalog, <-chan struct{}) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.init()
+	return h.now, h.changed
+}
+
+// Set publishes a catalog. It panics if a version were to fall, since mirrors
+// never go back.
+func (h *Holder) Set(c *Catalog) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.init()
+	if c.Revision < h.now.Revision || c.Version < h.now.Version {
+		panic("catalog: a version fell")
+	}
+	h.now = c
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -38,7 +38,11 @@
 	logs := flag.NewFlagSet("logs", flag.ContinueOnError)
 	klog.InitFlags(logs)
 	root.PersistentFlags().AddGoFlag(logs.Lookup("v"))
-	root.AddCommand(gatewayCommand(), agentCommand(), checkCommand(), planCommand(), statusCommand(), versionCommand())
+	_ = logs.Set("logtostderr", "false")
+	_ = logs.Set("alsologtostderr", "false")
+	_ = logs.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(os.Stdout)
+	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/cmd/poststand/cmd/stager.go
@@ -0,0 +1,56 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/spf13/cobra"
+
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/stager"
+	"github.com/poststand/poststand/platform"
+	"github.com/poststand/poststand/weights"
+)
+
+func stagerCommand() *cobra.Command {
+	var file string
+	c := &cobra.Command{
+		Use:   "stager [--settings FILE]",
+		Short: "Run the agent of a box whose replica takes weights that are staged for it",
+		Args:  cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := settings.LoadStager(orVariable(file))
+			if err != nil {
+				return err
+			}
+			t := &platform.Translator{Bad: badRecord}
+			st, err := stager.New(s, stager.Options{
+				Replica: replica(s.Replica), Origin: origin(platformClient()), Follow: follow(s.Store), Catalog: t.Catalog,
+			})
+			if err != nil {
+				return err
+			}
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			return st.Run(ctx)
+		},
+	}
+	optionalSettingsFlag(c, &file)
+	return c
+}
+
+func replica(addr string) stager.Replica {
+	r := &platform.Replica{Addr: addr, HTTP: platformClient()}
+	return stager.Replica{Report: r.Report, Order: r.Order, Stage: r.Stage, Staged: r.Staged, ReadStaged: r.ReadStaged}
+}
+
+func origin(c *http.Client) stager.Origin {
+	return stager.Origin{
+		Manifest: func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error) {
+			return (&platform.Origin{Addr: addr, HTTP: c}).Manifest(ctx, model, version)
+		},
+		Piece: func(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error) {
+			return (&platform.Origin{Addr: addr, HTTP: c}).Piece(ctx, model, version, piece)
+		},
+	}
+}
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -31,6 +31,7 @@
 // Codes of refusals by gateways and agents.
 const (
 	NoService        Code = "no_such_service"
+	UnknownKey       Code = "unknown_key"
 	NoUpstream       Code = "no_upstream_ready"
 	QueueFull        Code = "queue_full"
 	RateLimited      Code = "rate_limited"
@@ -65,6 +66,7 @@
 	OlderRevision  Code = "older_revision"
 	DigestMismatch Code = "digest_mismatch"
 	FencedOrder    Code = "order_fenced"
+	HistoryGone    Code = "history_gone" // The platform has forgotten the changes that were asked for.
 )
 
 // Error is a failure with its type.
--- /dev/null
+++ b/internal/peers/assign.go
@@ -0,0 +1,46 @@
+package peers
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/poststand/poststand/catalog"
+)
+
+// firstVersion is what replicas may hold before any version was named.
+const firstVersion = 1
+
+// Assign works out what concerns the replicas of a service, or returns nil where
+// the service has no weights or nothing is known yet. It is pure.
+func Assign(c *catalog.Catalog, service string, gateways []Member, now time.Time) *Assignment {
+	if c.Config == nil {
+		return nil
+	}
+	s, ok := c.Config.Services[service]
+	if !ok || s.Model == "" {
+		return nil
+	}
+	a := &Assignment{
+		At: c.Revision, Model: s.Model, Origin: s.Origin, OriginRate: s.OriginRate,
+		Bytes: s.Engine.Chunks * s.Engine.ChunkBytes, Gateways: gateways,
+	}
+	newest := uint64(firstVersion)
+	for _, u := range c.Of(service) {
+		newest = max(newest, u.Version)
+		a.Replicas = append(a.Replicas, Replica{Addr: u.Addr, Hall: u.Hall, Version: u.Version, Leaving: u.Leaving})
+	}
+	slices.SortFunc(a.Replicas, func(x, y Replica) int { return strings.Compare(x.Addr, y.Addr) })
+	a.Version = newest
+	if w, ok := c.Wanted[s.Model]; ok && w.Version >= newest {
+		a.Version, a.Age = w.Version, now.Sub(w.Named)
+	}
+	return a
+}
+
+// Same reports whether two assignments say the same to an agent: how old they
+// are, and by which revision, is no difference.
+func (a *Assignment) Same(b *Assignment) bool {
+	return a.Model == b.Model && a.Version == b.Version && a.Origin == b.Origin && a.OriginRate == b.OriginRate &&
+		a.Bytes == b.Bytes && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Gateways, b.Gateways)
+}
--- /dev/null
+++ b/internal/peers/follow.go
@@ -0,0 +1,97 @@
+package peers
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/mirror"
+)
+
+// Follower keeps a mirror up to date from the platform's service. Set the
+// exported fields before Run.
+type Follower struct {
+	Mirror *mirror.Mirror
+	// Whole reads all records; Watch waits for changes after a revision.
+	Whole func(ctx context.Context) (mirror.Delta, error)
+	Watch func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error)
+	Event func(name string, c fault.Code)
+	// Needed, if set, holds while the platform should be read; a follower that
+	// is not needed looks again after a while.
+	Needed func() bool
+}
+
+// Waits of a Follower.
+const (
+	watchWait  = 20 * time.Second
+	watchSlack = 2 * time.Second // For the answer to a watch that nothing ended.
+	wholeIn    = 5 * time.Second
+	retryFirst = 100 * time.Millisecond
+	retryMost  = time.Second
+	idleLook   = 250 * time.Millisecond
+)
+
+// Run follows until ctx ends.
+func (f *Follower) Run(ctx context.Context) error {
+	wait, lost := retryFirst, false
+	whole := f.Mirror.At() == 0
+	for ctx.Err() == nil {
+		if f.Needed != nil && !f.Needed() {
+			sleep(ctx, idleLook)
+			continue
+		}
+		err := f.once(ctx, whole)
+		if err == nil {
+			if lost {
+				telemetry.Log("store_regained", "at", f.Mirror.At())
+			}
+			wait, lost, whole = retryFirst, false, false
+			continue
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+		whole = whole || fault.Is(err, fault.HistoryGone)
+		if !lost {
+			telemetry.Log("store_lost", "reason", fault.CodeOf(err), "at", f.Mirror.At(), "detail", err.Error())
+		}
+		lost = true
+		if f.Event != nil {
+			f.Event("store_failed", fault.CodeOf(err))
+		}
+		if fault.Is(err, fault.HistoryGone) {
+			continue
+		}
+		sleep(ctx, wait/2+rand.N(wait))
+		wait = min(2*wait, retryMost)
+	}
+	return nil
+}
+
+func (f *Follower) once(ctx context.Context, whole bool) error {
+	if whole || f.Mirror.At() == 0 {
+		ctx, cancel := context.WithTimeout(ctx, wholeIn)
+		defer cancel()
+		d, err := f.Whole(ctx)
+		if err != nil {
+			return err
+		}
+		f.Mirror.Apply(d)
+		telemetry.Log("store_read", "at", d.At, "records", len(d.Records), "bytes", d.Bytes())
+		return nil
+	}
+	since := f.Mirror.At()
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	defer cancel()
+	d, err := f.Watch(ctx, since, watchWait)
+	if err != nil {
+		return err
+	}
+	if len(d.Records) > 0 {
+		telemetry.Log("store_changed", "at", d.At, "since", since, "records", len(d.Records), "first", d.Records[0].Key)
+	}
+	f.Mirror.Apply(d)
+	return nil
+}
--- /dev/null
+++ b/internal/peers/gossip.go
@@ -0,0 +1,253 @@
+package peers
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/wire"
+)
+
+// Waits of a Gossip.
+const (
+	announceEvery = 500 * time.Millisecond // Without news,
+	announceLeast = 100 * time.Millisecond // and between two that have some.
+	announceIn    = time.Second            // An announcement without an answer is given up.
+	liveFor       = 2500 * time.Millisecond
+	forgetAfter   = 30 * time.Second
+	pullAfter     = 150 * time.Millisecond // The platform itself usually tells sooner.
+	pullWithin    = 2 * time.Second
+)
+
+// Gossip keeps the list of gateways and a mirror that is no older than theirs.
+// Set the exported fields before Run.
+type Gossip struct {
+	Self   Member
+	Pool   *wire.Pool
+	Mirror *mirror.Mirror
+	Join   []string // Addresses to ask before any gateway is known.
+
+	mu      sync.Mutex
+	members map[string]*member // By address.
+	pulling bool
+	learnt  chan struct{}
+	once    sync.Once
+}
+
+type member struct {
+	Member
+	heard   time.Time // Zero if it never answered.
+	named   time.Time // When someone last named it.
+	at      uint64
+	talking bool
+	live    bool // As last logged.
+}
+
+func (g *Gossip) init() {
+	g.once.Do(func() {
+		g.members = map[string]*member{}
+		g.learnt = make(chan struct{})
+	})
+}
+
+// Serve registers the handlers that answer other gateways.
+func (g *Gossip) Serve(hs *wire.Handlers) {
+	g.init()
+	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Announce) {
+		g.heard(m)
+		_ = s.SendLast(ctx, g.announcement())
+	})
+	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
+		_ = s.SendLast(ctx, &Records{Delta: g.Mirror.Since(m.Since)})
+	})
+}
+
+// Live returns the gateways that were heard of late, this one among them.
+func (g *Gossip) Live() []Member {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := []Member{g.Self}
+	now := time.Now()
+	for _, m := range g.members {
+		if now.Sub(m.heard) < liveFor {
+			out = append(out, m.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Addr, b.Addr) })
+	return out
+}
+
+func (g *Gossip) announcement() *Announce {
+	return &Announce{From: g.Self, At: g.Mirror.At(), Known: g.Live()}
+}
+
+func (g *Gossip) note(m Member, now time.Time) *member {
+	if m.Addr == "" || m.Addr == g.Self.Addr {
+		return nil
+	}
+	e, ok := g.members[m.Addr]
+	if !ok {
+		e = &member{}
+		g.members[m.Addr] = e
+	}
+	if m.Name != "" {
+		e.Member = m
+	}
+	e.Addr, e.named = m.Addr, now
+	return e
+}
+
+// heard takes another gateway's announcement.
+func (g *Gossip) heard(a *Announce) {
+	now := time.Now()
+	g.mu.Lock()
+	e := g.note(a.From, now)
+	if e == nil {
+		g.mu.Unlock()
+		return
+	}
+	e.heard, e.at = now, max(e.at, a.At)
+	if !e.live {
+		e.live = true
+		telemetry.Log("peer_gained", "peer", e.Name, "addr", e.Addr, "hall", e.Hall, "at", a.At)
+	}
+	for _, k := range a.Known {
+		if g.members[k.Addr] == nil {
+			g.note(k, now)
+		}
+	}
+	behind := a.At > g.Mirror.At() && !g.pulling
+	g.pulling = g.pulling || behind
+	g.mu.Unlock()
+	if behind {
+		go g.pull(a.From.Addr)
+	}
+}
+
+// pull asks a gateway for what this one lacks, unless the platform has told it
+// meanwhile.
+func (g *Gossip) pull(addr string) {
+	defer func() {
+		g.mu.Lock()
+		g.pulling = false
+		g.mu.Unlock()
+	}()
+	life := g.Pool.Lifetime
+	if g.Mirror.At() > 0 {
+		sleep(life, pullAfter)
+	}
+	g.mu.Lock()
+	at := g.members[addr].at
+	g.mu.Unlock()
+	since := g.Mirror.At()
+	if since >= at {
+		return
+	}
+	ctx, cancel := context.WithTimeout(life, pullWithin)
+	defer cancel()
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return
+	}
+	m, err := c.Call(ctx, &Pull{Since: since})
+	r, ok := m.(*Records)
+	if err != nil || !ok {
+		telemetry.Log("pull_failed", "peer", addr, "since", since, "reason", fault.CodeOf(err))
+		return
+	}
+	taken := g.Mirror.Apply(r.Delta)
+	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// Learnt is closed once every address to join was asked, whether it answered or
+// not.
+func (g *Gossip) Learnt() <-chan struct{} {
+	g.init()
+	return g.learnt
+}
+
+// Run announces until ctx ends.
+func (g *Gossip) Run(ctx context.Context) error {
+	g.init()
+	for _, addr := range g.Join {
+		g.mu.Lock()
+		g.note(Member{Addr: addr}, time.Now())
+		g.mu.Unlock()
+	}
+	first := g.round(ctx)
+	go func() {
+		first.Wait()
+		close(g.learnt)
+	}()
+	for ctx.Err() == nil {
+		_, changed := g.Mirror.Watch()
+		began := time.Now()
+		t := time.NewTimer(announceEvery)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		sleep(ctx, announceLeast-time.Since(began))
+		g.round(ctx)
+	}
+	return nil
+}
+
+// round announces to every gateway that is known and not being talked to.
+func (g *Gossip) round(ctx context.Context) *sync.WaitGroup {
+	now := time.Now()
+	var wg sync.WaitGroup
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for addr, m := range g.members {
+		if m.live && now.Sub(m.heard) >= liveFor {
+			m.live = false
+			telemetry.Log("peer_lost", "peer", m.Name, "addr", addr, "hall", m.Hall, "silent", now.Sub(m.heard))
+		}
+		if now.Sub(m.heard) > forgetAfter && now.Sub(m.named) > forgetAfter && !slices.Contains(g.Join, addr) {
+			delete(g.members, addr)
+			continue
+		}
+		if m.talking {
+			continue
+		}
+		m.talking = true
+		wg.Go(func() {
+			g.announceTo(ctx, addr)
+			g.mu.Lock()
+			m.talking = false
+			g.mu.Unlock()
+		})
+	}
+	return &wg
+}
+
+func (g *Gossip) announceTo(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, announceIn)
+	defer cancel()
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return
+	}
+	m, err := c.Call(ctx, g.announcement())
+	if a, ok := m.(*Announce); ok && err == nil {
+		g.heard(a)
+	}
+}
--- /dev/null
+++ b/internal/peers/message.go
@@ -0,0 +1,84 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/wire"
+)
+
+// Member is a gateway.
+type Member struct {
+	Name string
+	Addr string // IP and port for other processes.
+	Hall string
+}
+
+// Announce says who is there and what it knows. It is answered by another one.
+type Announce struct {
+	From  Member
+	At    uint64   // The sender holds every published change up to it.
+	Known []Member // Gateways that the sender heard of lately.
+}
+
+// Pull asks for what was published after a revision.
+type Pull struct{ Since uint64 }
+
+// Records answers a Pull.
+type Records struct{ Delta mirror.Delta }
+
+// Subscribe asks for what concerns the replicas of a service: an Assignment now,
+// and another at each change.
+type Subscribe struct {
+	Service string
+	Addr    string // Of the replica that the agent looks after.
+}
+
+// Replica is a replica of the same service.
+type Replica struct {
+	Addr    string // IP and port for requests; its agent is at the same IP.
+	Hall    string
+	Version uint64 // That it was last known to hold whole.
+	Leaving bool
+}
+
+// Assignment is all that an agent needs to know.
+type Assignment struct {
+	At         uint64 // Revision of the published records.
+	Model      string
+	Version    uint64        // To be brought to the replica.
+	Age        time.Duration // Since the version was named, by the sender's clock.
+	Origin     string        // IP and port of the origin of weights.
+	OriginRate float64       // Bytes a second of the origin's link.
+	Bytes      int           // Of a whole version.
+	Replicas   []Replica
+	Gateways   []Member
+}
+
+// Status is how a replica stands, told by its agent.
+type Status struct {
+	Addr    string // Of the replica.
+	Hall    string
+	Model   string
+	Version uint64 // That it holds whole; 0 for none.
+	// Changing says that the replica is about to take another version and should
+	// be given nothing that is new.
+	Changing bool
+	Reached  bool // The replica answered its agent.
+	Queued   int
+	Running  int
+	Used     int     // Tokens of contexts in its memory,
+	Total    int     // and how many fit.
+	Pace     float64 // Above 1 it works slower than it should.
+	Missing  int     // Pieces of the assigned version that are not here yet.
+}
+
+// Messages registers this package's messages.
+var Messages = []wire.Entry{
+	{Kind: 96, Message: &Announce{}},
+	{Kind: 97, Message: &Pull{}},
+	{Kind: 98, Message: &Records{}},
+	{Kind: 99, Message: &Subscribe{}},
+	{Kind: 100, Message: &Assignment{}},
+	{Kind: 101, Message: &Status{}},
+}
--- /dev/null
+++ b/internal/relay/attempt.go
@@ -0,0 +1,276 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/route"
+)
+
+// Waits and bounds of one send.
+const (
+	firstLeast  = 900 * time.Millisecond // A repeatable request waits this long for a sign,
+	firstFactor = 4                      // or so many times what was predicted, whichever is more.
+	gapLeast    = 900 * time.Millisecond // The same for the next event of a stream,
+	gapFactor   = 2                      // in gaps that its route allows.
+	strayMost   = 3                      // Answers to other requests that are passed over.
+	maxAnswer   = 16 << 20
+	maxEvent    = 1 << 20
+)
+
+// attempt is one send of a request to one replica.
+type attempt struct {
+	relay  *Relay
+	rq     *request
+	out    *answer
+	to     route.Choice
+	began  time.Time
+	conn   *conn
+	rest   time.Duration
+	first  bool // The first event or the head of the answer came.
+	end    route.End
+	status int
+}
+
+// run sends the request and passes on the answer. Its result is of this send
+// alone.
+func (a *attempt) run(ctx context.Context) dispatch.Result {
+	a.began = time.Now()
+	res := a.exchange(ctx)
+	now := time.Now()
+	switch res.Reason {
+	case fault.Unreachable, fault.Closed, fault.Stalled, fault.Truncated, fault.Garbage, fault.UpstreamFailed, fault.MixedVersion:
+		a.end.Failed = ctx.Err() == nil
+	case fault.QueueFull:
+		a.end.Full = true
+	}
+	a.relay.table.Done(now, a.to.Ticket, a.end)
+	return res
+}
+
+func notRun(c fault.Code) dispatch.Result {
+	return dispatch.Result{Outcome: dispatch.NotRun, Reason: c}
+}
+
+func unknown(c fault.Code) dispatch.Result {
+	return dispatch.Result{Outcome: dispatch.Unknown, Reason: c}
+}
+
+func (a *attempt) exchange(ctx context.Context) dispatch.Result {
+	rest := restMost
+	if !a.rq.repeatable() {
+		rest = restUnsafe
+	}
+	dctx, cancel := context.WithDeadline(ctx, a.rq.deadline)
+	defer cancel()
+	c, err := a.relay.conns.get(dctx, a.to.ID, a.to.Addr, rest)
+	if err != nil {
+		if ctx.Err() != nil {
+			return notRun(fault.Cancelled)
+		}
+		return notRun(fault.Unreachable)
+	}
+	a.conn = c
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	keep := false
+	defer func() {
+		if stop() && keep && c.r.Buffered() == 0 {
+			a.relay.conns.put(a.to.ID, c, a.rest)
+			return
+		}
+		_ = c.Close()
+	}()
+	if n, err := a.send(); err != nil {
+		if n == 0 {
+			return notRun(fault.Unreachable)
+		}
+		return a.broken(ctx, err)
+	}
+	resp, res := a.head(ctx)
+	if resp == nil {
+		return res
+	}
+	res, keep = a.take(ctx, resp)
+	return res
+}
+
+// send writes the whole request in one piece. It returns how many bytes went.
+func (a *attempt) send() (int, error) {
+	rq, d := a.rq, a.relay.dialect
+	left := time.Until(rq.deadline)
+	if left < time.Millisecond {
+		return 0, fault.New(fault.PastDeadline, "")
+	}
+	h := rq.header.Clone()
+	h.Set(d.Deadline, strconv.FormatInt(left.Milliseconds(), 10))
+	h.Set(d.Expect, a.to.ID)
+	if rq.lastEvent != "" {
+		h.Set(d.ResumeAfter, rq.lastEvent)
+	}
+	if v := a.expects(); v > 0 {
+		h.Set(d.ExpectVersion, strconv.FormatUint(v, 10))
+	}
+	if len(rq.body) > 0 || rq.method != http.MethodGet && rq.method != http.MethodHead {
+		h.Set("Content-Length", strconv.Itoa(len(rq.body)))
+	}
+	var b bytes.Buffer
+	b.WriteString(rq.method + " " + rq.target + " HTTP/1.1\r\nHost: " + rq.host + "\r\n")
+	if err := h.Write(&b); err != nil {
+		return 0, fault.Wrap(fault.BadRequest, err, "header")
+	}
+	b.WriteString("\r\n")
+	b.Write(rq.body)
+	_ = a.conn.SetDeadline(a.patience(time.Now(), a.firstWait()))
+	return a.conn.Write(b.Bytes())
+}
+
+// expects is the version that alone may run the request, or 0: the one that the
+// answer began with, and any request's once the older ones' time is over.
+func (a *attempt) expects() uint64 {
+	if a.rq.version > 0 {
+		return a.rq.version
+	}
+	if !a.to.Engine {
+		return 0
+	}
+	if least := a.relay.leastVersion(time.Now(), a.rq); least > 0 {
+		return max(least, a.to.Version)
+	}
+	return 0
+}
+
+func (a *attempt) firstWait() time.Duration {
+	return max(firstLeast, firstFactor*a.to.Predicted)
+}
+
+// patience is until when a sign is waited for: one that may go elsewhere waits
+// only for a while.
+func (a *attempt) patience(now time.Time, wait time.Duration) time.Time {
+	if t := now.Add(wait); a.rq.repeatable() && t.Before(a.rq.deadline) {
+		return t
+	}
+	return a.rq.deadline
+}
+
+// broken is the result of a connection that failed under a request.
+func (a *attempt) broken(ctx context.Context, err error) dispatch.Result {
+	switch {
+	case ctx.Err() != nil:
+		return unknown(fault.Cancelled)
+	case isTimeout(err) && !time.Now().Before(a.rq.deadline):
+		return unknown(fault.Timeout)
+	case isTimeout(err):
+		return unknown(fault.Stalled)
+	}
+	return unknown(fault.Closed)
+}
+
+// head reads the head of the answer to this request, past answers to others.
+func (a *attempt) head(ctx context.Context) (*http.Response, dispatch.Result) {
+	d := a.relay.dialect
+	req := &http.Request{Method: a.rq.method}
+	for range strayMost {
+		resp, err := http.ReadResponse(a.conn.r, req)
+		if err != nil {
+			return nil, a.broken(ctx, err)
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		if id := resp.Header.Get(d.RequestID); id == "" || id == a.rq.id {
+			return resp, dispatch.Result{}
+		}
+		a.relay.Metrics.Event("stray_answer", "")
+		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswer)); err != nil {
+			return nil, a.broken(ctx, err)
+		}
+	}
+	return nil, unknown(fault.Garbage)
+}
+
+// take passes on an answer, and says whether its connection may be used again.
+func (a *attempt) take(ctx context.Context, resp *http.Response) (dispatch.Result, bool) {
+	d := a.relay.dialect
+	a.status = resp.StatusCode
+	if id := resp.Header.Get(d.Incarnation); resp.StatusCode == http.StatusMisdirectedRequest && id != "" && id != a.to.ID {
+		a.relay.table.Leaves(a.to.ID, time.Now())
+	}
+	if resp.Close {
+		a.relay.noteClosing(a.to.ID)
+	}
+	a.rest = restOf(resp.Header.Get("Keep-Alive"))
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	again := framed && !resp.Close
+	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(d.NotRun) != "" {
+		return a.refusal(resp), again
+	}
+	if v, err := strconv.ParseUint(resp.Header.Get(d.Version), 10, 64); err == nil {
+		a.end.Version = v
+		if a.rq.version > 0 && v != a.rq.version {
+			return unknown(fault.MixedVersion), false
+		}
+		if a.out.started {
+			a.rq.version = v
+		}
+	}
+	if a.rq.route.Kind == streamKind && resp.StatusCode == http.StatusOK {
+		err := a.stream(ctx, resp, framed)
+		return a.ended(ctx, err), again && err == nil
+	}
+	if a.out.started {
+		return unknown(fault.UpstreamFailed), false
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil || len(data) > maxAnswer {
+		if err == nil {
+			err = fault.New(fault.TooLarge, "answer")
+		}
+		return a.ended(ctx, err), false
+	}
+	a.sawFirst()
+	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(d.Signature) == "" {
+		a.out.failed(resp, data)
+		return unknown(fault.UpstreamFailed), again
+	}
+	if err := a.out.whole(resp, data); err != nil {
+		return unknown(fault.Cancelled), again
+	}
+	return dispatch.Result{Outcome: dispatch.Done}, again
+}
+
+func (a *attempt) refusal(resp *http.Response) dispatch.Result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEvent))
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return notRun(fault.WrongVersion)
+	}
+	return notRun(fault.QueueFull)
+}
+
+// ended is the result of an answer whose body ended with err.
+func (a *attempt) ended(ctx context.Context, err error) dispatch.Result {
+	switch {
+	case err == nil:
+		return dispatch.Result{Outcome: dispatch.Done}
+	case fault.Is(err, errCaller):
+		return unknown(fault.Cancelled)
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
+		return unknown(fault.CodeOf(err))
+	}
+	return a.broken(ctx, err)
+}
+
+// sawFirst records the first sign of the answer.
+func (a *attempt) sawFirst() {
+	if !a.first {
+		a.first = true
+		took := time.Since(a.began)
+		a.relay.table.First(a.to.Ticket, took, a.to.Predicted)
+		a.relay.Metrics.FirstData(took.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/relay/conn.go
@@ -0,0 +1,191 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/poststand/poststand/fault"
+)
+
+// Times of connections to upstreams.
+const (
+	dialIn       = 600 * time.Millisecond
+	ackWithin    = 1200 * time.Millisecond // Bytes that are not acknowledged by then mean a dead path.
+	restUnknown  = 1500 * time.Millisecond // Rest after which one is not used again, where the upstream says nothing,
+	restMargin   = 700 * time.Millisecond  // and how long before the time that it said.
+	restMost     = 20 * time.Second
+	restUnsafe   = 400 * time.Millisecond // For requests that must not be lost.
+	idleOfOneMax = 64
+)
+
+// conn is one connection to an upstream. One request uses it at a time.
+type conn struct {
+	net.Conn
+	r      *bufio.Reader
+	rested time.Time // When it became idle.
+	until  time.Time // It is not used again after this.
+	used   int
+}
+
+// conns keeps idle connections by upstream. The zero value needs Dial.
+type conns struct {
+	Dial func(ctx context.Context, addr string) (net.Conn, error)
+
+	mu   sync.Mutex
+	idle map[string][]*conn // By the ID of the upstream, the last used last.
+}
+
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
+	return DialContext(ctx, "tcp", addr)
+}
+
+// DialContext connects to an upstream, another process or the platform, and
+// notices a dead path within about a second.
+func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialIn, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
+	}, Control: setUserTimeout}
+	return d.DialContext(ctx, network, addr)
+}
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackWithin.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
+
+// get returns a connection that rested for less than rest, or a new one. A new
+// one that cannot be had leaves the request not run.
+func (p *conns) get(ctx context.Context, id, addr string, rest time.Duration) (*conn, error) {
+	for {
+		c := p.take(id)
+		if c == nil {
+			break
+		}
+		now := time.Now()
+		if now.Before(c.until) && now.Sub(c.rested) < rest && c.silent() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	dial := p.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	nc, err := dial(ctx, addr)
+	if err != nil {
+		return nil, fault.Wrap(fault.Unreachable, err, addr)
+	}
+	const buffer = 8 << 10
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, buffer)}, nil
+}
+
+func (p *conns) take(id string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	cs := p.idle[id]
+	if len(cs) == 0 {
+		return nil
+	}
+	c := cs[len(cs)-1]
+	p.idle[id] = cs[:len(cs)-1]
+	return c
+}
+
+// put keeps a connection whose answer is over for the next request.
+func (p *conns) put(id string, c *conn, rest time.Duration) {
+	now := time.Now()
+	c.rested, c.until = now, now.Add(rest)
+	c.used++
+	p.mu.Lock()
+	if p.idle == nil {
+		p.idle = map[string][]*conn{}
+	}
+	full := len(p.idle[id]) >= idleOfOneMax
+	if !full {
+		p.idle[id] = append(p.idle[id], c)
+	}
+	p.mu.Unlock()
+	if full {
+		_ = c.Close()
+	}
+}
+
+// sweep closes what has rested for too long, and all of upstreams that are gone.
+func (p *conns) sweep(now time.Time, exists func(id string) bool) {
+	var old []*conn
+	p.mu.Lock()
+	for id, cs := range p.idle {
+		kept := cs[:0]
+		for _, c := range cs {
+			if exists(id) && now.Before(c.until) {
+				kept = append(kept, c)
+			} else {
+				old = append(old, c)
+			}
+		}
+		p.idle[id] = kept
+		if len(kept) == 0 {
+			delete(p.idle, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
+
+// silent reports whether the upstream has neither sent anything nor ended the
+// connection since the last answer. Bytes that came belong to no request.
+func (c *conn) silent() bool {
+	if c.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// restOf is for how long a connection may rest, by the upstream's word of it.
+func restOf(keepAlive string) time.Duration {
+	for _, part := range strings.Split(keepAlive, ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			v = strings.TrimSpace(part)
+		}
+		if s, err := strconv.Atoi(v); err == nil && s >= 0 {
+			return min(restMost, time.Duration(s)*time.Second-restMargin)
+		}
+	}
+	return restUnknown
+}
+
+func isTimeout(err error) bool {
+	var ne net.Error
+	return errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &ne) && ne.Timeout()
+}
--- /dev/null
+++ b/internal/relay/process.go
@@ -0,0 +1,113 @@
+package relay
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/route"
+)
+
+// mostSends bounds the sends of one request.
+const mostSends = 5
+
+// process sends a request until its outcome is final.
+func (g *Relay) process(ctx context.Context, rq *request, out *answer) dispatch.Result {
+	window := g.window(rq.service)
+	window.Request(rq.arrived)
+	var all dispatch.Trail
+	exclude := map[string]bool{}
+	arrivals, runs := 0, 0 // Sends that reached a replica, and those that may have run.
+	last := notRun(fault.NoUpstream)
+	for rq.sends < mostSends {
+		now := time.Now()
+		if !now.Before(rq.deadline) {
+			last = all.Add(notRun(fault.PastDeadline))
+			break
+		}
+		choice, err := g.table.Pick(now, route.Ask{
+			Service: rq.service, Work: rq.work, Version: rq.version, AtLeast: g.leastVersion(now, rq), Exclude: exclude,
+		})
+		if err != nil {
+			if rq.sends == 0 {
+				last = all.Add(notRun(fault.CodeOf(err)))
+				last.RetryAt = g.comeBack(now, rq, 0)
+			}
+			break
+		}
+		if arrivals == 0 && !g.admits(now, rq, choice) {
+			g.table.Done(now, choice.Ticket, route.End{})
+			last = all.Add(notRun(fault.QueueFull))
+			last.RetryAt = g.comeBack(now, rq, choice.Predicted)
+			break
+		}
+		if arrivals > 0 && !window.Spend(now, g.slack()) {
+			g.table.Done(now, choice.Ticket, route.End{})
+			g.Metrics.Event("retry_budget_spent", "")
+			break
+		}
+		rq.sends++
+		exclude[choice.ID] = true
+		a := &attempt{relay: g, rq: rq, out: out, to: choice}
+		own := a.run(ctx)
+		rq.note(a, own)
+		if own.Reason != fault.Unreachable {
+			arrivals++
+		}
+		if own.Outcome == dispatch.Unknown {
+			runs++
+		}
+		last = all.Add(own)
+		if own.Outcome == dispatch.Done {
+			return own
+		}
+		if ctx.Err() != nil || !mayGoOn(rq, out, own) || runs >= max(1, rq.route.Attempts) {
+			break
+		}
+		g.Metrics.Retried(own.Reason)
+	}
+	if last.Outcome == dispatch.NotRun && last.RetryAt.IsZero() {
+		last.RetryAt = g.comeBack(time.Now(), rq, 0)
+	}
+	if last.Outcome != dispatch.Done && !out.started && ctx.Err() == nil && out.giveFailed() {
+		return dispatch.Result{Outcome: dispatch.Done, Reason: fault.UpstreamFailed}
+	}
+	return last
+}
+
+// mayGoOn reports whether the request may be sent once more after a send that
+// ended so.
+func mayGoOn(rq *request, out *answer, own dispatch.Result) bool {
+	if own.Outcome == dispatch.NotRun && !out.started {
+		return true
+	}
+	if !rq.repeatable() {
+		return false
+	}
+	return !out.started || rq.route.Resumable && rq.lastEvent != ""
+}
+
+// note adds what became of a send to the request's story.
+func (rq *request) note(a *attempt, res dispatch.Result) {
+	word := string(res.Reason)
+	if word == "" {
+		word = "done"
+	}
+	rq.trail = append(rq.trail, a.to.ID+"="+word)
+}
+
+// logEnd writes the one line that tells a request's story.
+func (g *Relay) logEnd(rq *request, out *answer, res dispatch.Result) {
+	now := time.Now()
+	first := time.Duration(-1)
+	if !out.firstAt.IsZero() {
+		first = out.firstAt.Sub(rq.arrived)
+	}
+	telemetry.Log("request", "id", rq.id, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
+		"outcome", res.Outcome, "reason", res.Reason, "sends", strings.Join(rq.trail, ","),
+		"first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,242 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/limit"
+	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/route"
+	"github.com/poststand/poststand/wire"
+)
+
+// Codec knows every message that a relay sends or takes.
+var Codec = wire.NewCodec(peers.Messages)
+
+// Options are the seams of a Relay.
+type Options struct {
+	Dialect Dialect
+	// Follow reads the platform's service, and Catalog translates what it reads.
+	Follow  peers.Follower
+	Catalog func(rs map[string]mirror.Record, at uint64, now time.Time) *catalog.Catalog
+	Dial    func(ctx context.Context, addr string) (net.Conn, error) // To upstreams and gateways; TCP by default.
+}
+
+// Relay is one gateway. Use New.
+type Relay struct {
+	Settings *settings.Relay
+	Metrics  *telemetry.Metrics
+
+	dialect  *Dialect
+	options  Options
+	mirror   mirror.Mirror
+	holder   catalog.Holder
+	gossip   *peers.Gossip
+	pool     *wire.Pool
+	handlers *wire.Handlers
+	table    route.Table
+	conns    conns
+	life     context.Context
+	end      context.CancelFunc
+	draining atomic.Bool
+	started  time.Time
+
+	mu      sync.Mutex
+	windows map[string]*limit.Window // By service; bounded by the configuration.
+}
+
+// New returns a relay with its parts joined.
+func New(s *settings.Relay, o Options) (*Relay, error) {
+	m, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	g := &Relay{
+		Settings: s, Metrics: m, options: o, started: time.Now(), windows: map[string]*limit.Window{},
+		table: route.Table{Hall: s.Hall}, conns: conns{Dial: o.Dial},
+	}
+	g.dialect = &g.options.Dialect
+	g.life, g.end = context.WithCancel(context.Background())
+	g.handlers = &wire.Handlers{}
+	dial := o.Dial
+	if dial == nil {
+		dial = dialTCP
+	}
+	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
+	g.pool = &wire.Pool{
+		Local: wire.Hello{Cluster: s.Cluster, Box: s.Box, Hall: s.Hall, Role: "gateway", Incarnation: rand.Uint64() | 1},
+		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: dial,
+		Options: wire.Options{
+			PingEvery: ping, StallAfter: stall,
+			Count: func(c fault.Code) { m.Event("connection", string(c)) },
+			Traffic: func(sent, received int) {
+				m.Bytes("sent", sent)
+				m.Bytes("received", received)
+			},
+		},
+	}
+	g.gossip = &peers.Gossip{
+		Self: peers.Member{Name: s.Box, Addr: s.Listen, Hall: s.Hall}, Pool: g.pool, Mirror: &g.mirror, Join: s.Join,
+	}
+	g.gossip.Serve(g.handlers)
+	wire.On(g.handlers, g.serveSubscribe)
+	wire.On(g.handlers, g.serveStatus)
+	g.options.Follow.Mirror = &g.mirror
+	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
+	return g, nil
+}
+
+// Duties adds to k what a relay does without being asked.
+func (g *Relay) Duties(k *kernel.Kernel) {
+	k.Add("platform", &g.options.Follow, g.options.Follow.Run)
+	k.Add("gossip", g.gossip, g.gossip.Run)
+	k.Add("catalog", &g.holder, g.translate)
+	k.Duty(g.sweep)
+}
+
+// translate turns what the mirror holds into catalogs.
+func (g *Relay) translate(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, changed := g.mirror.Watch()
+		if rs, at := g.mirror.Records(); at > 0 {
+			now := time.Now()
+			old := g.holder.Get()
+			c := g.options.Catalog(rs, at, now)
+			g.holder.Set(c)
+			if c.Config != nil {
+				g.table.Sync(now, c.Upstreams, c.Config.Services)
+			}
+			logChange(old, c)
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// logChange writes a line for each thing that the process now believes.
+func logChange(old, c *catalog.Catalog) {
+	if c.Version != old.Version {
+		telemetry.Log("configuration", "version", c.Version, "before", old.Version, "revision", c.Revision, "routes", len(c.Config.Routes))
+	}
+	for id, u := range c.Upstreams {
+		o, ok := old.Upstreams[id]
+		if !ok || o.Leaving != u.Leaving || o.Version != u.Version {
+			telemetry.Log("upstream", "id", id, "service", u.Service, "addr", u.Addr, "hall", u.Hall, "leaving", u.Leaving, "weights", u.Version, "revision", c.Revision)
+		}
+	}
+	for id, u := range old.Upstreams {
+		if _, ok := c.Upstreams[id]; !ok {
+			telemetry.Log("upstream_gone", "id", id, "service", u.Service, "addr", u.Addr, "revision", c.Revision)
+		}
+	}
+	for m, w := range c.Wanted {
+		if o := old.Wanted[m]; o.Version != w.Version {
+			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "revision", c.Revision)
+		}
+	}
+}
+
+func (g *Relay) sweep(ctx context.Context) error {
+	const every = 500 * time.Millisecond
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case now := <-t.C:
+			c := g.holder.Get()
+			g.conns.sweep(now, func(id string) bool { _, ok := c.Upstreams[id]; return ok })
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// window returns the bound on repeats of a service.
+func (g *Relay) window(service string) *limit.Window {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	w, ok := g.windows[service]
+	if !ok {
+		s := g.Settings
+		w = &limit.Window{Length: s.RetryWindow, Ratio: s.RetryRatio * budgetShare}
+		g.windows[service] = w
+	}
+	return w
+}
+
+// budgetShare is the part of the bound on repeats that is used, since gateways
+// share nothing and callers' requests are counted where they arrive.
+const budgetShare = 0.8
+
+// slack is this gateway's part of the repeats that are free. A gateway that
+// knows of few others may be cut off, so it never takes more than a third.
+func (g *Relay) slack() float64 {
+	const fewest = 3
+	return budgetShare * float64(g.Settings.RetrySlack) / float64(max(fewest, len(g.gossip.Live())))
+}
+
+// serveSubscribe tells an agent what concerns it, now and at each change.
+func (g *Relay) serveSubscribe(ctx context.Context, s *wire.Stream, m *peers.Subscribe) {
+	const look = 500 * time.Millisecond
+	telemetry.Log("agent_gained", "addr", m.Addr, "service", m.Service)
+	defer telemetry.Log("agent_lost", "addr", m.Addr)
+	var sent peers.Assignment
+	for {
+		c, changed := g.holder.Watch()
+		if a := peers.Assign(c, m.Service, g.gossip.Live(), time.Now()); a != nil && !a.Same(&sent) {
+			if s.Send(ctx, a) != nil {
+				return
+			}
+			sent = *a
+		}
+		t := time.NewTimer(look)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+	}
+}
+
+// serveStatus takes an agent's word of its replica, again and again.
+func (g *Relay) serveStatus(ctx context.Context, s *wire.Stream, m *peers.Status) {
+	var old peers.Status
+	for {
+		if m.Reached {
+			g.table.Heard(m.Addr, route.Word{
+				Version: m.Version, Changing: m.Changing, Queued: m.Queued, Running: m.Running, Pace: m.Pace, At: time.Now(),
+			})
+		}
+		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached {
+			telemetry.Log("replica_told", "addr", m.Addr, "weights", m.Version, "changing", m.Changing, "reached", m.Reached, "missing", m.Missing)
+		}
+		old = *m
+		next, err := s.Recv(ctx)
+		var ok bool
+		if m, ok = next.(*peers.Status); err != nil || !ok {
+			return
+		}
+	}
+}
+
+// Close ends every connection of the relay.
+func (g *Relay) Close() { g.end() }
+
+var _ http.Handler = (*Relay)(nil)
--- /dev/null
+++ b/internal/relay/request.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/route"
+)
+
+// request is one request on its way through the gateway. It is decided by one
+// catalog from start to end.
+type request struct {
+	id           string // Of the caller's attempt.
+	method       string
+	target       string // The path and query, as they came.
+	header       http.Header
+	host         string
+	body         []byte
+	catalog      *catalog.Catalog
+	routeName    string
+	route        *config.Route
+	service      string
+	organisation string
+	rank         int
+	arrived      time.Time
+	deadline     time.Time // The caller's or the route's, whichever is first.
+	work         route.Work
+	lastEvent    string // What a stream has been shown up to.
+	version      uint64 // Of the first part of the answer; every further part must be of it.
+	sends        int
+	trail        []string // What became of each send, for the log.
+}
+
+// repeatable reports whether the request may run more than once.
+func (rq *request) repeatable() bool { return rq.route.Repeatable() }
+
+// engine reports whether the service runs a model.
+func (rq *request) engine() bool { return rq.catalog.Config.Services[rq.service].Model != "" }
+
+// workOf reads how much a request asks for. What it does not say is taken to be
+// as usual.
+func workOf(d *Dialect, h http.Header, e config.Engine) route.Work {
+	if e.ReadRate <= 0 {
+		return route.Work{}
+	}
+	w := route.Work{Prompt: e.UsualPrompt, Answer: e.UsualAnswer}
+	prompt, most, _ := strings.Cut(h.Get(d.Tokens), ",")
+	if n, err := strconv.Atoi(strings.TrimSpace(prompt)); err == nil && n >= 0 {
+		w.Prompt = n
+	}
+	bound, err := strconv.Atoi(strings.TrimSpace(most))
+	if guess, gerr := strconv.Atoi(h.Get(d.AnswerGuess)); gerr == nil && guess > 0 {
+		w.Answer = guess
+	}
+	if err == nil && bound > 0 {
+		w.Answer = min(w.Answer, bound)
+	}
+	return w
+}
+
+// hopHeaders concern one connection and are never passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade",
+}
+
+// dropHop removes what concerns one connection, and what its Connection header
+// names.
+func dropHop(h http.Header) {
+	for _, v := range h["Connection"] {
+		for _, name := range strings.Split(v, ",") {
+			if name = strings.TrimSpace(name); name != "" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// passedOn returns the headers that every send of the request shares.
+func (rq *request) passedOn(d *Dialect, in http.Header) http.Header {
+	h := in.Clone()
+	dropHop(h)
+	for _, name := range []string{
+		"Authorization", "Content-Length", "Expect", d.Organisation, d.Expect, d.ExpectVersion, d.Rank, d.Incarnation, d.NotRun,
+		d.Signature,
+	} {
+		h.Del(name)
+	}
+	if rq.organisation != "" {
+		h.Set(d.Organisation, rq.organisation)
+	}
+	if rq.engine() {
+		const most = 9
+		h.Set(d.Rank, strconv.Itoa(max(0, min(most, rq.rank))))
+	}
+	return h
+}
--- /dev/null
+++ b/internal/relay/run.go
@@ -0,0 +1,133 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/wire"
+)
+
+// Times of a relay's life.
+const (
+	noticeFor   = 3200 * time.Millisecond // Two misses of the balancer, and the one it may be about to see.
+	leaveBefore = 300 * time.Millisecond  // Before the process would be killed.
+	callersIdle = 2 * time.Minute         // Longer than callers keep a connection.
+	headerIn    = 10 * time.Second
+	headerMost  = 64 << 10
+	learnFor    = 1500 * time.Millisecond // Peers may know a newer configuration than the platform tells.
+)
+
+// ready holds while the process may be sent requests.
+func (g *Relay) ready() error {
+	if g.draining.Load() {
+		return fault.New(fault.Draining, "")
+	}
+	if g.holder.Get().Config == nil {
+		return fault.New(fault.NotReady, "no configuration")
+	}
+	return nil
+}
+
+func (g *Relay) readiness() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", "0")
+		if g.ready() != nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+}
+
+// Run runs the relay until ctx ends, and then drains.
+func (g *Relay) Run(ctx context.Context) error {
+	s := g.Settings
+	var lns [3]net.Listener
+	for i, addr := range []string{s.Listen, s.Ready, s.HTTP} {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err, addr)
+		}
+		lns[i] = ln
+	}
+	callers := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerIn, MaxHeaderBytes: headerMost, IdleTimeout: callersIdle,
+		ErrorLog: nil,
+	}
+	var k kernel.Kernel
+	g.Duties(&k)
+	srv := &wire.Server{Local: g.pool.Local, Codec: Codec, Handlers: g.handlers, Options: g.pool.Options}
+	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, lns[0]) })
+	k.Duty(func(ctx context.Context) error {
+		return telemetry.ServeHTTP(ctx, lns[1], &http.Server{Handler: g.readiness()})
+	})
+	if s.Admin != "" {
+		admin, err := net.Listen("tcp", s.Admin)
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err, "admin")
+		}
+		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.ready, Status: g.status}
+		k.Duty(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
+	}
+	k.Add("callers", callers, func(own context.Context) error { return g.serveCallers(ctx, own, callers, lns[2]) })
+	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.pool.Local.Incarnation)
+	defer g.Close()
+	return k.Run(context.Background())
+}
+
+// serveCallers serves until stop, and then drains: it says "not ready", still
+// serves for as long as the balancer may take to notice, then takes no more
+// connections and lets what is in progress finish.
+func (g *Relay) serveCallers(stop, own context.Context, srv *http.Server, ln net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- telemetry.ServeHTTP(own, ln, srv) }()
+	select {
+	case err := <-served:
+		return err
+	case <-stop.Done():
+	}
+	began := time.Now()
+	telemetry.Log("drain_started", "box", g.Settings.Box)
+	g.draining.Store(true)
+	srv.SetKeepAlivesEnabled(false)
+	time.Sleep(noticeFor)
+	ctx, cancel := context.WithDeadline(own, began.Add(g.Settings.GraceFor-leaveBefore))
+	defer cancel()
+	err := srv.Shutdown(ctx)
+	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil, "took", time.Since(began))
+	return nil
+}
+
+// Status is what a relay says of itself.
+type Status struct {
+	Role     string                    `json:"role"`
+	Box      string                    `json:"box"`
+	Hall     string                    `json:"hall"`
+	Revision uint64                    `json:"revision"`
+	Version  uint64                    `json:"configuration"`
+	Draining bool                      `json:"draining"`
+	Peers    []string                  `json:"peers"`
+	Weights  map[string]map[uint64]int `json:"weights"` // Replicas by service and version.
+}
+
+func (g *Relay) status() any {
+	c := g.holder.Get()
+	s := &Status{
+		Role: "gateway", Box: g.Settings.Box, Hall: g.Settings.Hall, Revision: c.Revision, Version: c.Version,
+		Draining: g.draining.Load(), Weights: map[string]map[uint64]int{},
+	}
+	for _, m := range g.gossip.Live() {
+		s.Peers = append(s.Peers, m.Addr)
+	}
+	if c.Config != nil {
+		for name, svc := range c.Config.Services {
+			if svc.Model != "" {
+				s.Weights[name] = g.table.Holding(time.Now(), name)
+			}
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/relay/stream.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fault"
+)
+
+const streamKind = config.RouteStream
+
+// errCaller types the failure to give a caller its answer.
+const errCaller = fault.Cancelled
+
+var (
+	eventEnd = []byte("\n\n")
+	idField  = []byte("id:")
+)
+
+// stream passes on whole events as they come. What is left of an event that was
+// cut is not shown to the caller, so that the stream can go on elsewhere.
+func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) error {
+	buf := make([]byte, 0, 4<<10)
+	gap := max(gapLeast, gapFactor*a.rq.route.Gap)
+	for {
+		if len(buf) == cap(buf) {
+			if len(buf) > maxEvent {
+				return fault.New(fault.TooLarge, "event")
+			}
+			buf = append(buf, make([]byte, len(buf))...)[:len(buf)]
+		}
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if whole := bytes.LastIndex(buf, eventEnd); whole >= 0 {
+			whole += len(eventEnd)
+			a.sawFirst()
+			if id := lastID(buf[:whole]); id != "" {
+				a.rq.lastEvent = id
+			}
+			if a.rq.version == 0 {
+				a.rq.version = a.end.Version
+			}
+			if werr := a.out.events(resp, buf[:whole]); werr != nil {
+				return fault.Wrap(errCaller, werr, "caller")
+			}
+			buf = append(buf[:0], buf[whole:]...)
+			_ = a.conn.SetReadDeadline(a.patience(time.Now(), gap))
+		}
+		switch {
+		case err == io.EOF && len(buf) > 0 && !framed:
+			return fault.New(fault.Truncated, "in an event")
+		case err == io.EOF && len(buf) > 0:
+			if werr := a.out.events(resp, buf); werr != nil {
+				return fault.Wrap(errCaller, werr, "caller")
+			}
+			return a.out.finish(resp)
+		case err == io.EOF:
+			return a.out.finish(resp)
+		case err != nil:
+			return err
+		}
+	}
+}
+
+// lastID returns the id of the last event in b that has one.
+func lastID(b []byte) string {
+	for len(b) > 0 {
+		at := bytes.LastIndexByte(bytes.TrimRight(b, "\n"), '\n')
+		line := bytes.TrimRight(b[at+1:], "\r\n")
+		if rest, ok := bytes.CutPrefix(line, idField); ok {
+			return string(bytes.TrimSpace(rest))
+		}
+		if at < 0 {
+			return ""
+		}
+		b = b[:at+1]
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/settings/direct.go
@@ -0,0 +1,107 @@
+package settings
+
+import (
+	"time"
+
+	"github.com/poststand/poststand/internal/strict"
+)
+
+// Own is what a process of a fleet without disks is told of itself.
+type Own struct {
+	Cluster string   `yaml:"cluster"` // Peers of other clusters are refused.
+	Box     string   `yaml:"box"`
+	Hall    string   `yaml:"hall"`
+	Listen  string   `yaml:"listen"` // IP and port for other processes of the system.
+	Admin   string   `yaml:"admin"`  // IP and port for metrics and status; none if empty.
+	Store   string   `yaml:"store"`  // IP and port of the platform's service.
+	Join    []string `yaml:"join"`   // Gateways to ask before any is known.
+}
+
+// Relay is the settings of a gateway that sends requests straight to upstreams.
+type Relay struct {
+	Own   `yaml:",inline"`
+	HTTP  string `yaml:"http"`  // IP and port for callers.
+	Ready string `yaml:"ready"` // IP and port where the balancer asks.
+	// GraceFor is the time from the signal to stop until the process is killed.
+	GraceFor time.Duration `yaml:"grace_for"`
+	// LeaveWithin is the time from a notice that an upstream leaves until it must
+	// get no more requests.
+	LeaveWithin time.Duration `yaml:"leave_within"`
+	// VersionWithin is the time from the naming of a version until no request may
+	// begin on an older one.
+	VersionWithin time.Duration `yaml:"version_within"`
+	// Retries, of a service and over all gateways, in any RetryWindow: RetryRatio
+	// of its requests and RetrySlack.
+	RetryRatio  float64       `yaml:"retry_ratio"`
+	RetryWindow time.Duration `yaml:"retry_window"`
+	RetrySlack  int           `yaml:"retry_slack"`
+}
+
+// Stager is the settings of an agent that stages weights for its replica.
+type Stager struct {
+	Own `yaml:",inline"`
+	// VersionWithin is the time from the naming of a version until no request may
+	// begin on an older one.
+	VersionWithin time.Duration `yaml:"version_within"`
+	Replica       string        `yaml:"replica"` // IP and port of the replica on this box.
+	Service       string        `yaml:"service"` // That the replica belongs to.
+	Memory        int64         `yaml:"memory"`  // Bytes of weights kept; 64 MiB by default.
+	Link          float64       `yaml:"link"`    // Megabits a second of the box's link, which the replica shares.
+}
+
+const defaultStagerMemory = 64 << 20
+
+// LoadRelay reads the settings of a gateway, or returns every fault in them.
+func LoadRelay(file string) (*Relay, error) {
+	r := &Relay{}
+	d, err := read(file, r)
+	if err != nil {
+		return nil, err
+	}
+	checkOwn(d, &r.Own)
+	checkAddr(d, "http", r.HTTP)
+	checkAddr(d, "ready", r.Ready)
+	for key, v := range map[string]time.Duration{
+		"grace_for": r.GraceFor, "leave_within": r.LeaveWithin, "version_within": r.VersionWithin, "retry_window": r.RetryWindow,
+	} {
+		checkPositive(d, key, int64(v))
+	}
+	if r.RetryRatio < 0 || r.RetrySlack < 0 {
+		d.Report("retry_ratio", "retry_ratio and retry_slack must not be negative")
+	}
+	return r, problems(d)
+}
+
+// LoadStager reads the settings of an agent, or returns every fault in them.
+func LoadStager(file string) (*Stager, error) {
+	s := &Stager{}
+	d, err := read(file, s)
+	if err != nil {
+		return nil, err
+	}
+	setDefault(&s.Memory, defaultStagerMemory)
+	checkOwn(d, &s.Own)
+	checkAddr(d, "replica", s.Replica)
+	checkPositive(d, "memory", s.Memory)
+	checkPositive(d, "version_within", int64(s.VersionWithin))
+	if s.Link <= 0 {
+		d.Report("link", "must be over 0")
+	}
+	if s.Service == "" {
+		d.Report("service", "must be set")
+	}
+	if len(s.Join) == 0 {
+		d.Report("join", "names no gateway")
+	}
+	return s, problems(d)
+}
+
+func checkOwn(d *strict.Document, o *Own) {
+	checkNamed(d, o.Cluster, o.Box, o.Hall)
+	checkAddr(d, "listen", o.Listen)
+	checkAddr(d, "store", o.Store)
+	if o.Admin != "" {
+		checkAddr(d, "admin", o.Admin)
+	}
+	checkJoin(d, o.Join)
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -151,17 +151,25 @@
 func checkCommon(d *strict.Document, c *Common) {
 	setDefault(&c.DrainFor, defaultDrainFor)
 	setDefault(&c.MaxConns, defaultMaxConns)
-	for _, f := range []struct{ key, value string }{{"cluster", c.Cluster}, {"box", c.Box}, {"hall", c.Hall}} {
+	checkNamed(d, c.Cluster, c.Box, c.Hall)
+	checkAddr(d, "listen", c.Listen)
+	checkAddr(d, "admin", c.Admin)
+	checkJoin(d, c.Join)
+	checkPositive(d, "max_conns", int64(c.MaxConns))
+}
+
+func checkNamed(d *strict.Document, cluster, box, hall string) {
+	for _, f := range []struct{ key, value string }{{"cluster", cluster}, {"box", box}, {"hall", hall}} {
 		if f.value == "" {
 			d.Report(f.key, "must be set")
 		}
 	}
-	checkAddr(d, "listen", c.Listen)
-	checkAddr(d, "admin", c.Admin)
-	for i, a := range c.Join {
+}
+
+func checkJoin(d *strict.Document, join []string) {
+	for i, a := range join {
 		checkAddr(d, fmt.Sprintf("join.%d", i), a)
 	}
-	checkPositive(d, "max_conns", int64(c.MaxConns))
 }
 
 func checkPositive(d *strict.Document, key string, v int64) {
--- /dev/null
+++ b/internal/stager/assign.go
@@ -0,0 +1,183 @@
+package stager
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/rendezvous"
+)
+
+// assignments keeps the newest assignment.
+type assignments struct {
+	mu      sync.Mutex
+	now     *peers.Assignment
+	named   time.Time // When the assigned version was named, by this box's clock.
+	heard   time.Time // When a gateway last gave a sign.
+	asked   time.Time // When the first gateway was asked.
+	changed chan struct{}
+}
+
+// patience is how long an agent waits for gateways before it reads the platform
+// itself.
+const patience = time.Second
+
+func (a *assignments) init() {
+	if a.changed == nil {
+		a.changed = make(chan struct{})
+	}
+}
+
+// set takes an assignment unless it is older than the one before.
+func (a *assignments) set(n *peers.Assignment, from string) {
+	now := time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	old := a.now
+	if old != nil && (n.At < old.At || n.Version < old.Version) {
+		return
+	}
+	if old == nil || old.Model != n.Model || old.Version != n.Version {
+		a.named = now.Add(-n.Age)
+		telemetry.Log("assigned", "model", n.Model, "version", n.Version, "age", n.Age, "replicas", len(n.Replicas), "at", n.At, "from", from)
+	}
+	a.now = n
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
+func (a *assignments) watch() (*peers.Assignment, time.Time, <-chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.init()
+	return a.now, a.named, a.changed
+}
+
+func (a *assignments) sign() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.heard = time.Now()
+}
+
+// orphaned reports whether no gateway has answered for a while.
+func (a *assignments) orphaned() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.asked.IsZero() && time.Since(a.asked) > patience && time.Since(a.heard) > patience
+}
+
+// subscribe keeps a subscription with one gateway, of this hall if there is one.
+func (s *Stager) subscribe(ctx context.Context) error {
+	const retry = 200 * time.Millisecond
+	s.now.mu.Lock()
+	s.now.asked = time.Now()
+	s.now.mu.Unlock()
+	for try := 0; ctx.Err() == nil; try++ {
+		gateways := s.gateways()
+		g := gateways[try%len(gateways)]
+		if s.listen(ctx, g) {
+			try = -1 // It worked: begin again with the first.
+		}
+		sleep(ctx, retry)
+	}
+	return nil
+}
+
+// gateways returns whom to ask, the best first: those of this hall, each agent
+// in an order of its own.
+func (s *Stager) gateways() []string {
+	a, _, _ := s.now.watch()
+	var here, there []string
+	if a != nil {
+		for _, g := range a.Gateways {
+			if g.Hall == s.Settings.Hall {
+				here = append(here, g.Addr)
+			} else {
+				there = append(there, g.Addr)
+			}
+		}
+	}
+	var join []string
+	for _, j := range s.Settings.Join {
+		if !slices.Contains(here, j) && !slices.Contains(there, j) {
+			join = append(join, j)
+		}
+	}
+	key := "subscribe/" + s.exchange.Self.Name
+	return slices.Concat(rendezvous.Rank(key, here), rendezvous.Rank(key, there), rendezvous.Rank(key, join))
+}
+
+// listen takes assignments from one gateway until it is lost, and reports
+// whether there was one.
+func (s *Stager) listen(ctx context.Context, addr string) bool {
+	const dialIn, signEvery = 700 * time.Millisecond, 300 * time.Millisecond
+	dctx, cancel := context.WithTimeout(ctx, dialIn)
+	defer cancel()
+	c, err := s.pool.Get(dctx, addr)
+	if err != nil {
+		return false
+	}
+	st, err := c.Open(ctx, &peers.Subscribe{Service: s.Settings.Service, Addr: s.Settings.Replica})
+	if err != nil {
+		return false
+	}
+	defer st.Close()
+	got := false
+	done := make(chan struct{})
+	defer close(done)
+	for {
+		m, err := st.Recv(ctx)
+		a, ok := m.(*peers.Assignment)
+		if err != nil || !ok {
+			telemetry.Log("gateway_lost", "addr", addr)
+			return got
+		}
+		if !got {
+			telemetry.Log("gateway_gained", "addr", addr)
+			got = true
+			go s.signs(c.Done(), done, signEvery)
+		}
+		s.now.sign()
+		s.now.set(a, addr)
+	}
+}
+
+// signs counts a connection as a sign of its gateway while it is there: pings
+// end it when the gateway is silent.
+func (s *Stager) signs(lost <-chan struct{}, done <-chan struct{}, every time.Duration) {
+	t := time.NewTicker(every)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.now.sign()
+		case <-lost:
+			return
+		case <-done:
+			return
+		}
+	}
+}
+
+// assignAlone works the assignment out from what the platform itself says, while
+// no gateway does.
+func (s *Stager) assignAlone(ctx context.Context) error {
+	for ctx.Err() == nil {
+		_, changed := s.mirror.Watch()
+		if rs, at := s.mirror.Records(); at > 0 && s.now.orphaned() {
+			c := s.options.Catalog(rs, at, time.Now())
+			if a := peers.Assign(c, s.Settings.Service, nil, time.Now()); a != nil {
+				s.now.set(a, "platform")
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/stager/load.go
@@ -0,0 +1,246 @@
+package stager
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/rendezvous"
+	"github.com/poststand/poststand/weights"
+)
+
+// Waits of the loader.
+const (
+	look     = 50 * time.Millisecond  // Between looks while something is under way,
+	lookIdle = 500 * time.Millisecond // and while nothing is.
+	tellLead = 60 * time.Millisecond  // Gateways hear of a change before the replica does.
+	orderIn  = time.Second
+	// A box and its replica start together; what is staged is asked for once the
+	// replica answers, and is not waited for longer than this.
+	replicaUpIn = 3 * time.Second
+)
+
+// running is a transfer with the means to end it.
+type running struct {
+	*weights.Transfer
+	model   string
+	version uint64
+	cancel  context.CancelFunc
+}
+
+// load brings the assigned version to the box and its replica.
+func (s *Stager) load(ctx context.Context) error {
+	var now *running
+	for ctx.Err() == nil {
+		a, named, changed := s.now.watch()
+		wait := lookIdle
+		if a != nil {
+			now = s.transfer(ctx, now, a)
+			if !s.step(ctx, now, a, named) {
+				wait = look
+			}
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+func artifactOf(model string, version uint64) string { return fmt.Sprintf("%s/%d", model, version) }
+
+// transfer returns the transfer of what is assigned, and ends one of anything
+// else.
+func (s *Stager) transfer(ctx context.Context, now *running, a *peers.Assignment) *running {
+	if now != nil && now.model == a.Model && now.version == a.Version {
+		return now
+	}
+	if now != nil {
+		now.cancel()
+		s.exchange.Store.Unpin(now.Artifact)
+	}
+	const window = 2 // Copies that a box's link is planned to carry.
+	copyIn := time.Second
+	if a.OriginRate > 0 {
+		copyIn = time.Duration(float64(a.Bytes) / a.OriginRate * float64(time.Second))
+	}
+	artifact := artifactOf(a.Model, a.Version)
+	tctx, cancel := context.WithCancel(ctx)
+	r := &running{model: a.Model, version: a.Version, cancel: cancel}
+	r.Transfer = &weights.Transfer{
+		Exchange: s.exchange, Artifact: artifact, Window: window * copyIn, Copies: window,
+		Members: s.members,
+		Prepare: func(ctx context.Context, m *weights.Manifest) { s.prepare(ctx, a.Model, a.Version, m) },
+	}
+	began := time.Now()
+	go func() {
+		if err := r.Run(tctx); err != nil && tctx.Err() == nil {
+			telemetry.LogError(err, "transfer_failed", "artifact", artifact)
+		}
+	}()
+	go func() {
+		select {
+		case <-r.Complete():
+			telemetry.Log("weights_whole", "artifact", artifact, "took", time.Since(began))
+		case <-tctx.Done():
+		}
+	}()
+	return r
+}
+
+// members returns the boxes that want what is assigned: all that have a replica
+// of the service. Ports are alike on all of them.
+func (s *Stager) members() []weights.Member {
+	a, _, _ := s.now.watch()
+	out := []weights.Member{s.exchange.Self}
+	_, port := splitAddr(s.Settings.Listen)
+	for _, r := range a.Replicas {
+		ip, _ := splitAddr(r.Addr)
+		if ip != s.exchange.Self.Name && !r.Leaving {
+			out = append(out, weights.Member{Name: ip, Hall: r.Hall, Addr: ip + ":" + port})
+		}
+	}
+	return out
+}
+
+// prepare takes back what is staged on the box already. Only the first transfer
+// of a process has to: later ones want a version that was never staged here.
+func (s *Stager) prepare(ctx context.Context, model string, version uint64, m *weights.Manifest) {
+	s.pieces.note(model, version, m)
+	if s.recovered {
+		return
+	}
+	s.recovered = true
+	s.status.awaitReplica(ctx, replicaUpIn)
+	held, err := s.options.Replica.Staged(ctx, model)
+	if err != nil {
+		telemetry.Log("staged_unknown", "model", model, "reason", fault.CodeOf(err))
+		return
+	}
+	chunks, kept := m.Files[0].Chunks, 0
+	for i, n := range held {
+		if n < 0 || n >= len(chunks) {
+			continue
+		}
+		data, err := s.options.Replica.ReadStaged(ctx, model, n)
+		if err == nil && s.exchange.Store.Put(chunks[n].Digest, data) == nil {
+			kept++
+		}
+		if i == sample && kept == 0 {
+			break // Another version lies there.
+		}
+	}
+	telemetry.Log("staged_read", "model", model, "version", version, "held", len(held), "kept", kept)
+}
+
+// sample is after how many pieces of which none matched the rest is not read.
+const sample = 6
+
+// fromOrigin fetches a manifest by its artifact's name, or a piece by its digest.
+func (s *Stager) fromOrigin(ctx context.Context, name string) ([]byte, error) {
+	const within = 5 * time.Second
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	a, _, _ := s.now.watch()
+	if a.Origin == "" {
+		return nil, fault.New(fault.Unreachable, "no origin is known")
+	}
+	if p, ok := s.pieces.find(name); ok {
+		return s.options.Origin.Piece(ctx, a.Origin, p.model, p.version, p.number)
+	}
+	if name != artifactOf(a.Model, a.Version) {
+		return nil, fault.New(fault.NotHeld, name)
+	}
+	m, err := s.options.Origin.Manifest(ctx, a.Origin, a.Model, a.Version)
+	if err != nil {
+		return nil, err
+	}
+	return m.Encode()
+}
+
+// step goes as far as it can towards a replica with the assigned version, and
+// reports whether it is there.
+func (s *Stager) step(ctx context.Context, r *running, a *peers.Assignment, named time.Time) bool {
+	_, missing := r.Progress()
+	s.status.set(func(st *peers.Status) { st.Missing = missing })
+	rep, ok := s.status.report()
+	if !ok {
+		return false
+	}
+	if rep.Version == a.Version && !rep.Ordered {
+		s.status.set(func(st *peers.Status) { st.Changing = false })
+		return true
+	}
+	if rep.Ordered {
+		return false
+	}
+	select {
+	case <-r.Complete():
+	default:
+		return false
+	}
+	if !s.myTurn(a, rep, named) {
+		return false
+	}
+	return s.change(ctx, r, a, rep)
+}
+
+// change stages what the replica should take and orders it to take it.
+func (s *Stager) change(ctx context.Context, r *running, a *peers.Assignment, rep Report) bool {
+	s.status.set(func(st *peers.Status) { st.Changing = true })
+	began := time.Now()
+	for i, c := range r.Manifest().Files[0].Chunks {
+		data, ok := s.exchange.Store.Get(c.Digest)
+		if !ok {
+			return false
+		}
+		if err := s.options.Replica.Stage(ctx, a.Model, i, data); err != nil {
+			telemetry.LogError(err, "stage_failed", "model", a.Model, "version", a.Version, "piece", i)
+			return false
+		}
+	}
+	if left := tellLead - time.Since(began); left > 0 {
+		sleep(ctx, left)
+	}
+	octx, cancel := context.WithTimeout(ctx, orderIn)
+	defer cancel()
+	err := s.options.Replica.Order(octx, a.Model, a.Version, rep.Orders)
+	s.status.expire()
+	telemetry.Log("ordered", "model", a.Model, "version", a.Version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
+	return false
+}
+
+// Rolling: the replicas take a version one after the other, spread over the time
+// between the first that can have it and the end of the older ones' time, so that
+// as few as possible finish what they run at the same moment.
+const (
+	rollMargin  = 900 * time.Millisecond // Before the older versions' time is over.
+	spreadLinks = 1.25                   // Copies that a box's link carries until the first has a whole.
+)
+
+// myTurn reports whether the replica may change now. One that serves nothing
+// need not wait.
+func (s *Stager) myTurn(a *peers.Assignment, rep Report, named time.Time) bool {
+	if rep.Version == 0 {
+		return true
+	}
+	var all []string
+	for _, r := range a.Replicas {
+		if !r.Leaving && r.Version > 0 {
+			ip, _ := splitAddr(r.Addr)
+			all = append(all, ip)
+		}
+	}
+	place := rendezvous.Position(a.Model, s.exchange.Self.Name, all)
+	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
+	span := max(0, s.Settings.VersionWithin-rollMargin-lead)
+	turn := named.Add(lead + span*time.Duration(place)/time.Duration(max(1, len(all))))
+	return !time.Now().Before(turn)
+}
--- /dev/null
+++ b/internal/stager/stager.go
@@ -0,0 +1,196 @@
+package stager
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/weights"
+	"github.com/poststand/poststand/wire"
+)
+
+// Codec knows every message that a stager sends or takes.
+var Codec = wire.NewCodec(weights.Messages, peers.Messages)
+
+// Options are the seams of a Stager: what lies on the other side of its box.
+type Options struct {
+	Replica Replica
+	Origin  Origin
+	// Follow reads the platform itself while no gateway answers, and Catalog
+	// translates what it reads.
+	Follow  peers.Follower
+	Catalog func(rs map[string]mirror.Record, at uint64, now time.Time) *catalog.Catalog
+	Dial    func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
+}
+
+// Stager is one agent. Use New.
+type Stager struct {
+	Settings *settings.Stager
+	Metrics  *telemetry.Metrics
+
+	options  Options
+	pool     *wire.Pool // For words,
+	exchange *weights.Exchange
+	handlers *wire.Handlers
+	life     context.Context
+	end      context.CancelFunc
+	now      assignments
+	pieces   pieces
+	status   status
+	mirror   mirror.Mirror
+	links    *rate.Limiter
+	// recovered says that what the box held was read back. Only the transfer that
+	// runs touches it.
+	recovered bool
+}
+
+// New returns a stager with its parts joined.
+func New(s *settings.Stager, o Options) (*Stager, error) {
+	m, err := telemetry.New()
+	if err != nil {
+		return nil, err
+	}
+	st := &Stager{Settings: s, Metrics: m, options: o}
+	st.life, st.end = context.WithCancel(context.Background())
+	local := wire.Hello{
+		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: "agent", Incarnation: rand.Uint64() | 1,
+	}
+	st.handlers = &wire.Handlers{}
+	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers}
+	st.exchange = &weights.Exchange{
+		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
+		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
+		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers},
+		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, Parallel: fetches, KeepInHall: true, Flush: flush,
+		Event: func(e weights.Event) { m.Event("weights_"+string(e.Kind), "") },
+	}
+	st.links = rate.NewLimiter(rate.Limit(linkShare*st.linkRate()), sendPart)
+	st.exchange.Serve(st.handlers)
+	st.options.Follow.Mirror = &st.mirror
+	st.options.Follow.Needed = st.now.orphaned
+	return st, nil
+}
+
+// The replica's answers leave over the same link as weights. What is sent is
+// paced just below the link's rate, in small parts, so that the link has no queue
+// in which an event of an answer would wait.
+const (
+	linkShare   = 0.9
+	sendPart    = 4 << 10
+	uploadSlots = 1
+	fetches     = 4
+	flush       = 25 * time.Millisecond // Chunks are small; neighbours are told at once.
+	bitsPerMega = 1e6
+	bitsPerByte = 8
+)
+
+// linkRate is the bytes a second of the box's link.
+func (s *Stager) linkRate() float64 { return s.Settings.Link * bitsPerMega / bitsPerByte }
+
+func (s *Stager) pace(ctx context.Context, n int) error { return s.links.WaitN(ctx, n) }
+
+// boxOf names a box by the IP of an address on it: all that other boxes of the
+// same service know of it is the address of its replica.
+func boxOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return host
+}
+
+func wireOptions(m *telemetry.Metrics) wire.Options {
+	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
+	return wire.Options{
+		PingEvery: ping, StallAfter: stall,
+		Count: func(c fault.Code) { m.Event("connection", string(c)) },
+	}
+}
+
+// Duties adds to k what a stager does without being asked.
+func (s *Stager) Duties(k *kernel.Kernel) {
+	k.Add("assignments", &s.now, s.subscribe)
+	k.Add("platform", &s.options.Follow, s.options.Follow.Run)
+	k.Duty(s.assignAlone)
+	k.Add("loader", nil, s.load)
+	k.Add("status", &s.status, s.watchReplica)
+	k.Duty(s.tellGateways)
+}
+
+// Run runs the stager until ctx ends.
+func (s *Stager) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", s.Settings.Listen)
+	if err != nil {
+		return fault.Wrap(fault.Unreachable, err, "listen")
+	}
+	srv := &wire.Server{Local: s.pool.Local, Codec: Codec, Handlers: s.handlers, Options: s.pool.Options}
+	var k kernel.Kernel
+	s.Duties(&k)
+	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, ln) })
+	if s.Settings.Admin != "" {
+		admin, err := net.Listen("tcp", s.Settings.Admin)
+		if err != nil {
+			return fault.Wrap(fault.Unreachable, err, "admin")
+		}
+		a := &telemetry.Admin{Metrics: s.Metrics, Ready: func() error { return nil }, Status: func() any { return s.status.get() }}
+		k.Duty(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
+	}
+	telemetry.Log("agent_started", "box", s.Settings.Box, "hall", s.Settings.Hall, "incarnation", s.pool.Local.Incarnation)
+	defer s.Close()
+	err = k.Run(ctx)
+	telemetry.Log("agent_stopped", "box", s.Settings.Box, "reason", fault.CodeOf(err))
+	return err
+}
+
+// Close ends every connection of the stager.
+func (s *Stager) Close() { s.end() }
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
+// pieces finds what a chunk's digest stands for.
+type pieces struct {
+	mu sync.Mutex
+	by map[string]piece
+}
+
+type piece struct {
+	model   string
+	version uint64
+	number  int
+}
+
+func (p *pieces) note(model string, version uint64, m *weights.Manifest) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.by = map[string]piece{}
+	for _, f := range m.Files {
+		for i, c := range f.Chunks {
+			p.by[c.Digest] = piece{model, version, i}
+		}
+	}
+}
+
+func (p *pieces) find(digest string) (piece, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.by[digest]
+	return at, ok
+}
--- /dev/null
+++ b/internal/stager/status.go
@@ -0,0 +1,229 @@
+package stager
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/telemetry"
+)
+
+// Waits of the status.
+const (
+	reportEvery = 200 * time.Millisecond // Between looks at the replica.
+	reportIn    = 500 * time.Millisecond
+	tellAtLeast = time.Second // Gateways are told this often although nothing changed.
+)
+
+// status is how the replica stands.
+type status struct {
+	mu      sync.Mutex
+	now     peers.Status
+	rep     Report
+	known   bool // rep is an answer since the last expire.
+	reached bool
+	changed chan struct{}
+	again   chan struct{}
+}
+
+func (s *status) init() {
+	if s.changed == nil {
+		s.changed = make(chan struct{})
+		s.again = make(chan struct{}, 1)
+	}
+}
+
+func (s *status) get() peers.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.now
+}
+
+// set changes the status and wakes those who tell it.
+func (s *status) set(change func(st *peers.Status)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	before := s.now
+	change(&s.now)
+	if s.now != before {
+		close(s.changed)
+		s.changed = make(chan struct{})
+	}
+}
+
+func (s *status) watch() (peers.Status, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	return s.now, s.changed
+}
+
+// report returns the replica's last word, if it is one that may be acted on.
+func (s *status) report() (Report, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rep, s.known
+}
+
+// awaitReplica returns once the replica has answered, or after a while.
+func (s *status) awaitReplica(ctx context.Context, within time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for {
+		now, changed := s.watch()
+		if now.Reached {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// expire makes the last word one that may not be acted on, and asks anew.
+func (s *status) expire() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	s.known = false
+	select {
+	case s.again <- struct{}{}:
+	default:
+	}
+}
+
+// heard takes the replica's word, or that there was none.
+func (s *status) heard(rep Report, err error) {
+	s.mu.Lock()
+	s.init()
+	if reached := err == nil; reached != s.reached {
+		s.reached = reached
+		telemetry.Log("replica_reached", "reached", reached, "version", rep.Version, "reason", fault.CodeOf(err))
+	}
+	s.known = err == nil
+	if err == nil {
+		if rep.Version != s.rep.Version || rep.Ordered != s.rep.Ordered {
+			telemetry.Log("replica_holds", "model", rep.Model, "version", rep.Version, "before", s.rep.Version, "ordered", rep.Ordered, "orders", rep.Orders)
+		}
+		s.rep = rep
+	}
+	s.mu.Unlock()
+	s.set(func(st *peers.Status) {
+		st.Reached = err == nil
+		if err != nil {
+			return
+		}
+		st.Model, st.Version, st.Pace = rep.Model, rep.Version, rep.Pace
+		st.Queued, st.Running, st.Used, st.Total = rep.Queued, rep.Running, rep.Used, rep.Total
+		st.Changing = st.Changing || rep.Ordered
+	})
+}
+
+// watchReplica asks the replica how it stands, again and again.
+func (s *Stager) watchReplica(ctx context.Context) error {
+	s.status.set(func(st *peers.Status) { st.Addr, st.Hall = s.Settings.Replica, s.Settings.Hall })
+	for ctx.Err() == nil {
+		rctx, cancel := context.WithTimeout(ctx, reportIn)
+		rep, err := s.options.Replica.Report(rctx)
+		cancel()
+		if ctx.Err() != nil {
+			return nil
+		}
+		s.status.heard(rep, err)
+		t := time.NewTimer(reportEvery)
+		select {
+		case <-t.C:
+		case <-s.status.again:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// tellGateways keeps a stream of statuses to every gateway.
+func (s *Stager) tellGateways(ctx context.Context) error {
+	open := map[string]context.CancelFunc{}
+	for ctx.Err() == nil {
+		a, _, changed := s.now.watch()
+		if a != nil && len(a.Gateways) > 0 {
+			want := map[string]bool{}
+			for _, g := range a.Gateways {
+				want[g.Addr] = true
+				if open[g.Addr] == nil {
+					tctx, cancel := context.WithCancel(ctx)
+					open[g.Addr] = cancel
+					go s.tell(tctx, g.Addr)
+				}
+			}
+			for addr, cancel := range open {
+				if !want[addr] {
+					cancel()
+					delete(open, addr)
+				}
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+	for _, cancel := range open {
+		cancel()
+	}
+	return nil
+}
+
+// tell tells one gateway until ctx ends.
+func (s *Stager) tell(ctx context.Context, addr string) {
+	const retry = 300 * time.Millisecond
+	for ctx.Err() == nil {
+		s.tellOnce(ctx, addr)
+		sleep(ctx, retry)
+	}
+}
+
+func (s *Stager) tellOnce(ctx context.Context, addr string) {
+	c, err := s.pool.Get(ctx, addr)
+	if err != nil {
+		return
+	}
+	now, changed := s.status.watch()
+	st, err := c.Open(ctx, &now)
+	if err != nil {
+		return
+	}
+	defer st.Close()
+	for {
+		t := time.NewTimer(tellAtLeast)
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-c.Done():
+			t.Stop()
+			return
+		case <-ctx.Done():
+			t.Stop()
+			return
+		}
+		t.Stop()
+		now, changed = s.status.watch()
+		if st.Send(ctx, &now) != nil {
+			return
+		}
+	}
+}
+
+func splitAddr(addr string) (ip, port string) {
+	ip, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr, ""
+	}
+	return ip, port
+}
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -35,6 +35,9 @@
 	return mux
 }
 
+// Server returns an HTTP server of the admin endpoints.
+func (a *Admin) Server() *http.Server { return &http.Server{Handler: a.Handler()} }
+
 // ServeHTTP serves h on ln until ctx ends.
 func ServeHTTP(ctx context.Context, ln net.Listener, srv *http.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,165 @@
+package mirror
+
+import "sync"
+
+// Record is one value and the revision of its last change.
+type Record struct {
+	Key   string
+	Value []byte
+	Rev   uint64
+	Gone  bool // Deleted at Rev.
+}
+
+// Delta is what a reader at revision Base lacks up to revision At.
+type Delta struct {
+	Base    uint64
+	At      uint64
+	Whole   bool // Records are all that exist; whatever else the reader has is gone.
+	Records []Record
+}
+
+// Bytes returns the size of the values of d.
+func (d *Delta) Bytes() int {
+	n := 0
+	for _, r := range d.Records {
+		n += len(r.Key) + len(r.Value)
+	}
+	return n
+}
+
+// maxGone bounds the deleted records that a Mirror remembers. A reader from
+// before the forgotten ones is sent the whole.
+const maxGone = 4096
+
+// Mirror is a copy of published records. The zero value is empty. Methods are
+// safe for use by many goroutines.
+type Mirror struct {
+	mu      sync.Mutex
+	at      uint64 // Every change up to it is in records; never falls.
+	floor   uint64 // Deletions up to it may have been forgotten.
+	gone    int
+	records map[string]Record
+	changed chan struct{} // Closed and replaced at each change.
+}
+
+func (m *Mirror) init() {
+	if m.records == nil {
+		m.records = map[string]Record{}
+		m.changed = make(chan struct{})
+	}
+}
+
+// Apply takes a delta. One that starts after the mirror's revision would leave
+// a gap and is refused; one that ends before it changes nothing. It reports
+// whether the mirror now holds every change up to d.At.
+func (m *Mirror) Apply(d Delta) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.init()
+	if !d.Whole && d.Base > m.at {
+		return false
+	}
+	changed := false
+	for _, r := range d.Records {
+		changed = m.put(r) || changed
+	}
+	if d.Whole && d.At >= m.at {
+		changed = m.dropOthers(d) || changed
+	}
+	if d.At > m.at {
+		m.at = d.At
+		changed = true
+	}
+	if changed {
+		close(m.changed)
+		m.changed = make(chan struct{})
+	}
+	return true
+}
+
+func (m *Mirror) put(r Record) bool {
+	old, ok := m.records[r.Key]
+	if ok && old.Rev >= r.Rev {
+		return false
+	}
+	if ok && old.Gone {
+		m.gone--
+	}
+	if r.Gone {
+		m.gone++
+	}
+	m.records[r.Key] = r
+	if m.gone > maxGone {
+		m.forget()
+	}
+	return true
+}
+
+// dropOthers deletes what a whole does not hold. A record that is newer than the
+// whole is kept.
+func (m *Mirror) dropOthers(d Delta) bool {
+	kept := make(map[string]bool, len(d.Records))
+	for _, r := range d.Records {
+		kept[r.Key] = true
+	}
+	changed := false
+	for k, r := range m.records {
+		if !kept[k] && !r.Gone && r.Rev <= d.At {
+			m.records[k] = Record{Key: k, Rev: d.At, Gone: true}
+			m.gone++
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (m *Mirror) forget() {
+	for k, r := range m.records {
+		if r.Gone {
+			m.floor = max(m.floor, r.Rev)
+			delete(m.records, k)
+		}
+	}
+	m.gone = 0
+}
+
+// Since returns what a reader at a revision lacks.
+func (m *Mirror) Since(rev uint64) Delta {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	d := Delta{Base: rev, At: m.at, Whole: rev < m.floor || rev == 0}
+	for _, r := range m.records {
+		if r.Rev > rev && !d.Whole || d.Whole && !r.Gone {
+			d.Records = append(d.Records, r)
+		}
+	}
+	return d
+}
+
+// Watch returns the mirror's revision and a channel that is closed at the next
+// change.
+func (m *Mirror) Watch() (uint64, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.init()
+	return m.at, m.changed
+}
+
+// At returns the revision up to which the mirror holds every change.
+func (m *Mirror) At() uint64 {
+	at, _ := m.Watch()
+	return at
+}
+
+// Records returns the records that exist, by key, and their revision.
+func (m *Mirror) Records() (map[string]Record, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make(map[string]Record, len(m.records))
+	for k, r := range m.records {
+		if !r.Gone {
+			out[k] = r
+		}
+	}
+	return out, m.at
+}
--- /dev/null
+++ b/route/direct.go
@@ -0,0 +1,347 @@
+package route
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/fleet"
+)
+
+// Work is how much a request asks of a replica, in tokens. It is zero for
+// requests that no engine runs.
+type Work struct {
+	Prompt int
+	Answer int // Expected.
+}
+
+// Word is how a replica stood, as its agent told it.
+type Word struct {
+	Version  uint64
+	Changing bool // It is about to take another version.
+	Queued   int
+	Running  int
+	Pace     float64
+	At       time.Time // When it came.
+}
+
+// Replica is what one gateway knows of an upstream that it sends requests to
+// without an agent in between.
+type Replica struct {
+	fleet.Upstream
+	Word Word // Zero while its agent has said nothing.
+	// LeftAt is when it was first heard that the replica leaves.
+	LeftAt time.Time
+
+	reading  int // Own requests without a first event,
+	prompts  int // the tokens of their prompts,
+	writing  int // and own requests with one.
+	ownThen  int // reading and writing when Word came.
+	failures int // In a row.
+	ejected  time.Time
+	ejection int
+	full     time.Time // It refused for want of room; left alone until then.
+	served   uint64    // The version of its last answer, if newer than its list entry.
+	slow     float64   // Smoothed first-event time over the predicted one.
+	quick    time.Duration
+}
+
+// Table is a gateway's table of replicas. The zero value is empty. Methods are
+// safe for use by many goroutines.
+type Table struct {
+	Hall string // Of the gateway.
+
+	mu       sync.Mutex
+	replicas map[string]*Replica // By ID.
+	byAddr   map[string]*Replica
+	engines  map[string]config.Engine
+	services map[string][]*Replica
+}
+
+// Tuning of a Table.
+const (
+	wordExpires   = 3 * time.Second // An agent's word counts no longer than this.
+	wordHalfLife  = 600 * time.Millisecond
+	strangerCost  = 15 * time.Millisecond // For a replica of another hall.
+	fullFor       = 100 * time.Millisecond
+	directEject   = 500 * time.Millisecond // First time a failing replica is left out; doubles.
+	directMost    = 8 * time.Second
+	directAfter   = 2 // Failures in a row.
+	slowSample    = 0.2
+	slowBound     = 8.0
+	plainGuess    = 60 * time.Millisecond // A request's time where nothing is known.
+	sampleOfTable = 0.6                   // Part of the candidates that one choice looks at.
+)
+
+// Sync takes the list of upstreams and the engines of services.
+func (t *Table) Sync(now time.Time, ups map[string]fleet.Upstream, services map[string]config.Service) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.replicas
+	t.replicas = make(map[string]*Replica, len(ups))
+	t.byAddr = make(map[string]*Replica, len(ups))
+	t.services = map[string][]*Replica{}
+	t.engines = map[string]config.Engine{}
+	for name, s := range services {
+		t.engines[name] = s.Engine
+	}
+	for id, u := range ups {
+		r, ok := old[id]
+		if !ok {
+			r = &Replica{slow: 1}
+		}
+		r.Upstream = u
+		if u.Leaving && r.LeftAt.IsZero() {
+			r.LeftAt = now
+		}
+		t.replicas[id] = r
+		t.services[u.Service] = append(t.services[u.Service], r)
+		t.byAddr[u.Addr] = r
+	}
+}
+
+// Heard takes an agent's word of the replica at an address.
+func (t *Table) Heard(addr string, w Word) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.byAddr[addr]; r != nil {
+		r.Word = w
+		r.ownThen = r.reading + r.writing
+	}
+}
+
+// Leaves records that a replica said itself that it leaves.
+func (t *Table) Leaves(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.replicas[id]; r != nil && r.LeftAt.IsZero() {
+		r.LeftAt = now
+	}
+}
+
+// version is what the replica holds, by the newest word of it. The caller holds
+// t.mu.
+func (r *Replica) version(now time.Time) uint64 {
+	v := max(r.Version, r.served)
+	if r.heard(now) {
+		return r.Word.Version
+	}
+	return v
+}
+
+func (r *Replica) heard(now time.Time) bool {
+	return !r.Word.At.IsZero() && now.Sub(r.Word.At) < wordExpires
+}
+
+// Ask is what Pick chooses for.
+type Ask struct {
+	Service string
+	Work    Work
+	Version uint64          // Exactly this one, or 0.
+	AtLeast uint64          // No older one.
+	Exclude map[string]bool // IDs.
+}
+
+// Choice is a chosen replica.
+type Choice struct {
+	fleet.Upstream
+	Version   uint64        // That it holds, as far as is known.
+	Predicted time.Duration // Until the first event or the answer.
+	Wait      time.Duration // Part of it before the request itself is worked on.
+	Ticket    *Ticket
+}
+
+// Pick chooses the replica that is predicted to answer first, and counts the
+// request there. Done must follow.
+func (t *Table) Pick(now time.Time, a Ask) (Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cs := t.candidates(now, a)
+	if len(cs) == 0 {
+		return Choice{}, fault.New(fault.NoUpstream, a.Service)
+	}
+	e := t.engines[a.Service]
+	var best *Replica
+	var at, cost time.Duration
+	offset, n := rand.IntN(len(cs)), looked(len(cs))
+	for i := range n {
+		r := cs[(offset+i)%len(cs)]
+		p := r.predict(now, e, a.Work)
+		c := time.Duration(float64(p) * r.slow)
+		if r.Hall != t.Hall {
+			c += strangerCost
+		}
+		if best == nil || c < cost {
+			best, at, cost = r, p, c
+		}
+	}
+	wait := time.Duration(float64(best.predict(now, e, Work{})) * best.slow)
+	best.reading++
+	best.prompts += a.Work.Prompt
+	return Choice{
+		Ticket:   &Ticket{replica: best, work: a.Work},
+		Upstream: best.Upstream, Version: best.version(now), Predicted: time.Duration(float64(at) * best.slow),
+		Wait: wait,
+	}, nil
+}
+
+// looked is how many of n candidates one choice looks at: gateways that all took
+// the one that looks best by the same old words would overrun it.
+func looked(n int) int { return max(min(n, 3), int(math.Ceil(sampleOfTable*float64(n)))) }
+
+// candidates returns whom a request may go to. Ejected and full replicas are
+// used only where there is nobody else.
+func (t *Table) candidates(now time.Time, a Ask) []*Replica {
+	var good, poor []*Replica
+	for _, r := range t.services[a.Service] {
+		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, a) {
+			continue
+		}
+		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
+			poor = append(poor, r)
+			continue
+		}
+		good = append(good, r)
+	}
+	if len(good) > 0 {
+		return good
+	}
+	var rest []*Replica
+	for _, r := range poor {
+		if !(r.Engine && r.heard(now) && r.Word.Changing) {
+			rest = append(rest, r)
+		}
+	}
+	return rest
+}
+
+func (r *Replica) fits(now time.Time, a Ask) bool {
+	if !r.Engine {
+		return true
+	}
+	v := r.version(now)
+	return v > 0 && v >= a.AtLeast && (a.Version == 0 || v == a.Version)
+}
+
+// others estimates what other gateways have at the replica.
+func (r *Replica) others(now time.Time) (queued, running float64) {
+	if !r.heard(now) {
+		return 0, 0
+	}
+	age := float64(now.Sub(r.Word.At)) / float64(wordHalfLife)
+	total := float64(max(0, r.Word.Queued+r.Word.Running-r.ownThen)) * math.Exp2(-age)
+	all := float64(max(1, r.Word.Queued+r.Word.Running))
+	return total * float64(r.Word.Queued) / all, total * float64(r.Word.Running) / all
+}
+
+// predict estimates the time until the first event of a request.
+func (r *Replica) predict(now time.Time, e config.Engine, w Work) time.Duration {
+	queued, running := r.others(now)
+	if e.ReadRate <= 0 {
+		slots := float64(max(1, r.Slots))
+		ahead := float64(r.reading+r.writing) + queued + running
+		each := max(plainGuess, r.quick)
+		if ahead < slots {
+			return each + time.Duration(float64(each)*0.1*ahead/slots)
+		}
+		return each + time.Duration((ahead-slots+1)/slots*float64(each))
+	}
+	slots := float64(max(1, e.Slots))
+	tokens := float64(r.prompts) + queued*float64(e.UsualPrompt) + float64(w.Prompt)
+	batch := float64(r.reading+r.writing) + queued + running
+	writers := min(slots, float64(r.writing)+running)
+	step := e.Step + time.Duration(writers*float64(e.PerSequence))
+	read := time.Duration(tokens / e.ReadRate * float64(time.Second))
+	passes := math.Ceil(tokens / float64(max(1, e.Chunk)))
+	stride := 1.0
+	if writers > 0 {
+		stride = float64(max(1, e.Stride))
+	}
+	ttft := read + time.Duration((passes+0.5)*stride*float64(step))
+	if batch >= slots {
+		each := time.Duration(float64(e.UsualAnswer) * float64(step) * 1.6)
+		ttft += time.Duration((batch - slots + 1) / slots * float64(each))
+	}
+	if r.heard(now) && r.Word.Pace > 1 {
+		ttft = time.Duration(float64(ttft) * r.Word.Pace)
+	}
+	return ttft
+}
+
+// Ticket is a request's place at a replica.
+type Ticket struct {
+	replica *Replica
+	work    Work
+	first   bool
+}
+
+// First records that a request's first event came, and how long it took.
+func (t *Table) First(k *Ticket, took, predicted time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := k.replica
+	k.first = true
+	r.reading--
+	r.prompts -= k.work.Prompt
+	r.writing++
+	r.failures, r.ejection = 0, 0
+	if predicted > 0 {
+		ratio := min(slowBound, max(1/slowBound, float64(took)/float64(predicted)*r.slow))
+		r.slow = max(1/slowBound, min(slowBound, r.slow+slowSample*(ratio-r.slow)))
+	}
+}
+
+// End is how a request at a replica ended.
+type End struct {
+	Failed  bool
+	Full    bool   // It refused for want of room.
+	Version uint64 // Of its answer, if known.
+}
+
+// Done records that a request's time at a replica is over.
+func (t *Table) Done(now time.Time, k *Ticket, e End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := k.replica
+	if k.first {
+		r.writing--
+	} else {
+		r.reading--
+		r.prompts -= k.work.Prompt
+	}
+	if r.reading < 0 || r.writing < 0 || r.prompts < 0 {
+		panic("route: a request ended twice")
+	}
+	if e.Version > 0 {
+		r.served = e.Version
+	}
+	if e.Full {
+		r.full = now.Add(fullFor)
+	}
+	if !e.Failed {
+		return
+	}
+	r.failures++
+	if r.failures >= directAfter {
+		r.ejected = now.Add(min(directMost, directEject<<min(r.ejection, 5)))
+		r.ejection++
+		r.failures = 0
+	}
+}
+
+// Holding returns how many replicas of a service hold each version and leave
+// not.
+func (t *Table) Holding(now time.Time, service string) map[uint64]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[uint64]int{}
+	for _, r := range t.services[service] {
+		if r.LeftAt.IsZero() {
+			out[r.version(now)]++
+		}
+	}
+	return out
+}
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -102,9 +102,10 @@
 
 func (p *Plan) choosePeer(now time.Time, chunk int, wake *time.Time) (string, bool) {
 	best, load, ties := "", 0, 0
+	far := p.mayCross(now, chunk, wake)
 	for _, name := range p.order {
 		s := p.peers[name]
-		if !s.has.Has(chunk) || s.open >= perPeer {
+		if !s.has.Has(chunk) || s.open >= perPeer || !far && !p.near[name] {
 			continue
 		}
 		if until := laterOf(s.notBefore, s.busy); until.After(now) {
@@ -124,6 +125,28 @@
 	return best, best != ""
 }
 
+// mayCross reports whether a chunk may be fetched from another hall: nobody here
+// has it, and it is this box's turn to bring it.
+func (p *Plan) mayCross(now time.Time, chunk int, wake *time.Time) bool {
+	if p.near == nil {
+		return true
+	}
+	for name, s := range p.peers {
+		if p.near[name] && s.has.Has(chunk) && !s.notBefore.After(now) {
+			return false
+		}
+	}
+	if p.offeredAt[chunk].IsZero() {
+		p.offeredAt[chunk] = now
+	}
+	turn := p.offeredAt[chunk].Add(time.Duration(p.across[chunk]) * acrossGrace)
+	if turn.After(now) {
+		earlier(wake, turn)
+		return false
+	}
+	return true
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -25,11 +25,14 @@
 	Store       *Store
 	Pool        *wire.Pool // Connections for weights alone, so that requests never wait behind chunks.
 	Strategy    Strategy
-	UploadSlots int           // Chunks sent at once; 2 by default.
-	UploadQueue int           // Uploads that wait; more are refused. 2 by default.
-	Parallel    int           // Chunks fetched at once; 8 by default.
-	Part        int           // Bytes in a message; 256 KiB by default.
-	Flush       time.Duration // Between two Have messages to a neighbour; 100 ms by default.
+	UploadSlots int // Chunks sent at once; 2 by default.
+	UploadQueue int // Uploads that wait; more are refused. 2 by default.
+	Parallel    int // Chunks fetched at once; 8 by default.
+	Part        int // Bytes in a message; 256 KiB by default.
+	// KeepInHall fetches what the hall has from the hall, so that about one copy
+	// crosses into each.
+	KeepInHall bool
+	Flush      time.Duration // Between two Have messages to a neighbour; 100 ms by default.
 	// FromOrigin fetches a chunk or manifest from the origin by its digest.
 	FromOrigin func(ctx context.Context, digest string) ([]byte, error)
 	// Pace delays each part sent, to leave room for traffic. Nil does not.
--- a/weights/manifest.go
+++ b/weights/manifest.go
@@ -34,7 +34,7 @@
 // Digest names data by its SHA-256.
 func Digest(data []byte) string {
 	sum := sha256.Sum256(data)
-	return "sha256:" + hex.EncodeToString(sum[:])
+	return digestPrefix + hex.EncodeToString(sum[:])
 }
 
 // Encode returns the bytes whose digest names the manifest.
@@ -46,10 +46,20 @@
 	return b, nil
 }
 
-// ParseManifest decodes data if it has the given digest and is well formed.
-func ParseManifest(data []byte, digest string) (*Manifest, error) {
-	if Digest(data) != digest {
-		return nil, fault.New(fault.Corrupt, "manifest "+digest)
+// names reports whether data is what an artifact's name says. A name that is no
+// digest says nothing of the bytes: whoever names artifacts so must notice by
+// itself that a manifest was spoilt on its way, as its chunks then never match.
+func names(artifact string, data []byte) bool {
+	return !strings.HasPrefix(artifact, digestPrefix) || Digest(data) == artifact
+}
+
+const digestPrefix = "sha256:"
+
+// ParseManifest decodes data if it is what the artifact's name says and is well
+// formed.
+func ParseManifest(data []byte, artifact string) (*Manifest, error) {
+	if !names(artifact, data) {
+		return nil, fault.New(fault.Corrupt, "manifest "+artifact)
 	}
 	var m Manifest
 	if err := json.Unmarshal(data, &m); err != nil {
@@ -57,7 +67,7 @@
 	}
 	for _, f := range m.Files {
 		for _, c := range f.Chunks {
-			if c.Size < 1 || c.Size > MaxChunk || !strings.HasPrefix(c.Digest, "sha256:") {
+			if c.Size < 1 || c.Size > MaxChunk || !strings.HasPrefix(c.Digest, digestPrefix) {
 				return nil, fault.New(fault.Garbage, "manifest: chunk of "+f.Name)
 			}
 		}
--- a/weights/neighbour.go
+++ b/weights/neighbour.go
@@ -20,6 +20,9 @@
 		if names := memberNames(members); !equalNames(names, last) {
 			t.mu.Lock()
 			t.plan.SetMembers(names)
+			if t.Exchange.KeepInHall {
+				t.plan.SetNear(t.near(members))
+			}
 			t.mu.Unlock()
 			last = names
 		}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -29,6 +29,7 @@
 	mostPutOff     = 3                      // Times that a chunk is left to those ahead.
 	originRetry    = 500 * time.Millisecond // Between tries at the origin, with jitter.
 	pullAhead      = 0.93                   // Share of the planned time in which seeds ask.
+	acrossGrace    = 400 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
 	fullGraces     = 5                      // Without room, nothing is fetched for so many graces.
 )
 
@@ -51,26 +52,34 @@
 	Spare    float64       // Copies beyond the first that may leave the origin.
 	Rand     *rand.Rand
 	Parallel int // Fetches that a box has open; 8 by default.
+	// Near are the boxes of this box's hall, itself among them. Where it is set, a
+	// chunk that one of them has comes from them; one that only other halls have
+	// is brought by the first of Near in the chunk's order, and by the next ones
+	// if that is late. Nil makes no difference between halls.
+	Near []string
 
-	have     Bitmap
-	missing  int
-	names    []string
-	position []int       // Boxes ahead of this one, by chunk.
-	turn     []time.Time // When this box next looks after a chunk.
-	rarity   []int       // Peers known to have a chunk.
-	fetching map[int][]fetch
-	peers    map[string]*peerState
-	order    []string // The names of peers, sorted, so that a plan is repeatable.
-	open     int
-	atOrigin int
-	spare    int // Chunks that this box may still fetch beyond its duty.
-	asking   map[int]bool
-	putOff   map[int]int  // How often a box ahead said that it looks after a chunk.
-	granted  map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
-	leftOut  time.Time    // Some peer is left out until then.
-	originAt time.Time    // The origin is left alone until then.
-	fullTill time.Time    // The store had no room; nothing is fetched until then.
-	tieBreak []int
+	have      Bitmap
+	missing   int
+	names     []string
+	position  []int       // Boxes ahead of this one, by chunk.
+	turn      []time.Time // When this box next looks after a chunk.
+	rarity    []int       // Peers known to have a chunk.
+	fetching  map[int][]fetch
+	peers     map[string]*peerState
+	order     []string // The names of peers, sorted, so that a plan is repeatable.
+	open      int
+	atOrigin  int
+	spare     int // Chunks that this box may still fetch beyond its duty.
+	asking    map[int]bool
+	putOff    map[int]int  // How often a box ahead said that it looks after a chunk.
+	granted   map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
+	leftOut   time.Time    // Some peer is left out until then.
+	originAt  time.Time    // The origin is left alone until then.
+	fullTill  time.Time    // The store had no room; nothing is fetched until then.
+	tieBreak  []int
+	near      map[string]bool
+	across    []int       // Boxes of Near ahead of this one in bringing a chunk from another hall.
+	offeredAt []time.Time // When another hall was first seen to have a chunk; zero if none was.
 }
 
 type fetch struct {
@@ -104,7 +113,9 @@
 	p.peers = map[string]*peerState{}
 	p.asking, p.granted, p.putOff = map[int]bool{}, map[int]bool{}, map[int]int{}
 	p.tieBreak = p.Rand.Perm(p.Chunks)
+	p.offeredAt = make([]time.Time, p.Chunks)
 	p.SetMembers(members)
+	p.SetNear(p.Near)
 	p.spare = int(p.Spare*float64(p.Chunks)/float64(max(1, len(members))) + p.Rand.Float64())
 }
 
@@ -126,6 +137,22 @@
 	}
 }
 
+// SetNear tells which boxes of this box's hall want the artifact now.
+func (p *Plan) SetNear(names []string) {
+	p.Near = names
+	if names == nil || p.Strategy.OrderKey == nil {
+		p.near = nil
+		return
+	}
+	p.near, p.across = map[string]bool{}, make([]int, p.Chunks)
+	for _, n := range names {
+		p.near[n] = true
+	}
+	for i := range p.Chunks {
+		p.across[i] = rendezvous.Position("across/"+p.Strategy.OrderKey(i), p.Self, names)
+	}
+}
+
 // scheduled is when the origin's link comes to a chunk, one after another.
 func (p *Plan) scheduled(chunk int) time.Time {
 	if p.Strategy.OrderKey == nil {
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -30,7 +30,7 @@
 		}
 		turn := begin.Add(time.Duration(min(place, mostGraces)) * grace)
 		data, err := t.manifestFrom(ctx, order[:min(place, len(order))], time.Now().After(turn))
-		if err == nil && Digest(data) == t.Artifact {
+		if err == nil && names(t.Artifact, data) {
 			x.keepManifest(t.Artifact, data)
 			return data, nil
 		}
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -19,6 +19,9 @@
 	Copies   float64         // Copies that the origin's link carries in Window.
 	Spare    float64         // Copies beyond the first that may leave the origin.
 	Members  func() []Member // The boxes that want the artifact now, this one among them.
+	// Prepare, if set, is called once the manifest is here and before anything is
+	// fetched, so that the caller can put into the store what it has already.
+	Prepare func(ctx context.Context, m *Manifest)
 
 	once     sync.Once
 	complete chan struct{}
@@ -116,6 +119,13 @@
 	if err != nil {
 		return err
 	}
+	if t.Prepare != nil {
+		m, err := ParseManifest(data, t.Artifact)
+		if err != nil {
+			return err
+		}
+		t.Prepare(ctx, m)
+	}
 	if err := t.begin(data); err != nil {
 		return err
 	}
@@ -158,7 +168,11 @@
 		Inject:   time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
 		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))),
 	}
-	p.Init(have, memberNames(t.Members()))
+	members := t.Members()
+	if t.Exchange.KeepInHall {
+		p.Near = t.near(members)
+	}
+	p.Init(have, memberNames(members))
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.plan, t.manifest, t.chunks, t.missingAtFirst = p, m, chunks, p.Missing()
@@ -169,6 +183,17 @@
 	return nil
 }
 
+// near returns the names of the members in this box's hall.
+func (t *Transfer) near(members []Member) []string {
+	out := []string{}
+	for _, m := range members {
+		if m.Hall == t.Exchange.Self.Hall {
+			out = append(out, m.Name)
+		}
+	}
+	return out
+}
+
 func memberNames(ms []Member) []string {
 	out := make([]string, len(ms))
 	for i, m := range ms {
