relay, route, stager: each version's own bound

The gateway held only the newest version's bound, so naming version 3 lifted the bound of version 1; and a request that was sent just before the bound began after it, in the queue of a busy replica.

Change: a catalog remembers each naming; a replica is chosen only where the request is predicted to begin before the bound of its version, and one that has not begun by then is taken elsewhere. Agents spread the roll up to the bound of the version that their own replica holds.

Ruled out: late hearing of the name (gateways knew within 33 ms).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -6,6 +6,7 @@
 package catalog
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -13,13 +14,39 @@
 	"github.com/poststand/poststand/fleet"
 )
 
-// Wanted is the newest version of a model's weights that was named.
-type Wanted struct {
-	Model   string
+// Step is one naming of a version.
+type Step struct {
 	Version uint64
 	Named   time.Time // When this process first heard of it.
-	// Before is the version that it replaced, as far as this process knows.
-	Before uint64
+}
+
+// Wanted is what was named for a model's weights.
+type Wanted struct {
+	Version uint64 // The newest.
+	Steps   []Step // The last ones, in their order.
+}
+
+// KeptSteps bounds the steps that a Wanted remembers.
+const KeptSteps = 8
+
+// With returns w with one more step.
+func (w Wanted) With(s Step) Wanted {
+	steps := append(slices.Clone(w.Steps), s)
+	if len(steps) > KeptSteps {
+		steps = steps[1:]
+	}
+	return Wanted{Version: max(w.Version, s.Version), Steps: steps}
+}
+
+// Overtaken returns when the first version newer than v was named, or zero if
+// none was.
+func (w Wanted) Overtaken(v uint64) time.Time {
+	for _, s := range w.Steps {
+		if s.Version > v {
+			return s.Named
+		}
+	}
+	return time.Time{}
 }
 
 // Catalog is one snapshot. Nothing in it changes once it is published.
--- a/internal/peers/assign.go
+++ b/internal/peers/assign.go
@@ -33,7 +33,10 @@
 	slices.SortFunc(a.Replicas, func(x, y Replica) int { return strings.Compare(x.Addr, y.Addr) })
 	a.Version = newest
 	if w, ok := c.Wanted[s.Model]; ok && w.Version >= newest {
-		a.Version, a.Age = w.Version, now.Sub(w.Named)
+		a.Version = w.Version
+		for _, s := range w.Steps {
+			a.Steps = append(a.Steps, Step{Version: s.Version, Age: now.Sub(s.Named)})
+		}
 	}
 	return a
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -42,15 +42,21 @@
 	Leaving bool
 }
 
+// Step is one naming of a version. Clocks differ, so it travels as an age.
+type Step struct {
+	Version uint64
+	Age     time.Duration // By the sender's clock, when it sent the message.
+}
+
 // Assignment is all that an agent needs to know.
 type Assignment struct {
 	At         uint64 // Revision of the published records.
 	Model      string
-	Version    uint64        // To be brought to the replica.
-	Age        time.Duration // Since the version was named, by the sender's clock.
-	Origin     string        // IP and port of the origin of weights.
-	OriginRate float64       // Bytes a second of the origin's link.
-	Bytes      int           // Of a whole version.
+	Version    uint64  // To be brought to the replica.
+	Steps      []Step  // How it came to be named, the oldest first.
+	Origin     string  // IP and port of the origin of weights.
+	OriginRate float64 // Bytes a second of the origin's link.
+	Bytes      int     // Of a whole version.
 	Replicas   []Replica
 	Gateways   []Member
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -7,21 +7,19 @@
 	"github.com/poststand/poststand/route"
 )
 
-// versionMargin is how long before its bound a gateway stops to send requests to
-// an older version: it heard of the newer one later than the platform said so.
-const versionMargin = 600 * time.Millisecond
-
-// leastVersion is the oldest version that a request may begin on now, or 0 for
-// any.
-func (g *Relay) leastVersion(now time.Time, rq *request) uint64 {
-	w, ok := g.holder.Get().Wanted[rq.catalog.Config.Services[rq.service].Model]
-	if !ok {
-		return 0
+// versionMargin is how long before the bound no request may begin on an older
+// version: this process heard of the newer one later than the platform said so.
+const versionMargin = 300 * time.Millisecond
+
+// bound returns when requests of a service may no longer begin on a version,
+// zero for never.
+func (g *Relay) bound(rq *request, version uint64) time.Time {
+	w := g.holder.Get().Wanted[rq.catalog.Config.Services[rq.service].Model]
+	t := w.Overtaken(version)
+	if t.IsZero() {
+		return t
 	}
-	if now.Sub(w.Named) < g.Settings.VersionWithin-versionMargin {
-		return 0
-	}
-	return w.Version
+	return t.Add(g.Settings.VersionWithin - versionMargin)
 }
 
 // admits reports whether the request is worth sending: it can still be answered
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -131,7 +131,7 @@
 }
 
 // expects is the version that alone may run the request, or 0: the one that the
-// answer began with, and any request's once the older ones' time is over.
+// answer began with, and any request's once the time of older ones is over.
 func (a *attempt) expects() uint64 {
 	if a.rq.version > 0 {
 		return a.rq.version
@@ -139,10 +139,11 @@
 	if !a.to.Engine {
 		return 0
 	}
-	if least := a.relay.leastVersion(time.Now(), a.rq); least > 0 {
-		return max(least, a.to.Version)
+	before := a.relay.bound(a.rq, a.to.Version-1)
+	if before.IsZero() || time.Now().Before(before) {
+		return 0
 	}
-	return 0
+	return a.to.Version
 }
 
 func (a *attempt) firstWait() time.Duration {
@@ -152,10 +153,20 @@
 // patience is until when a sign is waited for: one that may go elsewhere waits
 // only for a while.
 func (a *attempt) patience(now time.Time, wait time.Duration) time.Time {
-	if t := now.Add(wait); a.rq.repeatable() && t.Before(a.rq.deadline) {
+	t := a.rq.deadline
+	if !a.rq.repeatable() {
 		return t
 	}
-	return a.rq.deadline
+	if own := now.Add(wait); own.Before(t) {
+		t = own
+	}
+	if !a.first && a.to.Engine {
+		// It must not begin on a version whose time is over.
+		if bound := a.relay.bound(a.rq, a.to.Version); !bound.IsZero() && bound.Before(t) {
+			t = bound
+		}
+	}
+	return t
 }
 
 // broken is the result of a connection that failed under a request.
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -29,7 +29,8 @@
 			break
 		}
 		choice, err := g.table.Pick(now, route.Ask{
-			Service: rq.service, Work: rq.work, Version: rq.version, AtLeast: g.leastVersion(now, rq), Exclude: exclude,
+			Service: rq.service, Work: rq.work, Version: rq.version, Exclude: exclude,
+			Bound: func(v uint64) time.Time { return g.bound(rq, v) },
 		})
 		if err != nil {
 			if rq.sends == 0 {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -145,7 +145,7 @@
 	}
 	for m, w := range c.Wanted {
 		if o := old.Wanted[m]; o.Version != w.Version {
-			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "revision", c.Revision)
+			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "steps", len(w.Steps), "revision", c.Revision)
 		}
 	}
 }
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/rendezvous"
@@ -15,9 +16,9 @@
 type assignments struct {
 	mu      sync.Mutex
 	now     *peers.Assignment
-	named   time.Time // When the assigned version was named, by this box's clock.
-	heard   time.Time // When a gateway last gave a sign.
-	asked   time.Time // When the first gateway was asked.
+	wanted  catalog.Wanted // What was named and when, by this box's clock.
+	heard   time.Time      // When a gateway last gave a sign.
+	asked   time.Time      // When the first gateway was asked.
 	changed chan struct{}
 }
 
@@ -42,19 +43,22 @@
 		return
 	}
 	if old == nil || old.Model != n.Model || old.Version != n.Version {
-		a.named = now.Add(-n.Age)
-		telemetry.Log("assigned", "model", n.Model, "version", n.Version, "age", n.Age, "replicas", len(n.Replicas), "at", n.At, "from", from)
+		a.wanted = catalog.Wanted{}
+		for _, s := range n.Steps {
+			a.wanted = a.wanted.With(catalog.Step{Version: s.Version, Named: now.Add(-s.Age)})
+		}
+		telemetry.Log("assigned", "model", n.Model, "version", n.Version, "steps", len(n.Steps), "replicas", len(n.Replicas), "at", n.At, "from", from)
 	}
 	a.now = n
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
 
-func (a *assignments) watch() (*peers.Assignment, time.Time, <-chan struct{}) {
+func (a *assignments) watch() (*peers.Assignment, catalog.Wanted, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.init()
-	return a.now, a.named, a.changed
+	return a.now, a.wanted, a.changed
 }
 
 func (a *assignments) sign() {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
@@ -35,11 +36,11 @@
 func (s *Stager) load(ctx context.Context) error {
 	var now *running
 	for ctx.Err() == nil {
-		a, named, changed := s.now.watch()
+		a, wanted, changed := s.now.watch()
 		wait := lookIdle
 		if a != nil {
 			now = s.transfer(ctx, now, a)
-			if !s.step(ctx, now, a, named) {
+			if !s.step(ctx, now, a, wanted) {
 				wait = look
 			}
 		}
@@ -167,7 +168,7 @@
 
 // step goes as far as it can towards a replica with the assigned version, and
 // reports whether it is there.
-func (s *Stager) step(ctx context.Context, r *running, a *peers.Assignment, named time.Time) bool {
+func (s *Stager) step(ctx context.Context, r *running, a *peers.Assignment, wanted catalog.Wanted) bool {
 	_, missing := r.Progress()
 	s.status.set(func(st *peers.Status) { st.Missing = missing })
 	rep, ok := s.status.report()
@@ -186,7 +187,7 @@
 	default:
 		return false
 	}
-	if !s.myTurn(a, rep, named) {
+	if !s.myTurn(a, rep, wanted) {
 		return false
 	}
 	return s.change(ctx, r, a, rep)
@@ -227,7 +228,7 @@
 
 // myTurn reports whether the replica may change now. One that serves nothing
 // need not wait.
-func (s *Stager) myTurn(a *peers.Assignment, rep Report, named time.Time) bool {
+func (s *Stager) myTurn(a *peers.Assignment, rep Report, wanted catalog.Wanted) bool {
 	if rep.Version == 0 {
 		return true
 	}
@@ -240,7 +241,20 @@
 	}
 	place := rendezvous.Position(a.Model, s.exchange.Self.Name, all)
 	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	span := max(0, s.Settings.VersionWithin-rollMargin-lead)
-	turn := named.Add(lead + span*time.Duration(place)/time.Duration(max(1, len(all))))
+	turn := turnOf(wanted, rep.Version, lead, s.Settings.VersionWithin-rollMargin, place, len(all))
 	return !time.Now().Before(turn)
 }
+
+// turnOf is when the replica at a place among all changes from a version: spread
+// from when the newest can be here, lead after it was named, to when the time of
+// its own version is over, within after that was overtaken. It is pure.
+func turnOf(w catalog.Wanted, version uint64, lead, within time.Duration, place, all int) time.Time {
+	newest := w.Overtaken(w.Version - 1)
+	overtaken := w.Overtaken(version)
+	if newest.IsZero() || overtaken.IsZero() {
+		return time.Time{}
+	}
+	begin, end := newest.Add(lead), overtaken.Add(within)
+	span := max(0, end.Sub(begin))
+	return begin.Add(span * time.Duration(place) / time.Duration(max(1, all)))
+}
--- a/route/direct.go
+++ b/route/direct.go
@@ -63,17 +63,21 @@
 
 // Tuning of a Table.
 const (
-	wordExpires   = 3 * time.Second // An agent's word counts no longer than this.
-	wordHalfLife  = 600 * time.Millisecond
-	strangerCost  = 15 * time.Millisecond // For a replica of another hall.
-	fullFor       = 100 * time.Millisecond
-	directEject   = 500 * time.Millisecond // First time a failing replica is left out; doubles.
-	directMost    = 8 * time.Second
-	directAfter   = 2 // Failures in a row.
-	slowSample    = 0.2
-	slowBound     = 8.0
-	plainGuess    = 60 * time.Millisecond // A request's time where nothing is known.
-	sampleOfTable = 0.6                   // Part of the candidates that one choice looks at.
+	wordExpires  = 3 * time.Second // An agent's word counts no longer than this.
+	wordHalfLife = 600 * time.Millisecond
+	strangerCost = 15 * time.Millisecond // For a replica of another hall.
+	fullFor      = 100 * time.Millisecond
+	directEject  = 500 * time.Millisecond // First time a failing replica is left out; doubles.
+	directMost   = 8 * time.Second
+	directAfter  = 2 // Failures in a row.
+	slowSample   = 0.2
+	slowBound    = 8.0
+	plainGuess   = 60 * time.Millisecond // A request's time where nothing is known.
+	// A request is sent to a version whose time ends only if it will have begun by
+	// then, even if that takes so many times what is predicted and a margin.
+	boundFactorOfWait = 2
+	boundMargin       = 400 * time.Millisecond
+	sampleOfTable     = 0.6 // Part of the candidates that one choice looks at.
 )
 
 // Sync takes the list of upstreams and the engines of services.
@@ -140,8 +144,10 @@
 type Ask struct {
 	Service string
 	Work    Work
-	Version uint64          // Exactly this one, or 0.
-	AtLeast uint64          // No older one.
+	Version uint64 // Exactly this one, or 0.
+	// Bound is when requests may no longer begin on a version, zero for never.
+	// Nil is never.
+	Bound   func(version uint64) time.Time
 	Exclude map[string]bool // IDs.
 }
 
@@ -197,7 +203,7 @@
 func (t *Table) candidates(now time.Time, a Ask) []*Replica {
 	var good, poor []*Replica
 	for _, r := range t.services[a.Service] {
-		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, a) {
+		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
 			continue
 		}
 		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
@@ -218,12 +224,19 @@
 	return rest
 }
 
-func (r *Replica) fits(now time.Time, a Ask) bool {
+func (r *Replica) fits(now time.Time, e config.Engine, a Ask) bool {
 	if !r.Engine {
 		return true
 	}
 	v := r.version(now)
-	return v > 0 && v >= a.AtLeast && (a.Version == 0 || v == a.Version)
+	if v == 0 || a.Version != 0 && v != a.Version {
+		return false
+	}
+	if a.Bound == nil {
+		return true
+	}
+	bound := a.Bound(v)
+	return bound.IsZero() || now.Add(boundMargin+boundFactorOfWait*time.Duration(float64(r.predict(now, e, a.Work))*r.slow)).Before(bound)
 }
 
 // others estimates what other gateways have at the replica.
