peers, route, stager: revision checks, long streams go elsewhere before a change

(2) half of the fleet was out at a time during a roll, since a replica that was to change had just been given long streams.

Change: gateways read the store's revision in turns, a quarter of a second apart over all of them, and read everything where the watch did not tell; agents tell when their replica will change, and a request that would still run then goes elsewhere; halls change by turns.

--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -61,7 +61,7 @@
 // follow reads the platform's store at an address.
 func follow(addr string) peers.Follower {
 	s := &platform.Store{Addr: addr, HTTP: platformClient()}
-	return peers.Follower{Whole: s.Whole, Watch: s.Watch}
+	return peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}
 }
 
 // platformClient speaks to what stands on the platform. It notices a dead path
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -17,7 +17,11 @@
 	// Whole reads all records; Watch waits for changes after a revision.
 	Whole func(ctx context.Context) (mirror.Delta, error)
 	Watch func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error)
-	Event func(name string, c fault.Code)
+	// Revision reads the service's newest revision, and Sharers how many processes
+	// read it in turns: a watch may hear nothing while changes are made.
+	Revision func(ctx context.Context) (uint64, error)
+	Sharers  func() int
+	Event    func(name string, c fault.Code)
 	// Needed, if set, holds while the platform should be read; a follower that
 	// is not needed looks again after a while.
 	Needed func() bool
@@ -31,6 +35,8 @@
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
 	idleLook   = 250 * time.Millisecond
+	checkEvery = 250 * time.Millisecond // Between two checks by anyone.
+	checkLag   = 100 * time.Millisecond // A watch tells of a change by then.
 )
 
 // Run follows until ctx ends.
@@ -95,3 +101,38 @@
 	f.Mirror.Apply(d)
 	return nil
 }
+
+// Check compares the mirror with the service's newest revision now and then, and
+// reads all records where the watch did not tell. Each process does so at a
+// moment of its own, and whoever finds something tells the others.
+func (f *Follower) Check(ctx context.Context) error {
+	for ctx.Err() == nil {
+		period := checkEvery * time.Duration(max(1, f.Sharers()))
+		sleep(ctx, period/2+rand.N(period))
+		if f.Mirror.At() > 0 {
+			f.check(ctx)
+		}
+	}
+	return nil
+}
+
+func (f *Follower) check(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, watchSlack)
+	defer cancel()
+	at, err := f.Revision(ctx)
+	if err != nil {
+		f.Event("store_check_failed", fault.CodeOf(err))
+		return
+	}
+	if at <= f.Mirror.At() {
+		return
+	}
+	sleep(ctx, checkLag)
+	if had := f.Mirror.At(); at > had {
+		d, err := f.Whole(ctx)
+		telemetry.Log("store_watch_behind", "had", had, "newest", at, "read", d.At, "reason", fault.CodeOf(err))
+		if err == nil {
+			f.Mirror.Apply(d)
+		}
+	}
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -70,6 +70,9 @@
 	// Changing says that the replica is about to take another version and should
 	// be given nothing that is new.
 	Changing bool
+	// ChangeIn is how long until then, or 0 where it is not known: what is given to
+	// the replica should have ended by then.
+	ChangeIn time.Duration
 	Reached  bool // The replica answered its agent.
 	Queued   int
 	Running  int
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -2,14 +2,16 @@
 
 import (
 	"math/rand/v2"
+	"sync"
 	"time"
 
+	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/route"
 )
 
 // versionMargin is how long before the bound no request may begin on an older
 // version: this process heard of the newer one later than the platform said so.
-const versionMargin = 300 * time.Millisecond
+const versionMargin = 500 * time.Millisecond
 
 // bound returns when requests of a service may no longer begin on a version,
 // zero for never.
@@ -22,27 +24,67 @@
 	return t.Add(g.Settings.VersionWithin - versionMargin)
 }
 
-// admits reports whether the request is worth sending: it can still be answered
-// before its caller has gone.
+// Admission, in parts of a route's aim: a request is sent only if what is ahead of
+// it at the chosen replica is predicted to take no longer. A refusal at once, and
+// a second try that is served in time, is worth more than a late answer; a second
+// refusal is worth less than nothing, so one that comes back may wait longer.
+const (
+	firstTryWait  = 0.55
+	secondTryWait = 1.0
+)
+
+// admits reports whether the request is worth sending now.
 func (g *Relay) admits(now time.Time, rq *request, c route.Choice) bool {
-	if !c.Engine {
+	if !c.Engine || rq.route.Aim <= 0 {
 		return true
 	}
-	late := max(lateFactor*rq.route.Aim, lateLeast)
-	return c.Predicted < min(late, rq.deadline.Sub(now)/2)
+	part := firstTryWait
+	if rq.again {
+		part = secondTryWait
+	}
+	return c.Wait <= time.Duration(part*float64(rq.route.Aim))
 }
 
-// Requests that would be this late are refused: their callers may come back to a
-// shorter queue.
-const (
-	lateFactor = 4
-	lateLeast  = 1500 * time.Millisecond
-)
+// callerWaits remembers how long callers of each route usually say they wait.
+type callerWaits struct {
+	mu    sync.Mutex
+	usual map[string]time.Duration // By route; bounded by the configuration.
+}
 
-// comeBack is when a refused caller should try again.
-func (g *Relay) comeBack(now time.Time, rq *request, predicted time.Duration) time.Time {
-	const least, most = 300 * time.Millisecond, 1500 * time.Millisecond
-	wait := max(least, min(most, predicted/2))
+// spent reports whether a caller has less time left than the callers of its
+// route begin with: it has most likely been here before.
+func (u *callerWaits) spent(routeName string, left time.Duration) bool {
+	const whole = 0.96
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.usual == nil {
+		u.usual = map[string]time.Duration{}
+	}
+	if left > u.usual[routeName] {
+		u.usual[routeName] = left
+	}
+	return float64(left) < whole*float64(u.usual[routeName])
+}
+
+// forget drops routes that are no longer configured.
+func (u *callerWaits) forget(routes map[string]config.Route) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for name := range u.usual {
+		if _, ok := routes[name]; !ok {
+			delete(u.usual, name)
+		}
+	}
+}
+
+// comeBack is when a refused caller should try again: when what was ahead of it
+// is done, or, where no replica may be used at all, a good while later.
+func (g *Relay) comeBack(now time.Time, rq *request, ahead time.Duration) time.Time {
+	const least, most, none = 350 * time.Millisecond, 1500 * time.Millisecond, 1400 * time.Millisecond
+	wait := none
+	if ahead > 0 {
+		wait = max(least, min(most, ahead))
+	}
 	return now.Add(wait + rand.N(wait/2+1))
 }
 
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -71,7 +71,9 @@
 		if err != nil || n < 0 || n > math.MaxInt32 {
 			return rq, fault.New(fault.BadRequest, d.Deadline)
 		}
-		wait = min(wait, time.Duration(n*float64(time.Millisecond)))
+		left := time.Duration(n * float64(time.Millisecond))
+		rq.again = g.waits.spent(rq.routeName, left)
+		wait = min(wait, left)
 	}
 	rq.deadline = now.Add(wait)
 	rq.service = chooseService(rq.route.Services)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -42,7 +42,7 @@
 		if arrivals == 0 && !g.admits(now, rq, choice) {
 			g.table.Done(now, choice.Ticket, route.End{})
 			last = all.Add(notRun(fault.QueueFull))
-			last.RetryAt = g.comeBack(now, rq, choice.Predicted)
+			last.RetryAt = g.comeBack(now, rq, choice.Wait)
 			break
 		}
 		if arrivals > 0 && !window.Spend(now, g.slack()) {
@@ -98,6 +98,7 @@
 		word = "done"
 	}
 	rq.trail = append(rq.trail, a.to.ID+"="+word)
+	rq.predicted = a.to.Predicted
 }
 
 // logEnd writes the one line that tells a request's story.
@@ -109,6 +110,6 @@
 	}
 	telemetry.Log("request", "id", rq.id, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "sends", strings.Join(rq.trail, ","),
-		"first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"predicted_ms", rq.predicted.Milliseconds(), "first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -51,6 +51,7 @@
 	end      context.CancelFunc
 	draining atomic.Bool
 	started  time.Time
+	waits    callerWaits
 
 	mu      sync.Mutex
 	windows map[string]*limit.Window // By service; bounded by the configuration.
@@ -93,6 +94,7 @@
 	wire.On(g.handlers, g.serveSubscribe)
 	wire.On(g.handlers, g.serveStatus)
 	g.options.Follow.Mirror = &g.mirror
+	g.options.Follow.Sharers = func() int { return len(g.gossip.Live()) }
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
 }
@@ -100,6 +102,7 @@
 // Duties adds to k what a relay does without being asked.
 func (g *Relay) Duties(k *kernel.Kernel) {
 	k.Add("platform", &g.options.Follow, g.options.Follow.Run)
+	k.Duty(g.options.Follow.Check)
 	k.Add("gossip", g.gossip, g.gossip.Run)
 	k.Add("catalog", &g.holder, g.translate)
 	k.Duty(g.sweep)
@@ -116,6 +119,9 @@
 			g.holder.Set(c)
 			if c.Config != nil {
 				g.table.Sync(now, c.Upstreams, c.Config.Services)
+				if c.Version != old.Version {
+					g.waits.forget(c.Config.Routes)
+				}
 			}
 			logChange(old, c)
 		}
@@ -221,7 +227,8 @@
 	for {
 		if m.Reached {
 			g.table.Heard(m.Addr, route.Word{
-				Version: m.Version, Changing: m.Changing, Queued: m.Queued, Running: m.Running, Pace: m.Pace, At: time.Now(),
+				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m, time.Now()),
+				Queued: m.Queued, Running: m.Running, Pace: m.Pace, At: time.Now(),
 			})
 		}
 		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached {
@@ -236,6 +243,13 @@
 	}
 }
 
+func changeAt(m *peers.Status, now time.Time) time.Time {
+	if m.ChangeIn <= 0 {
+		return time.Time{}
+	}
+	return now.Add(m.ChangeIn)
+}
+
 // Close ends every connection of the relay.
 func (g *Relay) Close() { g.end() }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,11 +28,13 @@
 	rank         int
 	arrived      time.Time
 	deadline     time.Time // The caller's or the route's, whichever is first.
+	again        bool      // Its caller has most likely been refused before.
 	work         route.Work
 	lastEvent    string // What a stream has been shown up to.
 	version      uint64 // Of the first part of the answer; every further part must be of it.
 	sends        int
-	trail        []string // What became of each send, for the log.
+	predicted    time.Duration // Until the first event, of the last send.
+	trail        []string      // What became of each send, for the log.
 }
 
 // repeatable reports whether the request may run more than once.
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/poststand/poststand/catalog"
@@ -175,6 +176,8 @@
 	if !ok {
 		return false
 	}
+	turn := s.turn(a, rep, wanted, r.CompleteBy(time.Now()))
+	s.status.changes(turn)
 	if rep.Version == a.Version && !rep.Ordered {
 		s.status.set(func(st *peers.Status) { st.Changing = false })
 		return true
@@ -187,7 +190,7 @@
 	default:
 		return false
 	}
-	if !s.myTurn(a, rep, wanted) {
+	if time.Now().Before(turn) {
 		return false
 	}
 	return s.change(ctx, r, a, rep)
@@ -223,32 +226,50 @@
 // as few as possible finish what they run at the same moment.
 const (
 	rollMargin  = 900 * time.Millisecond // Before the older versions' time is over.
-	spreadLinks = 1.25                   // Copies that a box's link carries until the first has a whole.
+	spreadLinks = 1.4                    // Copies that a box's link carries until the first has a whole.
 )
 
-// myTurn reports whether the replica may change now. One that serves nothing
-// need not wait.
-func (s *Stager) myTurn(a *peers.Assignment, rep Report, wanted catalog.Wanted) bool {
-	if rep.Version == 0 {
-		return true
+// turn is when the replica may change, or zero for at once: one that serves
+// nothing need not wait. It is never before the weights are here.
+func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, whole time.Time) time.Time {
+	if rep.Version == 0 || rep.Version == a.Version {
+		return time.Time{}
 	}
-	var all []string
+	place := placeOf(a, s.exchange.Self)
+	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
+	turn := turnOf(wanted, rep.Version, lead, s.Settings.VersionWithin-rollMargin, place)
+	if whole.After(turn) {
+		return whole
+	}
+	return turn
+}
+
+// placeOf is a replica's place among all that change, from 0 to under 1: those of
+// a hall one after the other, and the halls by turns. It is pure.
+func placeOf(a *peers.Assignment, self weights.Member) float64 {
+	var here, halls []string
 	for _, r := range a.Replicas {
-		if !r.Leaving && r.Version > 0 {
+		if r.Leaving || r.Version == 0 {
+			continue
+		}
+		if !slices.Contains(halls, r.Hall) {
+			halls = append(halls, r.Hall)
+		}
+		if r.Hall == self.Hall {
 			ip, _ := splitAddr(r.Addr)
-			all = append(all, ip)
+			here = append(here, ip)
 		}
 	}
-	place := rendezvous.Position(a.Model, s.exchange.Self.Name, all)
-	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	turn := turnOf(wanted, rep.Version, lead, s.Settings.VersionWithin-rollMargin, place, len(all))
-	return !time.Now().Before(turn)
+	place := float64(rendezvous.Position(a.Model, self.Name, here))
+	slices.Sort(halls)
+	turn := float64(max(0, slices.Index(halls, self.Hall))) / float64(max(1, len(halls)))
+	return min(1, (place+turn)/float64(max(1, len(here))))
 }
 
 // turnOf is when the replica at a place among all changes from a version: spread
 // from when the newest can be here, lead after it was named, to when the time of
 // its own version is over, within after that was overtaken. It is pure.
-func turnOf(w catalog.Wanted, version uint64, lead, within time.Duration, place, all int) time.Time {
+func turnOf(w catalog.Wanted, version uint64, lead, within time.Duration, place float64) time.Time {
 	newest := w.Overtaken(w.Version - 1)
 	overtaken := w.Overtaken(version)
 	if newest.IsZero() || overtaken.IsZero() {
@@ -256,5 +277,5 @@
 	}
 	begin, end := newest.Add(lead), overtaken.Add(within)
 	span := max(0, end.Sub(begin))
-	return begin.Add(span * time.Duration(place) / time.Duration(max(1, all)))
+	return begin.Add(time.Duration(float64(span) * place))
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -72,7 +72,7 @@
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
 		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers},
-		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, Parallel: fetches, KeepInHall: true, Flush: flush,
+		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, Flush: flush,
 		Event: func(e weights.Event) { m.Event("weights_"+string(e.Kind), "") },
 	}
 	st.links = rate.NewLimiter(rate.Limit(linkShare*st.linkRate()), sendPart)
@@ -89,7 +89,8 @@
 	linkShare   = 0.9
 	sendPart    = 4 << 10
 	uploadSlots = 1
-	fetches     = 4
+	uploadQueue = 4 // So that the link is not idle between two.
+	fetches     = 6
 	flush       = 25 * time.Millisecond // Chunks are small; neighbours are told at once.
 	bitsPerMega = 1e6
 	bitsPerByte = 8
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -20,13 +20,14 @@
 
 // status is how the replica stands.
 type status struct {
-	mu      sync.Mutex
-	now     peers.Status
-	rep     Report
-	known   bool // rep is an answer since the last expire.
-	reached bool
-	changed chan struct{}
-	again   chan struct{}
+	mu       sync.Mutex
+	now      peers.Status
+	changeAt time.Time // When the replica will change its version; zero if that is not known.
+	rep      Report
+	known    bool // rep is an answer since the last expire.
+	reached  bool
+	changed  chan struct{}
+	again    chan struct{}
 }
 
 func (s *status) init() {
@@ -59,7 +60,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.init()
-	return s.now, s.changed
+	now := s.now
+	if !s.changeAt.IsZero() {
+		now.ChangeIn = max(time.Millisecond, time.Until(s.changeAt))
+	}
+	return now, s.changed
 }
 
 // report returns the replica's last word, if it is one that may be acted on.
@@ -86,6 +91,20 @@
 	}
 }
 
+// changes tells when the replica will change its version.
+func (s *status) changes(at time.Time) {
+	const worthTelling = 100 * time.Millisecond
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.init()
+	if d := at.Sub(s.changeAt); d.Abs() < worthTelling {
+		return
+	}
+	s.changeAt = at
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // expire makes the last word one that may not be acted on, and asks anew.
 func (s *status) expire() {
 	s.mu.Lock()
--- a/route/direct.go
+++ b/route/direct.go
@@ -21,7 +21,8 @@
 // Word is how a replica stood, as its agent told it.
 type Word struct {
 	Version  uint64
-	Changing bool // It is about to take another version.
+	Changing bool      // It is about to take another version.
+	ChangeAt time.Time // When it will be, or zero where that is not known.
 	Queued   int
 	Running  int
 	Pace     float64
@@ -75,9 +76,11 @@
 	plainGuess   = 60 * time.Millisecond // A request's time where nothing is known.
 	// A request is sent to a version whose time ends only if it will have begun by
 	// then, even if that takes so many times what is predicted and a margin.
-	boundFactorOfWait = 2
-	boundMargin       = 400 * time.Millisecond
-	sampleOfTable     = 0.6 // Part of the candidates that one choice looks at.
+	boundFactorOfWait = 1.5
+	boundMargin       = 200 * time.Millisecond
+	readingBeside     = 1.5                    // A step takes so much longer for the prompts that are read beside it.
+	changeLate        = 250 * time.Millisecond // By which a change may wait for the last request.
+	sampleOfTable     = 0.6                    // Part of the candidates that one choice looks at.
 )
 
 // Sync takes the list of upstreams and the engines of services.
@@ -206,7 +209,7 @@
 		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
 			continue
 		}
-		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
+		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && (r.Word.Changing || r.tooLong(now, t.engines[a.Service], a.Work)) {
 			poor = append(poor, r)
 			continue
 		}
@@ -236,7 +239,21 @@
 		return true
 	}
 	bound := a.Bound(v)
-	return bound.IsZero() || now.Add(boundMargin+boundFactorOfWait*time.Duration(float64(r.predict(now, e, a.Work))*r.slow)).Before(bound)
+	return bound.IsZero() || now.Add(boundMargin+time.Duration(boundFactorOfWait*float64(r.predict(now, e, a.Work))*r.slow)).Before(bound)
+}
+
+// tooLong reports whether a request would still run when the replica is to
+// change its version: it would hold up the change, and with it all that could run
+// there.
+func (r *Replica) tooLong(now time.Time, e config.Engine, w Work) bool {
+	if r.Word.ChangeAt.IsZero() {
+		return false
+	}
+	_, running := r.others(now)
+	writers := float64(r.writing) + running
+	step := e.Step + time.Duration(writers*float64(e.PerSequence))
+	ends := now.Add(r.predict(now, e, w) + time.Duration(readingBeside*float64(w.Answer)*float64(step)))
+	return ends.After(r.Word.ChangeAt.Add(changeLate))
 }
 
 // others estimates what other gateways have at the replica.
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -29,7 +29,7 @@
 	mostPutOff     = 3                      // Times that a chunk is left to those ahead.
 	originRetry    = 500 * time.Millisecond // Between tries at the origin, with jitter.
 	pullAhead      = 0.93                   // Share of the planned time in which seeds ask.
-	acrossGrace    = 400 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
+	acrossGrace    = 1000 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
 	fullGraces     = 5                      // Without room, nothing is fetched for so many graces.
 )
 
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -16,7 +16,7 @@
 // getManifest fetches the manifest: the first box in its order from the origin,
 // the others from a box ahead of them, and from the origin once that is late.
 func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
-	const retry, grace, mostGraces = 200 * time.Millisecond, 2 * time.Second, 8
+	const retry, grace, mostGraces = 40 * time.Millisecond, 2 * time.Second, 8
 	x := t.Exchange
 	begin := time.Now()
 	for ; ctx.Err() == nil; pause(ctx, retry) {
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -140,7 +140,8 @@
 // settleIn gives neighbours a moment to tell what they have, so that a box that
 // joins late does not go to the origin for what they hold.
 func (t *Transfer) settleIn(ctx context.Context) {
-	const moment = 200 * time.Millisecond
+	const least, most, chunks = 60 * time.Millisecond, 200 * time.Millisecond, 3
+	moment := max(least, min(most, chunks*t.plan.PerChunk))
 	wait, cancel := context.WithTimeout(ctx, moment)
 	defer cancel()
 	<-wait.Done()
