weights, route, stager: rolls and the origin's return

Cause: (1) during a roll half of the fleet was out: with 20 replicas at 77% of their capacity only four may be. Gateways gave the few that had changed all long requests, and picked the best of 12 by words 200 ms old, so they overran them. (3) Fetches that waited in others' queues were read as a slow link, and all boxes slowed down together.

Change: three candidates at random; words each 100 ms; the time by which a request would hold up a change is a cost, not a bar; a stream on a changing replica moves once to another of its version; a box that looks after a chunk says so; the link is judged by the time from a chunk's first part to its last.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -53,6 +53,7 @@
 	UpstreamFailed   Code = "upstream_failed"
 	MixedVersion     Code = "mixed_version"
 	Truncated        Code = "answer_truncated"
+	Moved            Code = "moved" // A stream that went on elsewhere, since its replica changes.
 	OutcomeUnknown   Code = "outcome_unknown"
 )
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -270,7 +270,7 @@
 		return dispatch.Result{Outcome: dispatch.Done}
 	case fault.Is(err, errCaller):
 		return unknown(fault.Cancelled)
-	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge), fault.Is(err, fault.Moved):
 		return unknown(fault.CodeOf(err))
 	}
 	return a.broken(ctx, err)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -28,28 +28,13 @@
 			last = all.Add(notRun(fault.PastDeadline))
 			break
 		}
-		choice, err := g.table.Pick(now, route.Ask{
-			Service: rq.service, Work: rq.work, Version: rq.version, Exclude: exclude,
-			Bound: func(v uint64) time.Time { return g.bound(rq, v) },
-		})
-		if err != nil {
+		choice, res, ok := g.choose(now, rq, exclude, arrivals)
+		if !ok {
 			if rq.sends == 0 {
-				last = all.Add(notRun(fault.CodeOf(err)))
-				last.RetryAt = g.comeBack(now, rq, 0)
+				last = all.Add(res)
 			}
 			break
 		}
-		if arrivals == 0 && !g.admits(now, rq, choice) {
-			g.table.Done(now, choice.Ticket, route.End{})
-			last = all.Add(notRun(fault.QueueFull))
-			last.RetryAt = g.comeBack(now, rq, choice.Wait)
-			break
-		}
-		if arrivals > 0 && !window.Spend(now, g.slack()) {
-			g.table.Done(now, choice.Ticket, route.End{})
-			g.Metrics.Event("retry_budget_spent", "")
-			break
-		}
 		rq.sends++
 		exclude[choice.ID] = true
 		a := &attempt{relay: g, rq: rq, out: out, to: choice}
@@ -79,6 +64,32 @@
 	return last
 }
 
+// choose takes a place at a replica for the next send, or says why there is none.
+func (g *Relay) choose(now time.Time, rq *request, exclude map[string]bool, arrivals int) (route.Choice, dispatch.Result, bool) {
+	if next := rq.next; next != nil {
+		rq.next = nil
+		return *next, dispatch.Result{}, true
+	}
+	choice, err := g.table.Pick(now, rq.ask(g, exclude))
+	if err != nil {
+		res := notRun(fault.CodeOf(err))
+		res.RetryAt = g.comeBack(now, rq, 0)
+		return choice, res, false
+	}
+	if arrivals == 0 && !g.admits(now, rq, choice) {
+		g.table.Done(now, choice.Ticket, route.End{})
+		res := notRun(fault.QueueFull)
+		res.RetryAt = g.comeBack(now, rq, choice.Wait)
+		return choice, res, false
+	}
+	if arrivals > 0 && !g.window(rq.service).Spend(now, g.slack()) {
+		g.table.Done(now, choice.Ticket, route.End{})
+		g.Metrics.Event("retry_budget_spent", "")
+		return choice, notRun(fault.RetryBudget), false
+	}
+	return choice, dispatch.Result{}, true
+}
+
 // mayGoOn reports whether the request may be sent once more after a send that
 // ended so.
 func mayGoOn(rq *request, out *answer, own dispatch.Result) bool {
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,6 +33,7 @@
 	lastEvent    string // What a stream has been shown up to.
 	version      uint64 // Of the first part of the answer; every further part must be of it.
 	sends        int
+	next         *route.Choice // Where the stream goes on, if that is decided already.
 	predicted    time.Duration // Until the first event, of the last send.
 	trail        []string      // What became of each send, for the log.
 }
@@ -43,6 +44,14 @@
 // engine reports whether the service runs a model.
 func (rq *request) engine() bool { return rq.catalog.Config.Services[rq.service].Model != "" }
 
+// ask is what a replica is chosen for.
+func (rq *request) ask(g *Relay, exclude map[string]bool) route.Ask {
+	return route.Ask{
+		Service: rq.service, Work: rq.work, Version: rq.version, Exclude: exclude,
+		Bound: func(v uint64) time.Time { return g.bound(rq, v) },
+	}
+}
+
 // workOf reads how much a request asks for. What it does not say is taken to be
 // as usual.
 func workOf(d *Dialect, h http.Header, e config.Engine) route.Work {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -9,6 +9,7 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/route"
 )
 
 const streamKind = config.RouteStream
@@ -49,6 +50,9 @@
 			}
 			buf = append(buf[:0], buf[whole:]...)
 			_ = a.conn.SetReadDeadline(a.patience(time.Now(), gap))
+			if a.moves() {
+				return fault.New(fault.Moved, "")
+			}
 		}
 		switch {
 		case err == io.EOF && len(buf) > 0 && !framed:
@@ -66,6 +70,34 @@
 	}
 }
 
+// A replica that waits for its last streams to take another version could run
+// many others meanwhile. So a stream that it still runs after a while goes on at
+// another replica that holds the same version and is free enough.
+const (
+	moveAfter = 350 * time.Millisecond
+	moveWait  = 0.5 // Of the gap that the route allows, until the other one's first event.
+)
+
+// moves reports whether the stream should go on elsewhere, and if so takes its
+// place there.
+func (a *attempt) moves() bool {
+	g, rq := a.relay, a.rq
+	now := time.Now()
+	if !rq.route.Resumable || rq.lastEvent == "" || rq.sends >= max(1, rq.route.Attempts) || g.table.ChangingFor(now, a.to.Ticket) < moveAfter {
+		return false
+	}
+	next, err := g.table.Pick(now, rq.ask(g, map[string]bool{a.to.ID: true}))
+	if err != nil {
+		return false
+	}
+	if next.Predicted > time.Duration(moveWait*float64(rq.route.Gap)) || !g.window(rq.service).Spend(now, g.slack()) {
+		g.table.Done(now, next.Ticket, route.End{})
+		return false
+	}
+	rq.next = &next
+	return true
+}
+
 // lastID returns the id of the last event in b that has one.
 func lastID(b []byte) string {
 	for len(b) > 0 {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -225,7 +225,7 @@
 // between the first that can have it and the end of the older ones' time, so that
 // as few as possible finish what they run at the same moment.
 const (
-	rollMargin  = 900 * time.Millisecond // Before the older versions' time is over.
+	rollMargin  = 700 * time.Millisecond // Before the older versions' time is over.
 	spreadLinks = 1.4                    // Copies that a box's link carries until the first has a whole.
 )
 
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -72,7 +72,7 @@
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
 		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers},
-		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, Flush: flush,
+		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, SharesLink: true, AtOrigin: atOrigin, Flush: flush,
 		Event: func(e weights.Event) { m.Event("weights_"+string(e.Kind), "") },
 	}
 	st.links = rate.NewLimiter(rate.Limit(linkShare*st.linkRate()), sendPart)
@@ -86,11 +86,12 @@
 // paced just below the link's rate, in small parts, so that the link has no queue
 // in which an event of an answer would wait.
 const (
-	linkShare   = 0.9
+	linkShare   = 0.96
 	sendPart    = 4 << 10
 	uploadSlots = 1
 	uploadQueue = 4 // So that the link is not idle between two.
 	fetches     = 6
+	atOrigin    = 1
 	flush       = 25 * time.Millisecond // Chunks are small; neighbours are told at once.
 	bitsPerMega = 1e6
 	bitsPerByte = 8
@@ -99,7 +100,25 @@
 // linkRate is the bytes a second of the box's link.
 func (s *Stager) linkRate() float64 { return s.Settings.Link * bitsPerMega / bitsPerByte }
 
-func (s *Stager) pace(ctx context.Context, n int) error { return s.links.WaitN(ctx, n) }
+func (s *Stager) pace(ctx context.Context, n int) error {
+	limit := rate.Limit(linkShare * s.linkRate() * s.ease())
+	if s.links.Limit() != limit {
+		s.links.SetLimit(limit)
+	}
+	return s.links.WaitN(ctx, n)
+}
+
+// ease is the part of the link's rate that it seems to have.
+func (s *Stager) ease() float64 {
+	a, _, _ := s.now.watch()
+	if a == nil {
+		return 1
+	}
+	if t := s.exchange.Transfer(artifactOf(a.Model, a.Version)); t != nil {
+		return t.Ease()
+	}
+	return 1
+}
 
 // boxOf names a box by the IP of an address on it: all that other boxes of the
 // same service know of it is the address of its replica.
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -13,7 +13,8 @@
 
 // Waits of the status.
 const (
-	reportEvery = 200 * time.Millisecond // Between looks at the replica.
+	reportEvery = 100 * time.Millisecond // Between looks at the replica,
+	reportBusy  = 40 * time.Millisecond  // and while it has an order.
 	reportIn    = 500 * time.Millisecond
 	tellAtLeast = time.Second // Gateways are told this often although nothing changed.
 )
@@ -155,7 +156,11 @@
 			return nil
 		}
 		s.status.heard(rep, err)
-		t := time.NewTimer(reportEvery)
+		wait := reportEvery
+		if rep.Ordered {
+			wait = reportBusy
+		}
+		t := time.NewTimer(wait)
 		select {
 		case <-t.C:
 		case <-s.status.again:
--- a/route/direct.go
+++ b/route/direct.go
@@ -36,6 +36,8 @@
 	Word Word // Zero while its agent has said nothing.
 	// LeftAt is when it was first heard that the replica leaves.
 	LeftAt time.Time
+	// changing is since when it is about to take another version; zero if it is not.
+	changing time.Time
 
 	reading  int // Own requests without a first event,
 	prompts  int // the tokens of their prompts,
@@ -78,9 +80,9 @@
 	// then, even if that takes so many times what is predicted and a margin.
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
-	readingBeside     = 1.5                    // A step takes so much longer for the prompts that are read beside it.
-	changeLate        = 250 * time.Millisecond // By which a change may wait for the last request.
-	sampleOfTable     = 0.6                    // Part of the candidates that one choice looks at.
+	readingBeside     = 1.5 // A step takes so much longer for the prompts that are read beside it.
+	sampled           = 3   // Candidates that one choice looks at.
+	holdUpCost        = 0.2 // Of the time by which a request would hold up a change.
 )
 
 // Sync takes the list of upstreams and the engines of services.
@@ -116,6 +118,12 @@
 	defer t.mu.Unlock()
 	if r := t.byAddr[addr]; r != nil {
 		r.Word = w
+		switch {
+		case !w.Changing:
+			r.changing = time.Time{}
+		case r.changing.IsZero():
+			r.changing = w.At
+		}
 		r.ownThen = r.reading + r.writing
 	}
 }
@@ -129,6 +137,17 @@
 	}
 }
 
+// ChangingFor returns for how long a replica has waited for what it runs, to take
+// another version; 0 if it does not.
+func (t *Table) ChangingFor(now time.Time, k *Ticket) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.replica.changing.IsZero() {
+		return 0
+	}
+	return now.Sub(k.replica.changing)
+}
+
 // version is what the replica holds, by the newest word of it. The caller holds
 // t.mu.
 func (r *Replica) version(now time.Time) uint64 {
@@ -175,14 +194,16 @@
 	e := t.engines[a.Service]
 	var best *Replica
 	var at, cost time.Duration
-	offset, n := rand.IntN(len(cs)), looked(len(cs))
-	for i := range n {
-		r := cs[(offset+i)%len(cs)]
+	// Gateways that all took the one that looks best by the same old words would
+	// overrun it, so each looks at a few at random.
+	for _, i := range rand.Perm(len(cs))[:min(sampled, len(cs))] {
+		r := cs[i]
 		p := r.predict(now, e, a.Work)
 		c := time.Duration(float64(p) * r.slow)
 		if r.Hall != t.Hall {
 			c += strangerCost
 		}
+		c += time.Duration(holdUpCost * float64(r.holdsUp(now, e, a.Work)))
 		if best == nil || c < cost {
 			best, at, cost = r, p, c
 		}
@@ -197,10 +218,6 @@
 	}, nil
 }
 
-// looked is how many of n candidates one choice looks at: gateways that all took
-// the one that looks best by the same old words would overrun it.
-func looked(n int) int { return max(min(n, 3), int(math.Ceil(sampleOfTable*float64(n)))) }
-
 // candidates returns whom a request may go to. Ejected and full replicas are
 // used only where there is nobody else.
 func (t *Table) candidates(now time.Time, a Ask) []*Replica {
@@ -209,7 +226,7 @@
 		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
 			continue
 		}
-		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && (r.Word.Changing || r.tooLong(now, t.engines[a.Service], a.Work)) {
+		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
 			poor = append(poor, r)
 			continue
 		}
@@ -242,18 +259,18 @@
 	return bound.IsZero() || now.Add(boundMargin+time.Duration(boundFactorOfWait*float64(r.predict(now, e, a.Work))*r.slow)).Before(bound)
 }
 
-// tooLong reports whether a request would still run when the replica is to
+// holdsUp estimates for how long a request would still run when the replica is to
 // change its version: it would hold up the change, and with it all that could run
 // there.
-func (r *Replica) tooLong(now time.Time, e config.Engine, w Work) bool {
-	if r.Word.ChangeAt.IsZero() {
-		return false
+func (r *Replica) holdsUp(now time.Time, e config.Engine, w Work) time.Duration {
+	if r.Word.ChangeAt.IsZero() || !r.heard(now) {
+		return 0
 	}
 	_, running := r.others(now)
 	writers := float64(r.writing) + running
 	step := e.Step + time.Duration(writers*float64(e.PerSequence))
 	ends := now.Add(r.predict(now, e, w) + time.Duration(readingBeside*float64(w.Answer)*float64(step)))
-	return ends.After(r.Word.ChangeAt.Add(changeLate))
+	return max(0, ends.Sub(r.Word.ChangeAt))
 }
 
 // others estimates what other gateways have at the replica.
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -21,7 +21,7 @@
 			todo = append(todo, Action{Chunk: i, Ask: p.ahead(i)})
 		case p.originAt.After(now):
 			earlier(wake, p.originAt)
-		case p.atOrigin < originAtOnce:
+		case p.atOrigin < orDefault(p.AtOrigin, defaultAtOrigin):
 			todo = append(todo, p.begin(now, Action{Chunk: i, From: Origin}))
 		}
 	}
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -32,6 +32,10 @@
 	// KeepInHall fetches what the hall has from the hall, so that about one copy
 	// crosses into each.
 	KeepInHall bool
+	// SharesLink has fewer fetches open while they take long, for the sake of what
+	// else uses the link.
+	SharesLink bool
+	AtOrigin   int           // Fetches open from the origin at once; 2 by default.
 	Flush      time.Duration // Between two Have messages to a neighbour; 100 ms by default.
 	// FromOrigin fetches a chunk or manifest from the origin by its digest.
 	FromOrigin func(ctx context.Context, digest string) ([]byte, error)
@@ -136,11 +140,11 @@
 }
 
 func (x *Exchange) serveAsk(ctx context.Context, s *wire.Stream, m *Ask) {
-	r := &AskReply{}
+	var r AskReply
 	if t := x.Transfer(m.Artifact); t != nil {
-		r.Has, r.Getting = t.state(m.Chunk)
+		r = t.state(m.Chunk)
 	}
-	_ = s.SendLast(ctx, r)
+	_ = s.SendLast(ctx, &r)
 }
 
 func (x *Exchange) serveChunk(ctx context.Context, s *wire.Stream, m *GetChunk) {
@@ -243,8 +247,9 @@
 
 // receiveParts reads a chunk of at most limit bytes. Each part must come within
 // patience of the one before.
-func receiveParts(ctx context.Context, s *wire.Stream, limit int, first, patience time.Duration) ([]byte, error) {
+func receiveParts(ctx context.Context, s *wire.Stream, limit int, first, patience time.Duration) ([]byte, time.Duration, error) {
 	var data []byte
+	var began time.Time
 	for wait := first; ; wait = patience {
 		rctx, cancel := context.WithTimeout(ctx, wait)
 		m, err := s.Recv(rctx)
@@ -253,27 +258,30 @@
 			if fault.Is(err, fault.Timeout) && ctx.Err() == nil {
 				err = fault.New(fault.Stalled, "chunk")
 			}
-			return nil, err
+			return nil, 0, err
 		}
 		p, ok := m.(*Part)
 		if !ok {
-			return nil, fault.New(fault.Garbage, "chunk part")
+			return nil, 0, fault.New(fault.Garbage, "chunk part")
 		}
 		if len(data)+len(p.Data) > limit {
-			return nil, fault.New(fault.TooLarge, "chunk")
+			return nil, 0, fault.New(fault.TooLarge, "chunk")
+		}
+		if data == nil {
+			began = time.Now()
 		}
 		data = append(data, p.Data...)
 		if s.Finished() {
-			return data, nil
+			return data, time.Since(began), nil
 		}
 	}
 }
 
 // getFrom fetches a chunk or manifest from a peer on its connection.
-func getFrom(ctx context.Context, c *wire.Conn, digest string, limit int, first, patience time.Duration) ([]byte, error) {
+func getFrom(ctx context.Context, c *wire.Conn, digest string, limit int, first, patience time.Duration) ([]byte, time.Duration, error) {
 	s, err := c.Open(ctx, &GetChunk{Digest: digest})
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
 	defer s.Close()
 	return receiveParts(ctx, s, limit, first, patience)
--- a/weights/message.go
+++ b/weights/message.go
@@ -38,6 +38,7 @@
 type AskReply struct {
 	Has     bool
 	Getting bool
+	Ahead   bool // The box looks after the chunk and will get it from the origin.
 }
 
 // Messages registers this package's messages.
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -19,18 +19,21 @@
 // Tuning of a Plan. Those in chunks are multiples of the time that one chunk
 // takes on a box's idle link.
 const (
-	perPeer        = 1                      // Open fetches from one peer.
-	originAtOnce   = 2                      // Open fetches from the origin.
-	graceChunks    = 24                     // Between the turns of two boxes in a chunk's order,
-	minGrace       = 2 * time.Second        // and at least this.
-	slowChunks     = 12                     // After it a second fetch of a chunk may start.
-	strikesAllowed = 2                      // Corrupt chunks after which a peer is left out
-	leftOutFor     = 30 * time.Second       // for this, and longer each time.
-	mostPutOff     = 3                      // Times that a chunk is left to those ahead.
-	originRetry    = 500 * time.Millisecond // Between tries at the origin, with jitter.
-	pullAhead      = 0.93                   // Share of the planned time in which seeds ask.
-	acrossGrace    = 1000 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
-	fullGraces     = 5                      // Without room, nothing is fetched for so many graces.
+	perPeer         = 1                       // Open fetches from one peer.
+	defaultAtOrigin = 2                       // Open fetches from the origin.
+	graceChunks     = 24                      // Between the turns of two boxes in a chunk's order,
+	minGrace        = 2 * time.Second         // and at least this.
+	slowChunks      = 12                      // After it a second fetch of a chunk may start.
+	strikesAllowed  = 2                       // Corrupt chunks after which a peer is left out
+	leftOutFor      = 30 * time.Second        // for this, and longer each time.
+	mostPutOff      = 3                       // Times that a chunk is left to those ahead.
+	mostWaited      = 6                       // The same for one that waits for the origin.
+	originRetry     = 500 * time.Millisecond  // Between tries at the origin, with jitter.
+	pullAhead       = 0.93                    // Share of the planned time in which seeds ask.
+	slowFetch       = 14                      // Of so many, a fetch shows that this box's link is slower than it should be.
+	easeBack        = 0.1                     // Fetches regained by each one that is not.
+	acrossGrace     = 1000 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
+	fullGraces      = 5                       // Without room, nothing is fetched for so many graces.
 )
 
 // Action is one thing to do.
@@ -51,7 +54,9 @@
 	PerChunk time.Duration // One chunk takes this on a box's idle link.
 	Spare    float64       // Copies beyond the first that may leave the origin.
 	Rand     *rand.Rand
-	Parallel int // Fetches that a box has open; 8 by default.
+	Parallel int  // Fetches that a box has open; 8 by default.
+	AtOrigin int  // Fetches that a box has open from the origin; 2 by default.
+	Adapt    bool // Have fewer open while they take long.
 	// Near are the boxes of this box's hall, itself among them. Where it is set, a
 	// chunk that one of them has comes from them; one that only other halls have
 	// is brought by the first of Near in the chunk's order, and by the next ones
@@ -72,11 +77,13 @@
 	spare     int // Chunks that this box may still fetch beyond its duty.
 	asking    map[int]bool
 	putOff    map[int]int  // How often a box ahead said that it looks after a chunk.
+	waited    map[int]int  // How often a box ahead said that it waits for the origin.
 	granted   map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
 	leftOut   time.Time    // Some peer is left out until then.
 	originAt  time.Time    // The origin is left alone until then.
 	fullTill  time.Time    // The store had no room; nothing is fetched until then.
 	tieBreak  []int
+	parallel  float64 // Fetches that may be open now: fewer where the link turns out slow. Zero is the usual.
 	near      map[string]bool
 	across    []int       // Boxes of Near ahead of this one in bringing a chunk from another hall.
 	offeredAt []time.Time // When another hall was first seen to have a chunk; zero if none was.
@@ -111,7 +118,7 @@
 	p.rarity = make([]int, p.Chunks)
 	p.fetching = map[int][]fetch{}
 	p.peers = map[string]*peerState{}
-	p.asking, p.granted, p.putOff = map[int]bool{}, map[int]bool{}, map[int]int{}
+	p.asking, p.granted, p.putOff, p.waited = map[int]bool{}, map[int]bool{}, map[int]int{}, map[int]int{}
 	p.tieBreak = p.Rand.Perm(p.Chunks)
 	p.offeredAt = make([]time.Time, p.Chunks)
 	p.SetMembers(members)
@@ -257,6 +264,29 @@
 	p.leftOut = laterOf(p.leftOut, until)
 }
 
+// Received adapts how many fetches are open to how long the parts of a chunk took
+// from the first to the last, so that a link that is slower than it should be has
+// no long queue in which other traffic waits.
+func (p *Plan) Received(took time.Duration) {
+	most := float64(orDefault(p.Parallel, defaultParallel))
+	if p.parallel == 0 {
+		p.parallel = most
+	}
+	if took > slowFetch*p.PerChunk {
+		p.parallel = max(1, p.parallel/2)
+		return
+	}
+	p.parallel = min(most, p.parallel+easeBack)
+}
+
+// Ease is the part of its usual fetches that a box may have open now.
+func (p *Plan) Ease() float64 {
+	if p.parallel == 0 {
+		return 1
+	}
+	return p.parallel / float64(orDefault(p.Parallel, defaultParallel))
+}
+
 func (p *Plan) endFetch(chunk int, from string) {
 	for i, f := range p.fetching[chunk] {
 		if f.from != from {
@@ -286,6 +316,27 @@
 	return out
 }
 
+// LooksAfter reports whether this box is to get a chunk from the origin, now or
+// when the origin can be had: it is first in the order, or those ahead have left
+// it to this box.
+func (p *Plan) LooksAfter(chunk int) bool {
+	return !p.have.Has(chunk) && (p.position[chunk] == 0 || p.granted[chunk])
+}
+
+// AskedAhead records that a box ahead looks after a chunk but has not begun to
+// get it: the origin is away or has a queue, and another one that asks there would
+// be no help. After many such answers it may be that box that is cut off.
+func (p *Plan) AskedAhead(now time.Time, chunk int) {
+	delete(p.asking, chunk)
+	p.waited[chunk]++
+	if p.waited[chunk] >= mostWaited {
+		p.granted[chunk] = true
+		p.turn[chunk] = now
+		return
+	}
+	p.turn[chunk] = now.Add(p.grace())
+}
+
 // Asked records the answer to an Action with Ask: whether a box ahead has the
 // chunk or is getting it. If none does, this box's turn has come. So it has if
 // one says so again and again and no neighbour ever gets the chunk: it may be
@@ -311,7 +362,7 @@
 		return nil, p.fullTill
 	}
 	todo = p.duties(now, &wake, todo)
-	for p.open < orDefault(p.Parallel, defaultParallel) {
+	for p.open < p.mayOpen() {
 		a, ok := p.best(now, &wake)
 		if !ok {
 			a, ok = p.spareFetch(now)
@@ -324,6 +375,13 @@
 	return todo, wake
 }
 
+func (p *Plan) mayOpen() int {
+	if !p.Adapt || p.parallel == 0 {
+		return orDefault(p.Parallel, defaultParallel)
+	}
+	return int(p.parallel)
+}
+
 func (p *Plan) begin(now time.Time, a Action) Action {
 	p.fetching[a.Chunk] = append(p.fetching[a.Chunk], fetch{a.From, now})
 	p.open++
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -51,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
+	data, _, err := getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
+	return data, err
 }
 
 // keepManifest keeps a manifest, and lets go of one that no transfer uses when
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -83,6 +83,17 @@
 	return t.plan.Chunks, t.plan.Missing()
 }
 
+// Ease is the part of its usual fetches that the box has open: less than 1 where
+// its link turns out slower than it should be.
+func (t *Transfer) Ease() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil {
+		return 1
+	}
+	return t.plan.Ease()
+}
+
 // CompleteBy estimates when the transfer will be complete, if it goes on as it did so
 // far. It is zero while nothing is known, and when the transfer is complete.
 func (t *Transfer) CompleteBy(now time.Time) time.Time {
@@ -99,16 +110,6 @@
 	return now.Add(now.Sub(t.plan.Begin) / time.Duration(got) * time.Duration(missing))
 }
 
-// state answers an Ask about a chunk.
-func (t *Transfer) state(chunk int) (has, getting bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.plan == nil || chunk < 0 || chunk >= t.plan.Chunks {
-		return false, false
-	}
-	return t.plan.Have().Has(chunk), len(t.plan.Others(chunk)) > 0
-}
-
 // Run fetches until complete and serves until ctx ends.
 func (t *Transfer) Run(ctx context.Context) error {
 	t.init()
@@ -165,8 +166,8 @@
 	}
 	p := &Plan{
 		Self: t.Exchange.Self.Name, Strategy: t.Exchange.Strategy, Chunks: len(chunks), Begin: time.Now(),
-		Parallel: t.Exchange.Parallel,
-		Inject:   time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
+		Parallel: t.Exchange.Parallel, Adapt: t.Exchange.SharesLink, AtOrigin: t.Exchange.AtOrigin,
+		Inject: time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
 		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))),
 	}
 	members := t.Members()
@@ -264,7 +265,12 @@
 		kind = EventHall
 	}
 	first, patience := t.patience()
-	data, err := getFrom(ctx, s.conn, c.Digest, c.Size, first, patience)
+	data, took, err := getFrom(ctx, s.conn, c.Digest, c.Size, first, patience)
+	if err == nil {
+		t.mu.Lock()
+		t.plan.Received(took)
+		t.mu.Unlock()
+	}
 	return kind, data, err
 }
 
@@ -326,42 +332,3 @@
 		}
 	}
 }
-
-// ask finds out whether a box ahead in a chunk's order looks after it.
-func (t *Transfer) ask(ctx context.Context, a Action) {
-	const within = 2 * time.Second
-	ctx, cancel := context.WithTimeout(ctx, within)
-	defer cancel()
-	addrs := map[string]string{}
-	for _, m := range t.Members() {
-		addrs[m.Name] = m.Addr
-	}
-	replies := make(chan bool, len(a.Ask))
-	for _, name := range a.Ask {
-		go func() { replies <- t.askOne(ctx, addrs[name], a.Chunk) }()
-	}
-	some := false
-	for range a.Ask {
-		some = <-replies || some
-	}
-	if !some {
-		t.Exchange.event(EventTurn, 0)
-	}
-	t.mu.Lock()
-	t.plan.Asked(time.Now(), a.Chunk, some)
-	t.mu.Unlock()
-	t.happened()
-}
-
-func (t *Transfer) askOne(ctx context.Context, addr string, chunk int) bool {
-	c, err := t.Exchange.Pool.Get(ctx, addr)
-	if err != nil {
-		return false
-	}
-	m, err := c.Call(ctx, &Ask{Artifact: t.Artifact, Chunk: chunk})
-	if err != nil {
-		return false
-	}
-	r, ok := m.(*AskReply)
-	return ok && (r.Has || r.Getting)
-}
