route: silence and slow first events count against a replica at once

Change: a replica is expected to take at least as long as it has given no sign; a sample that is worse weighs more than one that is better, and a send without a first event is one. Such a replica is left out of an old version's last seconds.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -281,7 +281,7 @@
 	if !a.first {
 		a.first = true
 		took := time.Since(a.began)
-		a.relay.table.First(a.to.Ticket, took, a.to.Predicted)
+		a.relay.table.First(time.Now(), a.to.Ticket, took, a.to.Predicted)
 		a.relay.Metrics.FirstData(took.Seconds())
 	}
 }
--- a/route/direct.go
+++ b/route/direct.go
@@ -49,6 +49,7 @@
 	full     time.Time // It refused for want of room; left alone until then.
 	served   uint64    // The version of its last answer, if newer than its list entry.
 	slow     float64   // Smoothed first-event time over the predicted one.
+	sign     time.Time // While requests wait for a first event: when one last came, or the first began to wait.
 	quick    time.Duration
 }
 
@@ -74,6 +75,7 @@
 	directMost   = 8 * time.Second
 	directAfter  = 2 // Failures in a row.
 	slowSample   = 0.2
+	slowSampleUp = 0.35
 	slowBound    = 8.0
 	plainGuess   = 60 * time.Millisecond // A request's time where nothing is known.
 	// A request is sent to a version whose time ends only if it will have begun by
@@ -193,13 +195,13 @@
 	}
 	e := t.engines[a.Service]
 	var best *Replica
-	var at, cost time.Duration
+	var at, cost time.Duration // What best is predicted to take, and that with what speaks against it.
 	// Gateways that all took the one that looks best by the same old words would
 	// overrun it, so each looks at a few at random.
 	for _, i := range rand.Perm(len(cs))[:min(sampled, len(cs))] {
 		r := cs[i]
-		p := r.predict(now, e, a.Work)
-		c := time.Duration(float64(p) * r.slow)
+		p := r.expect(now, e, a.Work)
+		c := p
 		if r.Hall != t.Hall {
 			c += strangerCost
 		}
@@ -208,12 +210,15 @@
 			best, at, cost = r, p, c
 		}
 	}
-	wait := time.Duration(float64(best.predict(now, e, Work{})) * best.slow)
+	wait := best.expect(now, e, Work{})
+	if best.reading == 0 {
+		best.sign = now
+	}
 	best.reading++
 	best.prompts += a.Work.Prompt
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work},
-		Upstream: best.Upstream, Version: best.version(now), Predicted: time.Duration(float64(at) * best.slow),
+		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
 		Wait: wait,
 	}, nil
 }
@@ -256,7 +261,7 @@
 		return true
 	}
 	bound := a.Bound(v)
-	return bound.IsZero() || now.Add(boundMargin+time.Duration(boundFactorOfWait*float64(r.predict(now, e, a.Work))*r.slow)).Before(bound)
+	return bound.IsZero() || now.Add(boundMargin+time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
 }
 
 // holdsUp estimates for how long a request would still run when the replica is to
@@ -284,6 +289,16 @@
 	return total * float64(r.Word.Queued) / all, total * float64(r.Word.Running) / all
 }
 
+// expect is what predict says, corrected by how slow the replica has been, and no
+// less than the time for which it has given no sign.
+func (r *Replica) expect(now time.Time, e config.Engine, w Work) time.Duration {
+	d := time.Duration(float64(r.predict(now, e, w)) * r.slow)
+	if r.reading > 0 {
+		d = max(d, now.Sub(r.sign))
+	}
+	return d
+}
+
 // predict estimates the time until the first event of a request.
 func (r *Replica) predict(now time.Time, e config.Engine, w Work) time.Duration {
 	queued, running := r.others(now)
@@ -326,21 +341,32 @@
 }
 
 // First records that a request's first event came, and how long it took.
-func (t *Table) First(k *Ticket, took, predicted time.Duration) {
+func (t *Table) First(now time.Time, k *Ticket, took, predicted time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := k.replica
+	r.sign = now
 	k.first = true
 	r.reading--
 	r.prompts -= k.work.Prompt
 	r.writing++
 	r.failures, r.ejection = 0, 0
 	if predicted > 0 {
-		ratio := min(slowBound, max(1/slowBound, float64(took)/float64(predicted)*r.slow))
-		r.slow = max(1/slowBound, min(slowBound, r.slow+slowSample*(ratio-r.slow)))
+		r.slower(float64(took) / float64(predicted) * r.slow)
 	}
 }
 
+// slower takes a sample of how slow the replica is against its prediction. What
+// gets worse is believed sooner than what gets better.
+func (r *Replica) slower(ratio float64) {
+	ratio = min(slowBound, max(1/slowBound, ratio))
+	weight := slowSample
+	if ratio > r.slow {
+		weight = slowSampleUp
+	}
+	r.slow += weight * (ratio - r.slow)
+}
+
 // End is how a request at a replica ended.
 type End struct {
 	Failed  bool
@@ -371,6 +397,9 @@
 	if !e.Failed {
 		return
 	}
+	if !k.first {
+		r.slower(2 * r.slow)
+	}
 	r.failures++
 	if r.failures >= directAfter {
 		r.ejected = now.Add(min(directMost, directEject<<min(r.ejection, 5)))
