--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -59,9 +59,9 @@
 }
 
 // follow reads the platform's store at an address.
-func follow(addr string) peers.Follower {
+func follow(addr string) *peers.Follower {
 	s := &platform.Store{Addr: addr, HTTP: platformClient()}
-	return peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}
+	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}
 }
 
 // platformClient speaks to what stands on the platform. It notices a dead path
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -22,9 +23,32 @@
 	Revision func(ctx context.Context) (uint64, error)
 	Sharers  func() int
 	Event    func(name string, c fault.Code)
+	// Doubt is how long ago a change may have been made, at the most, that is only
+	// found out now.
+	Doubt time.Duration
 	// Needed, if set, holds while the platform should be read; a follower that
 	// is not needed looks again after a while.
 	Needed func() bool
+
+	mu      sync.Mutex
+	certain time.Time // When the mirror was last known to be the newest.
+}
+
+// Sure records that the mirror is the newest now.
+func (f *Follower) Sure() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.certain = time.Now()
+}
+
+// Earliest is when a change may have been made that is only found out now.
+func (f *Follower) Earliest() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if t := time.Now().Add(-f.Doubt); t.After(f.certain) {
+		return t
+	}
+	return f.certain
 }
 
 // Waits of a Follower.
@@ -84,7 +108,7 @@
 		if err != nil {
 			return err
 		}
-		f.Mirror.Apply(d)
+		f.take(d)
 		telemetry.Log("store_read", "at", d.At, "records", len(d.Records), "bytes", d.Bytes())
 		return nil
 	}
@@ -98,10 +122,19 @@
 	if len(d.Records) > 0 {
 		telemetry.Log("store_changed", "at", d.At, "since", since, "records", len(d.Records), "first", d.Records[0].Key)
 	}
+	d.Heard = time.Now()
 	f.Mirror.Apply(d)
+	f.Sure()
 	return nil
 }
 
+// take applies what was read rather than told.
+func (f *Follower) take(d mirror.Delta) {
+	d.Heard = f.Earliest()
+	f.Mirror.Apply(d)
+	f.Sure()
+}
+
 // Check compares the mirror with the service's newest revision now and then, and
 // reads all records where the watch did not tell. Each process does so at a
 // moment of its own, and whoever finds something tells the others.
@@ -125,6 +158,7 @@
 		return
 	}
 	if at <= f.Mirror.At() {
+		f.Sure()
 		return
 	}
 	sleep(ctx, checkLag)
@@ -132,7 +166,7 @@
 		d, err := f.Whole(ctx)
 		telemetry.Log("store_watch_behind", "had", had, "newest", at, "read", d.At, "reason", fault.CodeOf(err))
 		if err == nil {
-			f.Mirror.Apply(d)
+			f.take(d)
 		}
 	}
 }
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -30,7 +30,11 @@
 	Self   Member
 	Pool   *wire.Pool
 	Mirror *mirror.Mirror
-	Join   []string // Addresses to ask before any gateway is known.
+	// Earliest is when a change may have been made that a peer tells of, and Sure
+	// is told when a peer has told all.
+	Earliest func() time.Time
+	Sure     func()
+	Join     []string // Addresses to ask before any gateway is known.
 
 	mu      sync.Mutex
 	members map[string]*member // By address.
@@ -161,7 +165,11 @@
 		telemetry.Log("pull_failed", "peer", addr, "since", since, "reason", fault.CodeOf(err))
 		return
 	}
+	r.Delta.Heard = g.Earliest()
 	taken := g.Mirror.Apply(r.Delta)
+	if taken {
+		g.Sure()
+	}
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -139,7 +139,7 @@
 	if !a.to.Engine {
 		return 0
 	}
-	before := a.relay.bound(a.rq, a.to.Version-1)
+	before := a.relay.bound(a.rq, 0)
 	if before.IsZero() || time.Now().Before(before) {
 		return 0
 	}
--- /dev/null
+++ b/internal/relay/learn_test.go
@@ -0,0 +1,100 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/platform/platformtest"
+)
+
+// withoutSafe is a configuration in which the safe route is gone.
+func withoutSafe(version int) platformtest.Body {
+	return platformtest.Config(version, platformtest.Route("s", "/s/", "stream", "llm", nil))
+}
+
+// A watch may hear nothing while changes are made. The configuration is in force
+// within two seconds all the same, at every gateway.
+func TestSilentWatchIsNoticed(t *testing.T) {
+	run(t, 4, plain(1), func(is *is.I, w *world) {
+		w.store.Deafen(true)
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(1500 * time.Millisecond)
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+		}
+		w.store.Deafen(false) // The history is gone, and the watches are cut.
+		w.store.Put("op/config", config(3))
+		time.Sleep(500 * time.Millisecond)
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusOK)
+		}
+	})
+}
+
+// A gateway that the store turns away follows the others, and one that starts
+// while the store is down learns from them.
+func TestGatewayWithoutTheStoreFollowsOthers(t *testing.T) {
+	run(t, 2, plain(1), func(is *is.I, w *world) {
+		away := http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
+		w.addGateway(2, away)
+		is.True(w.gateways[2].Ready() != nil) // It knows no configuration yet,
+		is.Equal(w.ask(2, "GET", "/none/", nil).status, http.StatusServiceUnavailable)
+		time.Sleep(time.Second)
+		is.NoErr(w.gateways[2].Ready())
+		is.Equal(w.ask(2, "GET", "/safe/", nil).status, http.StatusOK)
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(time.Second)
+		is.Equal(w.ask(2, "GET", "/safe/", nil).status, http.StatusNotFound)
+	})
+}
+
+// A bad configuration leaves the last good one in force.
+func TestBadConfigurationChangesNothing(t *testing.T) {
+	run(t, 1, plain(1), func(is *is.I, w *world) {
+		w.store.PutBytes("op/config", []byte(`{"version":`))
+		w.store.PutBytes("servers/p0", []byte(`{"service":7}`))
+		time.Sleep(time.Second)
+		is.Equal(w.ask(0, "GET", "/safe/", nil).status, http.StatusOK)
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(100 * time.Millisecond)
+		is.Equal(w.ask(0, "GET", "/safe/", nil).status, http.StatusNotFound)
+	})
+}
+
+// A gateway that starts while a version's time runs out cannot know when it was
+// named, and is not the one to send requests to an older one for long.
+func TestStartedGatewayDoesNotTrustAnOverdueVersion(t *testing.T) {
+	run(t, 1, engines(1, 2), func(is *is.I, w *world) {
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		time.Sleep(7 * time.Second)
+		w.addGateway(1, w.store)
+		time.Sleep(3 * time.Second)
+		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+	})
+}
+
+// Repeats of all gateways together stay within the bound, however many requests
+// fail: 0.2 of the requests and 30.
+func TestRepeatsStayWithinTheirBound(t *testing.T) {
+	rs := plain(3)
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			x.Run()
+			_ = x.Conn.Close()
+			return true
+		}
+	}
+	const asked = 300
+	run(t, 3, rs, func(is *is.I, w *world) {
+		for i := range asked {
+			w.ask(i%3, "GET", "/safe/", nil)
+			time.Sleep(10 * time.Millisecond)
+		}
+		again := runs(rs) - asked
+		is.True(again > 0)
+		is.True(again <= asked/5+30)
+	})
+}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -115,7 +115,7 @@
 // logEnd writes the one line that tells a request's story.
 func (g *Relay) logEnd(rq *request, out *answer, res dispatch.Result) {
 	now := time.Now()
-	first := time.Duration(-1)
+	first := -time.Millisecond
 	if !out.firstAt.IsZero() {
 		first = out.firstAt.Sub(rq.arrived)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -28,8 +28,8 @@
 type Options struct {
 	Dialect Dialect
 	// Follow reads the platform's service, and Catalog translates what it reads.
-	Follow  peers.Follower
-	Catalog func(rs map[string]mirror.Record, at uint64, now time.Time) *catalog.Catalog
+	Follow  *peers.Follower
+	Catalog func(rs map[string]mirror.Record, at uint64) *catalog.Catalog
 	Dial    func(ctx context.Context, addr string) (net.Conn, error) // To upstreams and gateways; TCP by default.
 }
 
@@ -57,6 +57,10 @@
 	windows map[string]*limit.Window // By service; bounded by the configuration.
 }
 
+// settledIn is how long a process that has started, or has been cut off, may
+// still send requests to a version that was overtaken it does not know when.
+const settledIn = 2500 * time.Millisecond
+
 // New returns a relay with its parts joined.
 func New(s *settings.Relay, o Options) (*Relay, error) {
 	m, err := telemetry.New()
@@ -89,11 +93,13 @@
 	}
 	g.gossip = &peers.Gossip{
 		Self: peers.Member{Name: s.Box, Addr: s.Listen, Hall: s.Hall}, Pool: g.pool, Mirror: &g.mirror, Join: s.Join,
+		Earliest: g.options.Follow.Earliest, Sure: g.options.Follow.Sure,
 	}
 	g.gossip.Serve(g.handlers)
 	wire.On(g.handlers, g.serveSubscribe)
 	wire.On(g.handlers, g.serveStatus)
 	g.options.Follow.Mirror = &g.mirror
+	g.options.Follow.Doubt = s.VersionWithin - settledIn
 	g.options.Follow.Sharers = func() int { return len(g.gossip.Live()) }
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
@@ -101,7 +107,7 @@
 
 // Duties adds to k what a relay does without being asked.
 func (g *Relay) Duties(k *kernel.Kernel) {
-	k.Add("platform", &g.options.Follow, g.options.Follow.Run)
+	k.Add("platform", g.options.Follow, g.options.Follow.Run)
 	k.Duty(g.options.Follow.Check)
 	k.Add("gossip", g.gossip, g.gossip.Run)
 	k.Add("catalog", &g.holder, g.translate)
@@ -115,7 +121,7 @@
 		if rs, at := g.mirror.Records(); at > 0 {
 			now := time.Now()
 			old := g.holder.Get()
-			c := g.options.Catalog(rs, at, now)
+			c := g.options.Catalog(rs, at)
 			g.holder.Set(c)
 			if c.Config != nil {
 				g.table.Sync(now, c.Upstreams, c.Config.Services)
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,461 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/relay"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/simnet"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/platform"
+	"github.com/poststand/poststand/platform/platformtest"
+)
+
+func TestMain(m *testing.M) {
+	telemetry.Discard()
+	os.Exit(m.Run())
+}
+
+// world is a small deployment: gateways of real code before stand-ins.
+type world struct {
+	t        *testing.T
+	net      *simnet.Network
+	store    *platformtest.Store
+	replicas []*platformtest.Replica
+	gateways []*relay.Relay
+	stops    []context.CancelFunc
+}
+
+// run plays a test in virtual time, with a configuration of one stream, one safe
+// and one unsafe route.
+func run(t *testing.T, gateways int, replicas []*platformtest.Replica, play func(is *is.I, w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{
+			t: t, store: &platformtest.Store{}, replicas: replicas,
+			net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }},
+		}
+		w.store.Put("op/config", config(1))
+		for _, r := range replicas {
+			w.net.Add(&simnet.End{Name: r.Addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: r.Serve})
+			w.store.Put("servers/"+r.ID, r.Record("ready"))
+		}
+		for i := range gateways {
+			w.addGateway(i, w.store)
+		}
+		time.Sleep(3 * time.Second)
+		play(is.New(t), w)
+		for _, stop := range w.stops {
+			stop()
+		}
+		for _, r := range replicas {
+			w.net.Remove(r.Addr)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func config(version int) platformtest.Body {
+	return platformtest.Config(
+		version,
+		platformtest.Route("s", "/s/", "stream", "llm", nil),
+		platformtest.Route("safe", "/safe/", "safe", "api", nil),
+		platformtest.Route("unsafe", "/unsafe/", "unsafe", "api", platformtest.Body{"attempts": 1}),
+		platformtest.Route("public", "/safe/public/", "safe", "api", platformtest.Body{"public": true}),
+	)
+}
+
+func gatewayAddr(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+
+func (w *world) addGateway(i int, store http.Handler) {
+	addr := gatewayAddr(i)
+	transport := &simnet.Transport{Find: func(string) http.Handler { return store }}
+	s := &platform.Store{Addr: "store:1", HTTP: &http.Client{Transport: transport}}
+	t := &platform.Translator{}
+	g, err := relay.New(&settings.Relay{
+		Own: settings.Own{
+			Cluster: "c", Box: addr, Hall: "h1", Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
+		},
+		GraceFor: 8 * time.Second, LeaveWithin: 2 * time.Second, VersionWithin: 8 * time.Second,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
+	}, relay.Options{
+		Dialect: platform.Dialect, Catalog: t.Catalog,
+		Follow: &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision},
+		Dial:   func(ctx context.Context, to string) (net.Conn, error) { return w.net.Dial(ctx, addr, to) },
+	})
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	srv := g.Server()
+	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: srv.One})
+	ctx, cancel := context.WithCancel(context.Background())
+	var k kernel.Kernel
+	g.Duties(&k)
+	done := make(chan struct{})
+	go func() {
+		_ = k.Run(ctx)
+		close(done)
+	}()
+	w.gateways = append(w.gateways, g)
+	w.stops = append(w.stops, func() {
+		cancel()
+		g.Close()
+		w.net.Remove(addr)
+		<-done
+	})
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	cut    bool // The answer was cut, visibly.
+}
+
+// ask sends a caller's request to a gateway.
+func (w *world) ask(gateway int, method, target string, more map[string]string) reply {
+	return w.askWith(context.Background(), gateway, method, target, more)
+}
+
+func (w *world) askWith(ctx context.Context, gateway int, method, target string, more map[string]string) (out reply) {
+	r := httptest.NewRequestWithContext(ctx, method, "http://h.example"+target, strings.NewReader("body"))
+	r.RequestURI = target
+	r.Header.Set("X-Attempt-Id", "a1")
+	r.Header.Set("X-Deadline-Ms", "6000")
+	r.Header.Set("Authorization", "Bearer k")
+	for k, v := range more {
+		r.Header.Set(k, v)
+	}
+	rec := httptest.NewRecorder()
+	defer func() {
+		out = reply{rec.Code, rec.Header(), rec.Body.String(), out.cut}
+		if p := recover(); p != nil {
+			if err, ok := p.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+				panic(p)
+			}
+			out.cut = true
+		}
+	}()
+	w.gateways[gateway].ServeHTTP(rec, r)
+	return out
+}
+
+func runs(rs []*platformtest.Replica) int {
+	n := 0
+	for _, r := range rs {
+		n += len(r.Runs())
+	}
+	return n
+}
+
+func plain(n int) []*platformtest.Replica {
+	var out []*platformtest.Replica
+	for i := range n {
+		out = append(out, &platformtest.Replica{ID: fmt.Sprintf("p%d", i), Service: "api", Addr: fmt.Sprintf("10.1.0.%d:80", i+1), Hall: "h1"})
+	}
+	return out
+}
+
+func engines(n, events int) []*platformtest.Replica {
+	out := plain(n)
+	for i, r := range out {
+		r.ID, r.Service, r.Version, r.Events, r.Gap = fmt.Sprintf("e%d", i), "llm", 1, events, 50*time.Millisecond
+	}
+	return out
+}
+
+func events(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: e%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func TestRequestReachesAReplicaUnchanged(t *testing.T) {
+	run(t, 1, plain(2), func(is *is.I, w *world) {
+		got := w.ask(0, "POST", "/safe/a//b?x=1&y=%2F", map[string]string{
+			"X-Tenant": "forged", "X-Expect-Version": "9", "Connection": "X-Hop", "X-Hop": "1", "X-Other": "kept",
+		})
+		is.Equal(got.status, http.StatusOK)
+		is.True(strings.HasPrefix(got.body, "answer of "))
+		all := append(w.replicas[0].Runs(), w.replicas[1].Runs()...)
+		is.Equal(len(all), 1)
+		h := all[0].Header
+		is.Equal(all[0].Target, "/safe/a//b?x=1&y=%2F")
+		is.Equal(h.Get("X-Tenant"), "t")
+		is.Equal(h.Get("Authorization"), "") // The key stays here.
+		is.Equal(h.Get("X-Expect-Version"), "")
+		is.Equal(h.Get("X-Hop"), "")
+		is.Equal(h.Get("X-Other"), "kept")
+		is.True(h.Get("X-Expect-Replica") != "")
+		is.Equal(h.Get("X-Deadline-Ms"), "6000")
+	})
+}
+
+func TestRefusalsByStatus(t *testing.T) {
+	run(t, 1, plain(1), func(is *is.I, w *world) {
+		cases := []struct {
+			name, target string
+			header       map[string]string
+			status       int
+		}{
+			{"no route", "/none/", nil, http.StatusNotFound},
+			{"unknown key", "/safe/", map[string]string{"Authorization": "Bearer x"}, http.StatusUnauthorized},
+			{"no key", "/safe/", map[string]string{"Authorization": ""}, http.StatusUnauthorized},
+			{"public route without a key", "/safe/public/", map[string]string{"Authorization": ""}, http.StatusOK},
+			{"bad deadline", "/safe/", map[string]string{"X-Deadline-Ms": "soon"}, http.StatusBadRequest},
+			{"no id", "/safe/", map[string]string{"X-Attempt-Id": ""}, http.StatusBadRequest},
+		}
+		for _, tc := range cases {
+			got := w.ask(0, "GET", tc.target, tc.header)
+			if got.status != tc.status {
+				w.t.Errorf("%s: got %d, want %d", tc.name, got.status, tc.status)
+			}
+		}
+	})
+}
+
+// An unsafe request whose connection breaks may have run, so it is sent nowhere
+// else, and its caller is not told that it did not run.
+func TestUnsafeRunsAtMostOnce(t *testing.T) {
+	rs := plain(3)
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			x.Run()
+			_ = x.Conn.Close()
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		got := w.ask(0, "POST", "/unsafe/", nil)
+		is.Equal(got.status, http.StatusBadGateway)
+		is.Equal(runs(rs), 1)
+	})
+}
+
+// A refusal that says "not run" lets an unsafe request go elsewhere.
+func TestUnsafeGoesElsewhereOnlyWhenItDidNotRun(t *testing.T) {
+	rs := plain(2)
+	rs[0].Act = func(_ int, x *platformtest.Exchange) bool {
+		x.Printf("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		for range 10 {
+			got := w.ask(0, "POST", "/unsafe/", nil)
+			is.Equal(got.status, http.StatusOK)
+		}
+		is.Equal(len(rs[1].Runs()), 10)
+	})
+}
+
+// A surplus answer in the place of the next one is passed over.
+func TestSurplusAnswerGoesToNobody(t *testing.T) {
+	rs := plain(1)
+	rs[0].Act = func(n int, x *platformtest.Exchange) bool {
+		if n > 0 {
+			x.Printf("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nX-Replica-Signature: s\r\nContent-Length: 5\r\n\r\nstray")
+		}
+		return false
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		for range 3 {
+			got := w.ask(0, "GET", "/safe/", nil)
+			is.Equal(got.body, "answer of p0")
+		}
+	})
+}
+
+// An answer that is cut short is never shown as a whole one.
+func TestShortAnswerIsNotComplete(t *testing.T) {
+	rs := plain(2)
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%sContent-Length: 100\r\n\r\nonly this", x.Head(200, ""))
+			_ = x.Conn.Close()
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		is.Equal(w.ask(0, "GET", "/safe/", nil).status, http.StatusBadGateway)
+		is.Equal(runs(rs), 2) // As many as the route's attempts, and no more.
+	})
+}
+
+// A replica's own failure is passed on as it is once no attempt is left.
+func TestFailureOfAReplicaIsPassedOn(t *testing.T) {
+	rs := plain(3)
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%sContent-Length: 4\r\n\r\nfail", x.Head(500, ""))
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		got := w.ask(0, "GET", "/safe/", nil)
+		is.Equal(got.status, 500)
+		is.Equal(got.body, "fail")
+		is.True(strings.HasPrefix(got.header.Get("X-Replica-Signature"), "sig-p"))
+		is.Equal(runs(rs), 2)
+	})
+}
+
+// A stream that breaks in the middle of an event goes on at another replica,
+// within the answer that the first one began.
+func TestStreamGoesOnElsewhere(t *testing.T) {
+	rs := engines(3, 6)
+	broke := false
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			if broke {
+				return false
+			}
+			broke = true
+			x.Run()
+			x.Printf("%s", x.Head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			x.Event(1)
+			x.Event(2)
+			x.Printf("9\r\nid: 3\ndat\r\n")
+			_ = x.Conn.Close()
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		got := w.ask(0, "POST", "/s/", nil)
+		is.Equal(got.body, events(1, 6))
+		is.True(!got.cut)
+		is.Equal(runs(rs), 2)
+		for _, r := range rs {
+			for _, run := range r.Runs() {
+				if run.Ended {
+					is.Equal(run.Header.Get("Last-Event-Id"), "2")
+					is.Equal(run.Header.Get("X-Expect-Version"), "1") // One answer, one version.
+				} else {
+					is.Equal(got.header.Get("X-Replica-Signature"), "sig-"+r.ID)
+				}
+			}
+		}
+	})
+}
+
+// Where it cannot go on, a stream's answer looks cut.
+func TestStreamThatCannotGoOnLooksCut(t *testing.T) {
+	rs := engines(2, 6)
+	for _, r := range rs {
+		r.Act = func(_ int, x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%s", x.Head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+			x.Event(1)
+			time.Sleep(10 * time.Millisecond)
+			_ = x.Conn.Close()
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		is.True(w.ask(0, "POST", "/s/", nil).cut)
+		is.Equal(runs(rs), 2)
+	})
+}
+
+// A caller that leaves ends its request's work within half a second.
+func TestCallerThatLeavesEndsTheWork(t *testing.T) {
+	rs := engines(1, 100)
+	closed := time.Duration(0)
+	rs[0].Act = func(_ int, x *platformtest.Exchange) bool {
+		x.Run()
+		began := time.Now()
+		x.Printf("%s", x.Head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		x.Event(1)
+		_, _ = io.ReadAll(x.Conn)
+		closed = time.Since(began)
+		return true
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		w.askWith(ctx, 0, "POST", "/s/", nil)
+		time.Sleep(time.Second)
+		is.True(closed > 0 && closed < 500*time.Millisecond)
+	})
+}
+
+// A replica that is silent does not hold a request that may go elsewhere.
+func TestSilentReplicaIsLeft(t *testing.T) {
+	rs := engines(2, 3)
+	for _, r := range rs {
+		r.Act = func(n int, x *platformtest.Exchange) bool {
+			if runs(rs) > 0 {
+				return false
+			}
+			x.Run()
+			time.Sleep(time.Hour)
+			return true
+		}
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		began := time.Now()
+		got := w.ask(0, "POST", "/s/", nil)
+		is.Equal(got.body, events(1, 3))
+		is.True(time.Since(began) < 2*time.Second)
+		w.stops = append(w.stops, func() { time.Sleep(2 * time.Hour) })
+	})
+}
+
+// A leaving replica gets nothing more once the store says so, and one that is
+// gone and whose address another service has now runs nothing of this one.
+func TestLeavingAndReusedReplicasGetNothing(t *testing.T) {
+	rs := plain(2)
+	run(t, 1, rs, func(is *is.I, w *world) {
+		w.store.Put("servers/p0", rs[0].Record("draining"))
+		time.Sleep(50 * time.Millisecond)
+		for range 10 {
+			is.Equal(w.ask(0, "GET", "/safe/", nil).body, "answer of p1")
+		}
+		is.Equal(len(rs[0].Runs()), 0)
+		rs[1].ID = "other" // Its address has gone to another incarnation.
+		got := w.ask(0, "GET", "/safe/", nil)
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.header.Get("Retry-After") != "")
+	})
+}
+
+// Once a version's time is over no request begins on an older one, whatever the
+// gateway believes of the replicas.
+func TestNoRequestBeginsOnAnOverdueVersion(t *testing.T) {
+	rs := engines(2, 2)
+	run(t, 1, rs, func(is *is.I, w *world) {
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		time.Sleep(time.Second)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusOK) // Its time is not over.
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 3})
+		time.Sleep(6800 * time.Millisecond) // Within 8 s of the naming of 2; 3 was named since.
+		before := runs(rs)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+		rec := rs[0].Record("ready") // The list says 3, and the replica has 1.
+		rec["models"] = []platformtest.Body{{"name": "m", "version": 3}}
+		w.store.Put("servers/e0", rec)
+		time.Sleep(50 * time.Millisecond)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+		is.Equal(runs(rs), before)
+		rs[0].SetVersion(3)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusOK)
+	})
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -22,8 +22,8 @@
 	learnFor    = 1500 * time.Millisecond // Peers may know a newer configuration than the platform tells.
 )
 
-// ready holds while the process may be sent requests.
-func (g *Relay) ready() error {
+// Ready returns nil while the process may be sent requests.
+func (g *Relay) Ready() error {
 	if g.draining.Load() {
 		return fault.New(fault.Draining, "")
 	}
@@ -36,12 +36,17 @@
 func (g *Relay) readiness() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Length", "0")
-		if g.ready() != nil {
+		if g.Ready() != nil {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 }
 
+// Server returns what accepts other processes' connections.
+func (g *Relay) Server() *wire.Server {
+	return &wire.Server{Local: g.pool.Local, Codec: Codec, Handlers: g.handlers, Options: g.pool.Options}
+}
+
 // Run runs the relay until ctx ends, and then drains.
 func (g *Relay) Run(ctx context.Context) error {
 	s := g.Settings
@@ -59,7 +64,7 @@
 	}
 	var k kernel.Kernel
 	g.Duties(&k)
-	srv := &wire.Server{Local: g.pool.Local, Codec: Codec, Handlers: g.handlers, Options: g.pool.Options}
+	srv := g.Server()
 	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, lns[0]) })
 	k.Duty(func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, lns[1], &http.Server{Handler: g.readiness()})
@@ -69,7 +74,7 @@
 		if err != nil {
 			return fault.Wrap(fault.Unreachable, err, "admin")
 		}
-		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.ready, Status: g.status}
+		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.Ready, Status: g.status}
 		k.Duty(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
 	}
 	k.Add("callers", callers, func(own context.Context) error { return g.serveCallers(ctx, own, callers, lns[2]) })
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -173,7 +173,7 @@
 	for ctx.Err() == nil {
 		_, changed := s.mirror.Watch()
 		if rs, at := s.mirror.Records(); at > 0 && s.now.orphaned() {
-			c := s.options.Catalog(rs, at, time.Now())
+			c := s.options.Catalog(rs, at)
 			if a := peers.Assign(c, s.Settings.Service, nil, time.Now()); a != nil {
 				s.now.set(a, "platform")
 			}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -29,8 +29,8 @@
 	Origin  Origin
 	// Follow reads the platform itself while no gateway answers, and Catalog
 	// translates what it reads.
-	Follow  peers.Follower
-	Catalog func(rs map[string]mirror.Record, at uint64, now time.Time) *catalog.Catalog
+	Follow  *peers.Follower
+	Catalog func(rs map[string]mirror.Record, at uint64) *catalog.Catalog
 	Dial    func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
 }
 
@@ -141,7 +141,7 @@
 // Duties adds to k what a stager does without being asked.
 func (s *Stager) Duties(k *kernel.Kernel) {
 	k.Add("assignments", &s.now, s.subscribe)
-	k.Add("platform", &s.options.Follow, s.options.Follow.Run)
+	k.Add("platform", s.options.Follow, s.options.Follow.Run)
 	k.Duty(s.assignAlone)
 	k.Add("loader", nil, s.load)
 	k.Add("status", &s.status, s.watchReplica)
--- /dev/null
+++ b/limit/window_test.go
@@ -0,0 +1,41 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// In no span of the window's length are there more further sends than the bound
+// allows for the requests of twice that span, however both are mixed in time.
+func TestWindowHoldsInEverySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const length, slack = 10 * time.Second, 5.0
+		w := &Window{Length: length, Ratio: 0.2}
+		now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+		var requests, sends []time.Time
+		for range rapid.IntRange(1, 400).Draw(t, "events") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if rapid.Bool().Draw(t, "request") {
+				w.Request(now)
+				requests = append(requests, now)
+			} else if w.Spend(now, slack) {
+				sends = append(sends, now)
+			}
+		}
+		for _, end := range sends {
+			in := func(ts []time.Time, span time.Duration) (n int) {
+				for _, at := range ts {
+					if !at.After(end) && end.Sub(at) < span {
+						n++
+					}
+				}
+				return n
+			}
+			if n := in(sends, length); float64(n) > 0.2*float64(in(requests, 2*length))+slack {
+				t.Fatalf("%d further sends in a span", n)
+			}
+		}
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -1,6 +1,9 @@
 package mirror
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 // Record is one value and the revision of its last change.
 type Record struct {
@@ -8,6 +11,9 @@
 	Value []byte
 	Rev   uint64
 	Gone  bool // Deleted at Rev.
+	// Heard is the earliest time at which the change may have been made, as far as
+	// this process knows. It is by this process's clock and does not travel.
+	Heard time.Time `msgpack:"-"`
 }
 
 // Delta is what a reader at revision Base lacks up to revision At.
@@ -16,6 +22,7 @@
 	At      uint64
 	Whole   bool // Records are all that exist; whatever else the reader has is gone.
 	Records []Record
+	Heard   time.Time `msgpack:"-"` // The Heard of all its records.
 }
 
 // Bytes returns the size of the values of d.
@@ -61,6 +68,7 @@
 	}
 	changed := false
 	for _, r := range d.Records {
+		r.Heard = d.Heard
 		changed = m.put(r) || changed
 	}
 	if d.Whole && d.At >= m.at {
@@ -78,6 +86,9 @@
 }
 
 func (m *Mirror) put(r Record) bool {
+	if r.Rev <= m.at {
+		return false // It is here already, or what overtook it is, which may be a deletion that was forgotten.
+	}
 	old, ok := m.records[r.Key]
 	if ok && old.Rev >= r.Rev {
 		return false
@@ -98,6 +109,9 @@
 // dropOthers deletes what a whole does not hold. A record that is newer than the
 // whole is kept.
 func (m *Mirror) dropOthers(d Delta) bool {
+	if d.At > m.at {
+		m.floor = d.At // What was deleted on the way here is not known.
+	}
 	kept := make(map[string]bool, len(d.Records))
 	for _, r := range d.Records {
 		kept[r.Key] = true
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,89 @@
+package mirror
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/poststand/poststand/internal/rapidseed"
+)
+
+func TestMain(m *testing.M) { rapidseed.Main(m) }
+
+// publish draws a history of a service: each change has the next revision.
+func publish(t *rapid.T) []Record {
+	n := rapid.IntRange(1, 30).Draw(t, "changes")
+	var out []Record
+	for rev := range n {
+		key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
+		gone := rapid.IntRange(0, 3).Draw(t, "gone") == 0
+		out = append(out, Record{Key: key, Value: []byte{byte(rev)}, Rev: uint64(rev + 1), Gone: gone})
+	}
+	return out
+}
+
+// at returns what exists after the first n changes.
+func at(history []Record, n uint64) map[string]uint64 {
+	out := map[string]uint64{}
+	for _, r := range history[:n] {
+		out[r.Key] = r.Rev
+		if r.Gone {
+			delete(out, r.Key)
+		}
+	}
+	return out
+}
+
+func held(m *Mirror) map[string]uint64 {
+	rs, _ := m.Records()
+	out := map[string]uint64{}
+	for k, r := range rs {
+		out[k] = r.Rev
+	}
+	return out
+}
+
+func whole(history []Record, n uint64) Delta {
+	d := Delta{At: n, Whole: true}
+	exists := at(history, n)
+	for _, r := range history[:n] {
+		if exists[r.Key] == r.Rev {
+			d.Records = append(d.Records, r)
+		}
+	}
+	return d
+}
+
+// Mirrors that are told parts of a history, wholes, and what other mirrors hold,
+// in any order and twice, never go back, and hold exactly what exists at the
+// revision that they say.
+func TestMirrorsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		history := publish(t)
+		last := uint64(len(history))
+		ms := []*Mirror{{}, {}, {}}
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			m := ms[rapid.IntRange(0, 2).Draw(t, "mirror")]
+			before := m.At()
+			switch rapid.IntRange(0, 2).Draw(t, "what") {
+			case 0:
+				from := rapid.Uint64Range(0, last).Draw(t, "from")
+				to := rapid.Uint64Range(from, last).Draw(t, "to")
+				m.Apply(Delta{Base: from, At: to, Records: slices.Clone(history[from:to])})
+			case 1:
+				m.Apply(whole(history, rapid.Uint64Range(0, last).Draw(t, "of")))
+			case 2:
+				m.Apply(ms[rapid.IntRange(0, 2).Draw(t, "other")].Since(before))
+			}
+			if m.At() < before {
+				t.Fatalf("fell from %d to %d", before, m.At())
+			}
+			if got, want := held(m), at(history, m.At()); !maps.Equal(got, want) {
+				t.Fatalf("at %d: holds %v, want %v", m.At(), got, want)
+			}
+		}
+	})
+}
