--- /dev/null
+++ b/internal/stager/turn_test.go
@@ -0,0 +1,62 @@
+package stager
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/weights"
+)
+
+var named = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+
+func TestTurnOf(t *testing.T) {
+	const lead, within = 3 * time.Second, 7 * time.Second
+	once := catalog.Wanted{}.With(catalog.Step{Version: 2, Named: named})
+	twice := once.With(catalog.Step{Version: 3, Named: named.Add(2 * time.Second)})
+	cases := []struct {
+		name    string
+		wanted  catalog.Wanted
+		version uint64
+		place   float64
+		want    time.Duration // After the first naming.
+	}{
+		{"the first waits for the weights alone", once, 1, 0, 3 * time.Second},
+		{"half way between the weights and the bound", once, 1, 0.5, 5 * time.Second},
+		{"the last at the bound", once, 1, 1, 7 * time.Second},
+		{"the bound of the version it holds, not of the newest", twice, 1, 1, 7 * time.Second},
+		{"the newest weights come later", twice, 1, 0, 5 * time.Second},
+		{"one that holds the version between has longer", twice, 2, 1, 9 * time.Second},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is.New(t).Equal(turnOf(tc.wanted, tc.version, lead, within, tc.place).Sub(named), tc.want)
+		})
+	}
+	is.New(t).True(turnOf(once, 2, lead, within, 0).IsZero()) // It holds the newest.
+}
+
+// Places of all replicas differ, and those of a hall are spread over the whole
+// time: it never has two neighbours in a row while another hall has none.
+func TestPlacesAreSpread(t *testing.T) {
+	is := is.New(t)
+	a := &peers.Assignment{Model: "m"}
+	for _, hall := range []string{"h1", "h2", "h3"} {
+		for i := range 4 {
+			a.Replicas = append(a.Replicas, peers.Replica{Addr: hall + string(rune('a'+i)) + ":1", Hall: hall, Version: 1})
+		}
+	}
+	a.Replicas = append(a.Replicas,
+		peers.Replica{Addr: "empty:1", Hall: "h1"}, peers.Replica{Addr: "leaves:1", Hall: "h1", Version: 1, Leaving: true})
+	seen := map[float64]bool{}
+	for _, r := range a.Replicas[:12] {
+		ip, _ := splitAddr(r.Addr)
+		p := placeOf(a, weights.Member{Name: ip, Hall: r.Hall})
+		is.True(p >= 0 && p < 1)
+		seen[p] = true
+	}
+	is.Equal(len(seen), 12)
+}
--- /dev/null
+++ b/route/direct_test.go
@@ -0,0 +1,172 @@
+package route
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fleet"
+)
+
+var llm = config.Engine{
+	Slots: 16, Step: 9 * time.Millisecond, ReadRate: 20000, Chunk: 2048, Stride: 5, UsualPrompt: 1000, UsualAnswer: 90,
+}
+
+// table returns a table of n engines that hold version 1.
+func table(n int) (*Table, map[string]fleet.Upstream) {
+	ups := map[string]fleet.Upstream{}
+	for i := range n {
+		id := fmt.Sprint("e", i)
+		ups[id] = fleet.Upstream{ID: id, Service: "llm", Addr: id, Hall: "h", Engine: true, Version: 1, Slots: 16}
+	}
+	t := &Table{Hall: "h"}
+	t.Sync(epoch, ups, map[string]config.Service{"llm": {Engine: llm}})
+	return t, ups
+}
+
+func picks(t *Table, now time.Time, a Ask) map[string]int {
+	out := map[string]int{}
+	for range 100 {
+		c, err := t.Pick(now, a)
+		if err != nil {
+			return out
+		}
+		out[c.ID]++
+		t.Done(now, c.Ticket, End{})
+	}
+	return out
+}
+
+func TestTableLeavesOut(t *testing.T) {
+	later := epoch.Add(time.Second)
+	work := Work{Prompt: 1000, Answer: 90}
+	cases := []struct {
+		name string
+		do   func(t *Table, ups map[string]fleet.Upstream)
+		ask  Ask
+	}{
+		{"one that leaves", func(t *Table, _ map[string]fleet.Upstream) { t.Leaves("e0", epoch) }, Ask{}},
+		{"one that is listed as leaving", func(t *Table, ups map[string]fleet.Upstream) {
+			u := ups["e0"]
+			u.Leaving = true
+			ups["e0"] = u
+			t.Sync(epoch, ups, map[string]config.Service{"llm": {Engine: llm}})
+		}, Ask{}},
+		{"one that changes its version", func(t *Table, _ map[string]fleet.Upstream) {
+			t.Heard("e0", Word{Version: 1, Changing: true, At: later})
+		}, Ask{}},
+		{"one that holds nothing, whatever the list says", func(t *Table, _ map[string]fleet.Upstream) {
+			t.Heard("e0", Word{Version: 0, At: later})
+		}, Ask{}},
+		{"one of another version", func(t *Table, _ map[string]fleet.Upstream) {
+			t.Heard("e0", Word{Version: 2, At: later})
+		}, Ask{Version: 1}},
+		{"one that was tried", func(*Table, map[string]fleet.Upstream) {}, Ask{Exclude: map[string]bool{"e0": true}}},
+		{"one that failed twice", func(t *Table, _ map[string]fleet.Upstream) {
+			for range directAfter {
+				c, _ := t.Pick(later, Ask{Service: "llm", Exclude: map[string]bool{"e1": true, "e2": true}})
+				t.Done(later, c.Ticket, End{Failed: true})
+			}
+		}, Ask{}},
+		{"one whose version is overdue", func(t *Table, _ map[string]fleet.Upstream) {
+			for _, id := range []string{"e1", "e2"} {
+				t.Heard(id, Word{Version: 2, At: later})
+			}
+		}, Ask{Bound: func(v uint64) time.Time {
+			if v < 2 {
+				return later.Add(50 * time.Millisecond) // It could not begin by then.
+			}
+			return time.Time{}
+		}}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb, ups := table(3)
+			tc.do(tb, ups)
+			tc.ask.Service, tc.ask.Work = "llm", work
+			got := picks(tb, later, tc.ask)
+			is.Equal(got["e0"], 0)
+			is.True(got["e1"] > 0 && got["e2"] > 0)
+		})
+	}
+}
+
+// A replica that gives no sign of a request is expected to take at least as long
+// as it has been silent, at once and not after many samples.
+func TestSilenceCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	tb, _ := table(3)
+	a := Ask{Service: "llm", Work: Work{Prompt: 100}}
+	c, err := tb.Pick(epoch, a)
+	is.NoErr(err)
+	later := epoch.Add(2 * time.Second)
+	got := picks(tb, later, a)
+	is.Equal(got[c.ID], 0)
+	tb.First(later, c.Ticket, 2*time.Second, c.Predicted)
+	tb.Done(later, c.Ticket, End{})
+}
+
+// Big prompts count for what they are: the next request goes elsewhere.
+func TestPromptsAreCountedInTokens(t *testing.T) {
+	is := is.New(t)
+	tb, _ := table(2)
+	big, err := tb.Pick(epoch, Ask{Service: "llm", Work: Work{Prompt: 8000}})
+	is.NoErr(err)
+	for range 3 {
+		c, err := tb.Pick(epoch, Ask{Service: "llm", Work: Work{Prompt: 100}})
+		is.NoErr(err)
+		is.True(c.ID != big.ID)
+	}
+}
+
+// Whatever comes in which order, places at replicas are given back, and a list
+// that loses a replica and has it again does not upset those that are out.
+func TestPlacesAreGivenBack(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		tb, ups := table(4)
+		services := map[string]config.Service{"llm": {Engine: llm}}
+		now := epoch
+		var out []Choice
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(rt, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(rt, "what") {
+			case 0, 1:
+				if c, err := tb.Pick(now, Ask{Service: "llm", Work: Work{Prompt: rapid.IntRange(0, 4000).Draw(rt, "prompt")}}); err == nil {
+					out = append(out, c)
+				}
+			case 2:
+				if len(out) > 0 {
+					c := out[0]
+					out = out[1:]
+					if rapid.Bool().Draw(rt, "first") {
+						tb.First(now, c.Ticket, time.Millisecond, c.Predicted)
+					}
+					tb.Done(now, c.Ticket, End{Failed: rapid.Bool().Draw(rt, "failed")})
+				}
+			case 3:
+				fewer := map[string]fleet.Upstream{}
+				for id, u := range ups {
+					if rapid.Bool().Draw(rt, "kept") {
+						fewer[id] = u
+					}
+				}
+				tb.Sync(now, fewer, services)
+			case 4:
+				tb.Sync(now, ups, services)
+			}
+		}
+		for _, c := range out {
+			tb.Done(now, c.Ticket, End{})
+		}
+		for id, r := range tb.replicas {
+			if r.reading != 0 || r.writing != 0 || r.prompts != 0 {
+				rt.Fatalf("%s: %d reading, %d writing, %d tokens left", id, r.reading, r.writing, r.prompts)
+			}
+		}
+	})
+}
