--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -82,6 +82,12 @@
 	Missing  int     // Pieces of the assigned version that are not here yet.
 }
 
+// OnlyLoadDiffers reports whether two statuses differ in nothing but how much the
+// replica has to do.
+func (s *Status) OnlyLoadDiffers(o *Status) bool {
+	return s.Version == o.Version && s.Changing == o.Changing && s.Reached == o.Reached && (s.ChangeIn == 0) == (o.ChangeIn == 0)
+}
+
 // Messages registers this package's messages.
 var Messages = []wire.Entry{
 	{Kind: 96, Message: &Announce{}},
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -334,6 +334,7 @@
 			x.Event(1)
 			x.Event(2)
 			x.Printf("9\r\nid: 3\ndat\r\n")
+			time.Sleep(10 * time.Millisecond)
 			_ = x.Conn.Close()
 			return true
 		}
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -90,7 +90,7 @@
 	go func() {
 		select {
 		case <-r.Complete():
-			telemetry.Log("weights_whole", "artifact", artifact, "took", time.Since(began))
+			telemetry.Log("weights_whole", "artifact", artifact, "took", time.Since(began), "moved", s.moved.take())
 		case <-tctx.Done():
 		}
 	}()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -50,6 +54,7 @@
 	status   status
 	mirror   mirror.Mirror
 	links    *rate.Limiter
+	moved    moved
 	// recovered says that what the box held was read back. Only the transfer that
 	// runs touches it.
 	recovered bool
@@ -73,7 +78,7 @@
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
 		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers},
 		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, SharesLink: true, AtOrigin: atOrigin, Flush: flush,
-		Event: func(e weights.Event) { m.Event("weights_"+string(e.Kind), "") },
+		Event: st.weightsEvent,
 	}
 	st.links = rate.NewLimiter(rate.Limit(linkShare*st.linkRate()), sendPart)
 	st.exchange.Serve(st.handlers)
@@ -97,6 +102,39 @@
 	bitsPerByte = 8
 )
 
+// weightsEvent counts what happened to weights.
+func (s *Stager) weightsEvent(e weights.Event) {
+	s.Metrics.Event("weights_"+string(e.Kind), "")
+	s.moved.add(e.Kind)
+}
+
+// moved counts events of weights by their kind, for the log.
+type moved struct {
+	mu    sync.Mutex
+	kinds map[weights.EventKind]int
+}
+
+func (m *moved) add(k weights.EventKind) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.kinds == nil {
+		m.kinds = map[weights.EventKind]int{}
+	}
+	m.kinds[k]++
+}
+
+// take returns the counts since the last take, as "kind=count" words.
+func (m *moved) take() string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var words []string
+	for _, k := range slices.Sorted(maps.Keys(m.kinds)) {
+		words = append(words, fmt.Sprintf("%s=%d", k, m.kinds[k]))
+	}
+	m.kinds = nil
+	return strings.Join(words, ",")
+}
+
 // linkRate is the bytes a second of the box's link.
 func (s *Stager) linkRate() float64 { return s.Settings.Link * bitsPerMega / bitsPerByte }
 
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -17,6 +17,9 @@
 	reportBusy  = 40 * time.Millisecond  // and while it has an order.
 	reportIn    = 500 * time.Millisecond
 	tellAtLeast = time.Second // Gateways are told this often although nothing changed.
+	// Gateways of other halls are told of the load alone no more often than this:
+	// they send little here, and bytes between halls have a price.
+	tellAfar = 300 * time.Millisecond
 )
 
 // status is how the replica stands.
@@ -183,7 +186,7 @@
 				if open[g.Addr] == nil {
 					tctx, cancel := context.WithCancel(ctx)
 					open[g.Addr] = cancel
-					go s.tell(tctx, g.Addr)
+					go s.tell(tctx, g)
 				}
 			}
 			for addr, cancel := range open {
@@ -205,16 +208,16 @@
 }
 
 // tell tells one gateway until ctx ends.
-func (s *Stager) tell(ctx context.Context, addr string) {
+func (s *Stager) tell(ctx context.Context, g peers.Member) {
 	const retry = 300 * time.Millisecond
 	for ctx.Err() == nil {
-		s.tellOnce(ctx, addr)
+		s.tellOnce(ctx, g)
 		sleep(ctx, retry)
 	}
 }
 
-func (s *Stager) tellOnce(ctx context.Context, addr string) {
-	c, err := s.pool.Get(ctx, addr)
+func (s *Stager) tellOnce(ctx context.Context, g peers.Member) {
+	c, err := s.pool.Get(ctx, g.Addr)
 	if err != nil {
 		return
 	}
@@ -225,18 +228,22 @@
 	}
 	defer st.Close()
 	for {
-		t := time.NewTimer(tellAtLeast)
+		sent := now
+		wait := time.NewTimer(tellAtLeast)
 		select {
 		case <-changed:
-		case <-t.C:
+			now, changed = s.status.watch()
+			if g.Hall != s.Settings.Hall && now.OnlyLoadDiffers(&sent) {
+				sleep(ctx, tellAfar)
+			}
+		case <-wait.C:
 		case <-c.Done():
-			t.Stop()
-			return
 		case <-ctx.Done():
-			t.Stop()
+		}
+		wait.Stop()
+		if ctx.Err() != nil {
 			return
 		}
-		t.Stop()
 		now, changed = s.status.watch()
 		if st.Send(ctx, &now) != nil {
 			return
--- a/route/direct.go
+++ b/route/direct.go
@@ -83,7 +83,8 @@
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
 	readingBeside     = 1.5 // A step takes so much longer for the prompts that are read beside it.
-	sampled           = 3   // Candidates that one choice looks at.
+	sampledHere       = 2   // Candidates of the own hall that one choice looks at,
+	sampledThere      = 2   // and of other halls.
 	holdUpCost        = 0.2 // Of the time by which a request would hold up a change.
 )
 
@@ -196,10 +197,7 @@
 	e := t.engines[a.Service]
 	var best *Replica
 	var at, cost time.Duration // What best is predicted to take, and that with what speaks against it.
-	// Gateways that all took the one that looks best by the same old words would
-	// overrun it, so each looks at a few at random.
-	for _, i := range rand.Perm(len(cs))[:min(sampled, len(cs))] {
-		r := cs[i]
+	for _, r := range t.sample(cs) {
 		p := r.expect(now, e, a.Work)
 		c := p
 		if r.Hall != t.Hall {
@@ -223,6 +221,25 @@
 	}, nil
 }
 
+// sample draws the candidates that one choice looks at: gateways that all took the
+// one that looks best by the same old words would overrun it. Some are of this
+// hall, if there are any, and some of others.
+func (t *Table) sample(cs []*Replica) []*Replica {
+	here, there := sampledHere, sampledThere
+	var out []*Replica
+	for _, i := range rand.Perm(len(cs)) {
+		left := &there
+		if cs[i].Hall == t.Hall {
+			left = &here
+		}
+		if *left > 0 {
+			*left--
+			out = append(out, cs[i])
+		}
+	}
+	return out
+}
+
 // candidates returns whom a request may go to. Ejected and full replicas are
 // used only where there is nobody else.
 func (t *Table) candidates(now time.Time, a Ask) []*Replica {
