telemetry, relay: lines that never block, and the inputs of a refusal

Cause: a process whose output nobody reads would have stopped at the next line, and a refused request's line did not say what decided it. Change: lines pass a bounded ring; what is left out is counted. A request's line has the predicted time, the wait, the age of the agent's word, whether its caller has been here before, what replicas held, and when it is told to come back.

--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -14,12 +14,16 @@
 	"k8s.io/klog/v2"
 
 	"github.com/poststand/poststand/internal/strict"
+	"github.com/poststand/poststand/internal/telemetry"
 )
 
 // Main runs the command line and returns the exit status: 0 when all is well,
 // 1 on failure.
 func Main() int {
+	lines := telemetry.NewLines(os.Stdout)
+	defer lines.Close()
 	defer klog.Flush()
+	klog.SetOutput(lines)
 	if err := New().ExecuteContext(context.Background()); err != nil {
 		printError(err)
 		return 1
@@ -41,7 +45,6 @@
 	_ = logs.Set("logtostderr", "false")
 	_ = logs.Set("alsologtostderr", "false")
 	_ = logs.Set("stderrthreshold", "FATAL")
-	klog.SetOutput(os.Stdout)
 	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), versionCommand())
 	return root
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -72,10 +73,12 @@
 	}
 	choice, err := g.table.Pick(now, rq.ask(g, exclude))
 	if err != nil {
+		rq.holding = fmt.Sprint(g.table.Holding(now, rq.service))
 		res := notRun(fault.CodeOf(err))
 		res.RetryAt = g.comeBack(now, rq, 0)
 		return choice, res, false
 	}
+	rq.predicted, rq.wait, rq.wordAge = choice.Predicted, choice.Wait, choice.WordAge
 	if arrivals == 0 && !g.admits(now, rq, choice) {
 		g.table.Done(now, choice.Ticket, route.End{})
 		res := notRun(fault.QueueFull)
@@ -109,7 +112,14 @@
 		word = "done"
 	}
 	rq.trail = append(rq.trail, a.to.ID+"="+word)
-	rq.predicted = a.to.Predicted
+}
+
+// retryIn is when a refused caller is told to come back, in milliseconds.
+func retryIn(res dispatch.Result, now time.Time) int64 {
+	if res.RetryAt.IsZero() {
+		return 0
+	}
+	return res.RetryAt.Sub(now).Milliseconds()
 }
 
 // logEnd writes the one line that tells a request's story.
@@ -121,6 +131,7 @@
 	}
 	telemetry.Log("request", "id", rq.id, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "sends", strings.Join(rq.trail, ","),
-		"predicted_ms", rq.predicted.Milliseconds(), "first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "word_age_ms", rq.wordAge.Milliseconds(),
+		"again", rq.again, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,7 +34,10 @@
 	version      uint64 // Of the first part of the answer; every further part must be of it.
 	sends        int
 	next         *route.Choice // Where the stream goes on, if that is decided already.
-	predicted    time.Duration // Until the first event, of the last send.
+	predicted    time.Duration // Until the first event, at the replica that was last chosen,
+	wait         time.Duration // of it before its own work begins,
+	wordAge      time.Duration // and how old its agent's word was; -1 ms without one.
+	holding      string        // What replicas were known to hold, where none could be chosen.
 	trail        []string      // What became of each send, for the log.
 }
 
--- a/route/direct.go
+++ b/route/direct.go
@@ -165,6 +165,13 @@
 	return !r.Word.At.IsZero() && now.Sub(r.Word.At) < wordExpires
 }
 
+func (r *Replica) wordAge(now time.Time) time.Duration {
+	if r.Word.At.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(r.Word.At)
+}
+
 // Ask is what Pick chooses for.
 type Ask struct {
 	Service string
@@ -182,6 +189,7 @@
 	Version   uint64        // That it holds, as far as is known.
 	Predicted time.Duration // Until the first event or the answer.
 	Wait      time.Duration // Part of it before the request itself is worked on.
+	WordAge   time.Duration // How old the agent's word of the replica is; negative without one.
 	Ticket    *Ticket
 }
 
@@ -217,7 +225,7 @@
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work},
 		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
-		Wait: wait,
+		Wait: wait, WordAge: best.wordAge(now),
 	}, nil
 }
 
