settings, relay, stager: settings are read anew

Cause: SIGHUP ended a process (Go's default), and a changed file was not seen. Change: SIGHUP or a changed file reads the settings anew; bounds change while the process runs, names and addresses need a restart, and a file with faults leaves the old settings in force. A setting that nothing used is gone.

--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -25,7 +25,8 @@
 		Short: "Run a gateway that sends requests straight to the platform's replicas",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := settings.LoadRelay(orVariable(file))
+			file := orVariable(file)
+			s, err := settings.LoadRelay(file)
 			if err != nil {
 				return err
 			}
@@ -36,6 +37,13 @@
 			}
 			ctx, cancel := stopContext(c.Context())
 			defer cancel()
+			reloads(ctx, file, func() error {
+				s, err := settings.LoadRelay(file)
+				if err != nil {
+					return err
+				}
+				return g.Reload(s)
+			})
 			return g.Run(ctx)
 		},
 	}
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -19,7 +19,8 @@
 		Short: "Run the agent of a box whose replica takes weights that are staged for it",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			s, err := settings.LoadStager(orVariable(file))
+			file := orVariable(file)
+			s, err := settings.LoadStager(file)
 			if err != nil {
 				return err
 			}
@@ -32,6 +33,13 @@
 			}
 			ctx, cancel := stopContext(c.Context())
 			defer cancel()
+			reloads(ctx, file, func() error {
+				s, err := settings.LoadStager(file)
+				if err != nil {
+					return err
+				}
+				return st.Reload(s)
+			})
 			return st.Run(ctx)
 		},
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -21,7 +21,7 @@
 	if t.IsZero() {
 		return t
 	}
-	return t.Add(g.Settings.VersionWithin - versionMargin)
+	return t.Add(g.bounds.Load().VersionWithin - versionMargin)
 }
 
 // Admission, in parts of a route's aim: a request is sent only if what is ahead of
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,6 +52,7 @@
 	draining atomic.Bool
 	started  time.Time
 	waits    callerWaits
+	bounds   atomic.Pointer[settings.RelayBounds]
 
 	mu      sync.Mutex
 	windows map[string]*limit.Window // By service; bounded by the configuration.
@@ -72,6 +73,7 @@
 		table: route.Table{Hall: s.Hall}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
+	g.bounds.Store(&s.RelayBounds)
 	g.life, g.end = context.WithCancel(context.Background())
 	g.handlers = &wire.Handlers{}
 	dial := o.Dial
@@ -183,7 +185,7 @@
 	defer g.mu.Unlock()
 	w, ok := g.windows[service]
 	if !ok {
-		s := g.Settings
+		s := g.bounds.Load()
 		w = &limit.Window{Length: s.RetryWindow, Ratio: s.RetryRatio * budgetShare}
 		g.windows[service] = w
 	}
@@ -198,7 +200,7 @@
 // knows of few others may be cut off, so it never takes more than a third.
 func (g *Relay) slack() float64 {
 	const fewest = 3
-	return budgetShare * float64(g.Settings.RetrySlack) / float64(max(fewest, len(g.gossip.Live())))
+	return budgetShare * float64(g.bounds.Load().RetrySlack) / float64(max(fewest, len(g.gossip.Live())))
 }
 
 // serveSubscribe tells an agent what concerns it, now and at each change.
@@ -256,6 +258,21 @@
 	return now.Add(m.ChangeIn)
 }
 
+// Reload puts new settings in force. What would need a restart is refused, and
+// the old ones stay.
+func (g *Relay) Reload(s *settings.Relay) error {
+	if !g.Settings.Fixed(s) {
+		return fault.New(fault.BadConfig, "names and addresses change only with a restart")
+	}
+	g.bounds.Store(&s.RelayBounds)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, w := range g.windows {
+		w.SetRatio(s.RetryRatio * budgetShare)
+	}
+	return nil
+}
+
 // Close ends every connection of the relay.
 func (g *Relay) Close() { g.end() }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -90,8 +90,10 @@
 		Own: settings.Own{
 			Cluster: "c", Box: addr, Hall: "h1", Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
 		},
-		GraceFor: 8 * time.Second, LeaveWithin: 2 * time.Second, VersionWithin: 8 * time.Second,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
+		RelayBounds: settings.RelayBounds{
+			GraceFor: 8 * time.Second, VersionWithin: 8 * time.Second,
+			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
+		},
 	}, relay.Options{
 		Dialect: platform.Dialect, Catalog: t.Catalog,
 		Follow: &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision},
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -99,7 +99,7 @@
 	g.draining.Store(true)
 	srv.SetKeepAlivesEnabled(false)
 	time.Sleep(noticeFor)
-	ctx, cancel := context.WithDeadline(own, began.Add(g.Settings.GraceFor-leaveBefore))
+	ctx, cancel := context.WithDeadline(own, began.Add(g.bounds.Load().GraceFor-leaveBefore))
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil, "took", time.Since(began))
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poststand/poststand/internal/strict"
@@ -19,14 +20,16 @@
 
 // Relay is the settings of a gateway that sends requests straight to upstreams.
 type Relay struct {
-	Own   `yaml:",inline"`
-	HTTP  string `yaml:"http"`  // IP and port for callers.
-	Ready string `yaml:"ready"` // IP and port where the balancer asks.
+	Own         `yaml:",inline"`
+	HTTP        string `yaml:"http"`  // IP and port for callers.
+	Ready       string `yaml:"ready"` // IP and port where the balancer asks.
+	RelayBounds `yaml:",inline"`
+}
+
+// RelayBounds is what of a gateway's settings may change while it runs.
+type RelayBounds struct {
 	// GraceFor is the time from the signal to stop until the process is killed.
 	GraceFor time.Duration `yaml:"grace_for"`
-	// LeaveWithin is the time from a notice that an upstream leaves until it must
-	// get no more requests.
-	LeaveWithin time.Duration `yaml:"leave_within"`
 	// VersionWithin is the time from the naming of a version until no request may
 	// begin on an older one.
 	VersionWithin time.Duration `yaml:"version_within"`
@@ -39,14 +42,19 @@
 
 // Stager is the settings of an agent that stages weights for its replica.
 type Stager struct {
-	Own `yaml:",inline"`
+	Own          `yaml:",inline"`
+	StagerBounds `yaml:",inline"`
+	Replica      string `yaml:"replica"` // IP and port of the replica on this box.
+	Service      string `yaml:"service"` // That the replica belongs to.
+	Memory       int64  `yaml:"memory"`  // Bytes of weights kept; 64 MiB by default.
+}
+
+// StagerBounds is what of an agent's settings may change while it runs.
+type StagerBounds struct {
 	// VersionWithin is the time from the naming of a version until no request may
 	// begin on an older one.
 	VersionWithin time.Duration `yaml:"version_within"`
-	Replica       string        `yaml:"replica"` // IP and port of the replica on this box.
-	Service       string        `yaml:"service"` // That the replica belongs to.
-	Memory        int64         `yaml:"memory"`  // Bytes of weights kept; 64 MiB by default.
-	Link          float64       `yaml:"link"`    // Megabits a second of the box's link, which the replica shares.
+	Link          float64       `yaml:"link"` // Megabits a second of the box's link, which the replica shares.
 }
 
 const defaultStagerMemory = 64 << 20
@@ -62,7 +70,7 @@
 	checkAddr(d, "http", r.HTTP)
 	checkAddr(d, "ready", r.Ready)
 	for key, v := range map[string]time.Duration{
-		"grace_for": r.GraceFor, "leave_within": r.LeaveWithin, "version_within": r.VersionWithin, "retry_window": r.RetryWindow,
+		"grace_for": r.GraceFor, "version_within": r.VersionWithin, "retry_window": r.RetryWindow,
 	} {
 		checkPositive(d, key, int64(v))
 	}
@@ -105,3 +113,20 @@
 	}
 	checkJoin(d, o.Join)
 }
+
+// Fixed reports whether two settings differ only in what may change while the
+// process runs.
+func (r *Relay) Fixed(o *Relay) bool {
+	return r.Own.same(&o.Own) && r.HTTP == o.HTTP && r.Ready == o.Ready
+}
+
+// Fixed reports whether two settings differ only in what may change while the
+// process runs.
+func (s *Stager) Fixed(o *Stager) bool {
+	return s.Own.same(&o.Own) && s.Replica == o.Replica && s.Service == o.Service && s.Memory == o.Memory
+}
+
+func (o *Own) same(p *Own) bool {
+	return o.Cluster == p.Cluster && o.Box == p.Box && o.Hall == p.Hall && o.Listen == p.Listen &&
+		o.Admin == p.Admin && o.Store == p.Store && slices.Equal(o.Join, p.Join)
+}
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -237,7 +237,7 @@
 	}
 	place := placeOf(a, s.exchange.Self)
 	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	turn := turnOf(wanted, rep.Version, lead, s.Settings.VersionWithin-rollMargin, place)
+	turn := turnOf(wanted, rep.Version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
 	if whole.After(turn) {
 		return whole
 	}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -55,6 +56,7 @@
 	mirror   mirror.Mirror
 	links    *rate.Limiter
 	moved    moved
+	bounds   atomic.Pointer[settings.StagerBounds]
 	// recovered says that what the box held was read back. Only the transfer that
 	// runs touches it.
 	recovered bool
@@ -67,6 +69,7 @@
 		return nil, err
 	}
 	st := &Stager{Settings: s, Metrics: m, options: o}
+	st.bounds.Store(&s.StagerBounds)
 	st.life, st.end = context.WithCancel(context.Background())
 	local := wire.Hello{
 		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: "agent", Incarnation: rand.Uint64() | 1,
@@ -136,7 +139,7 @@
 }
 
 // linkRate is the bytes a second of the box's link.
-func (s *Stager) linkRate() float64 { return s.Settings.Link * bitsPerMega / bitsPerByte }
+func (s *Stager) linkRate() float64 { return s.bounds.Load().Link * bitsPerMega / bitsPerByte }
 
 func (s *Stager) pace(ctx context.Context, n int) error {
 	limit := rate.Limit(linkShare * s.linkRate() * s.ease())
@@ -211,6 +214,16 @@
 	return err
 }
 
+// Reload puts new settings in force. What would need a restart is refused, and
+// the old ones stay.
+func (s *Stager) Reload(n *settings.Stager) error {
+	if !s.Settings.Fixed(n) {
+		return fault.New(fault.BadConfig, "names and addresses change only with a restart")
+	}
+	s.bounds.Store(&n.StagerBounds)
+	return nil
+}
+
 // Close ends every connection of the stager.
 func (s *Stager) Close() { s.end() }
 
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -232,8 +232,7 @@
 		wait := time.NewTimer(tellAtLeast)
 		select {
 		case <-changed:
-			now, changed = s.status.watch()
-			if g.Hall != s.Settings.Hall && now.OnlyLoadDiffers(&sent) {
+			if next, _ := s.status.watch(); g.Hall != s.Settings.Hall && next.OnlyLoadDiffers(&sent) {
 				sleep(ctx, tellAfar)
 			}
 		case <-wait.C:
--- a/limit/window.go
+++ b/limit/window.go
@@ -76,9 +76,9 @@
 	return true
 }
 
-// Force counts a further send that could not be asked for beforehand.
-func (w *Window) Force(now time.Time) {
+// SetRatio changes the share from now on.
+func (w *Window) SetRatio(ratio float64) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.extra.add(w.step(now), 1)
+	w.Ratio = ratio
 }
