--- a/weights/sim_test.go
+++ b/weights/sim_test.go
@@ -32,7 +32,10 @@
 	// pinned gives every box the manifest beforehand. A real one is a millionth
 	// of its model; that of a model as small as these would weigh a hundredth.
 	pinned bool
-	hook   func(s *sim) // Causes a fault of a test's own, in a goroutine.
+	// sharing is as boxes whose replicas share their link: one copy into each hall,
+	// one fetch from the origin at once, fewer fetches where the link is slow.
+	sharing bool
+	hook    func(s *sim) // Causes a fault of a test's own, in a goroutine.
 }
 
 // figures is what a burst came to.
@@ -177,6 +180,10 @@
 			},
 		},
 	}
+	if s.sharing {
+		b.exchange.KeepInHall, b.exchange.SharesLink, b.exchange.AtOrigin = true, true, 1
+		b.exchange.Flush, b.exchange.UploadSlots, b.exchange.UploadQueue = 25*time.Millisecond, 1, 4
+	}
 	if s.pinned {
 		b.exchange.keepManifest(Digest(s.manifest), s.manifest)
 	}
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -199,3 +199,40 @@
 	is.Equal(len(todo), 1) // Room may have been made.
 	is.Equal(todo[0].From, "b")
 }
+
+// Small chunks over slow links, as where replicas share their boxes' links.
+func sharing(boxes int) burst {
+	return burst{
+		boxes: boxes, chunks: 96, policy: "origin-bytes", strategy: Swarm, window: 5200 * time.Millisecond, seed: 1,
+		pinned: true, sharing: true,
+	}
+}
+
+// About one copy crosses into each of the three halls.
+func TestOneCopyCrossesIntoEachHall(t *testing.T) {
+	is := is.New(t)
+	f := sharing(20).run(t, time.Minute)
+	t.Logf("ratio=%.2f copies=%.2f across=%d of 96", f.ratio(1), f.origin, f.events[EventAcross])
+	is.True(f.ratio(1) < 2)
+	is.True(f.origin < 1.05)
+	is.True(f.events[EventAcross] < 96*2*13/10)
+}
+
+// An origin that is away for longer than boxes wait for one another does not send
+// more copies for it: a box that has merely queued a chunk still looks after it.
+func TestOriginAwayDoesNotMultiplyCopies(t *testing.T) {
+	is := is.New(t)
+	const away = 7 * time.Second
+	b := sharing(20)
+	b.hook = func(s *sim) {
+		time.Sleep(300 * time.Millisecond)
+		s.setOrigin(func() { s.originDown = true })
+		time.Sleep(away)
+		s.setOrigin(func() { s.originDown = false })
+	}
+	f := b.run(t, time.Minute)
+	last := f.ready[len(f.ready)-1]
+	t.Logf("last=%s copies=%.2f", last, f.origin)
+	is.True(f.origin < 1.25)
+	is.True(last < away+6*time.Second)
+}
