stager: agents and their replicas in virtual time

Change: five boxes with real agents: a fresh replica is filled without a piece from the origin; a new version leaves it about once and is everywhere in 7.5 s by one order each; a restarted replica is given its weights again; no order while what is staged is not whole.

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -189,13 +189,18 @@
 	k.Duty(s.tellGateways)
 }
 
+// Server returns what accepts other agents' connections.
+func (s *Stager) Server() *wire.Server {
+	return &wire.Server{Local: s.pool.Local, Codec: Codec, Handlers: s.handlers, Options: s.pool.Options}
+}
+
 // Run runs the stager until ctx ends.
 func (s *Stager) Run(ctx context.Context) error {
 	ln, err := net.Listen("tcp", s.Settings.Listen)
 	if err != nil {
 		return fault.Wrap(fault.Unreachable, err, "listen")
 	}
-	srv := &wire.Server{Local: s.pool.Local, Codec: Codec, Handlers: s.handlers, Options: s.pool.Options}
+	srv := s.Server()
 	var k kernel.Kernel
 	s.Duties(&k)
 	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, ln) })
--- /dev/null
+++ b/internal/stager/stager_test.go
@@ -0,0 +1,258 @@
+package stager
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/internal/simnet"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/weights"
+)
+
+func TestMain(m *testing.M) {
+	telemetry.Discard()
+	os.Exit(m.Run())
+}
+
+const pieceCount, pieceBytes = 16, 4 << 10
+
+// pieceOf is the n-th piece of a version.
+func pieceOf(version uint64, n int) []byte {
+	b := make([]byte, pieceBytes)
+	copy(b, fmt.Sprintf("version %d piece %d", version, n))
+	return b
+}
+
+func manifestOf(version uint64) *weights.Manifest {
+	f := weights.File{Name: "m"}
+	for n := range pieceCount {
+		f.Chunks = append(f.Chunks, weights.Chunk{Digest: weights.Digest(pieceOf(version, n)), Size: pieceBytes})
+	}
+	return &weights.Manifest{Model: "m", Version: fmt.Sprint(version), Files: []weights.File{f}}
+}
+
+// fakeReplica takes what is staged when it is ordered to, half a second later.
+type fakeReplica struct {
+	mu     sync.Mutex
+	report Report
+	staged map[int][]byte
+	orders []uint64 // The versions that it was ordered to take.
+	spoilt int      // Orders while a staged piece was not of the version.
+}
+
+func (r *fakeReplica) replica() Replica {
+	return Replica{
+		Report: func(context.Context) (Report, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.report, nil
+		},
+		Order: func(_ context.Context, _ string, version, orders uint64) error {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if orders != r.report.Orders {
+				return fault.New(fault.FencedOrder, "")
+			}
+			for n := range pieceCount {
+				if weights.Digest(r.staged[n]) != weights.Digest(pieceOf(version, n)) {
+					r.spoilt++
+				}
+			}
+			r.orders = append(r.orders, version)
+			r.report.Orders++
+			r.report.Ordered = true
+			time.AfterFunc(500*time.Millisecond, func() {
+				r.mu.Lock()
+				defer r.mu.Unlock()
+				r.report.Version, r.report.Ordered = version, false
+			})
+			return nil
+		},
+		Stage: func(_ context.Context, _ string, n int, data []byte) error {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			r.staged[n] = data
+			return nil
+		},
+		Staged: func(context.Context, string) ([]int, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			var held []int
+			for n := range pieceCount {
+				if r.staged[n] != nil {
+					held = append(held, n)
+				}
+			}
+			return held, nil
+		},
+		ReadStaged: func(_ context.Context, _ string, n int) ([]byte, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			return r.staged[n], nil
+		},
+	}
+}
+
+// restart is the crash of a replica: it holds nothing, and what is staged stays.
+func (r *fakeReplica) restart() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report = Report{}
+}
+
+// site is some boxes with agents.
+type site struct {
+	net      *simnet.Network
+	replicas []*fakeReplica
+	agents   []*Stager
+	stops    []func()
+	mu       sync.Mutex
+	fetched  int // Pieces that left the origin.
+}
+
+func ip(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
+
+func (s *site) add(t *testing.T, r *fakeReplica) {
+	i := len(s.agents)
+	addr := ip(i) + ":7"
+	a, err := New(&settings.Stager{
+		Own:          settings.Own{Cluster: "c", Box: ip(i), Hall: "h", Listen: addr, Join: []string{"10.9.0.1:1"}},
+		StagerBounds: settings.StagerBounds{VersionWithin: 8 * time.Second, Link: 7.3},
+		Replica:      ip(i) + ":80", Service: "llm",
+	}, Options{
+		Replica: r.replica(),
+		Origin: Origin{
+			Manifest: func(_ context.Context, _, _ string, version uint64) (*weights.Manifest, error) {
+				return manifestOf(version), nil
+			},
+			Piece: func(_ context.Context, _, _ string, version uint64, n int) ([]byte, error) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.fetched++
+				return pieceOf(version, n), nil
+			},
+		},
+		Follow: &peers.Follower{},
+		Dial:   func(ctx context.Context, to string) (net.Conn, error) { return s.net.Dial(ctx, addr, to) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{Rate: 9e5}, Down: &simnet.Link{Rate: 9e5}, Serve: a.Server().One})
+	ctx, cancel := context.WithCancel(context.Background())
+	var k kernel.Kernel
+	k.Add("loader", nil, a.load)
+	k.Add("status", &a.status, a.watchReplica)
+	done := make(chan struct{})
+	go func() {
+		_ = k.Run(ctx)
+		close(done)
+	}()
+	s.replicas, s.agents = append(s.replicas, r), append(s.agents, a)
+	s.stops = append(s.stops, func() {
+		cancel()
+		a.Close()
+		s.net.Remove(addr)
+		<-done
+	})
+}
+
+// assign tells every agent what a gateway would.
+func (s *site) assign(at, version uint64, steps ...peers.Step) {
+	a := &peers.Assignment{
+		At: at, Model: "m", Version: version, Steps: steps, Origin: "origin:1", OriginRate: 9e5, Bytes: pieceCount * pieceBytes,
+	}
+	for i, r := range s.replicas {
+		r.mu.Lock()
+		a.Replicas = append(a.Replicas, peers.Replica{Addr: ip(i) + ":80", Hall: "h", Version: r.report.Version})
+		r.mu.Unlock()
+	}
+	for _, ag := range s.agents {
+		ag.now.set(a, "test")
+	}
+}
+
+func withVersion(v uint64) *fakeReplica {
+	r := &fakeReplica{report: Report{Model: "m", Version: v}, staged: map[int][]byte{}}
+	for n := range pieceCount {
+		if v > 0 {
+			r.staged[n] = pieceOf(v, n)
+		}
+	}
+	return r
+}
+
+func (s *site) holding() map[uint64]int {
+	out := map[uint64]int{}
+	for _, r := range s.replicas {
+		r.mu.Lock()
+		out[r.report.Version]++
+		r.mu.Unlock()
+	}
+	return out
+}
+
+// A fresh replica is filled by the others alone; a new version leaves the origin
+// about once and is everywhere before the older one's time is over, by one order
+// for each replica; one that restarts is given its weights again; and no order is
+// given while what is staged is not whole.
+func TestBoxesBringVersionsToTheirReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+		for range 4 {
+			s.add(t, withVersion(1))
+		}
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.add(t, withVersion(0))
+		s.assign(2, 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(s.holding(), map[uint64]int{1: 5})
+		is.Equal(s.fetched, 0) // Not a piece of what others hold.
+
+		s.assign(3, 2, peers.Step{Version: 2})
+		time.Sleep(7500 * time.Millisecond)
+		is.Equal(s.holding(), map[uint64]int{2: 5})
+		is.True(s.fetched <= pieceCount+2)
+
+		s.replicas[0].restart()
+		time.Sleep(2 * time.Second)
+		is.Equal(s.holding(), map[uint64]int{2: 5})
+		for i, r := range s.replicas {
+			is.Equal(r.spoilt, 0)
+			want := []uint64{2}
+			if i == 0 || i == 4 {
+				want = map[int][]uint64{0: {2, 2}, 4: {1, 2}}[i]
+			}
+			is.Equal(r.orders, want)
+		}
+		for _, stop := range s.stops {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+// An older assignment, from a gateway that is behind, changes nothing.
+func TestOlderAssignmentIsIgnored(t *testing.T) {
+	is := is.New(t)
+	var a assignments
+	a.set(&peers.Assignment{At: 5, Model: "m", Version: 3}, "a")
+	a.set(&peers.Assignment{At: 4, Model: "m", Version: 4}, "b")
+	a.set(&peers.Assignment{At: 6, Model: "m", Version: 2}, "c")
+	now, _, _ := a.watch()
+	is.Equal(now.Version, uint64(3))
+}
