peers, stager: what a gateway and an agent send is bounded in number

Cause: each gateway announced itself to every other one, and each agent told every gateway: at 410 gateways that is 820 announcements a second for each, far over 7 KB/s. Change: beyond eight, a gateway announces to eight neighbours of its own order and one at random, and tells of 24 others with the age of their last sign; an agent tells the gateways of its hall and four others, or all of twelve. Test: 40 gateways of which the store answers two; each change is in force at all within two seconds.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -10,18 +11,23 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/wire"
 )
 
 // Waits of a Gossip.
 const (
-	announceEvery = 500 * time.Millisecond // Without news,
-	announceLeast = 100 * time.Millisecond // and between two that have some.
-	announceIn    = time.Second            // An announcement without an answer is given up.
-	liveFor       = 2500 * time.Millisecond
+	announceEvery = 500 * time.Millisecond  // Without news,
+	announceLeast = 100 * time.Millisecond  // and between two that have some.
+	announceIn    = time.Second             // An announcement without an answer is given up.
+	liveFor       = 2500 * time.Millisecond // With few gateways; longer where signs travel through others.
 	forgetAfter   = 30 * time.Second
 	pullAfter     = 150 * time.Millisecond // The platform itself usually tells sooner.
 	pullWithin    = 2 * time.Second
+	// What a gateway sends is bounded, however many there are: it announces itself
+	// to so many others, and tells of so many.
+	neighbours = 8
+	toldOf     = 24
 )
 
 // Gossip keeps the list of gateways and a mirror that is no older than theirs.
@@ -79,7 +85,7 @@
 	out := []Member{g.Self}
 	now := time.Now()
 	for _, m := range g.members {
-		if now.Sub(m.heard) < liveFor {
+		if g.fresh(m, now) {
 			out = append(out, m.Member)
 		}
 	}
@@ -87,8 +93,27 @@
 	return out
 }
 
+// fresh reports whether a gateway was heard of late. The caller holds g.mu.
+func (g *Gossip) fresh(m *member, now time.Time) bool {
+	hops := 1 + len(g.members)/(2*neighbours)
+	return now.Sub(m.heard) < time.Duration(hops)*liveFor
+}
+
+// announcement tells of this gateway and of some others.
 func (g *Gossip) announcement() *Announce {
-	return &Announce{From: g.Self, At: g.Mirror.At(), Known: g.Live()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	a := &Announce{From: g.Self, At: g.Mirror.At()}
+	for _, m := range g.members { // In no order, so that all are told of in time.
+		if len(a.Known) == toldOf {
+			break
+		}
+		if g.fresh(m, now) {
+			a.Known = append(a.Known, Known{m.Member, now.Sub(m.heard)})
+		}
+	}
+	return a
 }
 
 func (g *Gossip) note(m Member, now time.Time) *member {
@@ -122,8 +147,8 @@
 		telemetry.Log("peer_gained", "peer", e.Name, "addr", e.Addr, "hall", e.Hall, "at", a.At)
 	}
 	for _, k := range a.Known {
-		if g.members[k.Addr] == nil {
-			g.note(k, now)
+		if e := g.note(k.Member, now); e != nil && now.Add(-k.Age).After(e.heard) {
+			e.heard = now.Add(-k.Age)
 		}
 	}
 	behind := a.At > g.Mirror.At() && !g.pulling
@@ -218,21 +243,15 @@
 	return nil
 }
 
-// round announces to every gateway that is known and not being talked to.
+// round announces to this gateway's neighbours that are not being talked to.
 func (g *Gossip) round(ctx context.Context) *sync.WaitGroup {
 	now := time.Now()
 	var wg sync.WaitGroup
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for addr, m := range g.members {
-		if m.live && now.Sub(m.heard) >= liveFor {
-			m.live = false
-			telemetry.Log("peer_lost", "peer", m.Name, "addr", addr, "hall", m.Hall, "silent", now.Sub(m.heard))
-		}
-		if now.Sub(m.heard) > forgetAfter && now.Sub(m.named) > forgetAfter && !slices.Contains(g.Join, addr) {
-			delete(g.members, addr)
-			continue
-		}
+	g.forget(now)
+	for _, addr := range g.chosen(now) {
+		m := g.members[addr]
 		if m.talking {
 			continue
 		}
@@ -247,6 +266,48 @@
 	return &wg
 }
 
+// forget notes gateways that have fallen silent, and drops those of which nobody
+// has heard for long. The caller holds g.mu.
+func (g *Gossip) forget(now time.Time) {
+	for addr, m := range g.members {
+		live := g.fresh(m, now)
+		if m.live && !live {
+			telemetry.Log("peer_lost", "peer", m.Name, "addr", addr, "hall", m.Hall, "silent", now.Sub(m.heard))
+		}
+		m.live = m.live && live
+		if now.Sub(m.heard) > forgetAfter && now.Sub(m.named) > forgetAfter && !slices.Contains(g.Join, addr) {
+			delete(g.members, addr)
+		}
+	}
+}
+
+// chosen returns whom to announce to: all of a few, else the first ones in this
+// gateway's own order, and one of the others at random, so that halves that have
+// lost each other find together. The caller holds g.mu.
+func (g *Gossip) chosen(now time.Time) []string {
+	var live, others []string
+	for addr, m := range g.members {
+		if g.fresh(m, now) {
+			live = append(live, addr)
+		} else {
+			others = append(others, addr)
+		}
+	}
+	if len(live)+len(others) <= neighbours {
+		return append(live, others...)
+	}
+	ranked := rendezvous.Rank("gossip/"+g.Self.Addr, live)
+	out := ranked[:min(neighbours, len(ranked))]
+	rest := append(others, ranked[len(out):]...)
+	if len(out) < neighbours/2 {
+		return append(out, rest...) // Hardly anybody answers; everybody is asked.
+	}
+	if len(rest) > 0 {
+		out = append(out, rest[rand.IntN(len(rest))])
+	}
+	return out
+}
+
 func (g *Gossip) announceTo(ctx context.Context, addr string) {
 	ctx, cancel := context.WithTimeout(ctx, announceIn)
 	defer cancel()
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -17,8 +17,14 @@
 // Announce says who is there and what it knows. It is answered by another one.
 type Announce struct {
 	From  Member
-	At    uint64   // The sender holds every published change up to it.
-	Known []Member // Gateways that the sender heard of lately.
+	At    uint64  // The sender holds every published change up to it.
+	Known []Known // Some of the gateways that the sender heard of lately.
+}
+
+// Known is a gateway that somebody heard of.
+type Known struct {
+	Member
+	Age time.Duration // Since the last sign of it, when the message was sent.
 }
 
 // Pull asks for what was published after a revision.
--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -98,3 +98,23 @@
 		is.True(again <= asked/5+30)
 	})
 }
+
+// Many gateways, of which the store answers only two: all learn of each change
+// within two seconds, all know of nearly all others, and none sends more for it
+// than a few announcements a round.
+func TestManyGatewaysLearnFromAFew(t *testing.T) {
+	const gateways = 40
+	run(t, 2, plain(1), func(is *is.I, w *world) {
+		away := http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
+		for i := 2; i < gateways; i++ {
+			w.addGateway(i, away)
+		}
+		time.Sleep(6 * time.Second)
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(2 * time.Second)
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+			is.True(len(w.gateways[i].Status().Peers) > gateways*9/10)
+		}
+	})
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return fault.Wrap(fault.Unreachable, err, "admin")
 		}
-		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.Ready, Status: g.status}
+		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.Ready, Status: func() any { return g.Status() }}
 		k.Duty(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
 	}
 	k.Add("callers", callers, func(own context.Context) error { return g.serveCallers(ctx, own, callers, lns[2]) })
@@ -118,7 +118,8 @@
 	Weights  map[string]map[uint64]int `json:"weights"` // Replicas by service and version.
 }
 
-func (g *Relay) status() any {
+// Status returns how the relay stands.
+func (g *Relay) Status() *Status {
 	c := g.holder.Get()
 	s := &Status{
 		Role: "gateway", Box: g.Settings.Box, Hall: g.Settings.Hall, Revision: c.Revision, Version: c.Version,
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -9,6 +9,7 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/rendezvous"
 )
 
 // Waits of the status.
@@ -181,7 +182,7 @@
 		a, _, changed := s.now.watch()
 		if a != nil && len(a.Gateways) > 0 {
 			want := map[string]bool{}
-			for _, g := range a.Gateways {
+			for _, g := range s.told(a.Gateways) {
 				want[g.Addr] = true
 				if open[g.Addr] == nil {
 					tctx, cancel := context.WithCancel(ctx)
@@ -207,6 +208,33 @@
 	return nil
 }
 
+// A gateway of another hall sends little here; where there are many gateways only
+// a few of those are told.
+const (
+	toldAll = 12 // With so many gateways all are told,
+	toldFar = 4  // and else those of the hall and so many others.
+)
+
+func (s *Stager) told(gateways []peers.Member) []peers.Member {
+	if len(gateways) <= toldAll {
+		return gateways
+	}
+	var out []peers.Member
+	far := map[string]peers.Member{}
+	for _, g := range gateways {
+		if g.Hall == s.Settings.Hall {
+			out = append(out, g)
+		} else {
+			far[g.Addr] = g
+		}
+	}
+	ranked := rendezvous.Rank("told/"+s.exchange.Self.Name, rendezvous.Sorted(far))
+	for _, addr := range ranked[:min(toldFar, len(ranked))] {
+		out = append(out, far[addr])
+	}
+	return out
+}
+
 // tell tells one gateway until ctx ends.
 func (s *Stager) tell(ctx context.Context, g peers.Member) {
 	const retry = 300 * time.Millisecond
