weights: boxes that restart keep to the others' schedule; slow ones leave their pieces

Change: a transfer's schedule begins when the version was named; a box behind a slow link no longer counts on getting its pieces; one that waits for the origin is overtaken after 12 s, whatever the time between turns.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -40,7 +40,7 @@
 		a, wanted, changed := s.now.watch()
 		wait := lookIdle
 		if a != nil {
-			now = s.transfer(ctx, now, a)
+			now = s.transfer(ctx, now, a, wanted.Overtaken(a.Version-1))
 			if !s.step(ctx, now, a, wanted) {
 				wait = look
 			}
@@ -60,7 +60,7 @@
 
 // transfer returns the transfer of what is assigned, and ends one of anything
 // else.
-func (s *Stager) transfer(ctx context.Context, now *running, a *peers.Assignment) *running {
+func (s *Stager) transfer(ctx context.Context, now *running, a *peers.Assignment, named time.Time) *running {
 	if now != nil && now.model == a.Model && now.version == a.Version {
 		return now
 	}
@@ -78,7 +78,7 @@
 	r := &running{model: a.Model, version: a.Version, cancel: cancel}
 	r.Transfer = &weights.Transfer{
 		Exchange: s.exchange, Artifact: artifact, Window: window * copyIn, Copies: window,
-		Members: s.members,
+		Members: s.members, Since: named,
 		Prepare: func(ctx context.Context, m *weights.Manifest) { s.prepare(ctx, a.Model, a.Version, m) },
 	}
 	began := time.Now()
--- a/weights/ask.go
+++ b/weights/ask.go
@@ -12,11 +12,18 @@
 	if t.plan == nil || chunk < 0 || chunk >= t.plan.Chunks {
 		return AskReply{}
 	}
-	return AskReply{
-		Has: t.plan.Have().Has(chunk), Getting: len(t.plan.Others(chunk)) > 0, Ahead: t.plan.LooksAfter(chunk),
+	r := AskReply{Has: t.plan.Have().Has(chunk)}
+	if t.plan.Ease() > slowEase {
+		r.Getting, r.Ahead = len(t.plan.Others(chunk)) > 0, t.plan.LooksAfter(chunk)
 	}
+	return r
 }
 
+// slowEase is the part of its usual fetches at which a box no longer counts on
+// getting a chunk in time: its link is slow, and the next box in the order takes
+// over what it does not have yet.
+const slowEase = 0.5
+
 // ask asks those ahead of this box whether they look after a chunk.
 func (t *Transfer) ask(ctx context.Context, a Action) {
 	const within = 2 * time.Second
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -27,7 +27,7 @@
 	strikesAllowed  = 2                       // Corrupt chunks after which a peer is left out
 	leftOutFor      = 30 * time.Second        // for this, and longer each time.
 	mostPutOff      = 3                       // Times that a chunk is left to those ahead.
-	mostWaited      = 6                       // The same for one that waits for the origin.
+	mostWaited      = 12 * time.Second        // For one that waits for the origin.
 	originRetry     = 500 * time.Millisecond  // Between tries at the origin, with jitter.
 	pullAhead       = 0.93                    // Share of the planned time in which seeds ask.
 	slowFetch       = 14                      // Of so many, a fetch shows that this box's link is slower than it should be.
@@ -76,12 +76,12 @@
 	atOrigin  int
 	spare     int // Chunks that this box may still fetch beyond its duty.
 	asking    map[int]bool
-	putOff    map[int]int  // How often a box ahead said that it looks after a chunk.
-	waited    map[int]int  // How often a box ahead said that it waits for the origin.
-	granted   map[int]bool // Nobody ahead looks after the chunk; good for one try at the origin.
-	leftOut   time.Time    // Some peer is left out until then.
-	originAt  time.Time    // The origin is left alone until then.
-	fullTill  time.Time    // The store had no room; nothing is fetched until then.
+	putOff    map[int]int       // How often a box ahead said that it looks after a chunk.
+	waited    map[int]time.Time // Since when a box ahead has said that it waits for the origin.
+	granted   map[int]bool      // Nobody ahead looks after the chunk; good for one try at the origin.
+	leftOut   time.Time         // Some peer is left out until then.
+	originAt  time.Time         // The origin is left alone until then.
+	fullTill  time.Time         // The store had no room; nothing is fetched until then.
 	tieBreak  []int
 	parallel  float64 // Fetches that may be open now: fewer where the link turns out slow. Zero is the usual.
 	near      map[string]bool
@@ -118,7 +118,7 @@
 	p.rarity = make([]int, p.Chunks)
 	p.fetching = map[int][]fetch{}
 	p.peers = map[string]*peerState{}
-	p.asking, p.granted, p.putOff, p.waited = map[int]bool{}, map[int]bool{}, map[int]int{}, map[int]int{}
+	p.asking, p.granted, p.putOff, p.waited = map[int]bool{}, map[int]bool{}, map[int]int{}, map[int]time.Time{}
 	p.tieBreak = p.Rand.Perm(p.Chunks)
 	p.offeredAt = make([]time.Time, p.Chunks)
 	p.SetMembers(members)
@@ -169,7 +169,9 @@
 	return p.Begin.Add(time.Duration(share * float64(p.Inject)))
 }
 
-func (p *Plan) grace() time.Duration { return max(minGrace, graceChunks*p.PerChunk) }
+func (p *Plan) grace() time.Duration {
+	return max(minGrace, graceChunks*p.PerChunk)
+}
 
 // Complete reports whether the box has every chunk.
 func (p *Plan) Complete() bool { return p.missing == 0 }
@@ -325,11 +327,13 @@
 
 // AskedAhead records that a box ahead looks after a chunk but has not begun to
 // get it: the origin is away or has a queue, and another one that asks there would
-// be no help. After many such answers it may be that box that is cut off.
+// be no help. After long it may be that box that is cut off.
 func (p *Plan) AskedAhead(now time.Time, chunk int) {
 	delete(p.asking, chunk)
-	p.waited[chunk]++
-	if p.waited[chunk] >= mostWaited {
+	if p.waited[chunk].IsZero() {
+		p.waited[chunk] = now
+	}
+	if now.Sub(p.waited[chunk]) >= mostWaited {
 		p.granted[chunk] = true
 		p.turn[chunk] = now
 		return
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -19,6 +19,9 @@
 	Copies   float64         // Copies that the origin's link carries in Window.
 	Spare    float64         // Copies beyond the first that may leave the origin.
 	Members  func() []Member // The boxes that want the artifact now, this one among them.
+	// Since is when the boxes began to want the artifact, so that one that joins or
+	// restarts a little later keeps to the others' schedule. Zero is now.
+	Since time.Time
 	// Prepare, if set, is called once the manifest is here and before anything is
 	// fetched, so that the caller can put into the store what it has already.
 	Prepare func(ctx context.Context, m *Manifest)
@@ -165,7 +168,7 @@
 		}
 	}
 	p := &Plan{
-		Self: t.Exchange.Self.Name, Strategy: t.Exchange.Strategy, Chunks: len(chunks), Begin: time.Now(),
+		Self: t.Exchange.Self.Name, Strategy: t.Exchange.Strategy, Chunks: len(chunks), Begin: t.since(time.Now()),
 		Parallel: t.Exchange.Parallel, Adapt: t.Exchange.SharesLink, AtOrigin: t.Exchange.AtOrigin,
 		Inject: time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
 		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))),
@@ -185,6 +188,14 @@
 	return nil
 }
 
+// since is when the plan begins: with the others, if that was not long ago.
+func (t *Transfer) since(now time.Time) time.Time {
+	if t.Since.IsZero() || now.Sub(t.Since) > t.Window {
+		return now
+	}
+	return t.Since
+}
+
 // near returns the names of the members in this box's hall.
 func (t *Transfer) near(members []Member) []string {
 	out := []string{}
