--- a/weights/ask.go
+++ b/weights/ask.go
@@ -26,8 +26,8 @@
 
 // ask asks those ahead of this box whether they look after a chunk.
 func (t *Transfer) ask(ctx context.Context, a Action) {
-	const within = 2 * time.Second
-	ctx, cancel := context.WithTimeout(ctx, within)
+	const least, most, chunks = 400 * time.Millisecond, 2 * time.Second, 16
+	ctx, cancel := context.WithTimeout(ctx, max(least, min(most, chunks*t.plan.PerChunk)))
 	defer cancel()
 	addrs := map[string]string{}
 	for _, m := range t.Members() {
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -129,7 +129,7 @@
 // SetMembers tells which boxes want the artifact now, this one among them.
 func (p *Plan) SetMembers(names []string) {
 	p.names = names
-	fresh := p.position == nil
+	fresh, before := p.position == nil, p.position
 	p.position = make([]int, p.Chunks)
 	if fresh {
 		p.turn = make([]time.Time, p.Chunks)
@@ -138,8 +138,9 @@
 		if p.Strategy.OrderKey != nil {
 			p.position[i] = rendezvous.Position(p.Strategy.OrderKey(i), p.Self, names)
 		}
-		if fresh {
-			p.turn[i] = p.scheduled(i).Add(time.Duration(p.position[i]) * p.grace())
+		turn := p.scheduled(i).Add(time.Duration(p.position[i]) * p.grace())
+		if fresh || p.position[i] < before[i] && turn.Before(p.turn[i]) {
+			p.turn[i] = turn // Sooner, where a box ahead has gone.
 		}
 	}
 }
