--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/poststand/poststand/kernel"
+
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
@@ -134,7 +136,7 @@
 	b := backoff{}
 	for ctx.Err() == nil {
 		if !f.mayWatch(time.Now()) {
-			sleep(ctx, time.Second)
+			kernel.Sleep(ctx, time.Second)
 			continue
 		}
 		wctx, cancel := context.WithTimeout(ctx, f.pollWait()+replySlack)
@@ -142,7 +144,7 @@
 		cancel()
 		if err != nil {
 			f.Event("platform_"+what, fault.CodeOf(err))
-			sleep(ctx, b.next())
+			kernel.Sleep(ctx, b.next())
 			continue
 		}
 		b = backoff{}
@@ -247,13 +249,13 @@
 	for failed := 0; ctx.Err() == nil; {
 		addrs := f.sources()
 		if len(addrs) == 0 {
-			sleep(ctx, time.Second)
+			kernel.Sleep(ctx, time.Second)
 			continue
 		}
 		if err := f.poll(ctx, addrs[failed%len(addrs)], f.pollWait()); err != nil {
 			f.Event("poll", fault.CodeOf(err))
 			failed++
-			sleep(ctx, b.next())
+			kernel.Sleep(ctx, b.next())
 			continue
 		}
 		b = backoff{}
@@ -286,7 +288,7 @@
 // exchange is the duty of a watcher to ask other halls.
 func (f *Feed) exchange(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, exchangeEvery)
+		kernel.Sleep(ctx, exchangeEvery)
 		addr := f.otherHall()
 		if addr == "" || !f.mayWatch(time.Now()) {
 			continue
@@ -362,12 +364,3 @@
 	b.step = min(max(2*b.step, minBackoff), maxBackoff)
 	return b.step/2 + rand.N(b.step)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gateway/subscribe.go
+++ b/internal/gateway/subscribe.go
@@ -6,38 +6,23 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/view"
 )
 
 // subscribe keeps the router's table and a subscription with each agent that
 // the placement names in this hall.
 func (g *Gateway) subscribe(ctx context.Context) error {
-	open := map[fleet.Box]context.CancelFunc{}
+	var open kernel.Each[fleet.Box]
+	defer open.Stop()
 	for {
 		v, changed := g.holder.Watch()
 		boxes := g.placedHere(v)
 		g.router.Sync(boxes)
-		keep := map[fleet.Box]bool{}
-		for _, b := range boxes {
-			keep[b] = true
-			if open[b] == nil {
-				bctx, cancel := context.WithCancel(ctx)
-				open[b] = cancel
-				go g.listen(bctx, b)
-			}
-		}
-		for b, cancel := range open {
-			if !keep[b] {
-				cancel()
-				delete(open, b)
-			}
-		}
+		open.Sync(ctx, boxes, g.listen)
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			for _, cancel := range open {
-				cancel()
-			}
 			return nil
 		}
 	}
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/mirror"
 )
 
@@ -69,7 +70,7 @@
 	whole := f.Mirror.At() == 0
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
-			sleep(ctx, idleLook)
+			kernel.Sleep(ctx, idleLook)
 			continue
 		}
 		err := f.once(ctx, whole)
@@ -94,7 +95,7 @@
 		if fault.Is(err, fault.HistoryGone) {
 			continue
 		}
-		sleep(ctx, wait/2+rand.N(wait))
+		kernel.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryMost)
 	}
 	return nil
@@ -141,7 +142,7 @@
 func (f *Follower) Check(ctx context.Context) error {
 	for ctx.Err() == nil {
 		period := checkEvery * time.Duration(max(1, f.Sharers()))
-		sleep(ctx, period/2+rand.N(period))
+		kernel.Sleep(ctx, period/2+rand.N(period))
 		if f.Mirror.At() > 0 {
 			f.check(ctx)
 		}
@@ -161,7 +162,7 @@
 		f.Sure()
 		return
 	}
-	sleep(ctx, checkLag)
+	kernel.Sleep(ctx, checkLag)
 	if had := f.Mirror.At(); at > had {
 		d, err := f.Whole(ctx)
 		telemetry.Log("store_watch_behind", "had", had, "newest", at, "read", d.At, "reason", fault.CodeOf(err))
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -10,6 +10,7 @@
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/wire"
@@ -169,7 +170,7 @@
 	}()
 	life := g.Pool.Lifetime
 	if g.Mirror.At() > 0 {
-		sleep(life, pullAfter)
+		kernel.Sleep(life, pullAfter)
 	}
 	g.mu.Lock()
 	at := g.members[addr].at
@@ -198,15 +199,6 @@
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // Learnt is closed once every address to join was asked, whether it answered or
 // not.
 func (g *Gossip) Learnt() <-chan struct{} {
@@ -237,7 +229,7 @@
 		case <-ctx.Done():
 		}
 		t.Stop()
-		sleep(ctx, announceLeast-time.Since(began))
+		kernel.Sleep(ctx, announceLeast-time.Since(began))
 		g.round(ctx)
 	}
 	return nil
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -14,7 +14,6 @@
 	rq      *request
 	started bool // Something has gone to the caller.
 	firstAt time.Time
-	events0 int
 
 	// A failure of a replica, kept in case no other send does better.
 	failedHeader http.Header
@@ -86,7 +85,6 @@
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
-	o.events0++
 	return rc.Flush()
 }
 
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -9,6 +9,7 @@
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/rendezvous"
 )
 
@@ -86,7 +87,7 @@
 		if s.listen(ctx, g) {
 			try = -1 // It worked: begin again with the first.
 		}
-		sleep(ctx, retry)
+		kernel.Sleep(ctx, retry)
 	}
 	return nil
 }
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -10,6 +10,7 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/weights"
 )
@@ -211,7 +212,7 @@
 		}
 	}
 	if left := tellLead - time.Since(began); left > 0 {
-		sleep(ctx, left)
+		kernel.Sleep(ctx, left)
 	}
 	octx, cancel := context.WithTimeout(ctx, orderIn)
 	defer cancel()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -232,15 +232,6 @@
 // Close ends every connection of the stager.
 func (s *Stager) Close() { s.end() }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // pieces finds what a chunk's digest stands for.
 type pieces struct {
 	mu sync.Mutex
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -9,6 +9,7 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/rendezvous"
 )
 
@@ -177,34 +178,18 @@
 
 // tellGateways keeps a stream of statuses to every gateway.
 func (s *Stager) tellGateways(ctx context.Context) error {
-	open := map[string]context.CancelFunc{}
+	var open kernel.Each[peers.Member]
+	defer open.Stop()
 	for ctx.Err() == nil {
 		a, _, changed := s.now.watch()
 		if a != nil && len(a.Gateways) > 0 {
-			want := map[string]bool{}
-			for _, g := range s.told(a.Gateways) {
-				want[g.Addr] = true
-				if open[g.Addr] == nil {
-					tctx, cancel := context.WithCancel(ctx)
-					open[g.Addr] = cancel
-					go s.tell(tctx, g)
-				}
-			}
-			for addr, cancel := range open {
-				if !want[addr] {
-					cancel()
-					delete(open, addr)
-				}
-			}
+			open.Sync(ctx, s.told(a.Gateways), s.tell)
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
 		}
 	}
-	for _, cancel := range open {
-		cancel()
-	}
 	return nil
 }
 
@@ -240,7 +225,7 @@
 	const retry = 300 * time.Millisecond
 	for ctx.Err() == nil {
 		s.tellOnce(ctx, g)
-		sleep(ctx, retry)
+		kernel.Sleep(ctx, retry)
 	}
 }
 
@@ -261,7 +246,7 @@
 		select {
 		case <-changed:
 			if next, _ := s.status.watch(); g.Hall != s.Settings.Hall && next.OnlyLoadDiffers(&sent) {
-				sleep(ctx, tellAfar)
+				kernel.Sleep(ctx, tellAfar)
 			}
 		case <-wait.C:
 		case <-c.Done():
--- /dev/null
+++ b/route/predict.go
@@ -0,0 +1,77 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/poststand/poststand/config"
+)
+
+// holdsUp estimates for how long a request would still run when the replica is to
+// change its version: it would hold up the change, and with it all that could run
+// there.
+func (r *Replica) holdsUp(now time.Time, e config.Engine, w Work) time.Duration {
+	if r.Word.ChangeAt.IsZero() || !r.heard(now) {
+		return 0
+	}
+	_, running := r.others(now)
+	writers := float64(r.writing) + running
+	step := e.Step + time.Duration(writers*float64(e.PerSequence))
+	ends := now.Add(r.predict(now, e, w) + time.Duration(readingBeside*float64(w.Answer)*float64(step)))
+	return max(0, ends.Sub(r.Word.ChangeAt))
+}
+
+// others estimates what other gateways have at the replica.
+func (r *Replica) others(now time.Time) (queued, running float64) {
+	if !r.heard(now) {
+		return 0, 0
+	}
+	age := float64(now.Sub(r.Word.At)) / float64(wordHalfLife)
+	total := float64(max(0, r.Word.Queued+r.Word.Running-r.ownThen)) * math.Exp2(-age)
+	all := float64(max(1, r.Word.Queued+r.Word.Running))
+	return total * float64(r.Word.Queued) / all, total * float64(r.Word.Running) / all
+}
+
+// expect is what predict says, corrected by how slow the replica has been, and no
+// less than the time for which it has given no sign.
+func (r *Replica) expect(now time.Time, e config.Engine, w Work) time.Duration {
+	d := time.Duration(float64(r.predict(now, e, w)) * r.slow)
+	if r.reading > 0 {
+		d = max(d, now.Sub(r.sign))
+	}
+	return d
+}
+
+// predict estimates the time until the first event of a request.
+func (r *Replica) predict(now time.Time, e config.Engine, w Work) time.Duration {
+	queued, running := r.others(now)
+	if e.ReadRate <= 0 {
+		slots := float64(max(1, r.Slots))
+		ahead := float64(r.reading+r.writing) + queued + running
+		each := max(plainGuess, r.quick)
+		if ahead < slots {
+			return each + time.Duration(float64(each)*0.1*ahead/slots)
+		}
+		return each + time.Duration((ahead-slots+1)/slots*float64(each))
+	}
+	slots := float64(max(1, e.Slots))
+	tokens := float64(r.prompts) + queued*float64(e.UsualPrompt) + float64(w.Prompt)
+	batch := float64(r.reading+r.writing) + queued + running
+	writers := min(slots, float64(r.writing)+running)
+	step := e.Step + time.Duration(writers*float64(e.PerSequence))
+	read := time.Duration(tokens / e.ReadRate * float64(time.Second))
+	passes := math.Ceil(tokens / float64(max(1, e.Chunk)))
+	stride := 1.0
+	if writers > 0 {
+		stride = float64(max(1, e.Stride))
+	}
+	ttft := read + time.Duration((passes+0.5)*stride*float64(step))
+	if batch >= slots {
+		each := time.Duration(float64(e.UsualAnswer) * float64(step) * 1.6)
+		ttft += time.Duration((batch - slots + 1) / slots * float64(each))
+	}
+	if r.heard(now) && r.Word.Pace > 1 {
+		ttft = time.Duration(float64(ttft) * r.Word.Pace)
+	}
+	return ttft
+}
--- a/weights/neighbour.go
+++ b/weights/neighbour.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/wire"
 )
@@ -13,7 +14,8 @@
 
 // keepNeighbours holds a session with each box that the strategy names.
 func (t *Transfer) keepNeighbours(ctx context.Context) {
-	dialling := map[string]context.CancelFunc{}
+	var dialling kernel.Each[Member]
+	defer dialling.Stop()
 	var last []string
 	for ctx.Err() == nil {
 		members := t.Members()
@@ -26,25 +28,8 @@
 			t.mu.Unlock()
 			last = names
 		}
-		want := map[string]bool{}
-		for _, m := range t.Exchange.Strategy.Neighbours(t.Exchange.Self, members) {
-			want[m.Name] = true
-			if dialling[m.Name] == nil {
-				nctx, cancel := context.WithCancel(ctx)
-				dialling[m.Name] = cancel
-				go t.dial(nctx, m)
-			}
-		}
-		for name, cancel := range dialling {
-			if !want[name] {
-				cancel()
-				delete(dialling, name)
-			}
-		}
-		pause(ctx, lookEvery)
-	}
-	for _, cancel := range dialling {
-		cancel()
+		dialling.Sync(ctx, t.Exchange.Strategy.Neighbours(t.Exchange.Self, members), t.dial)
+		kernel.Sleep(ctx, lookEvery)
 	}
 }
 
@@ -60,15 +45,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // dial keeps a session with one neighbour until ctx ends. Waits between tries
 // rise to a cap and differ from pair to pair.
 func (t *Transfer) dial(ctx context.Context, m Member) {
@@ -78,7 +54,7 @@
 		if t.join(ctx, m) {
 			wait = first
 		}
-		pause(ctx, wait+spread)
+		kernel.Sleep(ctx, wait+spread)
 	}
 }
 
@@ -94,7 +70,7 @@
 	t.mu.Unlock()
 	if already {
 		// The neighbour dialled us; its session serves both ends.
-		pause(ctx, lookEvery)
+		kernel.Sleep(ctx, lookEvery)
 		return true
 	}
 	s, err := c.Open(ctx, &Join{Artifact: t.Artifact, Has: has, Queue: t.Exchange.queue()})
@@ -169,7 +145,7 @@
 				return
 			}
 		}
-		pause(ctx, flush)
+		kernel.Sleep(ctx, flush)
 		select {
 		case <-own.wake:
 		case <-ctx.Done():
--- a/weights/origin.go
+++ b/weights/origin.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/kernel"
 )
 
 // OriginClient fetches chunks and manifests from the origin over HTTP.
@@ -36,7 +37,7 @@
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		pause(ctx, retryAfter(resp))
+		kernel.Sleep(ctx, retryAfter(resp))
 		return nil, fault.New(fault.Throttled, "origin")
 	default:
 		return nil, fault.New(fault.UpstreamFailed, "origin: "+resp.Status)
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/kernel"
 )
 
 // maxManifests bounds the manifests that an Exchange keeps.
@@ -19,7 +20,7 @@
 	const retry, grace, mostGraces = 40 * time.Millisecond, 2 * time.Second, 8
 	x := t.Exchange
 	begin := time.Now()
-	for ; ctx.Err() == nil; pause(ctx, retry) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, retry) {
 		if data, ok := x.Lookup(t.Artifact); ok {
 			return data, nil
 		}
