cmd: explain, and check of the new settings

poststand explain ID FILE... tells a request's story from log files: its own lines and those of the replicas that it was sent to. check reads the settings of relay and stager. Operators' files no longer take sections that only platforms publish.

--- a/cmd/poststand/cmd/check.go
+++ b/cmd/poststand/cmd/check.go
@@ -10,27 +10,34 @@
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/settings"
+	"github.com/poststand/poststand/rendezvous"
 )
 
 func checkCommand() *cobra.Command {
-	var gatewayFile, agentFile string
+	files := map[string]*settingsFile{
+		"gateway": {what: "a gateway", load: loads(settings.LoadGateway)},
+		"agent":   {what: "an agent", load: loads(settings.LoadAgent)},
+		"relay":   {what: "a gateway that sends straight to replicas", load: loads(settings.LoadRelay)},
+		"stager":  {what: "an agent that stages weights", load: loads(settings.LoadStager)},
+	}
 	c := &cobra.Command{
 		Use:   "check [DIR]",
 		Short: "Check operators' files as a whole, or the settings of a process",
 		Args:  cobra.MaximumNArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if gatewayFile != "" {
-				if _, err := settings.LoadGateway(gatewayFile); err != nil {
-					return err
+			named := 0
+			for _, name := range rendezvous.Sorted(files) {
+				f := files[name]
+				if f.path == "" {
+					continue
 				}
-			}
-			if agentFile != "" {
-				if _, err := settings.LoadAgent(agentFile); err != nil {
+				named++
+				if err := f.load(f.path); err != nil {
 					return err
 				}
 			}
 			if len(args) == 0 {
-				if gatewayFile == "" && agentFile == "" {
+				if named == 0 {
 					return fault.New(fault.BadRequest, "nothing to check: name a directory or a settings file")
 				}
 				return nil
@@ -44,11 +51,26 @@
 			return err
 		},
 	}
-	c.Flags().StringVar(&gatewayFile, "gateway", "", "settings file of a gateway")
-	c.Flags().StringVar(&agentFile, "agent", "", "settings file of an agent")
+	for name, f := range files {
+		c.Flags().StringVar(&f.path, name, "", "settings file of "+f.what)
+	}
 	return c
 }
 
+// settingsFile is a kind of settings that can be checked.
+type settingsFile struct {
+	what string
+	path string
+	load func(path string) error
+}
+
+func loads[T any](load func(path string) (T, error)) func(path string) error {
+	return func(path string) error {
+		_, err := load(path)
+		return err
+	}
+}
+
 // loadConfig reads and validates the YAML files of a directory as one whole.
 func loadConfig(dir string) (*config.Config, error) {
 	files, err := filepath.Glob(filepath.Join(dir, "*.yaml"))
--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -45,7 +45,7 @@
 	_ = logs.Set("logtostderr", "false")
 	_ = logs.Set("alsologtostderr", "false")
 	_ = logs.Set("stderrthreshold", "FATAL")
-	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), versionCommand())
+	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), explainCommand(), versionCommand())
 	return root
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -12,8 +12,10 @@
 	Organisations map[string]Organisation `yaml:"organisations"`
 	Limits        Limits                  `yaml:"limits"`
 	Weights       Weights                 `yaml:"weights"`
-	Routes        map[string]Route        `yaml:"routes"`
-	Callers       CallerLimits            `yaml:"callers"`
+	// Routes, and what below is marked so, come from platforms that publish a
+	// configuration of their own; operators' files do not have them.
+	Routes  map[string]Route `yaml:"-"`
+	Callers CallerLimits     `yaml:"-"`
 }
 
 // Hall is a place with boxes of its own.
@@ -55,12 +57,12 @@
 	// ChecksOrders says that the engine itself refuses a fenced order.
 	ChecksOrders bool `yaml:"checks_orders"`
 	// Engine is how fast its replicas work, for services that routes name.
-	Engine Engine `yaml:"engine"`
+	Engine Engine `yaml:"-"`
 	// Origin is the address of the origin of its weights, and OriginRate that
 	// link's bytes a second.
-	Origin     string  `yaml:"origin"`
-	OriginRate float64 `yaml:"origin_rate"`
-	MaxConns   int     `yaml:"max_conns"` // Connections that one replica accepts.
+	Origin     string  `yaml:"-"`
+	OriginRate float64 `yaml:"-"`
+	MaxConns   int     `yaml:"-"` // Connections that one replica accepts.
 }
 
 // Organisation is a customer with its share and limits.
@@ -68,9 +70,9 @@
 	Weight   int      `yaml:"weight"`    // Share of a contended queue; 1 by default.
 	Rate     float64  `yaml:"rate"`      // Requests a second over all gateways; 0 is no limit.
 	InFlight int      `yaml:"in_flight"` // Requests at once over all gateways; 0 is no limit.
-	Keys     []string `yaml:"keys"`      // Who shows one of these is the organisation.
-	Rank     int      `yaml:"rank"`      // 0 is the most urgent; goes before the route's where Ranked.
-	Ranked   bool     `yaml:"ranked"`
+	Keys     []string `yaml:"-"`         // Who shows one of these is the organisation.
+	Rank     int      `yaml:"-"`         // 0 is the most urgent; goes before the route's where Ranked.
+	Ranked   bool     `yaml:"-"`
 }
 
 // Limits bounds what gateways hold.
--- a/config/route.go
+++ b/config/route.go
@@ -16,17 +16,17 @@
 
 // Route sends the requests of a host below a path to services.
 type Route struct {
-	Host      string         `yaml:"host"`
-	Prefix    string         `yaml:"prefix"` // Begins and ends with a slash; the longest that fits wins.
-	Kind      string         `yaml:"kind"`   // RouteSafe, RouteUnsafe or RouteStream.
-	Timeout   time.Duration  `yaml:"timeout"`
-	Aim       time.Duration  `yaml:"aim"`       // An answer (of a stream: its first event) in it earns its full worth.
-	Gap       time.Duration  `yaml:"gap"`       // The longest pause between two events that is still in time.
-	Attempts  int            `yaml:"attempts"`  // Upstreams that one request may be sent to.
-	Rank      int            `yaml:"rank"`      // 0 is the most urgent.
-	Services  map[string]int `yaml:"services"`  // Weights by service.
-	Public    bool           `yaml:"public"`    // Needs no key.
-	Resumable bool           `yaml:"resumable"` // A cut stream may go on at another upstream.
+	Host      string
+	Prefix    string // Begins and ends with a slash; the longest that fits wins.
+	Kind      string // RouteSafe, RouteUnsafe or RouteStream.
+	Timeout   time.Duration
+	Aim       time.Duration  // An answer (of a stream: its first event) in it earns its full worth.
+	Gap       time.Duration  // The longest pause between two events that is still in time.
+	Attempts  int            // Upstreams that one request may be sent to.
+	Rank      int            // 0 is the most urgent.
+	Services  map[string]int // Weights by service.
+	Public    bool           // Needs no key.
+	Resumable bool           // A cut stream may go on at another upstream.
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -37,28 +37,28 @@
 // Engine says how fast the engines of a service work. Times are for one whole
 // replica.
 type Engine struct {
-	Slots       int           `yaml:"slots"`         // Requests that write at once.
-	Step        time.Duration `yaml:"step"`          // One token for every request that writes.
-	PerSequence time.Duration `yaml:"per_sequence"`  // Added to a step by each of them,
-	PerContext  time.Duration `yaml:"per_context"`   // and by each 1,000 tokens of their contexts.
-	ReadRate    float64       `yaml:"read_rate"`     // Tokens of prompts read in a second.
-	PairsCost   time.Duration `yaml:"pairs_cost"`    // For a million pairs of a token and one before it.
-	Chunk       int           `yaml:"chunk"`         // Tokens of prompts read in one step.
-	Stride      int           `yaml:"stride"`        // Steps that a pass with writers plays.
-	Memory      int           `yaml:"memory"`        // Tokens of contexts that fit.
-	UsualPrompt int           `yaml:"usual_prompt"`  // Mean tokens of a prompt,
-	UsualAnswer int           `yaml:"usual_answer"`  // and of an answer.
-	Layers      int           `yaml:"layers"`        // Of the model.
-	Chunks      int           `yaml:"weight_chunks"` // Pieces of a version of the weights,
-	ChunkBytes  int           `yaml:"chunk_bytes"`   // and the bytes of one.
+	Slots       int           // Requests that write at once.
+	Step        time.Duration // One token for every request that writes.
+	PerSequence time.Duration // Added to a step by each of them,
+	PerContext  time.Duration // and by each 1,000 tokens of their contexts.
+	ReadRate    float64       // Tokens of prompts read in a second.
+	PairsCost   time.Duration // For a million pairs of a token and one before it.
+	Chunk       int           // Tokens of prompts read in one step.
+	Stride      int           // Steps that a pass with writers plays.
+	Memory      int           // Tokens of contexts that fit.
+	UsualPrompt int           // Mean tokens of a prompt,
+	UsualAnswer int           // and of an answer.
+	Layers      int           // Of the model.
+	Chunks      int           // Pieces of a version of the weights,
+	ChunkBytes  int           // and the bytes of one.
 }
 
 // CallerLimits bounds what callers may send.
 type CallerLimits struct {
-	HeaderBytes int           `yaml:"header_bytes"`
-	BodyBytes   int           `yaml:"body_bytes"`
-	HeaderWait  time.Duration `yaml:"header_wait"`
-	IdleWait    time.Duration `yaml:"idle_wait"`
+	HeaderBytes int
+	BodyBytes   int
+	HeaderWait  time.Duration
+	IdleWait    time.Duration
 }
 
 // Routing finds the route of a request and the owner of a key. It is made once
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -218,7 +218,7 @@
 	defer cancel()
 	err := s.options.Replica.Order(octx, a.Model, a.Version, rep.Orders)
 	s.status.expire()
-	telemetry.Log("ordered", "model", a.Model, "version", a.Version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
+	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", a.Model, "version", a.Version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
 	return false
 }
 
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -129,12 +129,12 @@
 	s.init()
 	if reached := err == nil; reached != s.reached {
 		s.reached = reached
-		telemetry.Log("replica_reached", "reached", reached, "version", rep.Version, "reason", fault.CodeOf(err))
+		telemetry.Log("replica_reached", "addr", s.now.Addr, "reached", reached, "version", rep.Version, "reason", fault.CodeOf(err))
 	}
 	s.known = err == nil
 	if err == nil {
 		if rep.Version != s.rep.Version || rep.Ordered != s.rep.Ordered {
-			telemetry.Log("replica_holds", "model", rep.Model, "version", rep.Version, "before", s.rep.Version, "ordered", rep.Ordered, "orders", rep.Orders)
+			telemetry.Log("replica_holds", "addr", s.now.Addr, "model", rep.Model, "version", rep.Version, "before", s.rep.Version, "ordered", rep.Ordered, "orders", rep.Orders)
 		}
 		s.rep = rep
 	}
