stager, weights: a manifest is believed when two answers agree

Cause: found by reading. Versions are named by number, so a manifest has no digest; one that the origin spoilt would have been kept and passed on to every box, none of which could then complete the version. Change: the box that asks the origin takes a manifest when two answers agree, and one that does not parse is not kept. Test: stager TestBoxesBringVersionsToTheirReplicas, with the first manifest of a version spoilt: red before, green after.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -161,11 +161,34 @@
 	if name != artifactOf(a.Model, a.Version) {
 		return nil, fault.New(fault.NotHeld, name)
 	}
-	m, err := s.options.Origin.Manifest(ctx, a.Origin, a.Model, a.Version)
-	if err != nil {
-		return nil, err
+	return s.manifest(ctx, a)
+}
+
+// manifest fetches a manifest until two answers agree: no digest of it is known,
+// and a spoilt one would spread from here to every box.
+func (s *Stager) manifest(ctx context.Context, a *peers.Assignment) ([]byte, error) {
+	const tries = 5
+	seen := map[string]bool{}
+	var last error
+	for range tries {
+		m, err := s.options.Origin.Manifest(ctx, a.Origin, a.Model, a.Version)
+		if err != nil {
+			last = err
+			continue
+		}
+		data, err := m.Encode()
+		if err != nil {
+			return nil, err
+		}
+		if seen[string(data)] {
+			return data, nil
+		}
+		seen[string(data)] = true
+	}
+	if last == nil {
+		last = fault.New(fault.Corrupt, "manifests of "+a.Origin+" differ")
 	}
-	return m.Encode()
+	return nil, last
 }
 
 // step goes as far as it can towards a replica with the assigned version, and
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -119,7 +119,10 @@
 	agents   []*Stager
 	stops    []func()
 	mu       sync.Mutex
-	fetched  int // Pieces that left the origin.
+	fetched  int // Pieces that left the origin,
+	// manifests is how many manifests did, and spoilManifest which of them is spoilt
+	// on its way; 0 for none.
+	manifests, spoilManifest int
 }
 
 func ip(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
@@ -135,7 +138,13 @@
 		Replica: r.replica(),
 		Origin: Origin{
 			Manifest: func(_ context.Context, _, _ string, version uint64) (*weights.Manifest, error) {
-				return manifestOf(version), nil
+				m := manifestOf(version)
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				if s.manifests++; s.manifests == s.spoilManifest {
+					m.Files[0].Chunks[3].Digest = weights.Digest([]byte("spoilt"))
+				}
+				return m, nil
 			},
 			Piece: func(_ context.Context, _, _ string, version uint64, n int) ([]byte, error) {
 				s.mu.Lock()
@@ -223,6 +232,7 @@
 		is.Equal(s.holding(), map[uint64]int{1: 5})
 		is.Equal(s.fetched, 0) // Not a piece of what others hold.
 
+		s.spoilManifest = s.manifests + 1
 		s.assign(3, 2, peers.Step{Version: 2})
 		time.Sleep(7500 * time.Millisecond)
 		is.Equal(s.holding(), map[uint64]int{2: 5})
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -31,9 +31,11 @@
 		}
 		turn := begin.Add(time.Duration(min(place, mostGraces)) * grace)
 		data, err := t.manifestFrom(ctx, order[:min(place, len(order))], time.Now().After(turn))
-		if err == nil && names(t.Artifact, data) {
-			x.keepManifest(t.Artifact, data)
-			return data, nil
+		if err == nil {
+			if _, err = ParseManifest(data, t.Artifact); err == nil {
+				x.keepManifest(t.Artifact, data)
+				return data, nil
+			}
 		}
 	}
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
