route, stager: a slow link counts where a version's time runs out

Change: agents tell when their link has been slow; such a replica is left out of an old version's last two seconds and costs 100 ms more, and nothing may begin on an older version in the last 0.8 s (was 0.5). Test: route TestTableLeavesOut, one behind a slow link.

--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -85,13 +85,14 @@
 	Used     int     // Tokens of contexts in its memory,
 	Total    int     // and how many fit.
 	Pace     float64 // Above 1 it works slower than it should.
+	SlowLink bool    // The box's link has been slower than it should be of late.
 	Missing  int     // Pieces of the assigned version that are not here yet.
 }
 
 // OnlyLoadDiffers reports whether two statuses differ in nothing but how much the
 // replica has to do.
 func (s *Status) OnlyLoadDiffers(o *Status) bool {
-	return s.Version == o.Version && s.Changing == o.Changing && s.Reached == o.Reached && (s.ChangeIn == 0) == (o.ChangeIn == 0)
+	return s.Version == o.Version && s.Changing == o.Changing && s.Reached == o.Reached && s.SlowLink == o.SlowLink && (s.ChangeIn == 0) == (o.ChangeIn == 0)
 }
 
 // Messages registers this package's messages.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -11,7 +11,7 @@
 
 // versionMargin is how long before the bound no request may begin on an older
 // version: this process heard of the newer one later than the platform said so.
-const versionMargin = 500 * time.Millisecond
+const versionMargin = 800 * time.Millisecond
 
 // bound returns when requests of a service may no longer begin on a version,
 // zero for never.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -236,11 +236,11 @@
 		if m.Reached {
 			g.table.Heard(m.Addr, route.Word{
 				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m, time.Now()),
-				Queued: m.Queued, Running: m.Running, Pace: m.Pace, At: time.Now(),
+				Queued: m.Queued, Running: m.Running, Pace: m.Pace, SlowLink: m.SlowLink, At: time.Now(),
 			})
 		}
-		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached {
-			telemetry.Log("replica_told", "addr", m.Addr, "weights", m.Version, "changing", m.Changing, "reached", m.Reached, "missing", m.Missing)
+		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached || m.SlowLink != old.SlowLink {
+			telemetry.Log("replica_told", "addr", m.Addr, "weights", m.Version, "changing", m.Changing, "reached", m.Reached, "slow_link", m.SlowLink, "missing", m.Missing)
 		}
 		old = *m
 		next, err := s.Recv(ctx)
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -21,6 +21,10 @@
 	lookIdle = 500 * time.Millisecond // and while nothing is.
 	tellLead = 60 * time.Millisecond  // Gateways hear of a change before the replica does.
 	orderIn  = time.Second
+	// A link counts as slow while a transfer has so small a part of its usual
+	// fetches open, and for a while after: what gateways send waits there too.
+	slowEase = 0.7
+	slowFor  = 4 * time.Second
 	// A box and its replica start together; what is staged is asked for once the
 	// replica answers, and is not waited for longer than this.
 	replicaUpIn = 3 * time.Second
@@ -195,7 +199,11 @@
 // reports whether it is there.
 func (s *Stager) step(ctx context.Context, r *running, a *peers.Assignment, wanted catalog.Wanted) bool {
 	_, missing := r.Progress()
-	s.status.set(func(st *peers.Status) { st.Missing = missing })
+	if r.Ease() < slowEase {
+		s.slowUntil = time.Now().Add(slowFor)
+	}
+	slow := time.Now().Before(s.slowUntil)
+	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
 	rep, ok := s.status.report()
 	if !ok {
 		return false
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -44,19 +44,20 @@
 	Settings *settings.Stager
 	Metrics  *telemetry.Metrics
 
-	options  Options
-	pool     *wire.Pool // For words,
-	exchange *weights.Exchange
-	handlers *wire.Handlers
-	life     context.Context
-	end      context.CancelFunc
-	now      assignments
-	pieces   pieces
-	status   status
-	mirror   mirror.Mirror
-	links    *rate.Limiter
-	moved    moved
-	bounds   atomic.Pointer[settings.StagerBounds]
+	options   Options
+	pool      *wire.Pool // For words,
+	exchange  *weights.Exchange
+	handlers  *wire.Handlers
+	life      context.Context
+	end       context.CancelFunc
+	now       assignments
+	pieces    pieces
+	status    status
+	mirror    mirror.Mirror
+	links     *rate.Limiter
+	moved     moved
+	bounds    atomic.Pointer[settings.StagerBounds]
+	slowUntil time.Time // The link counts as slow until then; only the loader touches it.
 	// recovered says that what the box held was read back. Only the transfer that
 	// runs touches it.
 	recovered bool
--- a/route/direct.go
+++ b/route/direct.go
@@ -25,6 +25,7 @@
 	Queued   int
 	Running  int
 	Pace     float64
+	SlowLink bool      // What is sent to it may be long on its way.
 	At       time.Time // When it came.
 }
 
@@ -81,6 +82,8 @@
 	// then, even if that takes so many times what is predicted and a margin.
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
+	slowLinkMargin    = 1500 * time.Millisecond // More, where a request may be long on its way.
+	slowLinkCost      = 100 * time.Millisecond
 	readingBeside     = 1.5 // A step takes so much longer for the prompts that are read beside it.
 	sampledHere       = 2   // Candidates of the own hall that one choice looks at,
 	sampledThere      = 2   // and of other halls.
@@ -210,6 +213,9 @@
 		if r.Hall != t.Hall {
 			c += strangerCost
 		}
+		if r.heard(now) && r.Word.SlowLink {
+			c += slowLinkCost
+		}
 		c += time.Duration(holdUpCost * float64(r.holdsUp(now, e, a.Work)))
 		if best == nil || c < cost {
 			best, at, cost = r, p, c
@@ -285,7 +291,11 @@
 		return true
 	}
 	bound := a.Bound(v)
-	return bound.IsZero() || now.Add(boundMargin+time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
+	margin := boundMargin
+	if r.heard(now) && r.Word.SlowLink {
+		margin += slowLinkMargin
+	}
+	return bound.IsZero() || now.Add(margin+time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
 }
 
 // Ticket is a request's place at a replica.
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -83,6 +83,13 @@
 			return time.Time{}
 		}}},
 	}
+	cases = append(cases, struct {
+		name string
+		do   func(t *Table, ups map[string]fleet.Upstream)
+		ask  Ask
+	}{"one behind a slow link whose version is overdue soon", func(t *Table, _ map[string]fleet.Upstream) {
+		t.Heard("e0", Word{Version: 1, SlowLink: true, At: later})
+	}, Ask{Bound: func(uint64) time.Time { return later.Add(1500 * time.Millisecond) }}})
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
