relay: a place that was taken for a stream and is not used is given back

Cause: found by reading. A stream that is to move takes its place at the next replica first; when its caller left or its time ended at that moment, the place stayed taken and the replica looked busier for ever. Change: a place that is left over is given back at the request's end.

--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -23,6 +23,11 @@
 	exclude := map[string]bool{}
 	arrivals, runs := 0, 0 // Sends that reached a replica, and those that may have run.
 	last := notRun(fault.NoUpstream)
+	defer func() {
+		if rq.next != nil { // A place that was taken and is not used.
+			g.table.Done(time.Now(), rq.next.Ticket, route.End{})
+		}
+	}()
 	for rq.sends < mostSends {
 		now := time.Now()
 		if !now.Before(rq.deadline) {
