kernel: a wait that is not positive makes no timer

Cause: go test -race of the relay ended in the runtime 4 times of 17, with a fault in timer.maybeRunChan below Sleep, where Gossip.Run waited for a negative time. Ruled out: a race of our own (the detector names none), and single tests (ten of them six times each, green).

--- a/kernel/duty.go
+++ b/kernel/duty.go
@@ -5,8 +5,11 @@
 	"time"
 )
 
-// Sleep waits for d, or until ctx ends.
+// Sleep waits for d, or until ctx ends. It returns at once if d is not positive.
 func Sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
