--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -87,7 +87,3 @@
 	}
 	return now.Add(wait + rand.N(wait/2+1))
 }
-
-// noteClosing takes an upstream's word that it ends a connection. Some say so
-// only because they leave, others now and then, so it decides nothing alone.
-func (g *Relay) noteClosing(string) { g.Metrics.Event("upstream_closing", "") }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -212,8 +212,8 @@
 	if id := resp.Header.Get(d.Incarnation); resp.StatusCode == http.StatusMisdirectedRequest && id != "" && id != a.to.ID {
 		a.relay.table.Leaves(a.to.ID, time.Now())
 	}
-	if resp.Close {
-		a.relay.noteClosing(a.to.ID)
+	if resp.Close { // Some say so as they leave, others now and then: it decides nothing.
+		a.relay.Metrics.Event("upstream_closing", "")
 	}
 	a.rest = restOf(resp.Header.Get("Keep-Alive"))
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,7 +50,6 @@
 	life     context.Context
 	end      context.CancelFunc
 	draining atomic.Bool
-	started  time.Time
 	waits    callerWaits
 	bounds   atomic.Pointer[settings.RelayBounds]
 
@@ -69,7 +68,7 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, started: time.Now(), windows: map[string]*limit.Window{},
+		Settings: s, Metrics: m, options: o, windows: map[string]*limit.Window{},
 		table: route.Table{Hall: s.Hall}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
