cmd: no connection rests at the origin of weights

Cause: an agent kept its connections to the origin for 90 s. The origin takes 48 in all; with 76 boxes the later ones were reset until idle ones ended, and every box waited for their pieces. Ruled out: the swarm itself (the same size and links in virtual time are whole in 3.1 to 6.1 s), the origin's link (1.0 copies).

--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/poststand/poststand/internal/relay"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/stager"
 	"github.com/poststand/poststand/platform"
@@ -26,7 +27,7 @@
 			}
 			t := &platform.Translator{Bad: badRecord}
 			st, err := stager.New(s, stager.Options{
-				Replica: replica(s.Replica), Origin: origin(platformClient()), Follow: follow(s.Store), Catalog: t.Catalog,
+				Replica: replica(s.Replica), Origin: origin(originClient()), Follow: follow(s.Store), Catalog: t.Catalog,
 			})
 			if err != nil {
 				return err
@@ -52,6 +53,14 @@
 	return stager.Replica{Report: r.Report, Order: r.Order, Stage: r.Stage, Staged: r.Staged, ReadStaged: r.ReadStaged}
 }
 
+// originClient speaks to the origin of weights, which takes few connections in all:
+// one that rested here would be kept from the other boxes.
+func originClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		DialContext: relay.DialContext, DisableCompression: true, DisableKeepAlives: true,
+	}}
+}
+
 func origin(c *http.Client) stager.Origin {
 	return stager.Origin{
 		Manifest: func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error) {
