peers: one gateway of each hall watches the platform

Cause: every gateway had a watch, so each changed record was paid for 34 to 40 times; announcements carried lists of 24 others twice a second. Now the first of a hall in an order that all share watches, the next ones while it says that it does not; the others pull what they lack. How old a change may be travels with it, so that a gateway that learns late does not give a version its time anew. Lists of others go with one announcement in four, and most neighbours are of the own hall. What backs a watcher that hears nothing up is as before: every gateway in turn compares the newest revision, four times a second in all.

--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -31,15 +31,38 @@
 	// is not needed looks again after a while.
 	Needed func() bool
 
-	mu      sync.Mutex
-	certain time.Time // When the mirror was last known to be the newest.
+	mu       sync.Mutex
+	certain  time.Time // When the mirror was last known to be the newest.
+	watching bool
 }
 
-// Sure records that the mirror is the newest now.
-func (f *Follower) Sure() {
+// Sure records that the mirror was the newest at a time.
+func (f *Follower) Sure(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.certain = time.Now()
+	if at.After(f.certain) {
+		f.certain = at
+	}
+}
+
+// Certain is when the mirror was last known to be the newest.
+func (f *Follower) Certain() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.certain
+}
+
+// Watching reports whether the platform is being watched and answered last.
+func (f *Follower) Watching() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.watching
+}
+
+func (f *Follower) setWatching(yes bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.watching = yes
 }
 
 // Earliest is when a change may have been made that is only found out now.
@@ -61,7 +84,8 @@
 	retryMost  = time.Second
 	idleLook   = 250 * time.Millisecond
 	checkEvery = 250 * time.Millisecond // Between two checks by anyone.
-	checkLag   = 100 * time.Millisecond // A watch tells of a change by then.
+	checkLag   = 300 * time.Millisecond // A watch tells of a change by then, to gateways that do not watch too.
+	watchPause = 150 * time.Millisecond // After changes, so that many at once cost few calls.
 )
 
 // Run follows until ctx ends.
@@ -70,10 +94,12 @@
 	whole := f.Mirror.At() == 0
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
+			f.setWatching(false)
 			kernel.Sleep(ctx, idleLook)
 			continue
 		}
 		err := f.once(ctx, whole)
+		f.setWatching(err == nil)
 		if err == nil {
 			if lost {
 				telemetry.Log("store_regained", "at", f.Mirror.At())
@@ -120,12 +146,13 @@
 	if err != nil {
 		return err
 	}
+	d.Heard = time.Now()
+	f.Mirror.Apply(d)
+	f.Sure(d.Heard)
 	if len(d.Records) > 0 {
 		telemetry.Log("store_changed", "at", d.At, "since", since, "records", len(d.Records), "first", d.Records[0].Key)
+		kernel.Sleep(ctx, watchPause)
 	}
-	d.Heard = time.Now()
-	f.Mirror.Apply(d)
-	f.Sure()
 	return nil
 }
 
@@ -133,7 +160,7 @@
 func (f *Follower) take(d mirror.Delta) {
 	d.Heard = f.Earliest()
 	f.Mirror.Apply(d)
-	f.Sure()
+	f.Sure(time.Now())
 }
 
 // Check compares the mirror with the service's newest revision now and then, and
@@ -159,7 +186,7 @@
 		return
 	}
 	if at <= f.Mirror.At() {
-		f.Sure()
+		f.Sure(time.Now())
 		return
 	}
 	kernel.Sleep(ctx, checkLag)
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -23,12 +23,17 @@
 	announceIn    = time.Second             // An announcement without an answer is given up.
 	liveFor       = 2500 * time.Millisecond // With few gateways; longer where signs travel through others.
 	forgetAfter   = 30 * time.Second
-	pullAfter     = 150 * time.Millisecond // The platform itself usually tells sooner.
+	pullAfter     = 150 * time.Millisecond // Where the platform itself usually tells sooner.
 	pullWithin    = 2 * time.Second
 	// What a gateway sends is bounded, however many there are: it announces itself
 	// to so many others, and tells of so many.
 	neighbours = 8
 	toldOf     = 24
+	inHall     = 6 // Of the neighbours.
+	tellsOf    = 4 // Of so many announcements one tells of other gateways.
+	// So many of a hall may watch the platform: each one only while none before it
+	// does.
+	watchers = 3
 )
 
 // Gossip keeps the list of gateways and a mirror that is no older than theirs.
@@ -37,15 +42,13 @@
 	Self   Member
 	Pool   *wire.Pool
 	Mirror *mirror.Mirror
-	// Earliest is when a change may have been made that a peer tells of, and Sure
-	// is told when a peer has told all.
-	Earliest func() time.Time
-	Sure     func()
-	Join     []string // Addresses to ask before any gateway is known.
+	Follow *Follower // Reads the platform itself, now and then.
+	Join   []string  // Addresses to ask before any gateway is known.
 
 	mu      sync.Mutex
 	members map[string]*member // By address.
 	pulling bool
+	rounds  int
 	learnt  chan struct{}
 	once    sync.Once
 }
@@ -55,6 +58,7 @@
 	heard   time.Time // Zero if it never answered.
 	named   time.Time // When someone last named it.
 	at      uint64
+	watches bool // It watches the platform, by its last sign.
 	talking bool
 	live    bool // As last logged.
 }
@@ -71,13 +75,35 @@
 	g.init()
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Announce) {
 		g.heard(m)
-		_ = s.SendLast(ctx, g.announcement())
+		_ = s.SendLast(ctx, g.announcement(len(m.Known) > 0))
 	})
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
-		_ = s.SendLast(ctx, &Records{Delta: g.Mirror.Since(m.Since)})
+		_ = s.SendLast(ctx, records(g.Mirror.Since(m.Since), time.Now()))
 	})
 }
 
+// records adds to a delta how old its records are.
+func records(d mirror.Delta, now time.Time) *Records {
+	r := &Records{Delta: d, Ages: make([]time.Duration, len(d.Records))}
+	for i := range d.Records {
+		r.Ages[i] = now.Sub(d.Records[i].Heard)
+	}
+	return r
+}
+
+// heardBy puts the times of records by this process's clock: asked is when they
+// were asked for, and none changed before earliest without this process knowing.
+func (r *Records) heardBy(asked, earliest time.Time) {
+	r.Delta.Heard = earliest
+	for i := range r.Delta.Records {
+		if i < len(r.Ages) {
+			if t := asked.Add(-r.Ages[i]); t.After(earliest) {
+				r.Delta.Records[i].Heard = t
+			}
+		}
+	}
+}
+
 // Live returns the gateways that were heard of late, this one among them.
 func (g *Gossip) Live() []Member {
 	g.init()
@@ -100,23 +126,53 @@
 	return now.Sub(m.heard) < time.Duration(hops)*liveFor
 }
 
-// announcement tells of this gateway and of some others.
-func (g *Gossip) announcement() *Announce {
+// announcement tells of this gateway and, if others is set, of some others.
+func (g *Gossip) announcement(others bool) *Announce {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	a := &Announce{From: g.Self, At: g.Mirror.At()}
+	a := &Announce{From: g.Self, Watching: g.Follow.Watching()}
+	a.Certain = now.Sub(g.Follow.Certain()) // Before At, so that it is not of an older one.
+	a.At = g.Mirror.At()
+	if !others {
+		return a
+	}
 	for _, m := range g.members { // In no order, so that all are told of in time.
 		if len(a.Known) == toldOf {
 			break
 		}
 		if g.fresh(m, now) {
-			a.Known = append(a.Known, Known{m.Member, now.Sub(m.heard)})
+			a.Known = append(a.Known, Known{m.Member, now.Sub(m.heard), m.watches})
 		}
 	}
 	return a
 }
 
+// Watches reports whether this gateway is to watch the platform itself: it is
+// among the first of its hall in an order that all share, and none before it says
+// that it does. Others learn of changes from those that watch.
+func (g *Gossip) Watches() bool {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	hall := []string{g.Self.Addr}
+	for addr, m := range g.members {
+		if m.Hall == g.Self.Hall && g.fresh(m, now) {
+			hall = append(hall, addr)
+		}
+	}
+	for i, addr := range rendezvous.Rank("watch", hall) {
+		switch {
+		case addr == g.Self.Addr:
+			return i < watchers
+		case g.members[addr].watches:
+			return false
+		}
+	}
+	return true
+}
+
 func (g *Gossip) note(m Member, now time.Time) *member {
 	if m.Addr == "" || m.Addr == g.Self.Addr {
 		return nil
@@ -142,19 +198,22 @@
 		g.mu.Unlock()
 		return
 	}
-	e.heard, e.at = now, max(e.at, a.At)
+	e.heard, e.at, e.watches = now, max(e.at, a.At), a.Watching
 	if !e.live {
 		e.live = true
 		telemetry.Log("peer_gained", "peer", e.Name, "addr", e.Addr, "hall", e.Hall, "at", a.At)
 	}
 	for _, k := range a.Known {
 		if e := g.note(k.Member, now); e != nil && now.Add(-k.Age).After(e.heard) {
-			e.heard = now.Add(-k.Age)
+			e.heard, e.watches = now.Add(-k.Age), k.Watching
 		}
 	}
 	behind := a.At > g.Mirror.At() && !g.pulling
 	g.pulling = g.pulling || behind
 	g.mu.Unlock()
+	if a.At == g.Mirror.At() {
+		g.Follow.Sure(now.Add(-a.Certain))
+	}
 	if behind {
 		go g.pull(a.From.Addr)
 	}
@@ -169,7 +228,7 @@
 		g.mu.Unlock()
 	}()
 	life := g.Pool.Lifetime
-	if g.Mirror.At() > 0 {
+	if g.Mirror.At() > 0 && g.Follow.Watching() {
 		kernel.Sleep(life, pullAfter)
 	}
 	g.mu.Lock()
@@ -185,17 +244,15 @@
 	if err != nil {
 		return
 	}
+	asked := time.Now()
 	m, err := c.Call(ctx, &Pull{Since: since})
 	r, ok := m.(*Records)
 	if err != nil || !ok {
 		telemetry.Log("pull_failed", "peer", addr, "since", since, "reason", fault.CodeOf(err))
 		return
 	}
-	r.Delta.Heard = g.Earliest()
+	r.heardBy(asked, g.Follow.Earliest())
 	taken := g.Mirror.Apply(r.Delta)
-	if taken {
-		g.Sure()
-	}
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
 }
 
@@ -242,14 +299,17 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
+	others := g.rounds%tellsOf == 0
+	g.rounds++
 	for _, addr := range g.chosen(now) {
 		m := g.members[addr]
 		if m.talking {
 			continue
 		}
 		m.talking = true
+		others := others || m.heard.IsZero()
 		wg.Go(func() {
-			g.announceTo(ctx, addr)
+			g.announceTo(ctx, addr, others)
 			g.mu.Lock()
 			m.talking = false
 			g.mu.Unlock()
@@ -288,9 +348,8 @@
 	if len(live)+len(others) <= neighbours {
 		return append(live, others...)
 	}
-	ranked := rendezvous.Rank("gossip/"+g.Self.Addr, live)
-	out := ranked[:min(neighbours, len(ranked))]
-	rest := append(others, ranked[len(out):]...)
+	out, left := g.nearFirst(rendezvous.Rank("gossip/"+g.Self.Addr, live))
+	rest := append(others, left...)
 	if len(out) < neighbours/2 {
 		return append(out, rest...) // Hardly anybody answers; everybody is asked.
 	}
@@ -300,14 +359,33 @@
 	return out
 }
 
-func (g *Gossip) announceTo(ctx context.Context, addr string) {
+// nearFirst splits ranked gateways into this one's neighbours, most of them of its
+// own hall, and the others. The caller holds g.mu.
+func (g *Gossip) nearFirst(ranked []string) (chosen, rest []string) {
+	here, there := inHall, neighbours-inHall
+	for _, addr := range ranked {
+		left := &there
+		if g.members[addr].Hall == g.Self.Hall {
+			left = &here
+		}
+		if *left > 0 {
+			*left--
+			chosen = append(chosen, addr)
+			continue
+		}
+		rest = append(rest, addr)
+	}
+	return chosen, rest
+}
+
+func (g *Gossip) announceTo(ctx context.Context, addr string, others bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceIn)
 	defer cancel()
 	c, err := g.Pool.Get(ctx, addr)
 	if err != nil {
 		return
 	}
-	m, err := c.Call(ctx, g.announcement())
+	m, err := c.Call(ctx, g.announcement(others))
 	if a, ok := m.(*Announce); ok && err == nil {
 		g.heard(a)
 	}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -18,20 +18,30 @@
 type Announce struct {
 	From  Member
 	At    uint64  // The sender holds every published change up to it.
-	Known []Known // Some of the gateways that the sender heard of lately.
+	Known []Known // Some of the gateways that the sender heard of lately; in some announcements only.
+	// Watching says that the sender watches the platform itself and is answered.
+	Watching bool
+	// Certain is how long ago At was last known to be the newest revision.
+	Certain time.Duration
 }
 
 // Known is a gateway that somebody heard of.
 type Known struct {
 	Member
-	Age time.Duration // Since the last sign of it, when the message was sent.
+	Age      time.Duration // Since the last sign of it, when the message was sent.
+	Watching bool          // By that sign.
 }
 
 // Pull asks for what was published after a revision.
 type Pull struct{ Since uint64 }
 
 // Records answers a Pull.
-type Records struct{ Delta mirror.Delta }
+type Records struct {
+	Delta mirror.Delta
+	// Ages tells of each record of Delta how long ago its change may have been made
+	// at the most. Clocks differ, so times travel as ages.
+	Ages []time.Duration
+}
 
 // Subscribe asks for what concerns the replicas of a service: an Assignment now,
 // and another at each change.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -94,18 +94,32 @@
 	}
 	g.gossip = &peers.Gossip{
 		Self: peers.Member{Name: s.Box, Addr: s.Listen, Hall: s.Hall}, Pool: g.pool, Mirror: &g.mirror, Join: s.Join,
-		Earliest: g.options.Follow.Earliest, Sure: g.options.Follow.Sure,
+		Follow: g.options.Follow,
 	}
 	g.gossip.Serve(g.handlers)
 	wire.On(g.handlers, g.serveSubscribe)
 	wire.On(g.handlers, g.serveStatus)
 	g.options.Follow.Mirror = &g.mirror
+	g.options.Follow.Needed = g.watches
 	g.options.Follow.Doubt = s.VersionWithin - settledIn
 	g.options.Follow.Sharers = func() int { return len(g.gossip.Live()) }
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
 }
 
+// watches reports whether this gateway is to read the platform itself: one that
+// knows nothing asks the others first, and does so once they had time to tell.
+func (g *Relay) watches() bool {
+	if g.mirror.At() == 0 {
+		select {
+		case <-g.gossip.Learnt():
+		default:
+			return false
+		}
+	}
+	return g.gossip.Watches()
+}
+
 // Duties adds to k what a relay does without being asked.
 func (g *Relay) Duties(k *kernel.Kernel) {
 	k.Add("platform", g.options.Follow, g.options.Follow.Run)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -22,7 +22,7 @@
 	At      uint64
 	Whole   bool // Records are all that exist; whatever else the reader has is gone.
 	Records []Record
-	Heard   time.Time `msgpack:"-"` // The Heard of all its records.
+	Heard   time.Time `msgpack:"-"` // The Heard of its records that have none of their own.
 }
 
 // Bytes returns the size of the values of d.
@@ -68,7 +68,9 @@
 	}
 	changed := false
 	for _, r := range d.Records {
-		r.Heard = d.Heard
+		if r.Heard.IsZero() {
+			r.Heard = d.Heard
+		}
 		changed = m.put(r) || changed
 	}
 	if d.Whole && d.At >= m.at {
