route, stager: a request goes to a replica of which its agent has told

Cause: with many gateways an agent tells those of its hall and a few others, so a gateway knew nothing of most replicas of other halls; what nobody tells of looks idle and was chosen for it. Now replicas with a fresh word go first, and six gateways of other halls are told by each agent.

--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -197,7 +197,7 @@
 // a few of those are told.
 const (
 	toldAll = 12 // With so many gateways all are told,
-	toldFar = 4  // and else those of the hall and so many others.
+	toldFar = 6  // and else those of the hall and so many others.
 )
 
 func (s *Stager) told(gateways []peers.Member) []peers.Member {
--- a/route/direct.go
+++ b/route/direct.go
@@ -70,6 +70,7 @@
 const (
 	wordExpires  = 3 * time.Second // An agent's word counts no longer than this.
 	wordHalfLife = 600 * time.Millisecond
+	freshWord    = 1300 * time.Millisecond // Agents tell once a second at least.
 	strangerCost = 15 * time.Millisecond // For a replica of another hall.
 	fullFor      = 100 * time.Millisecond
 	directEject  = 500 * time.Millisecond // First time a failing replica is left out; doubles.
@@ -273,6 +274,9 @@
 		}
 		good = append(good, r)
 	}
+	if told := toldLately(now, good); len(told) >= sampledHere {
+		return told
+	}
 	if len(good) > 0 {
 		return good
 	}
@@ -285,6 +289,19 @@
 	return rest
 }
 
+// toldLately returns those of which their agents have told of late: what looks idle
+// since nobody tells of it may be as busy as the others, or away. Replicas without
+// agents are returned as they are.
+func toldLately(now time.Time, rs []*Replica) []*Replica {
+	var out []*Replica
+	for _, r := range rs {
+		if !r.Engine || r.heard(now) && r.wordAge(now) < freshWord {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
 func (r *Replica) fits(now time.Time, e config.Engine, a Ask) bool {
 	if !r.Engine {
 		return true
