stager, relay, link: the return after a loss of all power begins at once

Cause: agents and gateways start within half a second of one another then. An agent asked the gateways of its settings one after the other, each dial hung on a machine without power until the kernel asked again after a second, and only then it read the platform. A gateway waited for its seeds likewise. Now an agent asks all at once with dials of 250 ms and reads the platform after 100 ms without an answer; a gateway waits 60 ms for what others know. Connections are made in one place, internal/link.

--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/relay"
 	"github.com/poststand/poststand/internal/settings"
@@ -77,6 +78,6 @@
 func platformClient() *http.Client {
 	const idle = 90 * time.Second
 	return &http.Client{Transport: &http.Transport{
-		DialContext: relay.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: idle,
+		DialContext: link.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: idle,
 	}}
 }
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -6,7 +6,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/poststand/poststand/internal/relay"
+	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/stager"
 	"github.com/poststand/poststand/platform"
@@ -57,7 +57,7 @@
 // one that rested here would be kept from the other boxes.
 func originClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: relay.DialContext, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: link.DialContext, DisableCompression: true, DisableKeepAlives: true,
 	}}
 }
 
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,40 @@
+// Package link connects over TCP so that a dead path is noticed within about a
+// second.
+package link
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Times of connections.
+const (
+	dialWithin = 600 * time.Millisecond
+	ackWithin  = 1200 * time.Millisecond // Bytes that are not acknowledged by then mean a dead path.
+	probeEvery = time.Second
+	probes     = 2
+)
+
+// DialContext connects to an upstream, another process or the platform.
+func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialWithin, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probes,
+	}, Control: setUserTimeout}
+	return d.DialContext(ctx, network, addr)
+}
+
+// Dial is DialContext over TCP.
+func Dial(ctx context.Context, addr string) (net.Conn, error) { return DialContext(ctx, "tcp", addr) }
+
+func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	var failed error
+	err := c.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackWithin.Milliseconds()))
+	})
+	return errors.Join(err, failed)
+}
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -82,7 +82,8 @@
 	wholeIn    = 5 * time.Second
 	retryFirst = 100 * time.Millisecond
 	retryMost  = time.Second
-	idleLook   = 250 * time.Millisecond
+	idleLook   = 250 * time.Millisecond // While the platform need not be read,
+	startLook  = 20 * time.Millisecond  // and while nothing is known at all.
 	checkEvery = 250 * time.Millisecond // Between two checks by anyone.
 	checkLag   = 300 * time.Millisecond // A watch tells of a change by then, to gateways that do not watch too.
 	watchPause = 150 * time.Millisecond // After changes, so that many at once cost few calls.
@@ -95,7 +96,11 @@
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
 			f.setWatching(false)
-			kernel.Sleep(ctx, idleLook)
+			look := idleLook
+			if f.Mirror.At() == 0 {
+				look = startLook
+			}
+			kernel.Sleep(ctx, look)
 			continue
 		}
 		err := f.once(ctx, whole)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -12,15 +12,12 @@
 	"syscall"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/link"
 )
 
 // Times of connections to upstreams.
 const (
-	dialIn       = 600 * time.Millisecond
-	ackWithin    = 1200 * time.Millisecond // Bytes that are not acknowledged by then mean a dead path.
 	restUnknown  = 1500 * time.Millisecond // Rest after which one is not used again, where the upstream says nothing,
 	restMargin   = 700 * time.Millisecond  // and how long before the time that it said.
 	restMost     = 20 * time.Second
@@ -45,27 +42,6 @@
 	idle map[string][]*conn // By the ID of the upstream, the last used last.
 }
 
-func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
-	return DialContext(ctx, "tcp", addr)
-}
-
-// DialContext connects to an upstream, another process or the platform, and
-// notices a dead path within about a second.
-func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialIn, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: time.Second, Interval: time.Second, Count: 2,
-	}, Control: setUserTimeout}
-	return d.DialContext(ctx, network, addr)
-}
-
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	var failed error
-	err := c.Control(func(fd uintptr) {
-		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackWithin.Milliseconds()))
-	})
-	return errors.Join(err, failed)
-}
-
 // get returns a connection that rested for less than rest, or a new one. A new
 // one that cannot be had leaves the request not run.
 func (p *conns) get(ctx context.Context, id, addr string, rest time.Duration) (*conn, error) {
@@ -82,7 +58,7 @@
 	}
 	dial := p.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = link.Dial
 	}
 	nc, err := dial(ctx, addr)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/telemetry"
@@ -78,7 +79,7 @@
 	g.handlers = &wire.Handlers{}
 	dial := o.Dial
 	if dial == nil {
-		dial = dialTCP
+		dial = link.Dial
 	}
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
 	g.pool = &wire.Pool{
@@ -108,10 +109,13 @@
 	return g, nil
 }
 
+// learnIn is how long a gateway that has just started waits for what others know.
+const learnIn = 60 * time.Millisecond
+
 // watches reports whether this gateway is to read the platform itself: one that
 // knows nothing asks the others first, and does so once they had time to tell.
 func (g *Relay) watches() bool {
-	if g.mirror.At() == 0 {
+	if g.mirror.At() == 0 && time.Since(g.began) < learnIn {
 		select {
 		case <-g.gossip.Learnt():
 		default:
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -24,8 +24,11 @@
 }
 
 // patience is how long an agent waits for gateways before it reads the platform
-// itself.
-const patience = time.Second
+// itself; patienceFirst where it knows nothing yet.
+const (
+	patience      = time.Second
+	patienceFirst = 100 * time.Millisecond
+)
 
 func (a *assignments) init() {
 	if a.changed == nil {
@@ -72,7 +75,11 @@
 func (a *assignments) orphaned() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return !a.asked.IsZero() && time.Since(a.asked) > patience && time.Since(a.heard) > patience
+	wait := patience
+	if a.now == nil {
+		wait = patienceFirst
+	}
+	return !a.asked.IsZero() && time.Since(a.asked) > wait && time.Since(a.heard) > wait
 }
 
 // subscribe keeps a subscription with one gateway, of this hall if there is one.
@@ -81,6 +88,7 @@
 	s.now.mu.Lock()
 	s.now.asked = time.Now()
 	s.now.mu.Unlock()
+	s.askAll(ctx)
 	for try := 0; ctx.Err() == nil; try++ {
 		gateways := s.gateways()
 		g := gateways[try%len(gateways)]
@@ -92,6 +100,39 @@
 	return nil
 }
 
+// met reports whether a gateway has ever answered.
+func (a *assignments) met() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return !a.heard.IsZero()
+}
+
+// askAll asks every gateway of the settings at once until one answers:
+// after a loss of all power most of them are not there yet, and one after the other
+// would each be waited for.
+func (s *Stager) askAll(ctx context.Context) {
+	const retry = 50 * time.Millisecond
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var asked kernel.Each[string]
+	defer asked.Stop()
+	asked.Sync(ctx, s.Settings.Join, func(ctx context.Context, addr string) {
+		for ; ctx.Err() == nil; kernel.Sleep(ctx, retry) {
+			s.listen(ctx, addr)
+		}
+	})
+	for ctx.Err() == nil {
+		_, _, changed := s.now.watch()
+		if s.now.met() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
 // gateways returns whom to ask, the best first: those of this hall, each agent
 // in an order of its own.
 func (s *Stager) gateways() []string {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -16,6 +16,7 @@
 
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/telemetry"
@@ -76,7 +77,7 @@
 		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: "agent", Incarnation: rand.Uint64() | 1,
 	}
 	st.handlers = &wire.Handlers{}
-	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers}
+	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: st.dialWords, Lifetime: st.life, Handlers: st.handlers, Redial: redialWords}
 	st.exchange = &weights.Exchange{
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
@@ -91,6 +92,26 @@
 	return st, nil
 }
 
+// While no gateway has answered, each is waited for only so long: one that is not
+// there yet may be a moment later, and the kernel would ask again after a second.
+const (
+	dialFirst   = 250 * time.Millisecond
+	redialWords = 100 * time.Millisecond
+)
+
+// dialWords connects to a gateway.
+func (s *Stager) dialWords(ctx context.Context, addr string) (net.Conn, error) {
+	if !s.now.met() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, dialFirst)
+		defer cancel()
+	}
+	if s.options.Dial != nil {
+		return s.options.Dial(ctx, addr)
+	}
+	return link.Dial(ctx, addr)
+}
+
 // The replica's answers leave over the same link as weights. What is sent is
 // paced just below the link's rate, in small parts, so that the link has no queue
 // in which an event of an answer would wait.
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -22,6 +22,7 @@
 	Dial     func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
 	Lifetime context.Context                                          // Ends every connection.
 	MaxAddrs int                                                      // Addresses remembered beyond the live ones; 4096 by default.
+	Redial   time.Duration                                            // An address is left alone so long after a failure; 250 ms by default.
 
 	mu    sync.Mutex
 	conns map[string]*pooled
@@ -99,10 +100,17 @@
 	defer close(e.ready)
 	e.conn, e.err = p.dial(addr)
 	if e.err != nil {
-		e.retryAt = time.Now().Add(redialAfter)
+		e.retryAt = time.Now().Add(p.redial())
 	}
 }
 
+func (p *Pool) redial() time.Duration {
+	if p.Redial > 0 {
+		return p.Redial
+	}
+	return redialAfter
+}
+
 // dial is bounded by its own deadline, since others wait for the same result.
 func (p *Pool) dial(addr string) (*Conn, error) {
 	const dialWithin = 2 * time.Second
