weights, stager: a new box fetches from others while its replica starts

Cause: what may lie staged at the replica was read before anything was fetched, and a new replica answers a second after its agent. Now only the origin waits for that.

Test: TestWeightsComeWhileTheReplicaStarts, red before (no plan at one second).

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -121,10 +121,9 @@
 // of a process has to: later ones want a version that was never staged here.
 func (s *Stager) prepare(ctx context.Context, model string, version uint64, m *weights.Manifest) {
 	s.pieces.note(model, version, m)
-	if s.recovered {
+	if s.recovered.Swap(true) {
 		return
 	}
-	s.recovered = true
 	s.status.awaitReplica(ctx, replicaUpIn)
 	held, err := s.options.Replica.Staged(ctx, model)
 	if err != nil {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -59,9 +59,8 @@
 	moved     moved
 	bounds    atomic.Pointer[settings.StagerBounds]
 	slowUntil time.Time // The link counts as slow until then; only the loader touches it.
-	// recovered says that what the box held was read back. Only the transfer that
-	// runs touches it.
-	recovered bool
+	// recovered says that what the box held was read back.
+	recovered atomic.Bool
 }
 
 // New returns a stager with its parts joined.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -48,8 +48,9 @@
 	mu     sync.Mutex
 	report Report
 	staged map[int][]byte
-	orders []uint64 // The versions that it was ordered to take.
-	spoilt int      // Orders while a staged piece was not of the version.
+	orders []uint64  // The versions that it was ordered to take.
+	spoilt int       // Orders while a staged piece was not of the version.
+	upAt   time.Time // It answers nothing before.
 }
 
 func (r *fakeReplica) replica() Replica {
@@ -57,6 +58,9 @@
 		Report: func(context.Context) (Report, error) {
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			if time.Now().Before(r.upAt) {
+				return Report{}, fault.New(fault.Unreachable, "replica")
+			}
 			return r.report, nil
 		},
 		Order: func(_ context.Context, _ string, version, orders uint64) error {
@@ -256,6 +260,35 @@
 	})
 }
 
+// A box that starts before its replica fetches from the others meanwhile, and asks
+// the origin for nothing: the replica may have it all.
+func TestWeightsComeWhileTheReplicaStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+		for range 3 {
+			s.add(t, withVersion(1))
+		}
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		fresh := withVersion(0)
+		fresh.upAt = time.Now().Add(1500 * time.Millisecond)
+		s.add(t, fresh)
+		s.assign(2, 1)
+		time.Sleep(time.Second)
+		chunks, missing := s.agents[3].exchange.Transfer("m/1").Progress()
+		is.Equal(chunks, pieceCount)
+		is.Equal(missing, 0)
+		time.Sleep(1500 * time.Millisecond)
+		is.Equal(s.holding(), map[uint64]int{1: 4})
+		is.Equal(s.fetched, 0)
+		for _, stop := range s.stops {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // An older assignment, from a gateway that is behind, changes nothing.
 func TestOlderAssignmentIsIgnored(t *testing.T) {
 	is := is.New(t)
--- a/route/direct.go
+++ b/route/direct.go
@@ -71,7 +71,7 @@
 	wordExpires  = 3 * time.Second // An agent's word counts no longer than this.
 	wordHalfLife = 600 * time.Millisecond
 	freshWord    = 1300 * time.Millisecond // Agents tell once a second at least.
-	strangerCost = 15 * time.Millisecond // For a replica of another hall.
+	strangerCost = 15 * time.Millisecond   // For a replica of another hall.
 	fullFor      = 100 * time.Millisecond
 	directEject  = 500 * time.Millisecond // First time a failing replica is left out; doubles.
 	directMost   = 8 * time.Second
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -9,6 +9,9 @@
 // duties looks after the chunks whose turn has come and that no neighbour has:
 // fetch from the origin if nobody is ahead, else ask those who are.
 func (p *Plan) duties(now time.Time, wake *time.Time, todo []Action) []Action {
+	if p.Hold {
+		return todo
+	}
 	for i := range p.Chunks {
 		if p.have.Has(i) || len(p.fetching[i]) > 0 || p.asking[i] || p.offered(now, i) {
 			continue
@@ -157,7 +160,7 @@
 // spareFetch spends what the origin may send beyond one copy, once the first
 // copy has left it and no peer has room.
 func (p *Plan) spareFetch(now time.Time) (Action, bool) {
-	if p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
+	if p.Hold || p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
 		return Action{}, false
 	}
 	chunk := -1
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -57,6 +57,7 @@
 	Parallel int  // Fetches that a box has open; 8 by default.
 	AtOrigin int  // Fetches that a box has open from the origin; 2 by default.
 	Adapt    bool // Have fewer open while they take long.
+	Hold     bool // Leave the origin alone: the box may turn out to have more already.
 	// Near are the boxes of this box's hall, itself among them. Where it is set, a
 	// chunk that one of them has comes from them; one that only other halls have
 	// is brought by the first of Near in the chunk's order, and by the next ones
@@ -218,14 +219,19 @@
 	s.has = NewBitmap(p.Chunks)
 }
 
+// Found records that the box turned out to have a chunk.
+func (p *Plan) Found(chunk int) {
+	if !p.have.Has(chunk) {
+		p.have.Set(chunk)
+		p.missing--
+	}
+}
+
 // Fetched records how a fetch ended; code is empty when the chunk is kept.
 func (p *Plan) Fetched(now time.Time, chunk int, from string, code fault.Code) {
 	p.endFetch(chunk, from)
 	if code == "" {
-		if !p.have.Has(chunk) {
-			p.have.Set(chunk)
-			p.missing--
-		}
+		p.Found(chunk)
 		return
 	}
 	if code == fault.StoreFull {
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -22,8 +22,9 @@
 	// Since is when the boxes began to want the artifact, so that one that joins or
 	// restarts a little later keeps to the others' schedule. Zero is now.
 	Since time.Time
-	// Prepare, if set, is called once the manifest is here and before anything is
-	// fetched, so that the caller can put into the store what it has already.
+	// Prepare, if set, is called once the manifest is here, so that the caller can
+	// put into the store what it has already. Until it returns, chunks come from
+	// other boxes only, and the origin is left alone.
 	Prepare func(ctx context.Context, m *Manifest)
 
 	once     sync.Once
@@ -123,24 +124,41 @@
 	if err != nil {
 		return err
 	}
-	if t.Prepare != nil {
-		m, err := ParseManifest(data, t.Artifact)
-		if err != nil {
-			return err
-		}
-		t.Prepare(ctx, m)
-	}
 	if err := t.begin(data); err != nil {
 		return err
 	}
 	var wg sync.WaitGroup
 	defer wg.Wait()
+	if t.Prepare != nil {
+		wg.Go(func() {
+			t.Prepare(ctx, t.Manifest())
+			t.prepared()
+		})
+	}
 	wg.Go(func() { t.keepNeighbours(ctx) })
 	t.settleIn(ctx)
 	t.loop(ctx, &wg)
 	return nil
 }
 
+// prepared takes what Prepare has put into the store, and lets the origin be used.
+func (t *Transfer) prepared() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before := t.plan.Complete()
+	for i, c := range t.chunks {
+		if _, ok := t.Exchange.Store.Get(c.Digest); ok && !t.plan.Have().Has(i) {
+			t.plan.Found(i)
+			t.announce(i)
+		}
+	}
+	t.plan.Hold = false
+	if !before && t.plan.Complete() {
+		close(t.complete)
+	}
+	t.happened()
+}
+
 // settleIn gives neighbours a moment to tell what they have, so that a box that
 // joins late does not go to the origin for what they hold.
 func (t *Transfer) settleIn(ctx context.Context) {
@@ -171,7 +189,7 @@
 		Self: t.Exchange.Self.Name, Strategy: t.Exchange.Strategy, Chunks: len(chunks), Begin: t.since(time.Now()),
 		Parallel: t.Exchange.Parallel, Adapt: t.Exchange.SharesLink, AtOrigin: t.Exchange.AtOrigin,
 		Inject: time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
-		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))),
+		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))), Hold: t.Prepare != nil,
 	}
 	members := t.Members()
 	if t.Exchange.KeepInHall {
