peers: a watch that is not refused counts as answered; tests of watchers

Cause, found by the test: a gateway said that it watched only once its first watch had ended, up to 20 s later, so that more of a hall watched than had to, or, to others, nobody did. Tests: TestOneGatewayOfAHallWatches, TestVersionLearntLateHasNoMoreTime (red where records travel without their ages).

--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -52,7 +52,8 @@
 	return f.certain
 }
 
-// Watching reports whether the platform is being watched and answered last.
+// Watching reports whether the platform is being watched, as far as this process
+// can tell: nothing has failed since.
 func (f *Follower) Watching() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -86,6 +87,7 @@
 	startLook  = 20 * time.Millisecond  // and while nothing is known at all.
 	checkEvery = 250 * time.Millisecond // Between two checks by anyone.
 	checkLag   = 300 * time.Millisecond // A watch tells of a change by then, to gateways that do not watch too.
+	watchHolds = time.Second            // A watch that was not refused by then is taken as answered.
 	watchPause = 150 * time.Millisecond // After changes, so that many at once cost few calls.
 )
 
@@ -103,7 +105,12 @@
 			kernel.Sleep(ctx, look)
 			continue
 		}
+		if !lost {
+			f.setWatching(true)
+		}
+		answered := time.AfterFunc(watchHolds, func() { f.setWatching(true) })
 		err := f.once(ctx, whole)
+		answered.Stop()
 		f.setWatching(err == nil)
 		if err == nil {
 			if lost {
--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,3 +119,60 @@
 		}
 	})
 }
+
+// One gateway of a hall watches the store and the others learn from it, so that a
+// change costs a call and not one for each; when it goes another one watches, and a
+// change made meanwhile is in force at all within two seconds.
+func TestOneGatewayOfAHallWatches(t *testing.T) {
+	const gateways = 6
+	run(t, gateways, plain(1), func(is *is.I, w *world) {
+		watching := func() (out []int) {
+			for i, g := range w.gateways {
+				if g.Status().Watching {
+					out = append(out, i)
+				}
+			}
+			return out
+		}
+		w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches of the start.
+		time.Sleep(2 * time.Second)
+		first := watching()
+		is.Equal(len(first), 1)
+		const changes = 20
+		before := w.store.Calls()
+		for range changes {
+			w.store.Put("servers/p0", w.replicas[0].Record("ready"))
+			time.Sleep(200 * time.Millisecond)
+		}
+		const checks = 20 // Four a second.
+		is.True(w.store.Calls()-before <= changes+checks+gateways)
+
+		w.stops[first[0]]()
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(2 * time.Second)
+		for i := range w.gateways {
+			if i != first[0] {
+				is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+			}
+		}
+		time.Sleep(3 * time.Second)
+		others := slices.DeleteFunc(watching(), func(i int) bool { return i == first[0] })
+		is.True(len(others) >= 1 && len(others) <= 3) // Some begin at once; the next change leaves one.
+	})
+}
+
+// A gateway that learns of a version from another one later gives the version
+// before it no more time than that one does.
+func TestVersionLearntLateHasNoMoreTime(t *testing.T) {
+	run(t, 1, engines(2, 2), func(is *is.I, w *world) {
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		time.Sleep(4 * time.Second)
+		away := http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
+		w.addGateway(1, away)
+		time.Sleep(time.Second)
+		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusOK) // Three seconds of eight are left, less a margin.
+		time.Sleep(2500 * time.Millisecond)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+	})
+}
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,10 +72,10 @@
 			rs := engines(2, 30)
 			run(t, 1, rs, func(is *is.I, w *world) {
 				rs[1].SetVersion(tc.second)
-				changing := false
+				var changing atomic.Bool
 				w.tell(0, func() []peers.Status {
-					out := []peers.Status{{Addr: rs[0].Addr, Version: 1, Reached: true, Changing: changing}}
-					if tc.told && changing {
+					out := []peers.Status{{Addr: rs[0].Addr, Version: 1, Reached: true, Changing: changing.Load()}}
+					if tc.told && changing.Load() {
 						out = append(out, peers.Status{Addr: rs[1].Addr, Version: 1, Reached: true})
 					}
 					return out
@@ -82,7 +83,7 @@
 				w.store.Delete("servers/e1") // The stream begins at the first.
 				time.Sleep(time.Second)
 				time.AfterFunc(700*time.Millisecond, func() {
-					changing = true
+					changing.Store(true)
 					rec := rs[1].Record("ready")
 					rec["models"] = []platformtest.Body{{"name": "m", "version": 1}}
 					w.store.Put("servers/e1", rec)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -114,6 +114,7 @@
 	Revision uint64                    `json:"revision"`
 	Version  uint64                    `json:"configuration"`
 	Draining bool                      `json:"draining"`
+	Watching bool                      `json:"watching"` // It watches the platform itself.
 	Peers    []string                  `json:"peers"`
 	Weights  map[string]map[uint64]int `json:"weights"` // Replicas by service and version.
 }
@@ -123,7 +124,7 @@
 	c := g.holder.Get()
 	s := &Status{
 		Role: "gateway", Box: g.Settings.Box, Hall: g.Settings.Hall, Revision: c.Revision, Version: c.Version,
-		Draining: g.draining.Load(), Weights: map[string]map[uint64]int{},
+		Draining: g.draining.Load(), Watching: g.options.Follow.Watching(), Weights: map[string]map[uint64]int{},
 	}
 	for _, m := range g.gossip.Live() {
 		s.Peers = append(s.Peers, m.Addr)
