route: a replica whose entry lapses is used while it lives

Cause: the list's entries run out while the store is away and come back within two seconds of its return. A gateway dropped every replica at once when it heard of that, and with them what it had in flight there. Now one that vanishes without leaving, and whose agent has told or that has answered of late, is used for drain_within less 0.8 s: within what holds for replicas that leave without a word. New setting drain_within.

Test: TestLapsedReplicaIsUsedWhileItLives.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,7 +71,7 @@
 	}
 	g := &Relay{
 		Settings: s, Metrics: m, options: o, began: time.Now(), windows: map[string]*limit.Window{},
-		table: route.Table{Hall: s.Hall}, conns: conns{Dial: o.Dial},
+		table: route.Table{Hall: s.Hall, Lapse: lapse(&s.RelayBounds)}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
 	g.bounds.Store(&s.RelayBounds)
@@ -109,6 +109,12 @@
 	return g, nil
 }
 
+// lapseMargin is how much sooner than a leaving replica must be left alone one is
+// that has vanished from the list.
+const lapseMargin = 800 * time.Millisecond
+
+func lapse(b *settings.RelayBounds) time.Duration { return max(0, b.DrainWithin-lapseMargin) }
+
 // learnIn is how long a gateway that has just started waits for what others know.
 const learnIn = 20 * time.Millisecond
 
@@ -144,7 +150,9 @@
 			c := g.options.Catalog(rs, at)
 			g.holder.Set(c)
 			if c.Config != nil {
-				g.table.Sync(now, c.Upstreams, c.Config.Services)
+				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
+					telemetry.Log("upstream_lapsed", "id", id, "used_for", lapse(g.bounds.Load()), "revision", c.Revision)
+				}
 				if c.Version != old.Version {
 					g.waits.forget(c.Config.Routes)
 				}
@@ -189,8 +197,7 @@
 	for {
 		select {
 		case now := <-t.C:
-			c := g.holder.Get()
-			g.conns.sweep(now, func(id string) bool { _, ok := c.Upstreams[id]; return ok })
+			g.conns.sweep(now, func(id string) bool { return g.table.Has(id, now) })
 		case <-ctx.Done():
 			return nil
 		}
@@ -287,6 +294,7 @@
 		return fault.New(fault.BadConfig, "names and addresses change only with a restart")
 	}
 	g.bounds.Store(&s.RelayBounds)
+	g.table.SetLapse(lapse(&s.RelayBounds))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, w := range g.windows {
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -33,6 +33,9 @@
 	// VersionWithin is the time from the naming of a version until no request may
 	// begin on an older one.
 	VersionWithin time.Duration `yaml:"version_within"`
+	// DrainWithin is the time from when the platform says that an upstream leaves
+	// until no request may reach it. Zero, the default, is at once.
+	DrainWithin time.Duration `yaml:"drain_within"`
 	// Retries, of a service and over all gateways, in any RetryWindow: RetryRatio
 	// of its requests and RetrySlack.
 	RetryRatio  float64       `yaml:"retry_ratio"`
@@ -74,6 +77,9 @@
 	} {
 		checkPositive(d, key, int64(v))
 	}
+	if r.DrainWithin < 0 {
+		d.Report("drain_within", "must not be negative")
+	}
 	if r.RetryRatio < 0 || r.RetrySlack < 0 {
 		d.Report("retry_ratio", "retry_ratio and retry_slack must not be negative")
 	}
--- a/route/direct.go
+++ b/route/direct.go
@@ -38,6 +38,10 @@
 	LeftAt time.Time
 	// changing is since when it is about to take another version; zero if it is not.
 	changing time.Time
+	// goneAt is when the list first lacked it; zero if it does not.
+	goneAt time.Time
+	// alive is when it last answered a request.
+	alive time.Time
 
 	reading  int // Own requests without a first event,
 	prompts  int // the tokens of their prompts,
@@ -58,6 +62,11 @@
 // safe for use by many goroutines.
 type Table struct {
 	Hall string // Of the gateway.
+	// Lapse is for how long a replica that vanishes from the list without leaving
+	// is still used while it shows life: entries may run out while the platform is
+	// away, and come back with it. It is well within the time in which a leaving
+	// replica still serves. Zero is not at all.
+	Lapse time.Duration
 
 	mu       sync.Mutex
 	replicas map[string]*Replica // By ID.
@@ -93,8 +102,9 @@
 	holdUpCost        = 0.2 // Of the time by which a request would hold up a change.
 )
 
-// Sync takes the list of upstreams and the engines of services.
-func (t *Table) Sync(now time.Time, ups map[string]fleet.Upstream, services map[string]config.Service) {
+// Sync takes the list of upstreams and the engines of services. It returns the IDs
+// of those that the list lacks from now on and that are used all the same.
+func (t *Table) Sync(now time.Time, ups map[string]fleet.Upstream, services map[string]config.Service) (lapsed []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old := t.replicas
@@ -117,10 +127,54 @@
 		if u.Leaving && r.LeftAt.IsZero() {
 			r.LeftAt = now
 		}
-		t.replicas[id] = r
-		t.services[u.Service] = append(t.services[u.Service], r)
-		t.byAddr[u.Addr] = r
+		r.goneAt = time.Time{}
+		t.keep(r)
 	}
+	for id, r := range old {
+		if t.replicas[id] != nil || t.byAddr[r.Addr] != nil || !r.lives(now) {
+			continue
+		}
+		if r.goneAt.IsZero() {
+			r.goneAt = now
+			lapsed = append(lapsed, id)
+		}
+		if t.lasts(now, r) {
+			t.keep(r)
+		}
+	}
+	return lapsed
+}
+
+// SetLapse changes Lapse from now on.
+func (t *Table) SetLapse(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Lapse = d
+}
+
+func (t *Table) keep(r *Replica) {
+	t.replicas[r.ID] = r
+	t.services[r.Service] = append(t.services[r.Service], r)
+	t.byAddr[r.Addr] = r
+}
+
+// lasts reports whether a replica is in the list, or has not lacked there for long.
+func (t *Table) lasts(now time.Time, r *Replica) bool {
+	return r.goneAt.IsZero() || now.Sub(r.goneAt) < t.Lapse
+}
+
+// lives reports whether a replica that does not leave has shown life of late, by its
+// agent's word or by an answer.
+func (r *Replica) lives(now time.Time) bool {
+	return r.LeftAt.IsZero() && (r.heard(now) && r.wordAge(now) < freshWord || now.Sub(r.alive) < freshWord)
+}
+
+// Has reports whether requests may still go to a replica.
+func (t *Table) Has(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replicas[id]
+	return r != nil && t.lasts(now, r)
 }
 
 // Heard takes an agent's word of the replica at an address.
@@ -265,7 +319,7 @@
 func (t *Table) candidates(now time.Time, a Ask) []*Replica {
 	var good, poor []*Replica
 	for _, r := range t.services[a.Service] {
-		if !r.LeftAt.IsZero() || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
+		if !r.LeftAt.IsZero() || !t.lasts(now, r) || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
 			continue
 		}
 		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
@@ -336,7 +390,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := k.replica
-	r.sign = now
+	r.sign, r.alive = now, now
 	k.first = true
 	r.reading--
 	r.prompts -= k.work.Prompt
@@ -410,7 +464,7 @@
 	defer t.mu.Unlock()
 	out := map[uint64]int{}
 	for _, r := range t.services[service] {
-		if r.LeftAt.IsZero() {
+		if r.LeftAt.IsZero() && t.lasts(now, r) {
 			out[r.version(now)]++
 		}
 	}
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -185,3 +185,47 @@
 		}
 	})
 }
+
+// A replica that vanishes from the list without leaving is used for a while if it
+// shows life, with what is in flight there still known; one that leaves or is silent
+// is not.
+func TestLapsedReplicaIsUsedWhileItLives(t *testing.T) {
+	cases := []struct {
+		name   string
+		word   time.Duration // How old its agent's word is; negative for none.
+		leaves bool
+		after  time.Duration // Since it vanished.
+		used   bool
+	}{
+		{"lives", 0, false, 500 * time.Millisecond, true},
+		{"for too long", 0, false, 1300 * time.Millisecond, false},
+		{"was told to leave", 0, true, 500 * time.Millisecond, false},
+		{"its agent is silent", 2 * time.Second, false, 500 * time.Millisecond, false},
+		{"nobody told of it", -1, false, 500 * time.Millisecond, false},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb, ups := table(1)
+			tb.Lapse = 1200 * time.Millisecond
+			services := map[string]config.Service{"llm": {Engine: llm}}
+			if tc.word >= 0 {
+				tb.Heard(ups["e0"].Addr, Word{Version: 1, At: epoch.Add(-tc.word)})
+			}
+			if tc.leaves {
+				tb.Leaves("e0", epoch)
+			}
+			before, err := tb.Pick(epoch, Ask{Service: "llm"})
+			is.Equal(err != nil, tc.leaves)
+			tb.Sync(epoch, nil, services)
+			now := epoch.Add(tc.after)
+			got, err := tb.Pick(now, Ask{Service: "llm"})
+			is.Equal(err == nil, tc.used)
+			if tc.used {
+				is.True(got.Predicted > before.Predicted) // The one in flight counts.
+			}
+			tb.Sync(now, ups, services)
+			is.Equal(tb.Has("e0", now), true)
+		})
+	}
+}
