relay: one that comes back waits less than a new one

Cause: a request that had been refused was let in up to the whole aim and a new one up to 0.55 of it. Under lasting overload the replicas were full of those, every answer late, and new ones were refused for them in turn. Now 0.4 of the aim.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -26,11 +26,12 @@
 
 // Admission, in parts of a route's aim: a request is sent only if what is ahead of
 // it at the chosen replica is predicted to take no longer. A refusal at once, and
-// a second try that is served in time, is worth more than a late answer; a second
-// refusal is worth less than nothing, so one that comes back may wait longer.
+// a second try that is served in time, is worth more than a late answer. One that
+// comes back waits less than a new one: under lasting overload they would else fill
+// the replicas, all of them late, and new ones would be refused for them.
 const (
 	firstTryWait  = 0.55
-	secondTryWait = 1.0
+	secondTryWait = 0.4
 )
 
 // admits reports whether the request is worth sending now.
