weights, stager, relay: a cold start of many boxes is not a rush

Now the gateways that all others ask first read at once; the others wait 50 to 300 ms for them, agents 150 to 600 ms, each its own. - Manifests came down a tree from the box half way ahead: where that one had gone, a box waited for its turn at the origin, 2 s; the first ones were called by all. Now they come from neighbours, whose connections serve for the chunks too, and a turn is 250 ms. - Boxes that are listed twice, with the replica before, counted twice as members. - Dials just after the start are given up after 200 ms: the kernel repeats after 1 s.

Ruled out: reading back what is staged (36 ms).

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -294,7 +294,11 @@
 	for ctx.Err() == nil {
 		_, changed := g.Mirror.Watch()
 		began := time.Now()
-		t := time.NewTimer(announceEvery)
+		every := announceEvery
+		if g.Mirror.At() == 0 {
+			every = announceLeast // Somebody may know by now.
+		}
+		t := time.NewTimer(every)
 		select {
 		case <-changed:
 		case <-t.C:
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,6 +52,7 @@
 	life     context.Context
 	end      context.CancelFunc
 	began    time.Time
+	learnIn  time.Duration
 	draining atomic.Bool
 	waits    callerWaits
 	bounds   atomic.Pointer[settings.RelayBounds]
@@ -70,21 +72,18 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, began: time.Now(), windows: map[string]*limit.Window{},
+		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: learnLeast + rand.N(learnSpread), windows: map[string]*limit.Window{},
 		table: route.Table{Hall: s.Hall, Lapse: lapse(&s.RelayBounds)}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
 	g.bounds.Store(&s.RelayBounds)
 	g.life, g.end = context.WithCancel(context.Background())
 	g.handlers = &wire.Handlers{}
-	dial := o.Dial
-	if dial == nil {
-		dial = link.Dial
-	}
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
 	g.pool = &wire.Pool{
 		Local: wire.Hello{Cluster: s.Cluster, Box: s.Box, Hall: s.Hall, Role: "gateway", Incarnation: rand.Uint64() | 1},
-		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: dial,
+		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: g.dialPeer,
+		Redial: redialPeer,
 		Options: wire.Options{
 			PingEvery: ping, StallAfter: stall,
 			Count: func(c fault.Code) { m.Event("connection", string(c)) },
@@ -115,20 +114,41 @@
 
 func lapse(b *settings.RelayBounds) time.Duration { return max(0, b.DrainWithin-lapseMargin) }
 
-// learnIn is how long a gateway that has just started waits for what others know.
-const learnIn = 20 * time.Millisecond
+// A gateway that has just started waits for a while for what others know: if all
+// read at once, a start of the whole system would bury the platform.
+const (
+	learnLeast  = 50 * time.Millisecond
+	learnSpread = 250 * time.Millisecond // Differs from process to process.
+)
 
-// watches reports whether this gateway is to read the platform itself: one that
-// knows nothing asks the others first, and does so once they had time to tell.
+// watches reports whether this gateway is to read the platform itself. While it
+// knows nothing, the gateways that all others ask first do so at once, and the
+// others once those had time to tell.
 func (g *Relay) watches() bool {
-	if g.mirror.At() == 0 && time.Since(g.began) < learnIn {
-		select {
-		case <-g.gossip.Learnt():
-		default:
-			return false
-		}
+	if g.mirror.At() > 0 {
+		return g.gossip.Watches()
+	}
+	return slices.Contains(g.Settings.Join, g.Settings.Listen) || time.Since(g.began) >= g.learnIn
+}
+
+// While nothing is known, other gateways are waited for only so long: one that is
+// not there yet may be a moment later, and the kernel would ask again after a second.
+const (
+	dialFirst  = 200 * time.Millisecond
+	redialPeer = 100 * time.Millisecond
+)
+
+// dialPeer connects to another gateway.
+func (g *Relay) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
+	if g.mirror.At() == 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, dialFirst)
+		defer cancel()
+	}
+	if g.options.Dial != nil {
+		return g.options.Dial(ctx, addr)
 	}
-	return g.gossip.Watches()
+	return link.Dial(ctx, addr)
 }
 
 // Duties adds to k what a relay does without being asked.
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -20,14 +21,17 @@
 	wanted  catalog.Wanted // What was named and when, by this box's clock.
 	heard   time.Time      // When a gateway last gave a sign.
 	asked   time.Time      // When the first gateway was asked.
+	first   time.Duration  // Patience while nothing is assigned.
 	changed chan struct{}
 }
 
 // patience is how long an agent waits for gateways before it reads the platform
-// itself; patienceFirst where it knows nothing yet.
+// itself. Where it knows nothing yet it is less, and differs from box to box: if all
+// read at once, a start of the whole system would bury the platform.
 const (
-	patience      = time.Second
-	patienceFirst = 20 * time.Millisecond
+	patience    = time.Second
+	firstLeast  = 150 * time.Millisecond
+	firstSpread = 450 * time.Millisecond
 )
 
 func (a *assignments) init() {
@@ -77,7 +81,7 @@
 	defer a.mu.Unlock()
 	wait := patience
 	if a.now == nil {
-		wait = patienceFirst
+		wait = a.first
 	}
 	return !a.asked.IsZero() && time.Since(a.asked) > wait && time.Since(a.heard) > wait
 }
@@ -86,7 +90,7 @@
 func (s *Stager) subscribe(ctx context.Context) error {
 	const retry = 200 * time.Millisecond
 	s.now.mu.Lock()
-	s.now.asked = time.Now()
+	s.now.asked, s.now.first = time.Now(), firstLeast+rand.N(firstSpread)
 	s.now.mu.Unlock()
 	s.askAll(ctx)
 	for try := 0; ctx.Err() == nil; try++ {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -108,9 +108,11 @@
 	a, _, _ := s.now.watch()
 	out := []weights.Member{s.exchange.Self}
 	_, port := splitAddr(s.Settings.Listen)
+	seen := map[string]bool{s.exchange.Self.Name: true} // The replica before a box's present one may be listed still.
 	for _, r := range a.Replicas {
 		ip, _ := splitAddr(r.Addr)
-		if ip != s.exchange.Self.Name && !r.Leaving {
+		if !seen[ip] && !r.Leaving {
+			seen[ip] = true
 			out = append(out, weights.Member{Name: ip, Hall: r.Hall, Addr: ip + ":" + port})
 		}
 	}
@@ -121,6 +123,7 @@
 // of a process has to: later ones want a version that was never staged here.
 func (s *Stager) prepare(ctx context.Context, model string, version uint64, m *weights.Manifest) {
 	s.pieces.note(model, version, m)
+	telemetry.Log("manifest_here", "model", model, "version", version, "pieces", len(m.Files[0].Chunks))
 	if s.recovered.Swap(true) {
 		return
 	}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -46,6 +46,7 @@
 	Metrics  *telemetry.Metrics
 
 	options   Options
+	began     time.Time
 	pool      *wire.Pool // For words,
 	exchange  *weights.Exchange
 	handlers  *wire.Handlers
@@ -69,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &Stager{Settings: s, Metrics: m, options: o}
+	st := &Stager{Settings: s, Metrics: m, options: o, began: time.Now()}
 	st.bounds.Store(&s.StagerBounds)
 	st.life, st.end = context.WithCancel(context.Background())
 	local := wire.Hello{
@@ -80,7 +81,7 @@
 	st.exchange = &weights.Exchange{
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
-		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: o.Dial, Lifetime: st.life, Handlers: st.handlers},
+		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: st.dialBox, Lifetime: st.life, Handlers: st.handlers, Redial: redialWords},
 		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, SharesLink: true, AtOrigin: atOrigin, Flush: flush,
 		Event: st.weightsEvent,
 	}
@@ -91,16 +92,27 @@
 	return st, nil
 }
 
-// While no gateway has answered, each is waited for only so long: one that is not
-// there yet may be a moment later, and the kernel would ask again after a second.
+// Just after the start, and while no gateway has answered, others are waited for only
+// so long: one that is not there yet, or that everybody calls at once, may be a moment
+// later, and the kernel would ask again after a second.
 const (
-	dialFirst   = 250 * time.Millisecond
+	dialFirst   = 200 * time.Millisecond
+	startsFor   = 2 * time.Second
 	redialWords = 100 * time.Millisecond
 )
 
 // dialWords connects to a gateway.
 func (s *Stager) dialWords(ctx context.Context, addr string) (net.Conn, error) {
-	if !s.now.met() {
+	return s.dial(ctx, addr, !s.now.met())
+}
+
+// dialBox connects to another box.
+func (s *Stager) dialBox(ctx context.Context, addr string) (net.Conn, error) {
+	return s.dial(ctx, addr, time.Since(s.began) < startsFor)
+}
+
+func (s *Stager) dial(ctx context.Context, addr string, starts bool) (net.Conn, error) {
+	if starts {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, dialFirst)
 		defer cancel()
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -15,22 +16,23 @@
 const maxManifest = 8 << 20
 
 // getManifest fetches the manifest: the first box in its order from the origin,
-// the others from a box ahead of them, and from the origin once that is late.
+// the others from their neighbours, and from the origin once that is late.
 func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
-	const retry, grace, mostGraces = 40 * time.Millisecond, 2 * time.Second, 8
+	const retry, grace, mostGraces = 40 * time.Millisecond, 250 * time.Millisecond, 8 // A manifest is small.
 	x := t.Exchange
 	begin := time.Now()
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, retry) {
 		if data, ok := x.Lookup(t.Artifact); ok {
 			return data, nil
 		}
-		order := rank("manifest/"+t.Artifact, t.Members())
+		members := t.Members()
+		order := rank("manifest/"+t.Artifact, members)
 		place := 0
 		for place < len(order) && order[place].Name != x.Self.Name {
 			place++
 		}
 		turn := begin.Add(time.Duration(min(place, mostGraces)) * grace)
-		data, err := t.manifestFrom(ctx, order[:min(place, len(order))], time.Now().After(turn))
+		data, err := t.manifestFrom(ctx, x.Strategy.Neighbours(x.Self, members), place == 0 || time.Now().After(turn))
 		if err == nil {
 			if _, err = ParseManifest(data, t.Artifact); err == nil {
 				x.keepManifest(t.Artifact, data)
@@ -41,16 +43,18 @@
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
 }
 
-// manifestFrom tries one source: the origin for the first in the order and for
-// one whose turn has come, else the box half way ahead, so that the manifest
-// spreads as down a tree.
-func (t *Transfer) manifestFrom(ctx context.Context, ahead []Member, turn bool) ([]byte, error) {
-	const patience = 2 * time.Second
+// manifestFrom tries one source: the origin for one whose turn has come, else any
+// neighbour, so that no box is asked by many at once and the connection serves for
+// the chunks too.
+func (t *Transfer) manifestFrom(ctx context.Context, neighbours []Member, turn bool) ([]byte, error) {
+	const patience, reach = 2 * time.Second, 300 * time.Millisecond
 	x := t.Exchange
-	if x.Strategy.OrderKey == nil || len(ahead) == 0 || turn {
+	if x.Strategy.OrderKey == nil || len(neighbours) == 0 || turn {
 		return x.FromOrigin(ctx, t.Artifact)
 	}
-	c, err := x.Pool.Get(ctx, ahead[len(ahead)/2].Addr)
+	rctx, cancel := context.WithTimeout(ctx, reach)
+	defer cancel()
+	c, err := x.Pool.Get(rctx, neighbours[rand.IntN(len(neighbours))].Addr)
 	if err != nil {
 		return nil, err
 	}
