--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -176,3 +176,19 @@
 		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
 	})
 }
+
+// A start of the whole system: the gateways that all others ask first read the store
+// and the others learn from them, and all are ready within half a second.
+func TestColdStartAsksTheStoreLittle(t *testing.T) {
+	const gateways = 20
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		for i := range gateways {
+			w.addGateway(i, w.store)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, g := range w.gateways {
+			is.NoErr(g.Ready())
+		}
+		is.True(w.store.Pages() <= gateways*3/4) // One by the gateway of the settings, and by those in a hurry.
+	})
+}
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,6 +79,27 @@
 	}
 }
 
+// A manifest comes from neighbours, and soon, though the first boxes in its order
+// have gone: it is not waited for them one after the other.
+func TestManifestSpreadsPastBoxesThatHaveGone(t *testing.T) {
+	is := is.New(t)
+	b := small(24)
+	b.pinned, b.chunks = false, 8
+	b.hook = func(s *sim) {
+		s.mu.Lock()
+		for i := range 24 { // Listed still, and not there.
+			s.members = append(s.members, s.member(fmt.Sprintf("gone-%03d", i)))
+		}
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for _, x := range s.boxes {
+			_, ok := x.exchange.Lookup(Digest(s.manifest))
+			is.True(ok)
+		}
+	}
+	b.run(t, 3*quick)
+}
+
 // Every fault alone must end with every living box whole.
 func TestFaultsAlone(t *testing.T) {
 	half := quick / 4
