--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -18,8 +18,33 @@
 	ackWithin  = 1200 * time.Millisecond // Bytes that are not acknowledged by then mean a dead path.
 	probeEvery = time.Second
 	probes     = 2
+	// startWithin is how long a process that starts waits for another one: one that
+	// is not there yet, or that everybody calls at once, may be a moment later, and
+	// the kernel would ask again after a second.
+	startWithin = 200 * time.Millisecond
 )
 
+// Dialer connects to other processes of the system.
+type Dialer struct {
+	// Starts reports whether this process has only just started, as far as the
+	// others are concerned.
+	Starts  func() bool
+	Connect func(ctx context.Context, addr string) (net.Conn, error) // Dial by default.
+}
+
+// Dial connects to a process.
+func (d Dialer) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if d.Starts() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, startWithin)
+		defer cancel()
+	}
+	if d.Connect != nil {
+		return d.Connect(ctx, addr)
+	}
+	return Dial(ctx, addr)
+}
+
 // DialContext connects to an upstream, another process or the platform.
 func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	d := &net.Dialer{Timeout: dialWithin, KeepAliveConfig: net.KeepAliveConfig{
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -82,7 +82,7 @@
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
 	g.pool = &wire.Pool{
 		Local: wire.Hello{Cluster: s.Cluster, Box: s.Box, Hall: s.Hall, Role: "gateway", Incarnation: rand.Uint64() | 1},
-		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: g.dialPeer,
+		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: link.Dialer{Starts: g.knowsNothing, Connect: o.Dial}.Dial,
 		Redial: redialPeer,
 		Options: wire.Options{
 			PingEvery: ping, StallAfter: stall,
@@ -131,25 +131,11 @@
 	return slices.Contains(g.Settings.Join, g.Settings.Listen) || time.Since(g.began) >= g.learnIn
 }
 
-// While nothing is known, other gateways are waited for only so long: one that is
-// not there yet may be a moment later, and the kernel would ask again after a second.
-const (
-	dialFirst  = 200 * time.Millisecond
-	redialPeer = 100 * time.Millisecond
-)
+// redialPeer is how long another gateway is left alone after it was not reached.
+const redialPeer = 100 * time.Millisecond
 
-// dialPeer connects to another gateway.
-func (g *Relay) dialPeer(ctx context.Context, addr string) (net.Conn, error) {
-	if g.mirror.At() == 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, dialFirst)
-		defer cancel()
-	}
-	if g.options.Dial != nil {
-		return g.options.Dial(ctx, addr)
-	}
-	return link.Dial(ctx, addr)
-}
+// knowsNothing reports whether no record of the platform is known yet.
+func (g *Relay) knowsNothing() bool { return g.mirror.At() == 0 }
 
 // Duties adds to k what a relay does without being asked.
 func (g *Relay) Duties(k *kernel.Kernel) {
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -77,11 +77,11 @@
 		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: "agent", Incarnation: rand.Uint64() | 1,
 	}
 	st.handlers = &wire.Handlers{}
-	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: st.dialWords, Lifetime: st.life, Handlers: st.handlers, Redial: redialWords}
+	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: link.Dialer{Starts: st.unmet, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial}
 	st.exchange = &weights.Exchange{
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
-		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: st.dialBox, Lifetime: st.life, Handlers: st.handlers, Redial: redialWords},
+		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: link.Dialer{Starts: st.fresh, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial},
 		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, SharesLink: true, AtOrigin: atOrigin, Flush: flush,
 		Event: st.weightsEvent,
 	}
@@ -92,36 +92,17 @@
 	return st, nil
 }
 
-// Just after the start, and while no gateway has answered, others are waited for only
-// so long: one that is not there yet, or that everybody calls at once, may be a moment
-// later, and the kernel would ask again after a second.
+// Just after its start an agent waits less for others, see link.Dialer.
 const (
-	dialFirst   = 200 * time.Millisecond
-	startsFor   = 2 * time.Second
-	redialWords = 100 * time.Millisecond
+	startsFor = 2 * time.Second
+	redial    = 100 * time.Millisecond // Another process is left alone so long after it was not reached.
 )
 
-// dialWords connects to a gateway.
-func (s *Stager) dialWords(ctx context.Context, addr string) (net.Conn, error) {
-	return s.dial(ctx, addr, !s.now.met())
-}
-
-// dialBox connects to another box.
-func (s *Stager) dialBox(ctx context.Context, addr string) (net.Conn, error) {
-	return s.dial(ctx, addr, time.Since(s.began) < startsFor)
-}
+// unmet reports whether no gateway has answered yet.
+func (s *Stager) unmet() bool { return !s.now.met() }
 
-func (s *Stager) dial(ctx context.Context, addr string, starts bool) (net.Conn, error) {
-	if starts {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, dialFirst)
-		defer cancel()
-	}
-	if s.options.Dial != nil {
-		return s.options.Dial(ctx, addr)
-	}
-	return link.Dial(ctx, addr)
-}
+// fresh reports whether the process has only just started.
+func (s *Stager) fresh() bool { return time.Since(s.began) < startsFor }
 
 // The replica's answers leave over the same link as weights. What is sent is
 // paced just below the link's rate, in small parts, so that the link has no queue
--- /dev/null
+++ b/route/listed.go
@@ -0,0 +1,154 @@
+package route
+
+import (
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fleet"
+)
+
+// Sync takes the list of upstreams and the engines of services. It returns the IDs
+// of those that the list lacks from now on and that are used all the same.
+func (t *Table) Sync(now time.Time, ups map[string]fleet.Upstream, services map[string]config.Service) (lapsed []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.replicas
+	t.replicas = make(map[string]*Replica, len(ups))
+	t.byAddr = make(map[string]*Replica, len(ups))
+	t.services = map[string][]*Replica{}
+	t.engines = map[string]config.Engine{}
+	for name, s := range services {
+		t.engines[name] = s.Engine
+	}
+	for id, u := range ups {
+		r, ok := old[id]
+		if !ok {
+			r = &Replica{slow: 1}
+		}
+		if u.Version != r.Version {
+			r.misled = time.Time{} // This is news of what it holds.
+		}
+		r.Upstream = u
+		if u.Leaving && r.LeftAt.IsZero() {
+			r.LeftAt = now
+		}
+		r.goneAt = time.Time{}
+		t.keep(r)
+	}
+	for id, r := range old {
+		if t.replicas[id] != nil || t.byAddr[r.Addr] != nil || !r.lives(now) {
+			continue
+		}
+		if r.goneAt.IsZero() {
+			r.goneAt = now
+			lapsed = append(lapsed, id)
+		}
+		if t.lasts(now, r) {
+			t.keep(r)
+		}
+	}
+	return lapsed
+}
+
+// SetLapse changes Lapse from now on.
+func (t *Table) SetLapse(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.Lapse = d
+}
+
+func (t *Table) keep(r *Replica) {
+	t.replicas[r.ID] = r
+	t.services[r.Service] = append(t.services[r.Service], r)
+	t.byAddr[r.Addr] = r
+}
+
+// lasts reports whether a replica is in the list, or has not lacked there for long.
+func (t *Table) lasts(now time.Time, r *Replica) bool {
+	return r.goneAt.IsZero() || now.Sub(r.goneAt) < t.Lapse
+}
+
+// lives reports whether a replica that does not leave has shown life of late, by its
+// agent's word or by an answer.
+func (r *Replica) lives(now time.Time) bool {
+	return r.LeftAt.IsZero() && (r.heard(now) && r.wordAge(now) < freshWord || now.Sub(r.alive) < freshWord)
+}
+
+// Has reports whether requests may still go to a replica.
+func (t *Table) Has(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.replicas[id]
+	return r != nil && t.lasts(now, r)
+}
+
+// Heard takes an agent's word of the replica at an address.
+func (t *Table) Heard(addr string, w Word) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.byAddr[addr]; r != nil {
+		r.Word = w
+		switch {
+		case !w.Changing:
+			r.changing = time.Time{}
+		case r.changing.IsZero():
+			r.changing = w.At
+		}
+		r.ownThen = r.reading + r.writing
+	}
+}
+
+// Leaves records that a replica said itself that it leaves.
+func (t *Table) Leaves(id string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.replicas[id]; r != nil && r.LeftAt.IsZero() {
+		r.LeftAt = now
+	}
+}
+
+// ChangingFor returns for how long a replica has waited for what it runs, to take
+// another version; 0 if it does not.
+func (t *Table) ChangingFor(now time.Time, k *Ticket) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if k.replica.changing.IsZero() {
+		return 0
+	}
+	return now.Sub(k.replica.changing)
+}
+
+// version is what the replica holds, by the newest word of it. The caller holds
+// t.mu.
+func (r *Replica) version(now time.Time) uint64 {
+	v := max(r.Version, r.served)
+	if r.heard(now) {
+		return r.Word.Version
+	}
+	return v
+}
+
+func (r *Replica) heard(now time.Time) bool {
+	return !r.Word.At.IsZero() && now.Sub(r.Word.At) < wordExpires
+}
+
+func (r *Replica) wordAge(now time.Time) time.Duration {
+	if r.Word.At.IsZero() {
+		return -time.Millisecond
+	}
+	return now.Sub(r.Word.At)
+}
+
+// Holding returns how many replicas of a service hold each version and leave
+// not.
+func (t *Table) Holding(now time.Time, service string) map[uint64]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[uint64]int{}
+	for _, r := range t.services[service] {
+		if r.LeftAt.IsZero() && t.lasts(now, r) {
+			out[r.version(now)]++
+		}
+	}
+	return out
+}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -273,29 +273,6 @@
 	p.leftOut = laterOf(p.leftOut, until)
 }
 
-// Received adapts how many fetches are open to how long the parts of a chunk took
-// from the first to the last, so that a link that is slower than it should be has
-// no long queue in which other traffic waits.
-func (p *Plan) Received(took time.Duration) {
-	most := float64(orDefault(p.Parallel, defaultParallel))
-	if p.parallel == 0 {
-		p.parallel = most
-	}
-	if took > slowFetch*p.PerChunk {
-		p.parallel = max(1, p.parallel/2)
-		return
-	}
-	p.parallel = min(most, p.parallel+easeBack)
-}
-
-// Ease is the part of its usual fetches that a box may have open now.
-func (p *Plan) Ease() float64 {
-	if p.parallel == 0 {
-		return 1
-	}
-	return p.parallel / float64(orDefault(p.Parallel, defaultParallel))
-}
-
 func (p *Plan) endFetch(chunk int, from string) {
 	for i, f := range p.fetching[chunk] {
 		if f.from != from {
@@ -386,13 +363,6 @@
 	return todo, wake
 }
 
-func (p *Plan) mayOpen() int {
-	if !p.Adapt || p.parallel == 0 {
-		return orDefault(p.Parallel, defaultParallel)
-	}
-	return int(p.parallel)
-}
-
 func (p *Plan) begin(now time.Time, a Action) Action {
 	p.fetching[a.Chunk] = append(p.fetching[a.Chunk], fetch{a.From, now})
 	p.open++
