weights: those that wait for a manifest are answered when it comes

Cause: a box that lacked the manifest was asked for it again and again by polls of 40 ms, and one that had it sent it through its one upload slot, behind chunks. Now a box that waits for it itself answers as soon as it has it, three neighbours are asked at once, and a manifest needs no slot.

Tests as before.

--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -147,7 +147,32 @@
 	_ = s.SendLast(ctx, &r)
 }
 
+// manifestWait is how long a box that asks for a manifest is kept waiting for it
+// where it is on its way here too.
+const manifestWait = 500 * time.Millisecond
+
+// await returns once the manifest of a transfer that is under way is here, or after
+// a while.
+func (x *Exchange) await(ctx context.Context, artifact string) {
+	t := x.Transfer(artifact)
+	if t == nil {
+		return
+	}
+	wait := time.NewTimer(manifestWait)
+	defer wait.Stop()
+	select {
+	case <-t.begun:
+	case <-wait.C:
+	case <-ctx.Done():
+	}
+}
+
 func (x *Exchange) serveChunk(ctx context.Context, s *wire.Stream, m *GetChunk) {
+	x.await(ctx, m.Digest)
+	if data, ok := x.manifest(m.Digest); ok { // It is small, and everything else waits for it.
+		_ = x.sendParts(ctx, s, data)
+		return
+	}
 	data, ok := x.Lookup(m.Digest)
 	if !ok {
 		_ = s.Fail(ctx, fault.New(fault.NotHeld, m.Digest))
@@ -168,6 +193,10 @@
 	if data, ok := x.Store.Get(digest); ok {
 		return data, true
 	}
+	return x.manifest(digest)
+}
+
+func (x *Exchange) manifest(digest string) ([]byte, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	data, ok := x.manifests[digest]
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -43,18 +43,47 @@
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
 }
 
-// manifestFrom tries one source: the origin for one whose turn has come, else any
-// neighbour, so that no box is asked by many at once and the connection serves for
-// the chunks too.
+// manifestFrom tries the origin for one whose turn has come, else a few neighbours at
+// once, so that no box is asked by many and the connections serve for the chunks
+// too. Those that wait for it themselves answer when they have it, so it runs through
+// all boxes as fast as the network is.
 func (t *Transfer) manifestFrom(ctx context.Context, neighbours []Member, turn bool) ([]byte, error) {
-	const patience, reach = 2 * time.Second, 300 * time.Millisecond
+	const atOnce = 3
 	x := t.Exchange
 	if x.Strategy.OrderKey == nil || len(neighbours) == 0 || turn {
 		return x.FromOrigin(ctx, t.Artifact)
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		data []byte
+		err  error
+	}
+	asked := min(atOnce, len(neighbours))
+	answers := make(chan answer, asked)
+	for _, i := range rand.Perm(len(neighbours))[:asked] {
+		go func() {
+			data, err := t.manifestOf(ctx, neighbours[i])
+			answers <- answer{data, err}
+		}()
+	}
+	var last error
+	for range asked {
+		a := <-answers
+		if a.err == nil {
+			return a.data, nil
+		}
+		last = a.err
+	}
+	return nil, last
+}
+
+// manifestOf asks one box for the manifest.
+func (t *Transfer) manifestOf(ctx context.Context, m Member) ([]byte, error) {
+	const patience, reach = time.Second, 300 * time.Millisecond
 	rctx, cancel := context.WithTimeout(ctx, reach)
 	defer cancel()
-	c, err := x.Pool.Get(rctx, neighbours[rand.IntN(len(neighbours))].Addr)
+	c, err := t.Exchange.Pool.Get(rctx, m.Addr)
 	if err != nil {
 		return nil, err
 	}
