--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -161,17 +162,49 @@
 	})
 }
 
+// Where the store turns away the one that would watch, the next one does.
+func TestNextOfAHallWatches(t *testing.T) {
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		var away [3]atomic.Bool
+		for i := range away {
+			w.addGateway(i, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if away[i].Load() {
+					rw.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.store.ServeHTTP(rw, r)
+			}))
+		}
+		time.Sleep(2 * time.Second)
+		w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches of the start.
+		time.Sleep(2 * time.Second)
+		for i, g := range w.gateways {
+			away[i].Store(g.Status().Watching)
+		}
+		w.store.Put("servers/p0", w.replicas[0].Record("ready")) // The watch ends, and the next is refused.
+		time.Sleep(3 * time.Second)
+		others := 0
+		for i, g := range w.gateways {
+			if g.Status().Watching && !away[i].Load() {
+				others++
+			}
+		}
+		is.True(others > 0)
+	})
+}
+
 // A gateway that learns of a version from another one later gives the version
-// before it no more time than that one does.
-func TestVersionLearntLateHasNoMoreTime(t *testing.T) {
+// before it as much time as that one does, no more and no less.
+func TestVersionLearntLateHasTheSameTime(t *testing.T) {
 	run(t, 1, engines(2, 2), func(is *is.I, w *world) {
 		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
 		time.Sleep(4 * time.Second)
 		away := http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
 		w.addGateway(1, away)
-		time.Sleep(time.Second)
-		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusOK) // Three seconds of eight are left, less a margin.
-		time.Sleep(2500 * time.Millisecond)
+		time.Sleep(2300 * time.Millisecond)
+		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusOK) // 1.7 s of eight are left, less a margin.
+		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusOK)
+		time.Sleep(1200 * time.Millisecond)
 		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
 		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
 	})
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -289,6 +289,27 @@
 	})
 }
 
+// What lies staged is not fetched again from the origin, though the replica that has
+// it answers only a while after the box has started.
+func TestStagedPiecesAreNotFetchedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+		r := withVersion(1)
+		r.restart()
+		r.upAt = time.Now().Add(1500 * time.Millisecond)
+		s.add(t, r)
+		s.assign(1, 1)
+		time.Sleep(3 * time.Second)
+		is.Equal(s.holding(), map[uint64]int{1: 1})
+		is.Equal(s.fetched, 0)
+		for _, stop := range s.stops {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // An older assignment, from a gateway that is behind, changes nothing.
 func TestOlderAssignmentIsIgnored(t *testing.T) {
 	is := is.New(t)
