--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -129,6 +129,18 @@
 	manifests, spoilManifest int
 }
 
+// play runs a test on a site of its own in virtual time.
+func play(t *testing.T, test func(is *is.I, s *site)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+		test(is.New(t), s)
+		for _, stop := range s.stops {
+			stop()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 func ip(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
 
 func (s *site) add(t *testing.T, r *fakeReplica) {
@@ -222,9 +234,7 @@
 // for each replica; one that restarts is given its weights again; and no order is
 // given while what is staged is not whole.
 func TestBoxesBringVersionsToTheirReplicas(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+	play(t, func(is *is.I, s *site) {
 		for range 4 {
 			s.add(t, withVersion(1))
 		}
@@ -253,19 +263,13 @@
 			}
 			is.Equal(r.orders, want)
 		}
-		for _, stop := range s.stops {
-			stop()
-		}
-		time.Sleep(time.Minute)
 	})
 }
 
 // A box that starts before its replica fetches from the others meanwhile, and asks
 // the origin for nothing: the replica may have it all.
 func TestWeightsComeWhileTheReplicaStarts(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+	play(t, func(is *is.I, s *site) {
 		for range 3 {
 			s.add(t, withVersion(1))
 		}
@@ -282,19 +286,13 @@
 		time.Sleep(1500 * time.Millisecond)
 		is.Equal(s.holding(), map[uint64]int{1: 4})
 		is.Equal(s.fetched, 0)
-		for _, stop := range s.stops {
-			stop()
-		}
-		time.Sleep(time.Minute)
 	})
 }
 
 // What lies staged is not fetched again from the origin, though the replica that has
 // it answers only a while after the box has started.
 func TestStagedPiecesAreNotFetchedAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		s := &site{net: &simnet.Network{Latency: func(string, string) time.Duration { return time.Millisecond }}}
+	play(t, func(is *is.I, s *site) {
 		r := withVersion(1)
 		r.restart()
 		r.upAt = time.Now().Add(1500 * time.Millisecond)
@@ -303,10 +301,6 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(s.holding(), map[uint64]int{1: 1})
 		is.Equal(s.fetched, 0)
-		for _, stop := range s.stops {
-			stop()
-		}
-		time.Sleep(time.Minute)
 	})
 }
 
