relay: a stopping gateway answers each request that it has read

Ruled out: the replica's refusal (the request had not run and would have gone elsewhere; the caller's context had ended first).

Change: callers' connections are wrapped. While the gateway drains, its answers say 'Connection: close', and a connection's reads are ended only while no byte of the next request was read; new connections are served until the balancer has noticed.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -41,6 +41,7 @@
 	if length >= 0 {
 		h.Set("Content-Length", strconv.Itoa(length))
 	}
+	o.relay.sayClosing(h)
 	_ = http.NewResponseController(o.w).SetWriteDeadline(time.Now().Add(slowCaller))
 	o.w.WriteHeader(status)
 	o.started = true
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -197,7 +197,15 @@
 			"host", r.Host, "route", rq.routeName, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 	}
 	h.Set("Content-Length", "0")
+	g.sayClosing(h)
 	w.WriteHeader(status)
 }
 
+// sayClosing has a caller use its connection no more once the process drains.
+func (g *Relay) sayClosing(h http.Header) {
+	if g.draining.Load() {
+		h.Set("Connection", "close")
+	}
+}
+
 const defaultComeBack = 500 * time.Millisecond
--- /dev/null
+++ b/internal/relay/drain.go
@@ -0,0 +1,171 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+)
+
+// callerConns are the connections of callers. The server's own way to end idle ones
+// closes a connection whose next request has been read but not been looked at yet,
+// and that request would get no answer. Here only the reads of a connection are
+// ended, and only while no byte of the next request was read.
+type callerConns struct {
+	mu   sync.Mutex
+	open map[*callerConn]struct{}
+}
+
+// callerConn is one of them.
+type callerConn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	waiting bool // No byte of the next request was read yet.
+	served  bool // A request was answered on it.
+	ending  bool // Its reads fail, so that the server closes it. Implies waiting.
+}
+
+// callerListener accepts connections of callers.
+type callerListener struct{ net.Listener }
+
+func (l callerListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &callerConn{Conn: nc}, nil
+}
+
+// Read ends the wait for a request with the first byte that comes.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.began()
+	}
+	return n, err
+}
+
+// began records that a request has begun to come in. One that came just before its
+// connection was to end is served.
+func (c *callerConn) began() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.ending {
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// SetReadDeadline sets when reads fail, unless they do already.
+func (c *callerConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// awaits records that the next request is waited for.
+func (c *callerConn) awaits(served bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting, c.served = true, served
+}
+
+// endIfWaiting ends the connection if no request is under way on it; one that never
+// had a request only if fresh is set.
+func (c *callerConn) endIfWaiting(fresh bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.waiting || c.ending || !c.served && !fresh {
+		return
+	}
+	c.ending = true
+	past := time.Unix(1, 0)
+	_ = c.Conn.SetReadDeadline(past)
+}
+
+// state follows a connection; it is the ConnState of the server.
+func (s *callerConns) state(nc net.Conn, st http.ConnState) {
+	c, ok := nc.(*callerConn)
+	if !ok {
+		return
+	}
+	switch st {
+	case http.StateNew:
+		c.awaits(false)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.open == nil {
+			s.open = map[*callerConn]struct{}{}
+		}
+		s.open[c] = struct{}{}
+	case http.StateIdle:
+		c.awaits(true)
+	case http.StateClosed, http.StateHijacked:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, c)
+	}
+}
+
+// endWaiting ends the connections on which no request is under way, see
+// callerConn.endIfWaiting. It returns how many connections are left.
+func (s *callerConns) endWaiting(fresh bool) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.open {
+		c.endIfWaiting(fresh)
+	}
+	return len(s.open)
+}
+
+// ServeCallers serves callers until stop ends, and then drains. It ends at once with
+// own.
+func (g *Relay) ServeCallers(stop, own context.Context, ln net.Listener) error {
+	var conns callerConns
+	srv := &http.Server{
+		Handler: g, ReadHeaderTimeout: headerIn, MaxHeaderBytes: headerMost, IdleTimeout: callersIdle,
+		ErrorLog: nil, ConnState: conns.state,
+	}
+	served := make(chan error, 1)
+	go func() { served <- telemetry.ServeHTTP(own, callerListener{ln}, srv) }()
+	select {
+	case err := <-served:
+		return err
+	case <-stop.Done():
+	}
+	g.drain(own, ln, &conns)
+	return srv.Close()
+}
+
+// drain says "not ready" and still serves for as long as the balancer may take to
+// notice. Then it takes no more connections and lets what is in progress finish.
+func (g *Relay) drain(own context.Context, ln net.Listener, conns *callerConns) {
+	const look = 50 * time.Millisecond
+	began := time.Now()
+	telemetry.Log("drain_started", "box", g.Settings.Box)
+	g.draining.Store(true)
+	noticed, end := began.Add(noticeFor), began.Add(g.bounds.Load().GraceFor-leaveBefore)
+	left := conns.endWaiting(false)
+	for ; own.Err() == nil && time.Now().Before(noticed); kernel.Sleep(own, look) {
+		left = conns.endWaiting(false)
+	}
+	if err := ln.Close(); err != nil && !errors.Is(err, net.ErrClosed) {
+		telemetry.LogError(err, "listener_not_closed", "box", g.Settings.Box)
+	}
+	for ; own.Err() == nil && time.Now().Before(end); kernel.Sleep(own, look) {
+		if left = conns.endWaiting(true); left == 0 {
+			break
+		}
+	}
+	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", left == 0, "left", left, "took", time.Since(began))
+}
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -58,10 +58,6 @@
 		}
 		lns[i] = ln
 	}
-	callers := &http.Server{
-		Handler: g, ReadHeaderTimeout: headerIn, MaxHeaderBytes: headerMost, IdleTimeout: callersIdle,
-		ErrorLog: nil,
-	}
 	var k kernel.Kernel
 	g.Duties(&k)
 	srv := g.Server()
@@ -77,35 +73,12 @@
 		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.Ready, Status: func() any { return g.Status() }}
 		k.Duty(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
 	}
-	k.Add("callers", callers, func(own context.Context) error { return g.serveCallers(ctx, own, callers, lns[2]) })
+	k.Duty(func(own context.Context) error { return g.ServeCallers(ctx, own, lns[2]) })
 	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.pool.Local.Incarnation)
 	defer g.Close()
 	return k.Run(context.Background())
 }
 
-// serveCallers serves until stop, and then drains: it says "not ready", still
-// serves for as long as the balancer may take to notice, then takes no more
-// connections and lets what is in progress finish.
-func (g *Relay) serveCallers(stop, own context.Context, srv *http.Server, ln net.Listener) error {
-	served := make(chan error, 1)
-	go func() { served <- telemetry.ServeHTTP(own, ln, srv) }()
-	select {
-	case err := <-served:
-		return err
-	case <-stop.Done():
-	}
-	began := time.Now()
-	telemetry.Log("drain_started", "box", g.Settings.Box)
-	g.draining.Store(true)
-	srv.SetKeepAlivesEnabled(false)
-	time.Sleep(noticeFor)
-	ctx, cancel := context.WithDeadline(own, began.Add(g.bounds.Load().GraceFor-leaveBefore))
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil, "took", time.Since(began))
-	return nil
-}
-
 // Status is what a relay says of itself.
 type Status struct {
 	Role     string                    `json:"role"`
