relay, route: a request that was given up does not begin late on an older version

A request was sent at 24.7 s to the replica of a box whose link was squeezed, 0.5 s before its version's time ended, and was given up at 25.2 s with 502; its bytes reached the replica at 26.0 s and ran there at 26.1 s.

Ruled out: an agent that does not notice (it tells slow_link 1.6 s after the squeeze where its words get through); an old bound at the gateway (502 came at the bound).

Measured: TestGivenUpRequestDoesNotBeginLate and a case of TestTableLeavesOut fail without it. simnet now delivers what was written before a close, unless it is reset; before, no test could have seen this. TestVersionLearntLateHasTheSameTime has agents now, as replicas without one are left sooner; what it asserts is as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -92,7 +92,7 @@
 		a.relay.conns.put(a.to.ID, a.conn, a.rest)
 		return
 	}
-	_ = a.conn.Close()
+	a.conn.abort()
 }
 
 // open sends the request and reads the head of its answer. Without one the result
@@ -113,7 +113,7 @@
 		return nil, notRun(fault.Unreachable)
 	}
 	a.conn = c
-	a.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	a.stop = context.AfterFunc(ctx, c.abort)
 	if n, err := a.send(); err != nil {
 		if n == 0 {
 			return nil, notRun(fault.Unreachable)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -34,6 +34,15 @@
 	used   int
 }
 
+// abort ends a connection whose request was given up. Bytes of it that have not left
+// the box are dropped, so that they do not reach the upstream later.
+func (c *conn) abort() {
+	if l, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = l.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // conns keeps idle connections by upstream. The zero value needs Dial.
 type conns struct {
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
@@ -201,6 +202,14 @@
 		time.Sleep(4 * time.Second)
 		away := http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusServiceUnavailable) })
 		w.addGateway(1, away)
+		for i := range w.gateways { // Of replicas whose agents are silent a gateway takes leave sooner.
+			w.tell(i, func() (all []peers.Status) {
+				for _, r := range w.replicas {
+					all = append(all, peers.Status{Addr: r.Addr, Hall: "h1", Model: "m", Version: 1, Reached: true})
+				}
+				return all
+			})
+		}
 		time.Sleep(2300 * time.Millisecond)
 		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusOK) // 1.7 s of eight are left, less a margin.
 		is.Equal(w.ask(1, "POST", "/s/", nil).status, http.StatusOK)
--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -21,7 +22,7 @@
 // test's end.
 func (w *world) tell(gateway int, say func() []peers.Status) {
 	const every = 100 * time.Millisecond
-	const addr = "10.9.0.1:1"
+	addr := fmt.Sprintf("10.9.0.%d:1", gateway+1)
 	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: func(context.Context, net.Conn) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := &wire.Pool{
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -11,6 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/simnet"
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
@@ -291,3 +293,33 @@
 		is.Equal(w.ask(0, "POST", "/s/", nil).status, http.StatusOK)
 	})
 }
+
+// A request that was given up at the end of its replica's version does not begin
+// there later, however long it would still have been on its way.
+func TestGivenUpRequestDoesNotBeginLate(t *testing.T) {
+	const within = 8 * time.Second // As in the settings of the tests' gateways.
+	rs := engines(1, 2)
+	var named time.Time
+	var late atomic.Int64
+	rs[0].Act = func(int, *platformtest.Exchange) bool {
+		if !named.IsZero() && time.Since(named) > within {
+			late.Add(1)
+		}
+		return false
+	}
+	run(t, 1, rs, func(is *is.I, w *world) {
+		const slow = 100 // Bytes a second: a request takes over a second and a half.
+		w.net.Add(&simnet.End{Name: rs[0].Addr, Up: &simnet.Link{}, Down: &simnet.Link{Rate: slow}, Serve: rs[0].Serve})
+		w.tell(0, func() []peers.Status { // Its agent has not noticed.
+			return []peers.Status{{Addr: rs[0].Addr, Hall: "h1", Model: "m", Version: 1, Reached: true}}
+		})
+		time.Sleep(500 * time.Millisecond)
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		named = time.Now()
+		time.Sleep(within - 1100*time.Millisecond)
+		got := w.ask(0, "POST", "/s/", nil)
+		is.Equal(got.status, http.StatusBadGateway) // It may have run, for all that is known.
+		time.Sleep(5 * time.Second)
+		is.Equal(late.Load(), int64(0))
+	})
+}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -8,8 +8,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -180,6 +183,7 @@
 	path     chan packet // Written and not yet delivered.
 	ended    chan struct{}
 	end      sync.Once
+	reset    atomic.Bool // Closing drops what is not yet delivered.
 }
 
 type packet struct {
@@ -187,10 +191,26 @@
 	due  time.Time // When the first of it reaches the other side.
 }
 
-// Close implements net.Conn.
+// SetLinger is that of a net.TCPConn: with 0, closing the connection drops what was
+// written and is not yet delivered.
+func (c *conn) SetLinger(seconds int) error {
+	c.reset.Store(seconds == 0)
+	return nil
+}
+
+// Close implements net.Conn. What was written is still delivered, see SetLinger.
 func (c *conn) Close() error {
-	c.end.Do(func() { close(c.ended) })
-	return c.Conn.Close()
+	var err error
+	c.end.Do(func() {
+		close(c.ended)
+		c.once.Do(func() {}) // Nothing can be written any more.
+		if c.path == nil || c.reset.Load() {
+			err = c.Conn.Close()
+			return
+		}
+		err = c.SetReadDeadline(time.Unix(1, 0))
+	})
+	return err
 }
 
 // Write implements net.Conn. It returns once the bytes have left on the up link
@@ -225,6 +245,29 @@
 	return 0, net.ErrClosed
 }
 
+// hand gives the other side what has arrived there. The writer's deadline is over once
+// its bytes are on the path.
+func (c *conn) hand(b []byte) error {
+	for {
+		n, err := c.Conn.Write(b)
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		b = b[n:]
+		_ = c.SetWriteDeadline(time.Time{})
+	}
+}
+
+// isEnded reports whether this side has closed the connection.
+func (c *conn) isEnded() bool {
+	select {
+	case <-c.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // passable waits while the pair is stalled, and fails when it is cut.
 func (c *conn) passable() error {
 	for {
@@ -254,18 +297,26 @@
 		var p packet
 		select {
 		case p = <-c.path:
-		case <-c.ended:
-			return
-		case <-c.from.ctx.Done():
-			return
-		case <-c.to.ctx.Done():
-			return
+		default:
+			select {
+			case p = <-c.path:
+			case <-c.ended:
+				_ = c.Conn.Close()
+				return
+			case <-c.from.ctx.Done():
+				return
+			case <-c.to.ctx.Done():
+				return
+			}
 		}
 		time.Sleep(time.Until(p.due))
 		if len(p.data) >= c.net.Small {
 			time.Sleep(time.Until(c.to.Down.reserve(time.Now(), len(p.data))))
 		}
-		if _, err := c.Conn.Write(p.data); err != nil {
+		if c.reset.Load() && c.isEnded() {
+			return
+		}
+		if c.hand(p.data) != nil {
 			return
 		}
 	}
--- a/route/direct.go
+++ b/route/direct.go
@@ -94,7 +94,7 @@
 	// then, even if that takes so many times what is predicted and a margin.
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
-	slowLinkMargin    = 1500 * time.Millisecond // More, where a request may be long on its way.
+	slowLinkMargin    = 2500 * time.Millisecond // More, where a request may be long on its way: up to 1.3 s were seen.
 	slowLinkCost      = 100 * time.Millisecond
 	readingBeside     = 1.5 // A step takes so much longer for the prompts that are read beside it.
 	sampledHere       = 2   // Candidates of the own hall that one choice looks at,
@@ -240,12 +240,18 @@
 	}
 	bound := a.Bound(v)
 	margin := boundMargin
-	if r.heard(now) && r.Word.SlowLink {
+	if r.mayBeFar(now) {
 		margin += slowLinkMargin
 	}
 	return bound.IsZero() || now.Add(margin+time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
 }
 
+// mayBeFar reports whether what is sent to the replica may be long on its way: its
+// agent says so, or has said nothing of late, as when its words do not get through.
+func (r *Replica) mayBeFar(now time.Time) bool {
+	return !r.heard(now) || r.wordAge(now) >= freshWord || r.Word.SlowLink
+}
+
 // Ticket is a request's place at a replica.
 type Ticket struct {
 	replica *Replica
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -92,7 +92,17 @@
 		for _, id := range []string{"e1", "e2"} {
 			t.Heard(id, Word{Version: 1, Queued: 5, At: later}) // They have more to do.
 		}
-	}, Ask{Bound: func(uint64) time.Time { return later.Add(1500 * time.Millisecond) }}})
+	}, Ask{Bound: func(uint64) time.Time { return later.Add(2 * time.Second) }}})
+	cases = append(cases, struct {
+		name string
+		do   func(t *Table, ups map[string]fleet.Upstream)
+		ask  Ask
+	}{"one whose agent fell silent, where its version is overdue soon", func(t *Table, _ map[string]fleet.Upstream) {
+		t.Heard("e0", Word{Version: 1, At: later.Add(-2 * time.Second)})
+		for _, id := range []string{"e1", "e2"} {
+			t.Heard(id, Word{Version: 1, Queued: 5, At: later}) // They have more to do.
+		}
+	}, Ask{Bound: func(uint64) time.Time { return later.Add(2 * time.Second) }, Exclude: map[string]bool{"none": true}}})
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
