weights: no box has more than its share of chunks to get from the origin

One copy needs 1.7 s of its link.

Ruled out: the manifest (here 0.06 to 0.17 s after the name), the pacing of turns (the link was busy from 18.14 s on), slow boxes (all fetches took 150 to 400 ms).

Change: in a chunk's order the first is the best of those that are not yet first for their share; the same for who brings a chunk into a hall.

--- a/weights/choose.go
+++ b/weights/choose.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"slices"
 	"time"
 
 	"github.com/poststand/poststand/rendezvous"
@@ -9,7 +10,7 @@
 // duties looks after the chunks whose turn has come and that no neighbour has:
 // fetch from the origin if nobody is ahead, else ask those who are.
 func (p *Plan) duties(now time.Time, wake *time.Time, todo []Action) []Action {
-	if p.Hold {
+	if p.Hold || p.Yield {
 		return todo
 	}
 	for i := range p.Chunks {
@@ -19,7 +20,7 @@
 		switch {
 		case p.turn[i].After(now):
 			earlier(wake, p.turn[i])
-		case p.position[i] > 0 && !p.granted[i]:
+		case p.order.position[i] > 0 && !p.granted[i]:
 			p.asking[i] = true
 			todo = append(todo, Action{Chunk: i, Ask: p.ahead(i)})
 		case p.originAt.After(now):
@@ -48,6 +49,9 @@
 func (p *Plan) ahead(chunk int) []string {
 	const most = 3
 	ranked := rendezvous.Rank(p.Strategy.OrderKey(chunk), p.names)
+	if at := slices.Index(ranked, p.order.first[chunk]); at > 0 {
+		ranked = slices.Insert(slices.Delete(ranked, at, at+1), 0, p.order.first[chunk])
+	}
 	for i, n := range ranked {
 		if n == p.Self {
 			return ranked[max(0, i-most):i]
@@ -106,7 +110,7 @@
 func (p *Plan) choosePeer(now time.Time, chunk int, wake *time.Time) (string, bool) {
 	best, load, ties := "", 0, 0
 	far := p.mayCross(now, chunk, wake)
-	for _, name := range p.order {
+	for _, name := range p.sorted {
 		s := p.peers[name]
 		if !s.has.Has(chunk) || s.open >= perPeer || !far && !p.near[name] {
 			continue
@@ -160,7 +164,7 @@
 // spareFetch spends what the origin may send beyond one copy, once the first
 // copy has left it and no peer has room.
 func (p *Plan) spareFetch(now time.Time) (Action, bool) {
-	if p.Hold || p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
+	if p.Hold || p.Yield || p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
 		return Action{}, false
 	}
 	chunk := -1
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -58,6 +58,7 @@
 	AtOrigin int  // Fetches that a box has open from the origin; 2 by default.
 	Adapt    bool // Have fewer open while they take long.
 	Hold     bool // Leave the origin alone: the box may turn out to have more already.
+	Yield    bool // Leave the origin alone: another artifact goes first.
 	// Near are the boxes of this box's hall, itself among them. Where it is set, a
 	// chunk that one of them has comes from them; one that only other halls have
 	// is brought by the first of Near in the chunk's order, and by the next ones
@@ -67,12 +68,12 @@
 	have      Bitmap
 	missing   int
 	names     []string
-	position  []int       // Boxes ahead of this one, by chunk.
+	order     order       // Who looks after each chunk.
 	turn      []time.Time // When this box next looks after a chunk.
 	rarity    []int       // Peers known to have a chunk.
 	fetching  map[int][]fetch
 	peers     map[string]*peerState
-	order     []string // The names of peers, sorted, so that a plan is repeatable.
+	sorted    []string // The names of peers, sorted, so that a plan is repeatable.
 	open      int
 	atOrigin  int
 	spare     int // Chunks that this box may still fetch beyond its duty.
@@ -130,17 +131,18 @@
 // SetMembers tells which boxes want the artifact now, this one among them.
 func (p *Plan) SetMembers(names []string) {
 	p.names = names
-	fresh, before := p.position == nil, p.position
-	p.position = make([]int, p.Chunks)
+	fresh, before := p.order.position == nil, p.order.position
+	p.order = order{first: make([]string, p.Chunks), position: make([]int, p.Chunks)}
+	if p.Strategy.OrderKey != nil {
+		p.order = orderOf(p.Strategy.OrderKey, p.Chunks, p.Self, names, p.Strategy.Balanced)
+	}
 	if fresh {
 		p.turn = make([]time.Time, p.Chunks)
 	}
 	for i := range p.Chunks {
-		if p.Strategy.OrderKey != nil {
-			p.position[i] = rendezvous.Position(p.Strategy.OrderKey(i), p.Self, names)
-		}
-		turn := p.scheduled(i).Add(time.Duration(p.position[i]) * p.grace())
-		if fresh || p.position[i] < before[i] && turn.Before(p.turn[i]) {
+		ahead := p.order.position[i]
+		turn := p.scheduled(i).Add(time.Duration(ahead) * p.grace())
+		if fresh || ahead < before[i] && turn.Before(p.turn[i]) {
 			p.turn[i] = turn // Sooner, where a box ahead has gone.
 		}
 	}
@@ -153,13 +155,12 @@
 		p.near = nil
 		return
 	}
-	p.near, p.across = map[string]bool{}, make([]int, p.Chunks)
+	p.near = map[string]bool{}
 	for _, n := range names {
 		p.near[n] = true
 	}
-	for i := range p.Chunks {
-		p.across[i] = rendezvous.Position("across/"+p.Strategy.OrderKey(i), p.Self, names)
-	}
+	across := func(chunk int) string { return "across/" + p.Strategy.OrderKey(chunk) }
+	p.across = orderOf(across, p.Chunks, p.Self, names, p.Strategy.Balanced).position
 }
 
 // scheduled is when the origin's link comes to a chunk, one after another.
@@ -184,13 +185,25 @@
 // Missing returns how many chunks the box lacks.
 func (p *Plan) Missing() int { return p.missing }
 
+// Unoffered returns how many chunks neither this box nor a neighbour has: they have
+// yet to leave the origin, as far as is known.
+func (p *Plan) Unoffered(now time.Time) int {
+	n := 0
+	for i := range p.Chunks {
+		if !p.have.Has(i) && !p.offered(now, i) {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *Plan) peer(name string) *peerState {
 	s, ok := p.peers[name]
 	if !ok {
 		s = &peerState{has: NewBitmap(p.Chunks)}
 		p.peers[name] = s
-		i, _ := slices.BinarySearch(p.order, name)
-		p.order = slices.Insert(p.order, i, name)
+		i, _ := slices.BinarySearch(p.sorted, name)
+		p.sorted = slices.Insert(p.sorted, i, name)
 	}
 	return s
 }
@@ -242,7 +255,7 @@
 		// The next try asks those ahead again: when the origin comes back, one of
 		// all that were waiting for it may have the chunk by then.
 		delete(p.granted, chunk)
-		if p.position[chunk] > 0 {
+		if p.order.position[chunk] > 0 {
 			p.turn[chunk] = now.Add(p.grace() / 2)
 		}
 		p.originAt = now.Add(originRetry/2 + time.Duration(p.Rand.Int64N(int64(originRetry))))
@@ -306,7 +319,7 @@
 // when the origin can be had: it is first in the order, or those ahead have left
 // it to this box.
 func (p *Plan) LooksAfter(chunk int) bool {
-	return !p.have.Has(chunk) && (p.position[chunk] == 0 || p.granted[chunk])
+	return !p.have.Has(chunk) && (p.order.position[chunk] == 0 || p.granted[chunk])
 }
 
 // AskedAhead records that a box ahead looks after a chunk but has not begun to
--- a/weights/strategy.go
+++ b/weights/strategy.go
@@ -24,6 +24,8 @@
 	// OrderKey is the rendezvous key of a chunk. The box that is first for it
 	// fetches the chunk from the origin. Nil lets every box use the origin.
 	OrderKey func(chunk int) string
+	// Balanced gives no box more than its share of the chunks to get first.
+	Balanced bool
 }
 
 // Degrees of the swarm's graph: what a box dials. It is dialled as often.
@@ -34,7 +36,7 @@
 
 // Swarm is pull from a few neighbours, rarest chunk first, each chunk fetched
 // from the origin by one box of its own.
-var Swarm = Strategy{Name: "swarm", Neighbours: swarmNeighbours, OrderKey: func(chunk int) string { return "chunk/" + strconv.Itoa(chunk) }}
+var Swarm = Strategy{Name: "swarm", Neighbours: swarmNeighbours, OrderKey: func(chunk int) string { return "chunk/" + strconv.Itoa(chunk) }, Balanced: true}
 
 // Tree is one binary tree over all boxes; only its root uses the origin.
 var Tree = Strategy{Name: "tree", Neighbours: treeParent, OrderKey: func(int) string { return treeKey }}
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -36,6 +36,8 @@
 	manifest       *Manifest
 	chunks         []Chunk
 	missingAtFirst int
+	firstAt        time.Time // When the first chunk came; zero before.
+	yields         bool
 	sessions       map[string]*session
 	cancels        map[fetchKey]context.CancelFunc
 	poke           chan struct{} // Something happened; a ring of one, since one look finds all.
@@ -98,6 +100,30 @@
 	return t.plan.Ease()
 }
 
+// Unoffered returns how many chunks have yet to leave the origin, as far as is known:
+// all of them, of which -1 says that the number is not known, while there is no
+// manifest.
+func (t *Transfer) Unoffered(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil {
+		return -1
+	}
+	return t.plan.Unoffered(now)
+}
+
+// Yield has the transfer leave the origin to another one, or use it again.
+func (t *Transfer) Yield(yields bool) {
+	t.init()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.yields = yields
+	if t.plan != nil && t.plan.Yield != yields {
+		t.plan.Yield = yields
+		t.happened()
+	}
+}
+
 // CompleteBy estimates when the transfer will be complete, if it goes on as it did so
 // far. It is zero while nothing is known, and when the transfer is complete.
 func (t *Transfer) CompleteBy(now time.Time) time.Time {
@@ -108,10 +134,10 @@
 	}
 	missing := t.plan.Missing()
 	got := t.missingAtFirst - missing
-	if missing == 0 || got == 0 {
+	if missing == 0 || got <= 0 || t.firstAt.IsZero() {
 		return time.Time{}
 	}
-	return now.Add(now.Sub(t.plan.Begin) / time.Duration(got) * time.Duration(missing))
+	return now.Add(now.Sub(t.firstAt) / time.Duration(got) * time.Duration(missing))
 }
 
 // Run fetches until complete and serves until ctx ends.
@@ -199,6 +225,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.plan, t.manifest, t.chunks, t.missingAtFirst = p, m, chunks, p.Missing()
+	p.Yield = t.yields
 	close(t.begun)
 	if p.Complete() {
 		close(t.complete)
@@ -321,6 +348,9 @@
 	t.plan.Fetched(time.Now(), a.Chunk, a.From, code)
 	if code == "" && !had {
 		t.announce(a.Chunk)
+		if t.firstAt.IsZero() {
+			t.firstAt = time.Now()
+		}
 	}
 	if !before && t.plan.Complete() {
 		close(t.complete)
