stager, relay: an overtaken version serves while the newest cannot be had

Change: the transfers of versions whose time is not over go on beside the newest one's; one of them at a time uses the origin, the one that lacks little first if the newest will still be whole in time (originFirst); at its turn a replica takes the newest that is here if the newest of all will be late (next). A request's line tells the longest pause between its events, and each chunk that is asked of the origin has a line.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -14,6 +14,8 @@
 	rq      *request
 	started bool // Something has gone to the caller.
 	firstAt time.Time
+	lastAt  time.Time     // When the last event went to the caller; zero before.
+	pause   time.Duration // The longest between two events.
 
 	// A failure of a replica, kept in case no other send does better.
 	failedHeader http.Header
@@ -81,8 +83,13 @@
 	if !o.started {
 		o.head(resp.StatusCode, resp.Header, -1)
 	}
+	now := time.Now()
+	if !o.lastAt.IsZero() {
+		o.pause = max(o.pause, now.Sub(o.lastAt))
+	}
+	o.lastAt = now
 	rc := http.NewResponseController(o.w)
-	_ = rc.SetWriteDeadline(time.Now().Add(slowCaller))
+	_ = rc.SetWriteDeadline(now.Add(slowCaller))
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -138,6 +138,6 @@
 	telemetry.Log("request", "id", rq.id, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "sends", strings.Join(rq.trail, ","),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "word_age_ms", rq.wordAge.Milliseconds(),
-		"again", rq.again, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"again", rq.again, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -40,13 +40,13 @@
 
 // load brings the assigned version to the box and its replica.
 func (s *Stager) load(ctx context.Context) error {
-	var now *running
+	var vs versions
 	for ctx.Err() == nil {
 		a, wanted, changed := s.now.watch()
 		wait := lookIdle
 		if a != nil {
-			now = s.transfer(ctx, now, a, wanted.Overtaken(a.Version-1))
-			if !s.step(ctx, now, a, wanted) {
+			s.follow(ctx, &vs, a, wanted)
+			if !s.step(ctx, &vs, a, wanted) {
 				wait = look
 			}
 		}
@@ -63,16 +63,8 @@
 
 func artifactOf(model string, version uint64) string { return fmt.Sprintf("%s/%d", model, version) }
 
-// transfer returns the transfer of what is assigned, and ends one of anything
-// else.
-func (s *Stager) transfer(ctx context.Context, now *running, a *peers.Assignment, named time.Time) *running {
-	if now != nil && now.model == a.Model && now.version == a.Version {
-		return now
-	}
-	if now != nil {
-		now.cancel()
-		s.exchange.Store.Unpin(now.Artifact)
-	}
+// transfer starts the transfer of what is assigned.
+func (s *Stager) transfer(ctx context.Context, a *peers.Assignment, named time.Time) *running {
 	const window = 2 // Copies that a box's link is planned to carry.
 	copyIn := time.Second
 	if a.OriginRate > 0 {
@@ -162,7 +154,10 @@
 		return nil, fault.New(fault.Unreachable, "no origin is known")
 	}
 	if p, ok := s.pieces.find(name); ok {
-		return s.options.Origin.Piece(ctx, a.Origin, p.model, p.version, p.number)
+		began := time.Now()
+		data, err := s.options.Origin.Piece(ctx, a.Origin, p.model, p.version, p.number)
+		telemetry.Log("origin_asked", "model", p.model, "version", p.version, "piece", p.number, "took", time.Since(began), "reason", fault.CodeOf(err))
+		return data, err
 	}
 	if name != artifactOf(a.Model, a.Version) {
 		return nil, fault.New(fault.NotHeld, name)
@@ -199,49 +194,55 @@
 
 // step goes as far as it can towards a replica with the assigned version, and
 // reports whether it is there.
-func (s *Stager) step(ctx context.Context, r *running, a *peers.Assignment, wanted catalog.Wanted) bool {
-	_, missing := r.Progress()
-	if r.Ease() < slowEase {
-		s.slowUntil = time.Now().Add(slowFor)
-	}
-	slow := time.Now().Before(s.slowUntil)
-	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
+func (s *Stager) step(ctx context.Context, vs *versions, a *peers.Assignment, wanted catalog.Wanted) bool {
+	now := time.Now()
+	cs := s.candidates(vs, a, wanted, now)
+	vs.shareOrigin(now, cs)
+	s.tellProgress(vs.newest, now)
 	rep, ok := s.status.report()
 	if !ok {
 		return false
 	}
-	turn := s.turn(a, rep, wanted, r.CompleteBy(time.Now()))
+	to := next(now, cs, rep.Version, s.until(wanted, rep.Version))
+	turn := s.turn(a, rep, wanted, to.wholeBy)
 	s.status.changes(turn)
-	if rep.Version == a.Version && !rep.Ordered {
+	if !rep.Ordered && rep.Version != 0 && rep.Version >= vs.ordered {
 		s.status.set(func(st *peers.Status) { st.Changing = false })
-		return true
 	}
-	if rep.Ordered {
-		return false
+	if rep.Version == a.Version && !rep.Ordered {
+		return true
 	}
-	select {
-	case <-r.Complete():
-	default:
+	if rep.Ordered || !to.whole || now.Before(turn) {
 		return false
 	}
-	if time.Now().Before(turn) {
-		return false
+	vs.ordered = to.version
+	s.change(ctx, vs.find(to.version), rep)
+	return false
+}
+
+// tellProgress has gateways told how the newest version comes along, and whether the
+// box's link is slow.
+func (s *Stager) tellProgress(r *running, now time.Time) {
+	_, missing := r.Progress()
+	if r.Ease() < slowEase {
+		s.slowUntil = now.Add(slowFor)
 	}
-	return s.change(ctx, r, a, rep)
+	slow := now.Before(s.slowUntil)
+	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
 }
 
 // change stages what the replica should take and orders it to take it.
-func (s *Stager) change(ctx context.Context, r *running, a *peers.Assignment, rep Report) bool {
+func (s *Stager) change(ctx context.Context, r *running, rep Report) {
 	s.status.set(func(st *peers.Status) { st.Changing = true })
 	began := time.Now()
 	for i, c := range r.Manifest().Files[0].Chunks {
 		data, ok := s.exchange.Store.Get(c.Digest)
 		if !ok {
-			return false
+			return
 		}
-		if err := s.options.Replica.Stage(ctx, a.Model, i, data); err != nil {
-			telemetry.LogError(err, "stage_failed", "model", a.Model, "version", a.Version, "piece", i)
-			return false
+		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
+			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
+			return
 		}
 	}
 	if left := tellLead - time.Since(began); left > 0 {
@@ -249,10 +250,9 @@
 	}
 	octx, cancel := context.WithTimeout(ctx, orderIn)
 	defer cancel()
-	err := s.options.Replica.Order(octx, a.Model, a.Version, rep.Orders)
+	err := s.options.Replica.Order(octx, r.model, r.version, rep.Orders)
 	s.status.expire()
-	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", a.Model, "version", a.Version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
-	return false
+	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
 }
 
 // Rolling: the replicas take a version one after the other, spread over the time
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -259,9 +259,17 @@
 }
 
 func (p *pieces) note(model string, version uint64, m *weights.Manifest) {
+	const most = 8 // Versions that are kept; all but the last few are over.
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.by = map[string]piece{}
+	for digest, at := range p.by {
+		if at.model != model || at.version+most <= version {
+			delete(p.by, digest)
+		}
+	}
+	if p.by == nil {
+		p.by = map[string]piece{}
+	}
 	for _, f := range m.Files {
 		for i, c := range f.Chunks {
 			p.by[c.Digest] = piece{model, version, i}
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -127,6 +127,35 @@
 	// manifests is how many manifests did, and spoilManifest which of them is spoilt
 	// on its way; 0 for none.
 	manifests, spoilManifest int
+	originRate               float64 // Pieces a second that the origin sends; 0 is no limit.
+	originFree               time.Time
+	away                     bool // The origin cannot be reached.
+}
+
+func (s *site) setAway(away bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = away
+}
+
+// send is a piece on the origin's link.
+func (s *site) send() error {
+	s.mu.Lock()
+	if s.away {
+		s.mu.Unlock()
+		return fault.New(fault.Unreachable, "origin")
+	}
+	s.fetched++
+	if now := time.Now(); s.originFree.Before(now) {
+		s.originFree = now
+	}
+	if s.originRate > 0 {
+		s.originFree = s.originFree.Add(time.Duration(float64(time.Second) / s.originRate))
+	}
+	sent := s.originFree
+	s.mu.Unlock()
+	time.Sleep(time.Until(sent))
+	return nil
 }
 
 // play runs a test on a site of its own in virtual time.
@@ -163,9 +192,9 @@
 				return m, nil
 			},
 			Piece: func(_ context.Context, _, _ string, version uint64, n int) ([]byte, error) {
-				s.mu.Lock()
-				defer s.mu.Unlock()
-				s.fetched++
+				if err := s.send(); err != nil {
+					return nil, err
+				}
 				return pieceOf(version, n), nil
 			},
 		},
--- /dev/null
+++ b/internal/stager/versions.go
@@ -0,0 +1,187 @@
+package stager
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/telemetry"
+)
+
+// versions are the transfers of a model: of the newest version that was named, and
+// of those before it whose time is not over. An older one may be here while the
+// newest cannot be had in time, and is better than none. Only the loader uses it.
+type versions struct {
+	newest  *running
+	older   []*running // The oldest first; each has its manifest.
+	ordered uint64     // The version that the replica was last ordered to take.
+}
+
+// Times of overlapping versions.
+const (
+	// leastUse is for how long a version must serve to be worth a replica's change.
+	leastUse = 1500 * time.Millisecond
+	// swarmLag is how long after the last chunk has left the origin all boxes have it:
+	// 0.8 to 1.1 s were seen.
+	swarmLag = time.Second
+	// originSlack is how much longer than the origin's link needs a copy takes.
+	originSlack = 1.25
+)
+
+// candidate is a version that a replica may take, as far as the box knows.
+type candidate struct {
+	version   uint64
+	whole     bool          // It is here.
+	wholeBy   time.Time     // When it may be; zero while that is not known.
+	until     time.Time     // When requests may no longer begin on it; zero for the newest.
+	unoffered int           // Chunks that have yet to leave the origin; -1 if not known.
+	chunks    int           // Of the whole; 0 if not known.
+	before    time.Time     // When requests may no longer begin on the version before it.
+	perChunk  time.Duration // The origin's link carries one chunk in it.
+}
+
+// follow starts the transfer of what is assigned, and ends those of versions that
+// are of no use any more.
+func (s *Stager) follow(ctx context.Context, vs *versions, a *peers.Assignment, wanted catalog.Wanted) {
+	now := time.Now()
+	if vs.newest == nil || vs.newest.model != a.Model || vs.newest.version != a.Version {
+		if old := vs.newest; old != nil {
+			vs.older = append(vs.older, old)
+		}
+		vs.newest = s.transfer(ctx, a, wanted.Overtaken(a.Version-1))
+	}
+	vs.older = slices.DeleteFunc(vs.older, func(r *running) bool {
+		keeps := r.model == a.Model && r.Manifest() != nil && s.until(wanted, r.version).Sub(now) >= leastUse
+		if !keeps {
+			s.drop(r)
+		}
+		return !keeps
+	})
+}
+
+// drop ends a transfer, and lets go of its chunks.
+func (s *Stager) drop(r *running) {
+	telemetry.Log("transfer_ended", "artifact", r.Artifact)
+	r.cancel()
+	s.exchange.Store.Unpin(r.Artifact)
+}
+
+// until is when replicas should no longer hold a version; zero if it is the newest.
+func (s *Stager) until(wanted catalog.Wanted, version uint64) time.Time {
+	t := wanted.Overtaken(version)
+	if t.IsZero() {
+		return t
+	}
+	return t.Add(s.bounds.Load().VersionWithin - rollMargin)
+}
+
+// candidates returns what the replica may take, the oldest first.
+func (s *Stager) candidates(vs *versions, a *peers.Assignment, wanted catalog.Wanted, now time.Time) []candidate {
+	var out []candidate
+	for _, r := range append(slices.Clone(vs.older), vs.newest) {
+		c := candidate{
+			version: r.version, whole: r.whole(), wholeBy: r.CompleteBy(now), until: s.until(wanted, r.version),
+			unoffered: r.Unoffered(now), before: s.until(wanted, r.version-1),
+		}
+		c.chunks, _ = r.Progress()
+		if c.chunks > 0 && a.OriginRate > 0 {
+			c.perChunk = time.Duration(float64(a.Bytes) / a.OriginRate / float64(c.chunks) * float64(time.Second))
+		}
+		out = append(out, c)
+	}
+	return out
+}
+
+// whole reports whether every chunk is here.
+func (r *running) whole() bool {
+	select {
+	case <-r.Complete():
+		return true
+	default:
+		return false
+	}
+}
+
+// shareOrigin lets one transfer use the origin, and has the others leave it alone.
+func (vs *versions) shareOrigin(now time.Time, cs []candidate) {
+	first := originFirst(now, cs)
+	for _, r := range append(slices.Clone(vs.older), vs.newest) {
+		r.Yield(r.version != first)
+	}
+}
+
+// originFirst says which version's chunks leave the origin first: an older one that
+// lacks little, if the newest will still be whole before the version that replicas
+// hold is over, or cannot be in any case. It is pure. cs is not empty, and the newest
+// is the last.
+func originFirst(now time.Time, cs []candidate) uint64 {
+	newest := cs[len(cs)-1]
+	var old candidate
+	for _, c := range cs[:len(cs)-1] {
+		if c.unoffered > 0 && c.until.Sub(now) >= leastUse+c.takes() && (old.version == 0 || c.unoffered < old.unoffered) {
+			old = c
+		}
+	}
+	if old.version == 0 || old.before.IsZero() {
+		return newest.version
+	}
+	newest.assumes(old)
+	fits := func(takes time.Duration) bool { return !now.Add(takes).After(old.before) }
+	if fits(old.takes()+newest.takes()) || fits(old.takes()) && !fits(newest.takes()) {
+		return old.version
+	}
+	return newest.version
+}
+
+// takes is how long a version needs until it is whole everywhere, if the origin sends
+// nothing else.
+func (c *candidate) takes() time.Duration {
+	return swarmLag + time.Duration(originSlack*float64(max(0, c.unoffered))*float64(c.perChunk))
+}
+
+// assumes takes a version of which there is no manifest to be as large as another.
+func (c *candidate) assumes(o candidate) {
+	if c.perChunk == 0 {
+		c.perChunk, c.unoffered = o.perChunk, o.chunks
+	}
+}
+
+// next says which version a replica takes next, which holds another one until
+// heldUntil: the newest, unless an older one is here and the newest will be late. It
+// is pure. cs is not empty, and the newest is the last.
+func next(now time.Time, cs []candidate, held uint64, heldUntil time.Time) candidate {
+	newest := cs[len(cs)-1]
+	if newest.whole {
+		return newest
+	}
+	late := heldUntil
+	if held == 0 {
+		late = now.Add(leastUse)
+	}
+	newest.assumes(cs[0])
+	by := newest.wholeBy
+	if by.IsZero() {
+		by = now.Add(newest.takes())
+	}
+	if !by.After(late) {
+		return newest
+	}
+	for _, c := range slices.Backward(cs[:len(cs)-1]) {
+		if c.whole && c.version > held && c.until.Sub(now) >= leastUse {
+			return c
+		}
+	}
+	return newest
+}
+
+// find returns the transfer of a version.
+func (vs *versions) find(version uint64) *running {
+	for _, r := range vs.older {
+		if r.version == version {
+			return r
+		}
+	}
+	return vs.newest
+}
