stager: an overtaken version is rolled once the newest has stalled; what was read back is not staged again

A newest version of which nothing has left the origin for a second counts as late, so that the replicas' turns for the older one begin when that is here.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -138,9 +138,22 @@
 			break // Another version lies there.
 		}
 	}
+	if kept == len(chunks) {
+		s.readBack.Store(&readBack{artifact: artifactOf(model, version), goodUntil: time.Now().Add(readBackFor)})
+	}
 	telemetry.Log("staged_read", "model", model, "version", version, "held", len(held), "kept", kept)
 }
 
+// readBack is a version of which every piece was found intact where the replica takes
+// it from.
+type readBack struct {
+	artifact  string
+	goodUntil time.Time // Pieces may turn bad there later.
+}
+
+// readBackFor is for how long a version that was read back need not be staged again.
+const readBackFor = time.Second
+
 // sample is after how many pieces of which none matched the rest is not read.
 const sample = 6
 
@@ -204,7 +217,7 @@
 		return false
 	}
 	to := next(now, cs, rep.Version, s.until(wanted, rep.Version))
-	turn := s.turn(a, rep, wanted, to.wholeBy)
+	turn := s.turn(a, rep, wanted, to)
 	s.status.changes(turn)
 	if !rep.Ordered && rep.Version != 0 && rep.Version >= vs.ordered {
 		s.status.set(func(st *peers.Status) { st.Changing = false })
@@ -235,17 +248,10 @@
 func (s *Stager) change(ctx context.Context, r *running, rep Report) {
 	s.status.set(func(st *peers.Status) { st.Changing = true })
 	began := time.Now()
-	for i, c := range r.Manifest().Files[0].Chunks {
-		data, ok := s.exchange.Store.Get(c.Digest)
-		if !ok {
-			return
-		}
-		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
-			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
-			return
-		}
+	if !s.stage(ctx, r) {
+		return
 	}
-	if left := tellLead - time.Since(began); left > 0 {
+	if left := tellLead - time.Since(began); left > 0 && rep.Version != 0 {
 		kernel.Sleep(ctx, left)
 	}
 	octx, cancel := context.WithTimeout(ctx, orderIn)
@@ -255,6 +261,25 @@
 	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
 }
 
+// stage puts a version where the replica takes it from, unless it lies there intact
+// already, and reports whether all of it is there.
+func (s *Stager) stage(ctx context.Context, r *running) bool {
+	if b := s.readBack.Load(); b != nil && b.artifact == r.Artifact && time.Now().Before(b.goodUntil) {
+		return true
+	}
+	for i, c := range r.Manifest().Files[0].Chunks {
+		data, ok := s.exchange.Store.Get(c.Digest)
+		if !ok {
+			return false
+		}
+		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
+			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
+			return false
+		}
+	}
+	return true
+}
+
 // Rolling: the replicas take a version one after the other, spread over the time
 // between the first that can have it and the end of the older ones' time, so that
 // as few as possible finish what they run at the same moment.
@@ -265,15 +290,15 @@
 
 // turn is when the replica may change, or zero for at once: one that serves
 // nothing need not wait. It is never before the weights are here.
-func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, whole time.Time) time.Time {
+func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, to candidate) time.Time {
 	if rep.Version == 0 || rep.Version == a.Version {
 		return time.Time{}
 	}
 	place := placeOf(a, s.exchange.Self)
 	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	turn := turnOf(wanted, rep.Version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
-	if whole.After(turn) {
-		return whole
+	turn := turnOf(wanted, rep.Version, to.version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
+	if to.wholeBy.After(turn) {
+		return to.wholeBy
 	}
 	return turn
 }
@@ -300,16 +325,15 @@
 	return min(1, (place+turn)/float64(max(1, len(here))))
 }
 
-// turnOf is when the replica at a place among all changes from a version: spread
-// from when the newest can be here, lead after it was named, to when the time of
-// its own version is over, within after that was overtaken. It is pure.
-func turnOf(w catalog.Wanted, version uint64, lead, within time.Duration, place float64) time.Time {
-	newest := w.Overtaken(w.Version - 1)
-	overtaken := w.Overtaken(version)
-	if newest.IsZero() || overtaken.IsZero() {
+// turnOf is when the replica at a place among all changes from one version to another:
+// spread from when that can be here, lead after it was named, to when the time of its
+// own version is over, within after that was overtaken. It is pure.
+func turnOf(w catalog.Wanted, from, to uint64, lead, within time.Duration, place float64) time.Time {
+	named, overtaken := w.Overtaken(to-1), w.Overtaken(from)
+	if named.IsZero() || overtaken.IsZero() {
 		return time.Time{}
 	}
-	begin, end := newest.Add(lead), overtaken.Add(within)
+	begin, end := named.Add(lead), overtaken.Add(within)
 	span := max(0, end.Sub(begin))
 	return begin.Add(time.Duration(float64(span) * place))
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -62,6 +62,7 @@
 	slowUntil time.Time // The link counts as slow until then; only the loader touches it.
 	// recovered says that what the box held was read back.
 	recovered atomic.Bool
+	readBack  atomic.Pointer[readBack] // Nil until a whole version was read back.
 }
 
 // New returns a stager with its parts joined.
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -49,6 +49,7 @@
 	report Report
 	staged map[int][]byte
 	orders []uint64  // The versions that it was ordered to take.
+	puts   int       // Pieces that were staged.
 	spoilt int       // Orders while a staged piece was not of the version.
 	upAt   time.Time // It answers nothing before.
 }
@@ -87,6 +88,7 @@
 		Stage: func(_ context.Context, _ string, n int, data []byte) error {
 			r.mu.Lock()
 			defer r.mu.Unlock()
+			r.puts++
 			r.staged[n] = data
 			return nil
 		},
@@ -330,6 +332,7 @@
 		time.Sleep(3 * time.Second)
 		is.Equal(s.holding(), map[uint64]int{1: 1})
 		is.Equal(s.fetched, 0)
+		is.Equal(r.puts, 0) // Nor is it staged again.
 	})
 }
 
--- a/internal/stager/turn_test.go
+++ b/internal/stager/turn_test.go
@@ -18,25 +18,27 @@
 	once := catalog.Wanted{}.With(catalog.Step{Version: 2, Named: named})
 	twice := once.With(catalog.Step{Version: 3, Named: named.Add(2 * time.Second)})
 	cases := []struct {
-		name    string
-		wanted  catalog.Wanted
-		version uint64
-		place   float64
-		want    time.Duration // After the first naming.
+		name   string
+		wanted catalog.Wanted
+		from   uint64
+		to     uint64
+		place  float64
+		want   time.Duration // After the first naming.
 	}{
-		{"the first waits for the weights alone", once, 1, 0, 3 * time.Second},
-		{"half way between the weights and the bound", once, 1, 0.5, 5 * time.Second},
-		{"the last at the bound", once, 1, 1, 7 * time.Second},
-		{"the bound of the version it holds, not of the newest", twice, 1, 1, 7 * time.Second},
-		{"the newest weights come later", twice, 1, 0, 5 * time.Second},
-		{"one that holds the version between has longer", twice, 2, 1, 9 * time.Second},
+		{"the first waits for the weights alone", once, 1, 2, 0, 3 * time.Second},
+		{"half way between the weights and the bound", once, 1, 2, 0.5, 5 * time.Second},
+		{"the last at the bound", once, 1, 2, 1, 7 * time.Second},
+		{"the bound of the version it holds, not of the newest", twice, 1, 3, 1, 7 * time.Second},
+		{"the newest weights come later", twice, 1, 3, 0, 5 * time.Second},
+		{"one that holds the version between has longer", twice, 2, 3, 1, 9 * time.Second},
+		{"the one between is taken first", twice, 1, 2, 0, 3 * time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			is.New(t).Equal(turnOf(tc.wanted, tc.version, lead, within, tc.place).Sub(named), tc.want)
+			is.New(t).Equal(turnOf(tc.wanted, tc.from, tc.to, lead, within, tc.place).Sub(named), tc.want)
 		})
 	}
-	is.New(t).True(turnOf(once, 2, lead, within, 0).IsZero()) // It holds the newest.
+	is.New(t).True(turnOf(once, 2, 2, lead, within, 0).IsZero()) // It holds the newest.
 }
 
 // Places of all replicas differ, and those of a hall are spread over the whole
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -17,6 +17,10 @@
 	newest  *running
 	older   []*running // The oldest first; each has its manifest.
 	ordered uint64     // The version that the replica was last ordered to take.
+	// left is how many chunks of the newest had yet to leave the origin when that last
+	// became less, at movedAt.
+	left    int
+	movedAt time.Time
 }
 
 // Times of overlapping versions.
@@ -28,6 +32,9 @@
 	swarmLag = time.Second
 	// originSlack is how much longer than the origin's link needs a copy takes.
 	originSlack = 1.25
+	// stalledAfter is for how long no chunk of a version leaves the origin until the
+	// version is taken to be late: the origin is away, or cannot be reached.
+	stalledAfter = time.Second
 )
 
 // candidate is a version that a replica may take, as far as the box knows.
@@ -35,6 +42,7 @@
 	version   uint64
 	whole     bool          // It is here.
 	wholeBy   time.Time     // When it may be; zero while that is not known.
+	stalled   bool          // Nothing of it has left the origin for a while.
 	until     time.Time     // When requests may no longer begin on it; zero for the newest.
 	unoffered int           // Chunks that have yet to leave the origin; -1 if not known.
 	chunks    int           // Of the whole; 0 if not known.
@@ -110,6 +118,11 @@
 	for _, r := range append(slices.Clone(vs.older), vs.newest) {
 		r.Yield(r.version != first)
 	}
+	newest := &cs[len(cs)-1]
+	if first != newest.version || newest.unoffered != vs.left {
+		vs.left, vs.movedAt = newest.unoffered, now
+	}
+	newest.stalled = newest.unoffered != 0 && now.Sub(vs.movedAt) >= stalledAfter
 }
 
 // originFirst says which version's chunks leave the origin first: an older one that
@@ -165,7 +178,7 @@
 	if by.IsZero() {
 		by = now.Add(newest.takes())
 	}
-	if !by.After(late) {
+	if !newest.stalled && !by.After(late) {
 		return newest
 	}
 	for _, c := range slices.Backward(cs[:len(cs)-1]) {
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -56,6 +56,7 @@
 		{"it will be here in time", []candidate{old, {version: 3, wholeBy: heldUntil}}, 1, 3},
 		{"it will be late", []candidate{old, {version: 3, wholeBy: heldUntil.Add(1)}}, 1, 2},
 		{"none of it came, and it would take too long", []candidate{old, {version: 3, unoffered: 64, perChunk: 30 * time.Millisecond}}, 1, 2},
+		{"nothing of it comes any more", []candidate{old, {version: 3, wholeBy: heldUntil, stalled: true}}, 1, 2},
 		{"none of it came yet", []candidate{old, {version: 3, unoffered: 10, perChunk: 30 * time.Millisecond}}, 1, 3},
 		{"the older one is not here", []candidate{{version: 2, until: old.until}, {version: 3, wholeBy: old.until}}, 1, 3},
 		{"the older one is nearly over", []candidate{{version: 2, whole: true, until: now.Add(time.Second)}, {version: 3, wholeBy: old.until}}, 1, 3},
