stager: weights are sent at 0.85 of the link's rate instead of 0.96

Hypothesis: a replica's events, about 0.7 Mbit/s while it is busy, leave over the same link of 7.6; with 0.96 of it for weights a queue builds up, and first events are late while weights move (18 to 21 s: 7 to 20 of 100 over 300 ms, 1 to 2 of 100 before).

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -109,7 +109,7 @@
 // paced just below the link's rate, in small parts, so that the link has no queue
 // in which an event of an answer would wait.
 const (
-	linkShare   = 0.96
+	linkShare   = 0.85
 	sendPart    = 4 << 10
 	uploadSlots = 1
 	uploadQueue = 4 // So that the link is not idle between two.
