route, relay: a replica that comes back is not overrun; refusals of a starting gateway say when to come back

Requests with late first events have 14 to 16 others within a quarter of a second at the same replica, one that has just taken the new version: it looks idle to all gateways until agents tell. A gateway without a configuration told all callers to come back after 0.5 s; after a loss of power they came before any replica held weights, and were refused again.

Change: a replica that comes back is drawn for 0.15 of the choices at first, for all of them after 0.7 s. A starting gateway's refusals carry the same times as others.

--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -188,7 +188,7 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		if res.RetryAt.IsZero() {
-			res.RetryAt = time.Now().Add(defaultComeBack)
+			res.RetryAt = g.comeBack(time.Now(), rq, 0)
 		}
 		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(res.RetryAt).Seconds()), 'f', 2, 64))
 	}
@@ -207,5 +207,3 @@
 		h.Set("Connection", "close")
 	}
 }
-
-const defaultComeBack = 500 * time.Millisecond
--- a/route/direct.go
+++ b/route/direct.go
@@ -38,6 +38,8 @@
 	LeftAt time.Time
 	// changing is since when it is about to take another version; zero if it is not.
 	changing time.Time
+	// backAt is when it was first told that it takes requests, after it did not.
+	backAt time.Time
 	// goneAt is when the list first lacked it; zero if it does not.
 	goneAt time.Time
 	// alive is when it last answered a request.
@@ -96,10 +98,12 @@
 	boundMargin       = 200 * time.Millisecond
 	slowLinkMargin    = 2500 * time.Millisecond // More, where a request may be long on its way: up to 1.3 s were seen.
 	slowLinkCost      = 100 * time.Millisecond
-	readingBeside     = 1.5 // A step takes so much longer for the prompts that are read beside it.
-	sampledHere       = 2   // Candidates of the own hall that one choice looks at,
-	sampledThere      = 2   // and of other halls.
-	holdUpCost        = 0.2 // Of the time by which a request would hold up a change.
+	readingBeside     = 1.5                    // A step takes so much longer for the prompts that are read beside it.
+	sampledHere       = 2                      // Candidates of the own hall that one choice looks at,
+	sampledThere      = 2                      // and of other halls.
+	backShare         = 0.15                   // Of the choices that look at a replica when it has just come back,
+	backOver          = 700 * time.Millisecond // rising to all of them over this.
+	holdUpCost        = 0.2                    // Of the time by which a request would hold up a change.
 )
 
 // Ask is what Pick chooses for.
@@ -136,7 +140,7 @@
 	e := t.engines[a.Service]
 	var best *Replica
 	var at, cost time.Duration // What best is predicted to take, and that with what speaks against it.
-	for _, r := range t.sample(cs) {
+	for _, r := range t.sample(now, cs) {
 		p := r.expect(now, e, a.Work)
 		c := p
 		if r.Hall != t.Hall {
@@ -165,23 +169,43 @@
 
 // sample draws the candidates that one choice looks at: gateways that all took the
 // one that looks best by the same old words would overrun it. Some are of this
-// hall, if there are any, and some of others.
-func (t *Table) sample(cs []*Replica) []*Replica {
+// hall, if there are any, and some of others. One that has just come back looks best
+// to all gateways until agents tell of what it was sent; it is drawn less often at
+// first.
+func (t *Table) sample(now time.Time, cs []*Replica) []*Replica {
 	here, there := sampledHere, sampledThere
-	var out []*Replica
+	var out, passed []*Replica
 	for _, i := range rand.Perm(len(cs)) {
+		r := cs[i]
 		left := &there
-		if cs[i].Hall == t.Hall {
+		if r.Hall == t.Hall {
 			left = &here
 		}
-		if *left > 0 {
+		switch {
+		case *left == 0:
+		case rand.Float64() >= r.share(now):
+			passed = append(passed, r)
+		default:
 			*left--
-			out = append(out, cs[i])
+			out = append(out, r)
 		}
 	}
+	if len(out) == 0 {
+		return passed[:min(sampledHere+sampledThere, len(passed))]
+	}
 	return out
 }
 
+// share is the part of the choices for which the replica is looked at: it rises from
+// when it came back.
+func (r *Replica) share(now time.Time) float64 {
+	back := now.Sub(r.backAt)
+	if r.backAt.IsZero() || back >= backOver {
+		return 1
+	}
+	return backShare + (1-backShare)*float64(max(0, back))/float64(backOver)
+}
+
 // candidates returns whom a request may go to. Ejected and full replicas are
 // used only where there is nobody else.
 func (t *Table) candidates(now time.Time, a Ask) []*Replica {
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -124,6 +124,33 @@
 	is.NoErr(err)
 }
 
+// One that has just come back looks best to every gateway, but is not given more than
+// about its share of the requests until agents tell of what it has.
+func TestReplicaThatComesBackIsNotOverrun(t *testing.T) {
+	is := is.New(t)
+	const tables, replicas, asked = 1000, 16, 6 // Requests of a gateway within the time that a word takes.
+	now := epoch.Add(time.Minute)
+	got := 0
+	for range tables {
+		tb, _ := table(replicas)
+		for i := range replicas {
+			id := fmt.Sprint("e", i)
+			tb.Heard(id, Word{Version: 1, Running: 10, Changing: i == 0, At: now.Add(-time.Second)})
+			tb.Heard(id, Word{Version: 1, Running: 10 * min(1, i), At: now})
+		}
+		for range asked {
+			c, err := tb.Pick(now.Add(10*time.Millisecond), Ask{Service: "llm", Work: Work{Prompt: 900, Answer: 100}})
+			is.NoErr(err)
+			if c.ID == "e0" {
+				got++
+			}
+		}
+	}
+	share := float64(got) / (tables * asked) // Of all it has a sixteenth; without the guard it gets an eighth.
+	is.True(share > 0.01)
+	is.True(share < 0.08)
+}
+
 // A replica that gives no sign of a request is expected to take at least as long
 // as it has been silent, at once and not after many samples.
 func TestSilenceCountsAtOnce(t *testing.T) {
--- a/route/listed.go
+++ b/route/listed.go
@@ -87,6 +87,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.byAddr[addr]; r != nil {
+		if w.takes() && !r.Word.takes() {
+			r.backAt = w.At
+		}
 		r.Word = w
 		switch {
 		case !w.Changing:
@@ -98,6 +101,9 @@
 	}
 }
 
+// takes reports whether the replica takes requests, by its agent's word.
+func (w *Word) takes() bool { return w.Version > 0 && !w.Changing }
+
 // Leaves records that a replica said itself that it leaves.
 func (t *Table) Leaves(id string, now time.Time) {
 	t.mu.Lock()
