--- a/cmd/poststand/cmd/explain.go
+++ b/cmd/poststand/cmd/explain.go
@@ -93,7 +93,7 @@
 		if l.fields["id"] != id {
 			continue
 		}
-		for _, send := range strings.Split(l.fields["sends"], ",") {
+		for _, send := range strings.Split(attemptsOf(&l), ",") {
 			if name, _, ok := strings.Cut(send, "="); ok {
 				replicas[name] = true
 			}
@@ -113,3 +113,12 @@
 	slices.SortStableFunc(out, func(a, b logLine) int { return strings.Compare(a.at, b.at) })
 	return out
 }
+
+// attemptsOf returns the replicas that a request was sent to, and how each attempt
+// ended. Lines of processes before the key was renamed have it as "sends".
+func attemptsOf(l *logLine) string {
+	if v, ok := l.fields["attempts"]; ok {
+		return v
+	}
+	return l.fields["sends"]
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -40,7 +40,7 @@
 		return true
 	}
 	part := firstTryWait
-	if rq.again {
+	if rq.retried {
 		part = secondTryWait
 	}
 	return c.Wait <= time.Duration(part*float64(rq.route.Aim))
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -72,7 +72,7 @@
 			return rq, fault.New(fault.BadRequest, d.Deadline)
 		}
 		left := time.Duration(n * float64(time.Millisecond))
-		rq.again = g.waits.spent(rq.routeName, left)
+		rq.retried = g.waits.spent(rq.routeName, left)
 		wait = min(wait, left)
 	}
 	rq.deadline = now.Add(wait)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -12,8 +12,8 @@
 	"github.com/poststand/poststand/route"
 )
 
-// mostSends bounds the sends of one request.
-const mostSends = 5
+// mostAttempts bounds the attempts of one request.
+const mostAttempts = 5
 
 // process sends a request until its outcome is final.
 func (g *Relay) process(ctx context.Context, rq *request, out *answer) dispatch.Result {
@@ -29,7 +29,7 @@
 			g.table.Done(time.Now(), rq.next.to.Ticket, route.End{})
 		}
 	}()
-	for rq.sends < mostSends {
+	for rq.attempts < mostAttempts {
 		now := time.Now()
 		if !now.Before(rq.deadline) {
 			last = all.Add(notRun(fault.PastDeadline))
@@ -40,12 +40,12 @@
 		if a == nil {
 			choice, res, ok := g.choose(now, rq, exclude, arrivals)
 			if !ok {
-				if rq.sends == 0 {
+				if rq.attempts == 0 {
 					last = all.Add(res)
 				}
 				break
 			}
-			rq.sends++
+			rq.attempts++
 			a = &attempt{relay: g, rq: rq, out: out, to: choice}
 		}
 		exclude[a.to.ID] = true
@@ -84,7 +84,7 @@
 		res.RetryAt = g.comeBack(now, rq, 0)
 		return choice, res, false
 	}
-	rq.predicted, rq.wait, rq.wordAge = choice.Predicted, choice.Wait, choice.WordAge
+	rq.predicted, rq.wait, rq.reportAge = choice.Predicted, choice.Wait, choice.ReportAge
 	if arrivals == 0 && !g.admits(now, rq, choice) {
 		g.table.Done(now, choice.Ticket, route.End{})
 		res := notRun(fault.QueueFull)
@@ -113,11 +113,11 @@
 
 // note adds what became of a send to the request's story.
 func (rq *request) note(a *attempt, res dispatch.Result) {
-	word := string(res.Reason)
-	if word == "" {
-		word = "done"
+	ending := string(res.Reason)
+	if ending == "" {
+		ending = "done"
 	}
-	rq.trail = append(rq.trail, a.to.ID+"="+word)
+	rq.trail = append(rq.trail, a.to.ID+"="+ending)
 }
 
 // retryIn is when a refused caller is told to come back, in milliseconds.
@@ -136,8 +136,8 @@
 		first = out.firstAt.Sub(rq.arrived)
 	}
 	telemetry.Log("request", "id", rq.id, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
-		"outcome", res.Outcome, "reason", res.Reason, "sends", strings.Join(rq.trail, ","),
-		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "word_age_ms", rq.wordAge.Milliseconds(),
-		"again", rq.again, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.trail, ","),
+		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
+		"client_retry", rq.retried, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -264,12 +264,12 @@
 	}
 }
 
-// serveStatus takes an agent's word of its replica, again and again.
+// serveStatus takes an agent's reports of its replica, again and again.
 func (g *Relay) serveStatus(ctx context.Context, s *wire.Stream, m *peers.Status) {
 	var old peers.Status
 	for {
 		if m.Reached {
-			g.table.Heard(m.Addr, route.Word{
+			g.table.Heard(m.Addr, route.AgentReport{
 				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m, time.Now()),
 				Queued: m.Queued, Running: m.Running, Pace: m.Pace, SlowLink: m.SlowLink, At: time.Now(),
 			})
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,15 +28,15 @@
 	rank         int
 	arrived      time.Time
 	deadline     time.Time // The caller's or the route's, whichever is first.
-	again        bool      // Its caller has most likely been refused before.
+	retried      bool      // Its caller has most likely been refused before.
 	work         route.Work
-	lastEvent    string // What a stream has been shown up to.
-	version      uint64 // Of the first part of the answer; every further part must be of it.
-	sends        int
+	lastEvent    string        // What a stream has been shown up to.
+	version      uint64        // Of the first part of the answer; every further part must be of it.
+	attempts     int           // So far.
 	next         *attempt      // Where the stream goes on, if that has begun already.
 	predicted    time.Duration // Until the first event, at the replica that was last chosen,
 	wait         time.Duration // of it before its own work begins,
-	wordAge      time.Duration // and how old its agent's word was; -1 ms without one.
+	reportAge    time.Duration // and how old its agent's report was; -1 ms without one.
 	holding      string        // What replicas were known to hold, where none could be chosen.
 	trail        []string      // What became of each send, for the log.
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -85,7 +85,7 @@
 // moves reports whether the stream should go on elsewhere.
 func (a *attempt) moves() bool {
 	rq := a.rq
-	return rq.route.Resumable && rq.lastEvent != "" && rq.sends < max(1, rq.route.Attempts) &&
+	return rq.route.Resumable && rq.lastEvent != "" && rq.attempts < max(1, rq.route.Attempts) &&
 		a.relay.table.ChangingFor(time.Now(), a.to.Ticket) >= moveAfter
 }
 
@@ -95,7 +95,7 @@
 func (a *attempt) goesOn(ctx context.Context) bool {
 	g, rq, now := a.relay, a.rq, time.Now()
 	ask := rq.ask(g, map[string]bool{a.to.ID: true})
-	ask.Told = true
+	ask.Reported = true
 	to, err := g.table.Pick(now, ask)
 	if err != nil {
 		return false
@@ -104,7 +104,7 @@
 		g.table.Done(now, to.Ticket, route.End{})
 		return false
 	}
-	rq.sends++
+	rq.attempts++
 	next := &attempt{relay: g, rq: rq, out: a.out, to: to, hurry: rq.route.Gap}
 	resp, res := next.open(ctx)
 	if resp != nil && next.continues(resp) {
--- a/route/direct.go
+++ b/route/direct.go
@@ -17,8 +17,8 @@
 	Answer int // Expected.
 }
 
-// Word is how a replica stood, as its agent told it.
-type Word struct {
+// AgentReport is how a replica stood, as its agent told it.
+type AgentReport struct {
 	Version  uint64
 	Changing bool      // It is about to take another version.
 	ChangeAt time.Time // When it will be, or zero where that is not known.
@@ -33,7 +33,7 @@
 // without an agent in between.
 type Replica struct {
 	fleet.Upstream
-	Word Word // Zero while its agent has said nothing.
+	Report AgentReport // Zero while its agent has said nothing.
 	// LeftAt is when it was first heard that the replica leaves.
 	LeftAt time.Time
 	// changing is since when it is about to take another version; zero if it is not.
@@ -48,7 +48,7 @@
 	reading  int // Own requests without a first event,
 	prompts  int // the tokens of their prompts,
 	writing  int // and own requests with one.
-	ownThen  int // reading and writing when Word came.
+	ownThen  int // reading and writing when Report came.
 	failures int // In a row.
 	ejected  time.Time
 	ejection int
@@ -79,19 +79,19 @@
 
 // Tuning of a Table.
 const (
-	wordExpires  = 3 * time.Second // An agent's word counts no longer than this.
-	wordHalfLife = 600 * time.Millisecond
-	freshWord    = 1300 * time.Millisecond // Agents tell once a second at least.
-	strangerCost = 15 * time.Millisecond   // For a replica of another hall.
-	fullFor      = 100 * time.Millisecond
-	directEject  = 500 * time.Millisecond // First time a failing replica is left out; doubles.
-	directMost   = 8 * time.Second
-	directAfter  = 2                       // Failures in a row.
-	misledFor    = 1500 * time.Millisecond // What a replica holds is not known, after a refusal and without a newer word of it.
-	slowSample   = 0.2
-	slowSampleUp = 0.35
-	slowBound    = 8.0
-	plainGuess   = 60 * time.Millisecond // A request's time where nothing is known.
+	agentReportExpires  = 3 * time.Second // An agent's report counts no longer than this.
+	agentReportHalfLife = 600 * time.Millisecond
+	freshReport         = 1300 * time.Millisecond // Agents tell once a second at least.
+	strangerCost        = 15 * time.Millisecond   // For a replica of another hall.
+	fullFor             = 100 * time.Millisecond
+	directEject         = 500 * time.Millisecond // First time a failing replica is left out; doubles.
+	directMost          = 8 * time.Second
+	directAfter         = 2                       // Failures in a row.
+	misledFor           = 1500 * time.Millisecond // What a replica holds is not known, after a refusal and without a newer report of it.
+	slowSample          = 0.2
+	slowSampleUp        = 0.35
+	slowBound           = 8.0
+	plainGuess          = 60 * time.Millisecond // A request's time where nothing is known.
 	// A request is sent to a version whose time ends only if it will have begun by
 	// then, even if that takes so many times what is predicted and a margin.
 	boundFactorOfWait = 1.5
@@ -113,9 +113,9 @@
 	Version uint64 // Exactly this one, or 0.
 	// Bound is when requests may no longer begin on a version, zero for never.
 	// Nil is never.
-	Bound   func(version uint64) time.Time
-	Exclude map[string]bool // IDs.
-	Told    bool            // Only replicas of which their agents have told lately.
+	Bound    func(version uint64) time.Time
+	Exclude  map[string]bool // IDs.
+	Reported bool            // Only replicas of which their agents have told lately.
 }
 
 // Choice is a chosen replica.
@@ -124,7 +124,7 @@
 	Version   uint64        // That it holds, as far as is known.
 	Predicted time.Duration // Until the first event or the answer.
 	Wait      time.Duration // Part of it before the request itself is worked on.
-	WordAge   time.Duration // How old the agent's word of the replica is; negative without one.
+	ReportAge time.Duration // How old the agent's report of the replica is; negative without one.
 	Ticket    *Ticket
 }
 
@@ -146,7 +146,7 @@
 		if r.Hall != t.Hall {
 			c += strangerCost
 		}
-		if r.heard(now) && r.Word.SlowLink {
+		if r.heard(now) && r.Report.SlowLink {
 			c += slowLinkCost
 		}
 		c += time.Duration(holdUpCost * float64(r.holdsUp(now, e, a.Work)))
@@ -163,12 +163,12 @@
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work},
 		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
-		Wait: wait, WordAge: best.wordAge(now),
+		Wait: wait, ReportAge: best.reportAge(now),
 	}, nil
 }
 
 // sample draws the candidates that one choice looks at: gateways that all took the
-// one that looks best by the same old words would overrun it. Some are of this
+// one that looks best by the same old reports would overrun it. Some are of this
 // hall, if there are any, and some of others. One that has just come back looks best
 // to all gateways until agents tell of what it was sent; it is drawn less often at
 // first.
@@ -214,13 +214,13 @@
 		if !r.LeftAt.IsZero() || !t.lasts(now, r) || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
 			continue
 		}
-		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Word.Changing {
+		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Report.Changing {
 			poor = append(poor, r)
 			continue
 		}
 		good = append(good, r)
 	}
-	if told := toldLately(now, good); len(told) >= sampledHere {
+	if told := reportedLately(now, good); len(told) >= sampledHere {
 		return told
 	}
 	if len(good) > 0 {
@@ -228,20 +228,20 @@
 	}
 	var rest []*Replica
 	for _, r := range poor {
-		if !(r.Engine && r.heard(now) && r.Word.Changing) {
+		if !(r.Engine && r.heard(now) && r.Report.Changing) {
 			rest = append(rest, r)
 		}
 	}
 	return rest
 }
 
-// toldLately returns those of which their agents have told of late: what looks idle
+// reportedLately returns those of which their agents have told of late: what looks idle
 // since nobody tells of it may be as busy as the others, or away. Replicas without
 // agents are returned as they are.
-func toldLately(now time.Time, rs []*Replica) []*Replica {
+func reportedLately(now time.Time, rs []*Replica) []*Replica {
 	var out []*Replica
 	for _, r := range rs {
-		if !r.Engine || r.heard(now) && r.wordAge(now) < freshWord {
+		if !r.Engine || r.heard(now) && r.reportAge(now) < freshReport {
 			out = append(out, r)
 		}
 	}
@@ -253,10 +253,10 @@
 		return true
 	}
 	v := r.version(now)
-	if v == 0 || a.Version != 0 && v != a.Version || a.Told && !r.heard(now) {
+	if v == 0 || a.Version != 0 && v != a.Version || a.Reported && !r.heard(now) {
 		return false
 	}
-	if !r.misled.IsZero() && now.Sub(r.misled) < misledFor && !r.Word.At.After(r.misled) {
+	if !r.misled.IsZero() && now.Sub(r.misled) < misledFor && !r.Report.At.After(r.misled) {
 		return false
 	}
 	if a.Bound == nil {
@@ -271,9 +271,9 @@
 }
 
 // mayBeFar reports whether what is sent to the replica may be long on its way: its
-// agent says so, or has said nothing of late, as when its words do not get through.
+// agent says so, or has said nothing of late, as when its reports do not get through.
 func (r *Replica) mayBeFar(now time.Time) bool {
-	return !r.heard(now) || r.wordAge(now) >= freshWord || r.Word.SlowLink
+	return !r.heard(now) || r.reportAge(now) >= freshReport || r.Report.SlowLink
 }
 
 // Ticket is a request's place at a replica.
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -58,13 +58,13 @@
 			t.Sync(epoch, ups, map[string]config.Service{"llm": {Engine: llm}})
 		}, Ask{}},
 		{"one that changes its version", func(t *Table, _ map[string]fleet.Upstream) {
-			t.Heard("e0", Word{Version: 1, Changing: true, At: later})
+			t.Heard("e0", AgentReport{Version: 1, Changing: true, At: later})
 		}, Ask{}},
 		{"one that holds nothing, whatever the list says", func(t *Table, _ map[string]fleet.Upstream) {
-			t.Heard("e0", Word{Version: 0, At: later})
+			t.Heard("e0", AgentReport{Version: 0, At: later})
 		}, Ask{}},
 		{"one of another version", func(t *Table, _ map[string]fleet.Upstream) {
-			t.Heard("e0", Word{Version: 2, At: later})
+			t.Heard("e0", AgentReport{Version: 2, At: later})
 		}, Ask{Version: 1}},
 		{"one that was tried", func(*Table, map[string]fleet.Upstream) {}, Ask{Exclude: map[string]bool{"e0": true}}},
 		{"one that failed twice", func(t *Table, _ map[string]fleet.Upstream) {
@@ -75,7 +75,7 @@
 		}, Ask{}},
 		{"one whose version is overdue", func(t *Table, _ map[string]fleet.Upstream) {
 			for _, id := range []string{"e1", "e2"} {
-				t.Heard(id, Word{Version: 2, At: later})
+				t.Heard(id, AgentReport{Version: 2, At: later})
 			}
 		}, Ask{Bound: func(v uint64) time.Time {
 			if v < 2 {
@@ -89,9 +89,9 @@
 		do   func(t *Table, ups map[string]fleet.Upstream)
 		ask  Ask
 	}{"one behind a slow link whose version is overdue soon", func(t *Table, _ map[string]fleet.Upstream) {
-		t.Heard("e0", Word{Version: 1, SlowLink: true, At: later})
+		t.Heard("e0", AgentReport{Version: 1, SlowLink: true, At: later})
 		for _, id := range []string{"e1", "e2"} {
-			t.Heard(id, Word{Version: 1, Queued: 5, At: later}) // They have more to do.
+			t.Heard(id, AgentReport{Version: 1, Queued: 5, At: later}) // They have more to do.
 		}
 	}, Ask{Bound: func(uint64) time.Time { return later.Add(2 * time.Second) }}})
 	for _, tc := range cases {
@@ -115,11 +115,11 @@
 	now := epoch.Add(5 * time.Second)
 	ask := Ask{Service: "llm", Work: Work{Prompt: 100}, Bound: func(uint64) time.Time { return now.Add(2 * time.Second) }}
 	for _, age := range []time.Duration{2 * time.Second, 10 * time.Second} {
-		tb.Heard("e0", Word{Version: 1, At: now.Add(-age)})
+		tb.Heard("e0", AgentReport{Version: 1, At: now.Add(-age)})
 		_, err := tb.Pick(now, ask)
 		is.Equal(fault.CodeOf(err), fault.NoUpstream)
 	}
-	tb.Heard("e0", Word{Version: 1, At: now})
+	tb.Heard("e0", AgentReport{Version: 1, At: now})
 	_, err := tb.Pick(now, ask)
 	is.NoErr(err)
 }
@@ -135,8 +135,8 @@
 		tb, _ := table(replicas)
 		for i := range replicas {
 			id := fmt.Sprint("e", i)
-			tb.Heard(id, Word{Version: 1, Running: 10, Changing: i == 0, At: now.Add(-time.Second)})
-			tb.Heard(id, Word{Version: 1, Running: 10 * min(1, i), At: now})
+			tb.Heard(id, AgentReport{Version: 1, Running: 10, Changing: i == 0, At: now.Add(-time.Second)})
+			tb.Heard(id, AgentReport{Version: 1, Running: 10 * min(1, i), At: now})
 		}
 		for range asked {
 			c, err := tb.Pick(now.Add(10*time.Millisecond), Ask{Service: "llm", Work: Work{Prompt: 900, Answer: 100}})
@@ -162,7 +162,7 @@
 	later := epoch.Add(2 * time.Second)
 	for i := range 3 {
 		if id := fmt.Sprint("e", i); id != c.ID {
-			tb.Heard(id, Word{Version: 1, Queued: 4, At: later}) // They have more to do.
+			tb.Heard(id, AgentReport{Version: 1, Queued: 4, At: later}) // They have more to do.
 		}
 	}
 	got := picks(tb, later, a)
@@ -255,7 +255,7 @@
 			tb.Lapse = 1200 * time.Millisecond
 			services := map[string]config.Service{"llm": {Engine: llm}}
 			if tc.word >= 0 {
-				tb.Heard(ups["e0"].Addr, Word{Version: 1, At: epoch.Add(-tc.word)})
+				tb.Heard(ups["e0"].Addr, AgentReport{Version: 1, At: epoch.Add(-tc.word)})
 			}
 			if tc.leaves {
 				tb.Leaves("e0", epoch)
--- a/route/listed.go
+++ b/route/listed.go
@@ -69,9 +69,9 @@
 }
 
 // lives reports whether a replica that does not leave has shown life of late, by its
-// agent's word or by an answer.
+// agent's report or by an answer.
 func (r *Replica) lives(now time.Time) bool {
-	return r.LeftAt.IsZero() && (r.heard(now) && r.wordAge(now) < freshWord || now.Sub(r.alive) < freshWord)
+	return r.LeftAt.IsZero() && (r.heard(now) && r.reportAge(now) < freshReport || now.Sub(r.alive) < freshReport)
 }
 
 // Has reports whether requests may still go to a replica.
@@ -82,15 +82,15 @@
 	return r != nil && t.lasts(now, r)
 }
 
-// Heard takes an agent's word of the replica at an address.
-func (t *Table) Heard(addr string, w Word) {
+// Heard takes an agent's report of the replica at an address.
+func (t *Table) Heard(addr string, w AgentReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.byAddr[addr]; r != nil {
-		if w.takes() && !r.Word.takes() {
+		if w.takes() && !r.Report.takes() {
 			r.backAt = w.At
 		}
-		r.Word = w
+		r.Report = w
 		switch {
 		case !w.Changing:
 			r.changing = time.Time{}
@@ -101,8 +101,8 @@
 	}
 }
 
-// takes reports whether the replica takes requests, by its agent's word.
-func (w *Word) takes() bool { return w.Version > 0 && !w.Changing }
+// takes reports whether the replica takes requests, by its agent's report.
+func (w *AgentReport) takes() bool { return w.Version > 0 && !w.Changing }
 
 // Leaves records that a replica said itself that it leaves.
 func (t *Table) Leaves(id string, now time.Time) {
@@ -124,25 +124,25 @@
 	return now.Sub(k.replica.changing)
 }
 
-// version is what the replica holds, by the newest word of it. The caller holds
+// version is what the replica holds, by the newest report of it. The caller holds
 // t.mu.
 func (r *Replica) version(now time.Time) uint64 {
 	v := max(r.Version, r.served)
 	if r.heard(now) {
-		return r.Word.Version
+		return r.Report.Version
 	}
 	return v
 }
 
 func (r *Replica) heard(now time.Time) bool {
-	return !r.Word.At.IsZero() && now.Sub(r.Word.At) < wordExpires
+	return !r.Report.At.IsZero() && now.Sub(r.Report.At) < agentReportExpires
 }
 
-func (r *Replica) wordAge(now time.Time) time.Duration {
-	if r.Word.At.IsZero() {
+func (r *Replica) reportAge(now time.Time) time.Duration {
+	if r.Report.At.IsZero() {
 		return -time.Millisecond
 	}
-	return now.Sub(r.Word.At)
+	return now.Sub(r.Report.At)
 }
 
 // Holding returns how many replicas of a service hold each version and leave
--- a/route/predict.go
+++ b/route/predict.go
@@ -11,14 +11,14 @@
 // change its version: it would hold up the change, and with it all that could run
 // there.
 func (r *Replica) holdsUp(now time.Time, e config.Engine, w Work) time.Duration {
-	if r.Word.ChangeAt.IsZero() || !r.heard(now) {
+	if r.Report.ChangeAt.IsZero() || !r.heard(now) {
 		return 0
 	}
 	_, running := r.others(now)
 	writers := float64(r.writing) + running
 	step := e.Step + time.Duration(writers*float64(e.PerSequence))
 	ends := now.Add(r.predict(now, e, w) + time.Duration(readingBeside*float64(w.Answer)*float64(step)))
-	return max(0, ends.Sub(r.Word.ChangeAt))
+	return max(0, ends.Sub(r.Report.ChangeAt))
 }
 
 // others estimates what other gateways have at the replica.
@@ -26,10 +26,10 @@
 	if !r.heard(now) {
 		return 0, 0
 	}
-	age := float64(now.Sub(r.Word.At)) / float64(wordHalfLife)
-	total := float64(max(0, r.Word.Queued+r.Word.Running-r.ownThen)) * math.Exp2(-age)
-	all := float64(max(1, r.Word.Queued+r.Word.Running))
-	return total * float64(r.Word.Queued) / all, total * float64(r.Word.Running) / all
+	age := float64(now.Sub(r.Report.At)) / float64(agentReportHalfLife)
+	total := float64(max(0, r.Report.Queued+r.Report.Running-r.ownThen)) * math.Exp2(-age)
+	all := float64(max(1, r.Report.Queued+r.Report.Running))
+	return total * float64(r.Report.Queued) / all, total * float64(r.Report.Running) / all
 }
 
 // expect is what predict says, corrected by how slow the replica has been, and no
@@ -70,8 +70,8 @@
 		each := time.Duration(float64(e.UsualAnswer) * float64(step) * 1.6)
 		ttft += time.Duration((batch - slots + 1) / slots * float64(each))
 	}
-	if r.heard(now) && r.Word.Pace > 1 {
-		ttft = time.Duration(float64(ttft) * r.Word.Pace)
+	if r.heard(now) && r.Report.Pace > 1 {
+		ttft = time.Duration(float64(ttft) * r.Report.Pace)
 	}
 	return ttft
 }
