weights, stager: a slow link is noticed while its chunks still come, and stays slow over versions

A link is found slow only by a chunk that comes whole, and behind such a link with six open none does before its connection stalls.

Change: a chunk that is not whole so long after its first part as a slow one takes counts at once; a new transfer begins with what the others have found out of the link, and any transfer under way tells; slow_link is told for 6 s after the last sign instead of 4, and no longer for a transfer that is complete.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -24,7 +24,7 @@
 	// A link counts as slow while a transfer has so small a part of its usual
 	// fetches open, and for a while after: what gateways send waits there too.
 	slowEase = 0.7
-	slowFor  = 4 * time.Second
+	slowFor  = 6 * time.Second
 	// A box and its replica start together; what is staged is asked for once the
 	// replica answers, and is not waited for longer than this.
 	replicaUpIn = 3 * time.Second
@@ -211,7 +211,7 @@
 	now := time.Now()
 	cs := s.candidates(vs, a, wanted, now)
 	vs.shareOrigin(now, cs)
-	s.tellProgress(vs.newest, now)
+	s.tellProgress(vs, now)
 	rep, ok := s.status.report()
 	if !ok {
 		return false
@@ -234,12 +234,14 @@
 }
 
 // tellProgress has gateways told how the newest version comes along, and whether the
-// box's link is slow.
-func (s *Stager) tellProgress(r *running, now time.Time) {
-	_, missing := r.Progress()
-	if r.Ease() < slowEase {
-		s.slowUntil = now.Add(slowFor)
+// box's link is slow, by any transfer that is under way.
+func (s *Stager) tellProgress(vs *versions, now time.Time) {
+	for _, r := range append(slices.Clone(vs.older), vs.newest) {
+		if !r.whole() && r.Ease() < slowEase {
+			s.slowUntil = now.Add(slowFor)
+		}
 	}
+	_, missing := vs.newest.Progress()
 	slow := now.Before(s.slowUntil)
 	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
 }
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -26,7 +26,7 @@
 	os.Exit(m.Run())
 }
 
-const pieceCount, pieceBytes = 16, 4 << 10
+const pieceCount, pieceBytes = 16, 16 << 10
 
 // pieceOf is the n-th piece of a version.
 func pieceOf(version uint64, n int) []byte {
@@ -174,7 +174,10 @@
 
 func ip(i int) string { return fmt.Sprintf("10.0.0.%d", i+1) }
 
-func (s *site) add(t *testing.T, r *fakeReplica) {
+func (s *site) add(t *testing.T, r *fakeReplica) { s.addBehind(t, r, 9e5) }
+
+// addBehind adds a box whose link takes in so many bytes a second.
+func (s *site) addBehind(t *testing.T, r *fakeReplica, down float64) {
 	i := len(s.agents)
 	addr := ip(i) + ":7"
 	a, err := New(&settings.Stager{
@@ -206,7 +209,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{Rate: 9e5}, Down: &simnet.Link{Rate: 9e5}, Serve: a.Server().One})
+	s.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{Rate: 9e5}, Down: &simnet.Link{Rate: down}, Serve: a.Server().One})
 	ctx, cancel := context.WithCancel(context.Background())
 	var k kernel.Kernel
 	k.Add("loader", nil, a.load)
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -119,3 +119,28 @@
 		}
 	})
 }
+
+// A box whose link is slow says so while its first chunks still come, and goes on
+// saying so when a newer version is named: the link is the same.
+func TestSlowLinkIsToldOverVersions(t *testing.T) {
+	play(t, func(is *is.I, s *site) {
+		for range 4 {
+			s.add(t, withVersion(1))
+		}
+		const squeezed = 2e4 // Bytes a second: six chunks take five seconds, and connections stall.
+		s.addBehind(t, withVersion(1), squeezed)
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.assign(2, 2, peers.Step{Version: 2})
+		slow := func() bool { return s.agents[4].status.get().SlowLink }
+		const apart = 1500 * time.Millisecond
+		time.Sleep(apart)
+		is.True(slow())
+		s.assign(3, 3, peers.Step{Version: 2, Age: apart}, peers.Step{Version: 3})
+		for range 50 {
+			time.Sleep(100 * time.Millisecond)
+			is.True(slow())
+		}
+		is.True(!s.agents[0].status.get().SlowLink)
+	})
+}
--- a/weights/ease.go
+++ b/weights/ease.go
@@ -10,13 +10,17 @@
 	if p.parallel == 0 {
 		p.parallel = most
 	}
-	if took > slowFetch*p.PerChunk {
+	if took > p.slowAfter() {
 		p.parallel = max(1, p.parallel/2)
 		return
 	}
 	p.parallel = min(most, p.parallel+easeBack)
 }
 
+// slowAfter is how long the parts of a chunk take on a link that is slower than it
+// should be.
+func (p *Plan) slowAfter() time.Duration { return slowFetch * p.PerChunk }
+
 // Ease is the part of its usual fetches that a box may have open now.
 func (p *Plan) Ease() float64 {
 	if p.parallel == 0 {
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -120,6 +121,21 @@
 	}
 }
 
+// openFetches is how many fetches the link bears, by the transfers under way: the
+// least that any of them has found. Zero is the usual number.
+func (x *Exchange) openFetches() float64 {
+	x.mu.Lock()
+	ts := slices.Collect(maps.Values(x.transfers))
+	x.mu.Unlock()
+	least := 0.0
+	for _, t := range ts {
+		if n := t.openFetches(); n > 0 && (least == 0 || n < least) {
+			least = n
+		}
+	}
+	return least
+}
+
 func (x *Exchange) queue() int {
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -274,12 +290,21 @@
 	}
 }
 
-// receiveParts reads a chunk of at most limit bytes. Each part must come within
-// patience of the one before.
-func receiveParts(ctx context.Context, s *wire.Stream, limit int, first, patience time.Duration) ([]byte, time.Duration, error) {
+// receiving is how long a chunk may take to come.
+type receiving struct {
+	first time.Duration // Until its first part,
+	next  time.Duration // and from one part to the next.
+	// slow, if set, is called once if the chunk is not whole so long after its first
+	// part as slowAfter says.
+	slow      func()
+	slowAfter time.Duration
+}
+
+// receiveParts reads a chunk of at most limit bytes.
+func receiveParts(ctx context.Context, s *wire.Stream, limit int, r receiving) ([]byte, time.Duration, error) {
 	var data []byte
 	var began time.Time
-	for wait := first; ; wait = patience {
+	for wait := r.first; ; wait = r.next {
 		rctx, cancel := context.WithTimeout(ctx, wait)
 		m, err := s.Recv(rctx)
 		cancel()
@@ -298,6 +323,9 @@
 		}
 		if data == nil {
 			began = time.Now()
+			if r.slow != nil {
+				defer time.AfterFunc(r.slowAfter, r.slow).Stop()
+			}
 		}
 		data = append(data, p.Data...)
 		if s.Finished() {
@@ -307,11 +335,11 @@
 }
 
 // getFrom fetches a chunk or manifest from a peer on its connection.
-func getFrom(ctx context.Context, c *wire.Conn, digest string, limit int, first, patience time.Duration) ([]byte, time.Duration, error) {
+func getFrom(ctx context.Context, c *wire.Conn, digest string, limit int, r receiving) ([]byte, time.Duration, error) {
 	s, err := c.Open(ctx, &GetChunk{Digest: digest})
 	if err != nil {
 		return nil, 0, err
 	}
 	defer s.Close()
-	return receiveParts(ctx, s, limit, first, patience)
+	return receiveParts(ctx, s, limit, r)
 }
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -87,7 +87,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, _, err := getFrom(ctx, c, t.Artifact, maxManifest, patience, patience)
+	data, _, err := getFrom(ctx, c, t.Artifact, maxManifest, receiving{first: patience, next: patience})
 	return data, err
 }
 
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -124,6 +124,17 @@
 	}
 }
 
+// openFetches is how many fetches the link bears, as far as this transfer has found
+// out; zero if it is complete or knows of nothing.
+func (t *Transfer) openFetches() float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.plan == nil || t.plan.Complete() {
+		return 0
+	}
+	return t.plan.parallel
+}
+
 // CompleteBy estimates when the transfer will be complete, if it goes on as it did so
 // far. It is zero while nothing is known, and when the transfer is complete.
 func (t *Transfer) CompleteBy(now time.Time) time.Time {
@@ -222,6 +233,7 @@
 		p.Near = t.near(members)
 	}
 	p.Init(have, memberNames(members))
+	p.parallel = t.Exchange.openFetches() // The link is the same.
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.plan, t.manifest, t.chunks, t.missingAtFirst = p, m, chunks, p.Missing()
@@ -320,14 +332,30 @@
 	if s.peer.Hall == t.Exchange.Self.Hall {
 		kind = EventHall
 	}
-	first, patience := t.patience()
-	data, took, err := getFrom(ctx, s.conn, c.Digest, c.Size, first, patience)
+	data, err := t.receive(ctx, s, c)
+	return kind, data, err
+}
+
+// receive fetches a chunk from a neighbour, and has the plan learn from how long its
+// parts took: while they still come, if that is long.
+func (t *Transfer) receive(ctx context.Context, s *session, c Chunk) ([]byte, error) {
+	var slow sync.Once
+	learn := func(took time.Duration) {
+		slow.Do(func() {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.plan.Received(took)
+		})
+	}
+	first, next := t.patience()
+	after := t.plan.slowAfter()
+	data, took, err := getFrom(ctx, s.conn, c.Digest, c.Size, receiving{
+		first: first, next: next, slowAfter: after, slow: func() { learn(after + 1) },
+	})
 	if err == nil {
-		t.mu.Lock()
-		t.plan.Received(took)
-		t.mu.Unlock()
+		learn(took)
 	}
-	return kind, data, err
+	return data, err
 }
 
 // patience is how long a fetch waits for its first part, with the queue at the
