wire, relay, route: a gateway sees by its pings that a box is slow to reach

Lines: the agent noticed its slow link only at 24.2 and 25.2 s, since no chunk's first part came; requests of the seconds before took 0.7 to 1.3 s until their first event, three of ten gave no sign, and what was sent at 24.2 s arrived at 26.2 s: a reset does not drop what is on the link already.

Change: a connection remembers how long its pings take, the ones that have no answer yet included. A gateway, which sends an agent little else, takes the box as slow from 0.4 s on (while weights move a ping takes up to 0.2 s), and for 6 s after the last sign.

Measured: TestSlowBoxIsLeftSooner fails without it (200 instead of 503).

--- a/internal/relay/move_test.go
+++ b/internal/relay/move_test.go
@@ -21,9 +21,14 @@
 // tell has an agent tell a gateway how replicas stand, again and again until the
 // test's end.
 func (w *world) tell(gateway int, say func() []peers.Status) {
+	w.tellBehind(gateway, &simnet.Link{}, say)
+}
+
+// tellBehind is tell by an agent that has its messages over a link.
+func (w *world) tellBehind(gateway int, down *simnet.Link, say func() []peers.Status) {
 	const every = 100 * time.Millisecond
 	addr := fmt.Sprintf("10.9.0.%d:1", gateway+1)
-	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: func(context.Context, net.Conn) {}})
+	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: down, Serve: func(context.Context, net.Conn) {}})
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := &wire.Pool{
 		Local: wire.Hello{Cluster: "c", Box: "agent", Hall: "h1", Role: "agent", Incarnation: 7}, Codec: relay.Codec,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -264,10 +264,15 @@
 	}
 }
 
+// slowDelay is how long a ping of an agent takes when what is sent to its box is long
+// on its way. While weights move it takes up to 0.2 s.
+const slowDelay = 400 * time.Millisecond
+
 // serveStatus takes an agent's reports of its replica, again and again.
 func (g *Relay) serveStatus(ctx context.Context, s *wire.Stream, m *peers.Status) {
 	var old peers.Status
 	for {
+		m.SlowLink = m.SlowLink || s.Conn().Delay(time.Now()) >= slowDelay
 		if m.Reached {
 			g.table.Heard(m.Addr, route.AgentReport{
 				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m, time.Now()),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -323,3 +323,32 @@
 		is.Equal(late.Load(), int64(0))
 	})
 }
+
+// A gateway sees by its own pings that what it sends to a box is long on its way, and
+// leaves the replica there sooner where its version's time ends, though the agent says
+// nothing of it.
+func TestSlowBoxIsLeftSooner(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		down float64 // Bytes a second that the box takes in.
+		want int
+	}{
+		{"usual", 0, http.StatusOK},
+		{"slow", 25, http.StatusServiceUnavailable}, // A ping takes half a second.
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rs := engines(1, 2)
+			run(t, 1, rs, func(is *is.I, w *world) {
+				var down simnet.Link
+				w.tellBehind(0, &down, func() []peers.Status {
+					return []peers.Status{{Addr: rs[0].Addr, Hall: "h1", Model: "m", Version: 1, Reached: true}}
+				})
+				time.Sleep(time.Second)
+				down.SetRate(tc.down)
+				w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+				time.Sleep(5500 * time.Millisecond) // Of eight, less a margin.
+				is.Equal(w.ask(0, "POST", "/s/", nil).status, tc.want)
+			})
+		})
+	}
+}
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -42,6 +42,13 @@
 	return l.free
 }
 
+// SetRate changes the rate from now on.
+func (l *Link) SetRate(rate float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Rate = rate
+}
+
 // Sent returns the bytes that the link has carried.
 func (l *Link) Sent() int64 {
 	l.mu.Lock()
--- a/route/direct.go
+++ b/route/direct.go
@@ -40,6 +40,8 @@
 	changing time.Time
 	// backAt is when it was first told that it takes requests, after it did not.
 	backAt time.Time
+	// slowUntil is until when its link counts as slow, after a report that says so.
+	slowUntil time.Time
 	// goneAt is when the list first lacked it; zero if it does not.
 	goneAt time.Time
 	// alive is when it last answered a request.
@@ -97,6 +99,7 @@
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
 	slowLinkMargin    = 2500 * time.Millisecond // More, where a request may be long on its way: up to 1.3 s were seen.
+	slowLinkFor       = 6 * time.Second         // After the last report that says so: it may be about to say so again.
 	slowLinkCost      = 100 * time.Millisecond
 	readingBeside     = 1.5                    // A step takes so much longer for the prompts that are read beside it.
 	sampledHere       = 2                      // Candidates of the own hall that one choice looks at,
@@ -146,7 +149,7 @@
 		if r.Hall != t.Hall {
 			c += strangerCost
 		}
-		if r.heard(now) && r.Report.SlowLink {
+		if now.Before(r.slowUntil) {
 			c += slowLinkCost
 		}
 		c += time.Duration(holdUpCost * float64(r.holdsUp(now, e, a.Work)))
@@ -273,7 +276,7 @@
 // mayBeFar reports whether what is sent to the replica may be long on its way: its
 // agent says so, or has said nothing of late, as when its reports do not get through.
 func (r *Replica) mayBeFar(now time.Time) bool {
-	return !r.heard(now) || r.reportAge(now) >= freshReport || r.Report.SlowLink
+	return !r.heard(now) || r.reportAge(now) >= freshReport || now.Before(r.slowUntil)
 }
 
 // Ticket is a request's place at a replica.
--- a/route/listed.go
+++ b/route/listed.go
@@ -90,6 +90,9 @@
 		if w.takes() && !r.Report.takes() {
 			r.backAt = w.At
 		}
+		if w.SlowLink {
+			r.slowUntil = w.At.Add(slowLinkFor)
+		}
 		r.Report = w
 		switch {
 		case !w.Changing:
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -104,6 +104,9 @@
 	mu      sync.Mutex
 	streams map[uint64]*Stream
 	opened  int // Streams opened by the peer that are still served.
+	// pinged is when the first ping that has no answer yet was sent; zero if all have.
+	pinged time.Time
+	delay  time.Duration // That the last answered ping took.
 }
 
 // NewConn introduces local over nc, checks the peer's Hello and starts the
@@ -257,6 +260,7 @@
 				return
 			}
 		case <-ping.C:
+			c.sendsPing(time.Now())
 			if err := c.writeAll(w, frame{kind: kindPing}); err != nil {
 				c.fail(err)
 				return
@@ -266,6 +270,36 @@
 	}
 }
 
+// sendsPing records that a ping leaves.
+func (c *Conn) sendsPing(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.pinged.IsZero() {
+		c.pinged = now
+	}
+}
+
+// pingAnswered records that the answer to a ping came.
+func (c *Conn) pingAnswered(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pinged.IsZero() {
+		c.delay, c.pinged = now.Sub(c.pinged), time.Time{}
+	}
+}
+
+// Delay is how long a message to the peer and its answer take, by the last ping: as
+// long as it took, or as it has taken so far. Zero is not known. Pings are sent only
+// while nothing else is.
+func (c *Conn) Delay(now time.Time) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.pinged.IsZero() {
+		return max(c.delay, now.Sub(c.pinged))
+	}
+	return c.delay
+}
+
 // writeAll writes f and whatever else waits, then flushes once.
 func (c *Conn) writeAll(w *bufio.Writer, f frame) error {
 	for {
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"reflect"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -114,6 +115,7 @@
 // An answer carries a stream number, and is not answered again.
 func (c *Conn) answerPing(f frame) {
 	if f.stream != 0 {
+		c.pingAnswered(time.Now())
 		return
 	}
 	select {
