--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -11,7 +11,6 @@
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/kernel"
-	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/weights"
 )
 
@@ -111,52 +110,6 @@
 	return out
 }
 
-// prepare takes back what is staged on the box already. Only the first transfer
-// of a process has to: later ones want a version that was never staged here.
-func (s *Stager) prepare(ctx context.Context, model string, version uint64, m *weights.Manifest) {
-	s.pieces.note(model, version, m)
-	telemetry.Log("manifest_here", "model", model, "version", version, "pieces", len(m.Files[0].Chunks))
-	if s.recovered.Swap(true) {
-		return
-	}
-	s.status.awaitReplica(ctx, replicaUpIn)
-	held, err := s.options.Replica.Staged(ctx, model)
-	if err != nil {
-		telemetry.Log("staged_unknown", "model", model, "reason", fault.CodeOf(err))
-		return
-	}
-	chunks, kept := m.Files[0].Chunks, 0
-	for i, n := range held {
-		if n < 0 || n >= len(chunks) {
-			continue
-		}
-		data, err := s.options.Replica.ReadStaged(ctx, model, n)
-		if err == nil && s.exchange.Store.Put(chunks[n].Digest, data) == nil {
-			kept++
-		}
-		if i == sample && kept == 0 {
-			break // Another version lies there.
-		}
-	}
-	if kept == len(chunks) {
-		s.readBack.Store(&readBack{artifact: artifactOf(model, version), goodUntil: time.Now().Add(readBackFor)})
-	}
-	telemetry.Log("staged_read", "model", model, "version", version, "held", len(held), "kept", kept)
-}
-
-// readBack is a version of which every piece was found intact where the replica takes
-// it from.
-type readBack struct {
-	artifact  string
-	goodUntil time.Time // Pieces may turn bad there later.
-}
-
-// readBackFor is for how long a version that was read back need not be staged again.
-const readBackFor = time.Second
-
-// sample is after how many pieces of which none matched the rest is not read.
-const sample = 6
-
 // fromOrigin fetches a manifest by its artifact's name, or a piece by its digest.
 func (s *Stager) fromOrigin(ctx context.Context, name string) ([]byte, error) {
 	const within = 5 * time.Second
@@ -262,80 +215,3 @@
 	s.status.expire()
 	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.Orders, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
 }
-
-// stage puts a version where the replica takes it from, unless it lies there intact
-// already, and reports whether all of it is there.
-func (s *Stager) stage(ctx context.Context, r *running) bool {
-	if b := s.readBack.Load(); b != nil && b.artifact == r.Artifact && time.Now().Before(b.goodUntil) {
-		return true
-	}
-	for i, c := range r.Manifest().Files[0].Chunks {
-		data, ok := s.exchange.Store.Get(c.Digest)
-		if !ok {
-			return false
-		}
-		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
-			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
-			return false
-		}
-	}
-	return true
-}
-
-// Rolling: the replicas take a version one after the other, spread over the time
-// between the first that can have it and the end of the older ones' time, so that
-// as few as possible finish what they run at the same moment.
-const (
-	rollMargin  = 700 * time.Millisecond // Before the older versions' time is over.
-	spreadLinks = 1.4                    // Copies that a box's link carries until the first has a whole.
-)
-
-// turn is when the replica may change, or zero for at once: one that serves
-// nothing need not wait. It is never before the weights are here.
-func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, to candidate) time.Time {
-	if rep.Version == 0 || rep.Version == a.Version {
-		return time.Time{}
-	}
-	place := placeOf(a, s.exchange.Self)
-	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	turn := turnOf(wanted, rep.Version, to.version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
-	if to.wholeBy.After(turn) {
-		return to.wholeBy
-	}
-	return turn
-}
-
-// placeOf is a replica's place among all that change, from 0 to under 1: those of
-// a hall one after the other, and the halls by turns. It is pure.
-func placeOf(a *peers.Assignment, self weights.Member) float64 {
-	var here, halls []string
-	for _, r := range a.Replicas {
-		if r.Leaving || r.Version == 0 {
-			continue
-		}
-		if !slices.Contains(halls, r.Hall) {
-			halls = append(halls, r.Hall)
-		}
-		if r.Hall == self.Hall {
-			ip, _ := splitAddr(r.Addr)
-			here = append(here, ip)
-		}
-	}
-	place := float64(rendezvous.Position(a.Model, self.Name, here))
-	slices.Sort(halls)
-	turn := float64(max(0, slices.Index(halls, self.Hall))) / float64(max(1, len(halls)))
-	return min(1, (place+turn)/float64(max(1, len(here))))
-}
-
-// turnOf is when the replica at a place among all changes from one version to another:
-// spread from when that can be here, lead after it was named, to when the time of its
-// own version is over, within after that was overtaken. It is pure.
-func turnOf(w catalog.Wanted, from, to uint64, lead, within time.Duration, place float64) time.Time {
-	named, overtaken := w.Overtaken(to-1), w.Overtaken(from)
-	if named.IsZero() || overtaken.IsZero() {
-		return time.Time{}
-	}
-	begin, end := named.Add(lead), overtaken.Add(within)
-	span := max(0, end.Sub(begin))
-	return begin.Add(time.Duration(float64(span) * place))
-}
--- /dev/null
+++ b/internal/stager/roll.go
@@ -0,0 +1,69 @@
+package stager
+
+import (
+	"slices"
+	"time"
+
+	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/rendezvous"
+	"github.com/poststand/poststand/weights"
+)
+
+// Rolling: the replicas take a version one after the other, spread over the time
+// between the first that can have it and the end of the older ones' time, so that
+// as few as possible finish what they run at the same moment.
+const (
+	rollMargin  = 700 * time.Millisecond // Before the older versions' time is over.
+	spreadLinks = 1.4                    // Copies that a box's link carries until the first has a whole.
+)
+
+// turn is when the replica may change, or zero for at once: one that serves
+// nothing need not wait. It is never before the weights are here.
+func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, to candidate) time.Time {
+	if rep.Version == 0 || rep.Version == a.Version {
+		return time.Time{}
+	}
+	place := placeOf(a, s.exchange.Self)
+	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
+	turn := turnOf(wanted, rep.Version, to.version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
+	if to.wholeBy.After(turn) {
+		return to.wholeBy
+	}
+	return turn
+}
+
+// placeOf is a replica's place among all that change, from 0 to under 1: those of
+// a hall one after the other, and the halls by turns. It is pure.
+func placeOf(a *peers.Assignment, self weights.Member) float64 {
+	var here, halls []string
+	for _, r := range a.Replicas {
+		if r.Leaving || r.Version == 0 {
+			continue
+		}
+		if !slices.Contains(halls, r.Hall) {
+			halls = append(halls, r.Hall)
+		}
+		if r.Hall == self.Hall {
+			ip, _ := splitAddr(r.Addr)
+			here = append(here, ip)
+		}
+	}
+	place := float64(rendezvous.Position(a.Model, self.Name, here))
+	slices.Sort(halls)
+	turn := float64(max(0, slices.Index(halls, self.Hall))) / float64(max(1, len(halls)))
+	return min(1, (place+turn)/float64(max(1, len(here))))
+}
+
+// turnOf is when the replica at a place among all changes from one version to another:
+// spread from when that can be here, lead after it was named, to when the time of its
+// own version is over, within after that was overtaken. It is pure.
+func turnOf(w catalog.Wanted, from, to uint64, lead, within time.Duration, place float64) time.Time {
+	named, overtaken := w.Overtaken(to-1), w.Overtaken(from)
+	if named.IsZero() || overtaken.IsZero() {
+		return time.Time{}
+	}
+	begin, end := named.Add(lead), overtaken.Add(within)
+	span := max(0, end.Sub(begin))
+	return begin.Add(time.Duration(float64(span) * place))
+}
--- /dev/null
+++ b/internal/stager/staged.go
@@ -0,0 +1,75 @@
+package stager
+
+import (
+	"context"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/weights"
+)
+
+// prepare takes back what is staged on the box already. Only the first transfer
+// of a process has to: later ones want a version that was never staged here.
+func (s *Stager) prepare(ctx context.Context, model string, version uint64, m *weights.Manifest) {
+	s.pieces.note(model, version, m)
+	telemetry.Log("manifest_here", "model", model, "version", version, "pieces", len(m.Files[0].Chunks))
+	if s.recovered.Swap(true) {
+		return
+	}
+	s.status.awaitReplica(ctx, replicaUpIn)
+	held, err := s.options.Replica.Staged(ctx, model)
+	if err != nil {
+		telemetry.Log("staged_unknown", "model", model, "reason", fault.CodeOf(err))
+		return
+	}
+	chunks, kept := m.Files[0].Chunks, 0
+	for i, n := range held {
+		if n < 0 || n >= len(chunks) {
+			continue
+		}
+		data, err := s.options.Replica.ReadStaged(ctx, model, n)
+		if err == nil && s.exchange.Store.Put(chunks[n].Digest, data) == nil {
+			kept++
+		}
+		if i == sample && kept == 0 {
+			break // Another version lies there.
+		}
+	}
+	if kept == len(chunks) {
+		s.readBack.Store(&readBack{artifact: artifactOf(model, version), goodUntil: time.Now().Add(readBackFor)})
+	}
+	telemetry.Log("staged_read", "model", model, "version", version, "held", len(held), "kept", kept)
+}
+
+// readBack is a version of which every piece was found intact where the replica takes
+// it from.
+type readBack struct {
+	artifact  string
+	goodUntil time.Time // Pieces may turn bad there later.
+}
+
+// readBackFor is for how long a version that was read back need not be staged again.
+const readBackFor = time.Second
+
+// sample is after how many pieces of which none matched the rest is not read.
+const sample = 6
+
+// stage puts a version where the replica takes it from, unless it lies there intact
+// already, and reports whether all of it is there.
+func (s *Stager) stage(ctx context.Context, r *running) bool {
+	if b := s.readBack.Load(); b != nil && b.artifact == r.Artifact && time.Now().Before(b.goodUntil) {
+		return true
+	}
+	for i, c := range r.Manifest().Files[0].Chunks {
+		data, ok := s.exchange.Store.Get(c.Digest)
+		if !ok {
+			return false
+		}
+		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
+			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/route/ticket.go
@@ -0,0 +1,82 @@
+package route
+
+import "time"
+
+// Ticket is a request's place at a replica.
+type Ticket struct {
+	replica *Replica
+	work    Work
+	first   bool
+}
+
+// First records that a request's first event came, and how long it took.
+func (t *Table) First(now time.Time, k *Ticket, took, predicted time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := k.replica
+	r.sign, r.alive = now, now
+	k.first = true
+	r.reading--
+	r.prompts -= k.work.Prompt
+	r.writing++
+	r.failures, r.ejection = 0, 0
+	if predicted > 0 {
+		r.slower(float64(took) / float64(predicted) * r.slow)
+	}
+}
+
+// slower takes a sample of how slow the replica is against its prediction. What
+// gets worse is believed sooner than what gets better.
+func (r *Replica) slower(ratio float64) {
+	ratio = min(slowBound, max(1/slowBound, ratio))
+	weight := slowSample
+	if ratio > r.slow {
+		weight = slowSampleUp
+	}
+	r.slow += weight * (ratio - r.slow)
+}
+
+// End is how a request at a replica ended.
+type End struct {
+	Failed  bool
+	Full    bool   // It refused for want of room.
+	Misled  bool   // It refused since it does not hold what was asked for.
+	Version uint64 // Of its answer, if known.
+}
+
+// Done records that a request's time at a replica is over.
+func (t *Table) Done(now time.Time, k *Ticket, e End) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := k.replica
+	if k.first {
+		r.writing--
+	} else {
+		r.reading--
+		r.prompts -= k.work.Prompt
+	}
+	if r.reading < 0 || r.writing < 0 || r.prompts < 0 {
+		panic("route: a request ended twice")
+	}
+	if e.Version > 0 {
+		r.served = e.Version
+	}
+	if e.Full {
+		r.full = now.Add(fullFor)
+	}
+	if e.Misled {
+		r.misled = now
+	}
+	if !e.Failed {
+		return
+	}
+	if !k.first {
+		r.slower(2 * r.slow)
+	}
+	r.failures++
+	if r.failures >= directAfter {
+		r.ejected = now.Add(min(directMost, directEject<<min(r.ejection, 5)))
+		r.ejection++
+		r.failures = 0
+	}
+}
