wire, peers, relay, stager: agents tell collectors, a hall is told by one gateway, records are compressed

Each agent told all gateways of its hall and six others ten times a second, each of those connections and those between agents carried two pings a second from both ends, and each change of the platform's records made every gateway announce it to nine others. That is work that grows as agents times gateways. Ruled out: processor time of a single message (0.1 ms). Configurations of 1,700 routes crossed regions many times over, as a gateway asked whoever announced first. Change: with more than 12 gateways an agent tells two of its hall, which pass reports on; the gateway that watches the platform sends small changes to its hall; announcements grow rarer with the number of gateways; gateways and resting agents ping one another each 2 s; a gateway asks another hall only if its own does not tell within 0.8 s; bodies of records, assignments, announcements and reports are compressed; an agent is told of others at most each 0.4 s; the platform's revision is checked 8 times within the bound on a configuration; the order of chunks is not worked out anew by a box that is whole. Each part is to be measured alone.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -49,7 +49,7 @@
 // pingEvery is the time between pings on an idle connection: short, so that a
 // frozen peer is noticed well before callers would give up, but longer in a
 // large hall, so that the pings to all of its boxes stay within the budget.
-func (g *Gateway) pingEvery() time.Duration {
+func (g *Gateway) pingEvery(wire.Hello) time.Duration {
 	const least, most, perBox = time.Second, 10 * time.Second, 20 * time.Millisecond
 	return min(most, max(least, time.Duration(g.router.Size())*perBox))
 }
--- a/internal/peers/assign.go
+++ b/internal/peers/assign.go
@@ -12,8 +12,8 @@
 const firstVersion = 1
 
 // Assign works out what concerns the replicas of a service, or returns nil where
-// the service has no weights or nothing is known yet. It is pure.
-func Assign(c *catalog.Catalog, service string, gateways []Member, now time.Time) *Assignment {
+// the service has no weights or nothing is known yet. It knows no gateways. It is pure.
+func Assign(c *catalog.Catalog, service string, now time.Time) *Assignment {
 	if c.Config == nil {
 		return nil
 	}
@@ -23,7 +23,7 @@
 	}
 	a := &Assignment{
 		At: c.Revision, Model: s.Model, Origin: s.Origin, OriginRate: s.OriginRate,
-		Bytes: s.Engine.Chunks * s.Engine.ChunkBytes, Gateways: gateways,
+		Bytes: s.Engine.Chunks * s.Engine.ChunkBytes,
 	}
 	newest := uint64(firstVersion)
 	for _, u := range c.Of(service) {
@@ -45,5 +45,10 @@
 // are, and by which revision, is no difference.
 func (a *Assignment) Same(b *Assignment) bool {
 	return a.Model == b.Model && a.Version == b.Version && a.Origin == b.Origin && a.OriginRate == b.OriginRate &&
-		a.Bytes == b.Bytes && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Gateways, b.Gateways)
+		a.Bytes == b.Bytes && a.Tell == b.Tell && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Gateways, b.Gateways)
+}
+
+// Urgent reports whether b differs from a in more than who else there is.
+func (a *Assignment) Urgent(b *Assignment) bool {
+	return a.Model != b.Model || a.Version != b.Version || a.Origin != b.Origin || len(b.Gateways) == 0
 }
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -23,7 +23,9 @@
 	// read it in turns: a watch may hear nothing while changes are made.
 	Revision func(ctx context.Context) (uint64, error)
 	Sharers  func() int
-	Event    func(name string, c fault.Code)
+	// CheckEvery is the time between two checks by anyone; 250 ms by default.
+	CheckEvery time.Duration
+	Event      func(name string, c fault.Code)
 	// Doubt is how long ago a change may have been made, at the most, that is only
 	// found out now.
 	Doubt time.Duration
@@ -85,7 +87,7 @@
 	retryMost  = time.Second
 	idleLook   = 250 * time.Millisecond // While the platform need not be read,
 	startLook  = 20 * time.Millisecond  // and while nothing is known at all.
-	checkEvery = 250 * time.Millisecond // Between two checks by anyone.
+	checkEvery = 250 * time.Millisecond // The default of CheckEvery.
 	checkLag   = 300 * time.Millisecond // A watch tells of a change by then, to gateways that do not watch too.
 	watchHolds = time.Second            // A watch that was not refused by then is taken as answered.
 	watchPause = 150 * time.Millisecond // After changes, so that many at once cost few calls.
@@ -180,7 +182,11 @@
 // moment of its own, and whoever finds something tells the others.
 func (f *Follower) Check(ctx context.Context) error {
 	for ctx.Err() == nil {
-		period := checkEvery * time.Duration(max(1, f.Sharers()))
+		every := f.CheckEvery
+		if every == 0 {
+			every = checkEvery
+		}
+		period := every * time.Duration(max(1, f.Sharers()))
 		kernel.Sleep(ctx, period/2+rand.N(period))
 		if f.Mirror.At() > 0 {
 			f.check(ctx)
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -22,7 +23,18 @@
 	liveFor       = 2500 * time.Millisecond // With few gateways; longer where signs travel through others.
 	forgetAfter   = 30 * time.Second
 	pullAfter     = 150 * time.Millisecond // Where the platform itself usually tells sooner.
+	pullAcross    = 800 * time.Millisecond // From another hall, where one of the own hall usually tells sooner.
 	pullWithin    = 2 * time.Second
+	// A gateway that watches the platform passes on to its hall what changed, if it is
+	// not more than this: larger changes are announced, and the others get them from
+	// one another.
+	pushMost = 16 << 10 // Bytes.
+	// pushBack is how far back what is passed on reaches: one that was lost is made up
+	// for by the next.
+	pushBack = time.Second
+	// announcedEach is with how many gateways each announces itself less often: the
+	// time between two grows with their number beyond it.
+	announcedEach = 60
 	// What a gateway sends is bounded, however many there are: it announces itself
 	// to so many others, and tells of so many.
 	neighbours = 8
@@ -46,9 +58,13 @@
 	mu      sync.Mutex
 	members map[string]*member // By address.
 	pulling bool
+	waiting bool // For one of the own hall to tell what one of another hall knows.
+	pulled  bool // What was learnt last came by a pull: others may lack it as well.
 	rounds  int
+	pushes  []pushed // Of late, the oldest first.
 	learnt  chan struct{}
 	once    sync.Once
+	many    atomic.Bool // As of the last round.
 }
 
 type member struct {
@@ -61,6 +77,12 @@
 	live    bool // As last logged.
 }
 
+// pushed is a revision up to which changes were passed on to the hall, and when.
+type pushed struct {
+	at   uint64
+	when time.Time
+}
+
 func (g *Gossip) init() {
 	g.once.Do(func() {
 		g.members = map[string]*member{}
@@ -78,6 +100,9 @@
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
 		_ = s.SendLast(ctx, records(g.Mirror.Since(m.Since), time.Now()))
 	})
+	wire.On(hs, func(_ context.Context, _ *wire.Stream, m *Records) {
+		g.takePush(m)
+	})
 }
 
 // records adds to a delta how old its records are.
@@ -133,6 +158,9 @@
 	return n
 }
 
+// Many reports whether there are so many gateways that agents tell only some.
+func (g *Gossip) Many() bool { return g.many.Load() }
+
 // fresh reports whether a gateway was heard of late. The caller holds g.mu.
 func (g *Gossip) fresh(m *member, now time.Time) bool {
 	hops := 1 + len(g.members)/(2*neighbours)
@@ -197,16 +225,59 @@
 		}
 	}
 	behind := a.At > g.Mirror.At() && !g.pulling
-	g.pulling = g.pulling || behind
+	across := behind && a.From.Hall != g.Self.Hall && g.watchedHere(now)
+	switch {
+	case across && g.waiting:
+		behind = false
+	case across:
+		g.waiting = true
+	default:
+		g.pulling = g.pulling || behind
+	}
 	g.mu.Unlock()
 	if a.At == g.Mirror.At() {
 		g.Follow.Sure(now.Add(-a.Certain))
 	}
-	if behind {
+	switch {
+	case across && behind:
+		go g.pullLater(a.From.Addr)
+	case behind:
 		go g.pull(a.From.Addr)
 	}
 }
 
+// watchedHere reports whether a gateway of this hall says that it watches the platform.
+// The caller holds g.mu.
+func (g *Gossip) watchedHere(now time.Time) bool {
+	if g.Mirror.At() == 0 {
+		return false
+	}
+	if g.Follow.Watching() {
+		return true
+	}
+	for _, m := range g.members {
+		if m.Hall == g.Self.Hall && m.watches && g.fresh(m, now) {
+			return true
+		}
+	}
+	return false
+}
+
+// pullLater asks a gateway of another hall, unless what it knows has come from this
+// hall meanwhile: bytes between halls are few, and the same for all of them.
+func (g *Gossip) pullLater(addr string) {
+	kernel.Sleep(g.Pool.Lifetime, pullAcross)
+	g.mu.Lock()
+	m := g.members[addr]
+	behind := m != nil && m.at > g.Mirror.At() && !g.pulling
+	g.waiting = false
+	g.pulling = g.pulling || behind
+	g.mu.Unlock()
+	if behind {
+		g.pull(addr)
+	}
+}
+
 // pull asks a gateway for what this one lacks, unless the platform has told it
 // meanwhile.
 func (g *Gossip) pull(addr string) {
@@ -220,7 +291,10 @@
 		kernel.Sleep(life, pullAfter)
 	}
 	g.mu.Lock()
-	at := g.members[addr].at
+	at := uint64(0)
+	if m := g.members[addr]; m != nil {
+		at = m.at
+	}
 	g.mu.Unlock()
 	since := g.Mirror.At()
 	if since >= at {
@@ -240,6 +314,9 @@
 		return
 	}
 	r.heardBy(asked, g.Follow.Earliest())
+	g.mu.Lock()
+	g.pulled = true // Before it is applied: that wakes the one who announces.
+	g.mu.Unlock()
 	taken := g.Mirror.Apply(r.Delta)
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
 }
@@ -267,23 +344,34 @@
 	for ctx.Err() == nil {
 		_, changed := g.Mirror.Watch()
 		began := time.Now()
-		every := announceEvery
-		if g.Mirror.At() == 0 {
-			every = announceLeast // Somebody may know by now.
-		}
-		t := time.NewTimer(every)
+		t := time.NewTimer(g.every())
+		news := false
 		select {
 		case <-changed:
+			news = true
 		case <-t.C:
 		case <-ctx.Done():
 		}
 		t.Stop()
 		kernel.Sleep(ctx, announceLeast-time.Since(began))
+		if news && g.passedOn(ctx) {
+			continue
+		}
 		g.round(ctx)
 	}
 	return nil
 }
 
+// every is the time between two announcements without news.
+func (g *Gossip) every() time.Duration {
+	if g.Mirror.At() == 0 {
+		return announceLeast // Somebody may know by now.
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return announceEvery * time.Duration(max(announcedEach, len(g.members))) / announcedEach
+}
+
 // round announces to this gateway's neighbours that are not being talked to.
 func (g *Gossip) round(ctx context.Context) *sync.WaitGroup {
 	now := time.Now()
@@ -291,6 +379,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
+	g.many.Store(len(g.members) >= tellAll)
 	others := g.rounds%tellsOf == 0
 	g.rounds++
 	for _, addr := range g.chosen(now) {
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -74,7 +74,10 @@
 	OriginRate float64 // Bytes a second of the origin's link.
 	Bytes      int     // Of a whole version.
 	Replicas   []Replica
-	Gateways   []Member
+	Gateways   []Member // That the agent may ask, and tell how its replica stands.
+	// Tell is how many of Gateways the agent tells: the first ones that answer. Zero
+	// is all.
+	Tell int
 }
 
 // Status is how a replica stands, told by its agent.
@@ -105,12 +108,35 @@
 	return s.Version == o.Version && s.Changing == o.Changing && s.Reached == o.Reached && s.SlowLink == o.SlowLink && (s.ChangeIn == 0) == (o.ChangeIn == 0)
 }
 
+// Report is how a replica stood when its agent told a gateway of it.
+type Report struct {
+	Addr     string
+	Version  uint64
+	Changing bool
+	ChangeIn time.Duration // From when the message was sent, or 0 where it is not known.
+	Queued   int
+	Running  int
+	Pace     float64
+	SlowLink bool
+	Age      time.Duration // Since the agent told, when the message was sent.
+}
+
+// Reports passes on how replicas stand, from a gateway that their agents tell to one
+// that they do not.
+type Reports struct {
+	Replicas []Report
+	// Onward says that the replicas are of another hall, and that the receiver is to
+	// tell the gateways of its own hall of them.
+	Onward bool
+}
+
 // Messages registers this package's messages.
 var Messages = []wire.Entry{
-	{Kind: 96, Message: &Announce{}},
+	{Kind: 96, Message: &Announce{}, Compress: true},
 	{Kind: 97, Message: &Pull{}},
-	{Kind: 98, Message: &Records{}},
+	{Kind: 98, Message: &Records{}, Compress: true},
 	{Kind: 99, Message: &Subscribe{}},
-	{Kind: 100, Message: &Assignment{}},
+	{Kind: 100, Message: &Assignment{}, Compress: true},
 	{Kind: 101, Message: &Status{}},
+	{Kind: 102, Message: &Reports{}, Compress: true},
 }
--- a/internal/relay/agents.go
+++ b/internal/relay/agents.go
@@ -4,25 +4,34 @@
 	"context"
 	"time"
 
+	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/route"
 	"github.com/poststand/poststand/wire"
 )
 
+// assignLeast is the least time between two assignments to an agent that differ only
+// in who else there is: while replicas come and go all the time, an agent needs no word
+// of each, and its box's link is small.
+const assignLeast = 400 * time.Millisecond
+
 // serveSubscribe tells an agent what concerns it, now and at each change.
 func (g *Relay) serveSubscribe(ctx context.Context, s *wire.Stream, m *peers.Subscribe) {
 	const look = 500 * time.Millisecond
 	telemetry.Log("agent_gained", "addr", m.Addr, "service", m.Service)
 	defer telemetry.Log("agent_lost", "addr", m.Addr)
 	var sent peers.Assignment
+	var notBefore time.Time
 	for {
 		c, changed := g.holder.Watch()
-		if a := peers.Assign(c, m.Service, g.gossip.Live(), time.Now()); a != nil && !a.Same(&sent) {
+		now := time.Now()
+		a := g.assign(c, s.Conn().Remote().Hall, m, now)
+		if a != nil && !a.Same(&sent) && (a.Urgent(&sent) || !now.Before(notBefore)) {
 			if s.Send(ctx, a) != nil {
 				return
 			}
-			sent = *a
+			sent, notBefore = *a, now.Add(assignLeast)
 		}
 		t := time.NewTimer(look)
 		select {
@@ -36,6 +45,23 @@
 	}
 }
 
+// assign works out what concerns an agent of a hall, or returns nil where that is not
+// known.
+func (g *Relay) assign(c *catalog.Catalog, hall string, m *peers.Subscribe, now time.Time) *peers.Assignment {
+	a := peers.Assign(c, m.Service, now)
+	if a == nil {
+		return nil
+	}
+	agents := 0
+	for _, r := range a.Replicas {
+		if r.Hall == hall {
+			agents++
+		}
+	}
+	a.Gateways, a.Tell = peers.GatewaysFor(m.Addr, hall, agents, g.gossip.Live())
+	return a
+}
+
 // slowDelay is how long a ping of an agent takes when what is sent to its box is long
 // on its way. While weights move it takes up to 0.2 s.
 const slowDelay = 400 * time.Millisecond
@@ -46,10 +72,13 @@
 	for {
 		m.SlowLink = m.SlowLink || s.Conn().Delay(time.Now()) >= slowDelay
 		if m.Reached {
-			g.table.Heard(m.Addr, route.AgentReport{
-				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m, time.Now()),
-				Queued: m.Queued, Running: m.Running, Pace: m.Pace, SlowLink: m.SlowLink, At: time.Now(),
-			})
+			now := time.Now()
+			r := route.AgentReport{
+				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m.ChangeIn, now),
+				Queued: m.Queued, Running: m.Running, Pace: m.Pace, SlowLink: m.SlowLink, At: now,
+			}
+			g.table.Heard(m.Addr, r)
+			g.collected.hold(m.Addr, r, true)
 		}
 		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached || m.SlowLink != old.SlowLink {
 			telemetry.Log("replica_told", "addr", m.Addr, "weights", m.Version, "changing", m.Changing, "reached", m.Reached, "slow_link", m.SlowLink, "missing", m.Missing)
@@ -63,9 +92,10 @@
 	}
 }
 
-func changeAt(m *peers.Status, now time.Time) time.Time {
-	if m.ChangeIn <= 0 {
+// changeAt is when a replica will change its version, by a report that came at now.
+func changeAt(in time.Duration, now time.Time) time.Time {
+	if in <= 0 {
 		return time.Time{}
 	}
-	return now.Add(m.ChangeIn)
+	return now.Add(in)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -49,18 +49,23 @@
 	handlers *wire.Handlers
 	table    route.Table
 	conns    conns
-	life     context.Context
-	end      context.CancelFunc
-	began    time.Time
-	learnIn  time.Duration
-	draining atomic.Bool
-	waits    callerWaits
-	bounds   atomic.Pointer[settings.RelayBounds]
+	// collected is what agents tell this gateway for others.
+	collected collected
+	life      context.Context
+	end       context.CancelFunc
+	began     time.Time
+	learnIn   time.Duration
+	draining  atomic.Bool
+	waits     callerWaits
+	bounds    atomic.Pointer[settings.RelayBounds]
 
 	mu      sync.Mutex
 	windows map[string]*limit.Window // By service; bounded by the configuration.
 }
 
+// roleGateway is what a gateway calls itself towards other processes.
+const roleGateway = "gateway"
+
 // settledIn is how long a process that has started, or has been cut off, may
 // still send requests to a version that was overtaken it does not know when.
 const settledIn = 2500 * time.Millisecond
@@ -81,11 +86,11 @@
 	g.handlers = &wire.Handlers{}
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
 	g.pool = &wire.Pool{
-		Local: wire.Hello{Cluster: s.Cluster, Box: s.Box, Hall: s.Hall, Role: "gateway", Incarnation: rand.Uint64() | 1},
+		Local: wire.Hello{Cluster: s.Cluster, Box: s.Box, Hall: s.Hall, Role: roleGateway, Incarnation: rand.Uint64() | 1},
 		Codec: Codec, Handlers: g.handlers, Lifetime: g.life, Dial: link.Dialer{Starts: g.knowsNothing, Connect: o.Dial}.Dial,
 		Redial: redialPeer,
 		Options: wire.Options{
-			PingEvery: ping, StallAfter: stall,
+			PingEvery: ping, StallAfter: stall, Pings: g.pings,
 			Count: func(c fault.Code) { m.Event("connection", string(c)) },
 			Traffic: func(sent, received int) {
 				m.Bytes("sent", sent)
@@ -100,14 +105,21 @@
 	g.gossip.Serve(g.handlers)
 	wire.On(g.handlers, g.serveSubscribe)
 	wire.On(g.handlers, g.serveStatus)
+	wire.On(g.handlers, g.serveReports)
 	g.options.Follow.Mirror = &g.mirror
 	g.options.Follow.Needed = g.watches
 	g.options.Follow.Doubt = s.VersionWithin - settledIn
+	g.options.Follow.CheckEvery = s.ApplyWithin / checksInBound
 	g.options.Follow.Sharers = func() int { return len(g.gossip.Live()) }
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
 }
 
+// checksInBound is how often all gateways together read the platform's revision within
+// the time in which a configuration is to be in force. The moments are drawn, and what
+// is found has to be read and to reach all.
+const checksInBound = 8
+
 // lapseMargin is how much sooner than a leaving replica must be left alone one is
 // that has vanished from the list.
 const lapseMargin = 800 * time.Millisecond
@@ -131,6 +143,20 @@
 	return slices.Contains(g.Settings.Join, g.Settings.Listen) || time.Since(g.began) >= g.learnIn
 }
 
+// pingPeer is the time between pings of two gateways, where there are so many that
+// pings would be most of what they say: they announce themselves, and a lost one is not
+// waited for.
+const pingPeer = 2 * time.Second
+
+// pings gives the time between pings on a connection, zero for the usual one. Agents are
+// pinged as usual wherever they are: that shows a slow link.
+func (g *Relay) pings(peer wire.Hello) time.Duration {
+	if peer.Role == roleGateway && g.gossip.Many() {
+		return pingPeer
+	}
+	return 0
+}
+
 // redialPeer is how long another gateway is left alone after it was not reached.
 const redialPeer = 100 * time.Millisecond
 
@@ -143,6 +169,7 @@
 	k.Duty(g.options.Follow.Check)
 	k.Add("gossip", g.gossip, g.gossip.Run)
 	k.Add("catalog", &g.holder, g.translate)
+	k.Duty(g.passReports)
 	k.Duty(g.sweep)
 }
 
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -33,6 +33,9 @@
 	// VersionWithin is the time from the naming of a version until no request may
 	// begin on an older one.
 	VersionWithin time.Duration `yaml:"version_within"`
+	// ApplyWithin is the time from when the platform has a configuration until it is in
+	// force; 2 s by default.
+	ApplyWithin time.Duration `yaml:"apply_within"`
 	// DrainWithin is the time from when the platform says that an upstream leaves
 	// until no request may reach it. Zero, the default, is at once.
 	DrainWithin time.Duration `yaml:"drain_within"`
@@ -60,7 +63,10 @@
 	Link          float64       `yaml:"link"` // Megabits a second of the box's link, which the replica shares.
 }
 
-const defaultStagerMemory = 64 << 20
+const (
+	defaultStagerMemory = 64 << 20
+	defaultApplyWithin  = 2 * time.Second
+)
 
 // LoadRelay reads the settings of a gateway, or returns every fault in them.
 func LoadRelay(file string) (*Relay, error) {
@@ -69,11 +75,13 @@
 	if err != nil {
 		return nil, err
 	}
+	setDefault(&r.ApplyWithin, defaultApplyWithin)
 	checkOwn(d, &r.Own)
 	checkAddr(d, "http", r.HTTP)
 	checkAddr(d, "ready", r.Ready)
 	for key, v := range map[string]time.Duration{
 		"grace_for": r.GraceFor, "version_within": r.VersionWithin, "retry_window": r.RetryWindow,
+		"apply_within": r.ApplyWithin,
 	} {
 		checkPositive(d, key, int64(v))
 	}
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -194,6 +194,7 @@
 		}
 	}
 	_, missing := vs.newest.Progress()
+	s.rests.Store(vs.newest.whole())
 	slow := now.Before(s.slowUntil)
 	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -29,6 +29,9 @@
 // Codec knows every message that a stager sends or takes.
 var Codec = wire.NewCodec(weights.Messages, peers.Messages)
 
+// roleAgent is what an agent calls itself towards other processes.
+const roleAgent = "agent"
+
 // Options are the seams of a Stager: what lies on the other side of its box.
 type Options struct {
 	Replica Replica
@@ -55,6 +58,7 @@
 	now       assignments
 	pieces    pieces
 	status    status
+	claims    claims
 	mirror    mirror.Mirror
 	links     *rate.Limiter
 	moved     moved
@@ -62,6 +66,7 @@
 	slowUntil time.Time // The link counts as slow until then; only the loader touches it.
 	// recovered says that what the box held was read back.
 	recovered atomic.Bool
+	rests     atomic.Bool              // The box lacks nothing of what is assigned.
 	readBack  atomic.Pointer[readBack] // Nil until a whole version was read back.
 }
 
@@ -75,14 +80,14 @@
 	st.bounds.Store(&s.StagerBounds)
 	st.life, st.end = context.WithCancel(context.Background())
 	local := wire.Hello{
-		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: "agent", Incarnation: rand.Uint64() | 1,
+		Cluster: s.Cluster, Box: boxOf(s.Listen), Hall: s.Hall, Role: roleAgent, Incarnation: rand.Uint64() | 1,
 	}
 	st.handlers = &wire.Handlers{}
-	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: link.Dialer{Starts: st.unmet, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial}
+	st.pool = &wire.Pool{Local: local, Codec: Codec, Options: st.wireOptions(), Dial: link.Dialer{Starts: st.unmet, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial}
 	st.exchange = &weights.Exchange{
 		Self:  weights.Member{Name: local.Box, Hall: s.Hall, Addr: s.Listen},
 		Store: &weights.Store{Limit: s.Memory}, Strategy: weights.Swarm,
-		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: wireOptions(m), Dial: link.Dialer{Starts: st.fresh, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial},
+		Pool:       &wire.Pool{Local: local, Codec: Codec, Options: st.wireOptions(), Dial: link.Dialer{Starts: st.fresh, Connect: o.Dial}.Dial, Lifetime: st.life, Handlers: st.handlers, Redial: redial},
 		FromOrigin: st.fromOrigin, Pace: st.pace, Part: sendPart, UploadSlots: uploadSlots, UploadQueue: uploadQueue, Parallel: fetches, KeepInHall: true, SharesLink: true, AtOrigin: atOrigin, Flush: flush,
 		Event: st.weightsEvent,
 	}
@@ -186,12 +191,24 @@
 	return host
 }
 
-func wireOptions(m *telemetry.Metrics) wire.Options {
+func (s *Stager) wireOptions() wire.Options {
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
 	return wire.Options{
-		PingEvery: ping, StallAfter: stall,
-		Count: func(c fault.Code) { m.Event("connection", string(c)) },
+		PingEvery: ping, StallAfter: stall, Pings: s.pings,
+		Count: func(c fault.Code) { s.Metrics.Event("connection", string(c)) },
+	}
+}
+
+// pingResting is the time between pings of two agents while neither lacks weights.
+const pingResting = 2 * time.Second
+
+// pings gives the time between pings on a connection, zero for the usual one. Agents
+// keep their connections to one another, and most of the time have nothing to say.
+func (s *Stager) pings(peer wire.Hello) time.Duration {
+	if peer.Role == roleAgent && s.rests.Load() {
+		return pingResting
 	}
+	return 0
 }
 
 // Duties adds to k what a stager does without being asked.
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -9,8 +9,6 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
-	"github.com/poststand/poststand/kernel"
-	"github.com/poststand/poststand/rendezvous"
 )
 
 // Waits of the status.
@@ -18,10 +16,6 @@
 	reportEvery = 100 * time.Millisecond // Between looks at the replica,
 	reportBusy  = 40 * time.Millisecond  // and while it has an order.
 	reportIn    = 500 * time.Millisecond
-	tellAtLeast = time.Second // Gateways are told this often although nothing changed.
-	// Gateways of other halls are told of the load alone no more often than this:
-	// they send little here, and bytes between halls have a price.
-	tellAfar = 300 * time.Millisecond
 )
 
 // status is how the replica stands.
@@ -176,93 +170,6 @@
 	return nil
 }
 
-// tellGateways keeps a stream of statuses to every gateway.
-func (s *Stager) tellGateways(ctx context.Context) error {
-	var open kernel.Each[peers.Member]
-	defer open.Stop()
-	for ctx.Err() == nil {
-		a, _, changed := s.now.watch()
-		if a != nil && len(a.Gateways) > 0 {
-			open.Sync(ctx, s.told(a.Gateways), s.tell)
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-		}
-	}
-	return nil
-}
-
-// A gateway of another hall sends little here; where there are many gateways only
-// a few of those are told.
-const (
-	toldAll = 12 // With so many gateways all are told,
-	toldFar = 6  // and else those of the hall and so many others.
-)
-
-func (s *Stager) told(gateways []peers.Member) []peers.Member {
-	if len(gateways) <= toldAll {
-		return gateways
-	}
-	var out []peers.Member
-	far := map[string]peers.Member{}
-	for _, g := range gateways {
-		if g.Hall == s.Settings.Hall {
-			out = append(out, g)
-		} else {
-			far[g.Addr] = g
-		}
-	}
-	ranked := rendezvous.Rank("told/"+s.exchange.Self.Name, rendezvous.Sorted(far))
-	for _, addr := range ranked[:min(toldFar, len(ranked))] {
-		out = append(out, far[addr])
-	}
-	return out
-}
-
-// tell tells one gateway until ctx ends.
-func (s *Stager) tell(ctx context.Context, g peers.Member) {
-	const retry = 300 * time.Millisecond
-	for ctx.Err() == nil {
-		s.tellOnce(ctx, g)
-		kernel.Sleep(ctx, retry)
-	}
-}
-
-func (s *Stager) tellOnce(ctx context.Context, g peers.Member) {
-	c, err := s.pool.Get(ctx, g.Addr)
-	if err != nil {
-		return
-	}
-	now, changed := s.status.watch()
-	st, err := c.Open(ctx, &now)
-	if err != nil {
-		return
-	}
-	defer st.Close()
-	for {
-		sent := now
-		wait := time.NewTimer(tellAtLeast)
-		select {
-		case <-changed:
-			if next, _ := s.status.watch(); g.Hall != s.Settings.Hall && next.OnlyLoadDiffers(&sent) {
-				kernel.Sleep(ctx, tellAfar)
-			}
-		case <-wait.C:
-		case <-c.Done():
-		case <-ctx.Done():
-		}
-		wait.Stop()
-		if ctx.Err() != nil {
-			return
-		}
-		now, changed = s.status.watch()
-		if st.Send(ctx, &now) != nil {
-			return
-		}
-	}
-}
-
 func splitAddr(addr string) (ip, port string) {
 	ip, port, err := net.SplitHostPort(addr)
 	if err != nil {
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
@@ -29,6 +30,7 @@
 	outcomes   metric.Int64Counter
 	events     metric.Int64Counter
 	bytes      metric.Int64Counter
+	moved      sync.Map // The attributes of bytes, by what was moved.
 	firstToken metric.Float64Histogram
 	whole      metric.Float64Histogram
 }
@@ -104,9 +106,14 @@
 // Failed counts a failure that is neither a refusal nor a retry.
 func (m *Metrics) Failed(name string, err error) { m.Event(name, string(fault.CodeOf(err))) }
 
-// Bytes counts bytes moved.
+// Bytes counts bytes moved. It is called for each frame, so its attributes are made only
+// once; what is one of few words.
 func (m *Metrics) Bytes(what string, n int) {
-	m.bytes.Add(context.Background(), int64(n), with("what", what))
+	opt, ok := m.moved.Load(what)
+	if !ok {
+		opt, _ = m.moved.LoadOrStore(what, metric.WithAttributeSet(attribute.NewSet(attribute.String("what", what))))
+	}
+	m.bytes.Add(context.Background(), int64(n), opt.(metric.MeasurementOption))
 }
 
 // FirstData and Whole record seconds.
--- a/route/direct.go
+++ b/route/direct.go
@@ -29,6 +29,12 @@
 	At       time.Time // When it came.
 }
 
+// OnlyLoadDiffers reports whether two reports of a replica differ in nothing but how
+// much it has to do.
+func (w *AgentReport) OnlyLoadDiffers(o *AgentReport) bool {
+	return w.Version == o.Version && w.Changing == o.Changing && w.SlowLink == o.SlowLink && w.ChangeAt.IsZero() == o.ChangeAt.IsZero()
+}
+
 // Replica is what one gateway knows of an upstream that it sends requests to
 // without an agent in between.
 type Replica struct {
--- a/route/listed.go
+++ b/route/listed.go
@@ -82,11 +82,12 @@
 	return r != nil && t.lasts(now, r)
 }
 
-// Heard takes an agent's report of the replica at an address.
+// Heard takes an agent's report of the replica at an address, unless a newer one is
+// here: reports come on several ways.
 func (t *Table) Heard(addr string, w AgentReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.byAddr[addr]; r != nil {
+	if r := t.byAddr[addr]; r != nil && !w.At.Before(r.Report.At) {
 		if w.takes() && !r.Report.takes() {
 			r.backAt = w.At
 		}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -132,6 +132,9 @@
 func (p *Plan) SetMembers(names []string) {
 	p.names = names
 	fresh, before := p.order.position == nil, p.order.position
+	if !fresh && p.Complete() {
+		return // Nothing is left to be looked after, and an order of many boxes takes long.
+	}
 	p.order = order{first: make([]string, p.Chunks), position: make([]int, p.Chunks)}
 	if p.Strategy.OrderKey != nil {
 		p.order = orderOf(p.Strategy.OrderKey, p.Chunks, p.Self, names, p.Strategy.Balanced)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -31,21 +31,32 @@
 type Entry struct {
 	Kind    Kind
 	Message any // A pointer to a zero value of the message's struct type.
+	// Compress has large bodies of this kind compressed. Each body of the kind then
+	// begins with a byte that says whether it is.
+	Compress bool
 }
 
 // Codec translates between messages and bodies. It is immutable once made.
 type Codec struct {
-	byKind map[Kind]reflect.Type
-	byType map[reflect.Type]Kind
+	byKind   map[Kind]reflect.Type
+	byType   map[reflect.Type]Kind
+	compress map[Kind]*compressor // Of the kinds that are compressed.
 }
 
 // NewCodec returns a codec for the given entries. It panics on a kind that is
 // out of range or registered twice, since that is an error of the program.
 func NewCodec(groups ...[]Entry) *Codec {
-	c := &Codec{byKind: map[Kind]reflect.Type{}, byType: map[reflect.Type]Kind{}}
+	c := &Codec{byKind: map[Kind]reflect.Type{}, byType: map[reflect.Type]Kind{}, compress: map[Kind]*compressor{}}
+	var shared *compressor
 	for _, g := range groups {
 		for _, e := range g {
 			c.add(e)
+			if e.Compress && shared == nil {
+				shared = newCompressor()
+			}
+			if e.Compress {
+				c.compress[e.Kind] = shared
+			}
 		}
 	}
 	return c
@@ -66,6 +77,9 @@
 		return 0, nil, fault.New(fault.Unsupported, reflect.TypeOf(m).String())
 	}
 	b, err := marshal(m)
+	if z := c.compress[k]; err == nil && z != nil {
+		b = z.pack(b)
+	}
 	return k, b, err
 }
 
@@ -88,6 +102,12 @@
 	if !ok {
 		return nil, fault.New(fault.Unsupported, "unknown message kind")
 	}
+	if z := c.compress[k]; z != nil {
+		var err error
+		if body, err = z.unpack(body); err != nil {
+			return nil, err
+		}
+	}
 	m := reflect.New(t).Interface()
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return nil, fault.Wrap(fault.Garbage, err, t.String())
--- a/wire/conn.go
+++ b/wire/conn.go
@@ -24,8 +24,9 @@
 	Buffer     int           // Bytes gathered into one write, and read ahead; 8 KiB by default.
 	PingEvery  time.Duration // Silence after which a ping is sent; 5 s by default.
 	StallAfter time.Duration // Silence after which the peer is given up; 15 s by default.
-	// Pings, if set, gives PingEvery as it is now; StallAfter is then some pings.
-	Pings       func() time.Duration
+	// Pings, if set, gives PingEvery for a peer as it is now, and StallAfter is then
+	// some pings. Where it gives zero the two fields above hold.
+	Pings       func(peer Hello) time.Duration
 	HelloWithin time.Duration // Time for the handshake; 5 s by default.
 	Count       func(c fault.Code)
 	Traffic     func(sent, received int) // Bytes of each frame, header included.
@@ -68,18 +69,26 @@
 // stallPings is how many pings may go unanswered where Options.Pings is set.
 const stallPings = 4
 
-func (o *Options) pingEvery() time.Duration {
-	if o.Pings != nil {
-		return o.Pings()
+func (c *Conn) pingEvery() time.Duration {
+	if every := c.pings(); every > 0 {
+		return every
 	}
-	return o.PingEvery
+	return c.opts.PingEvery
 }
 
-func (o *Options) stallAfter() time.Duration {
-	if o.Pings != nil {
-		return stallPings * o.Pings()
+func (c *Conn) stallAfter() time.Duration {
+	if every := c.pings(); every > 0 {
+		return stallPings * every
 	}
-	return o.StallAfter
+	return c.opts.StallAfter
+}
+
+// pings is what Options.Pings gives for the peer, or zero.
+func (c *Conn) pings() time.Duration {
+	if c.opts.Pings == nil {
+		return 0
+	}
+	return c.opts.Pings(c.remote)
 }
 
 type frame struct {
@@ -225,7 +234,7 @@
 
 func (c *Conn) readLoop(r *bufio.Reader) {
 	for {
-		_ = c.nc.SetReadDeadline(time.Now().Add(c.opts.stallAfter()))
+		_ = c.nc.SetReadDeadline(time.Now().Add(c.stallAfter()))
 		f, err := readFrame(r, c.opts.MaxFrame)
 		if err != nil {
 			c.fail(err)
@@ -248,7 +257,7 @@
 
 func (c *Conn) writeLoop() {
 	w := bufio.NewWriterSize(c.nc, c.opts.Buffer)
-	ping := time.NewTimer(c.opts.pingEvery())
+	ping := time.NewTimer(c.pingEvery())
 	defer ping.Stop()
 	for {
 		select {
@@ -266,7 +275,7 @@
 				return
 			}
 		}
-		ping.Reset(c.opts.pingEvery())
+		ping.Reset(c.pingEvery())
 	}
 }
 
@@ -303,7 +312,7 @@
 // writeAll writes f and whatever else waits, then flushes once.
 func (c *Conn) writeAll(w *bufio.Writer, f frame) error {
 	for {
-		_ = c.nc.SetWriteDeadline(time.Now().Add(c.opts.stallAfter()))
+		_ = c.nc.SetWriteDeadline(time.Now().Add(c.stallAfter()))
 		c.opts.Traffic(headerSize+len(f.body), 0)
 		if _, err := w.Write(appendFrame(make([]byte, 0, headerSize+len(f.body)), f)); err != nil {
 			return readError(err)
--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -152,7 +152,7 @@
 		is := is.New(t)
 		a, b := net.Pipe()
 		go func() { _, _ = NewConn(t.Context(), b, hello("c"), testCodec, echoHandlers(), false, Options{}) }()
-		quick := Options{Pings: func() time.Duration { return time.Second }}
+		quick := Options{Pings: func(Hello) time.Duration { return time.Second }}
 		c, err := NewConn(t.Context(), a, hello("c"), testCodec, nil, true, quick)
 		is.NoErr(err)
 		time.Sleep(10 * time.Minute)
