weights, peers, relay, stager: manifests come down a tree, what an absent origin owes is shared anew, starts ask others first

All boxes but one had the manifest 0.45 s late: each asked three neighbours, which waited for one another, and one that had not heard of the version yet was not asked again. 2. When the origin came back, 13 chunks were left to 9 boxes, three of them to one: they left it in 0.76 s where its link needs 0.35, and were whole 0.5 to 0.8 s after that. 3. After a loss of all power each of 32 processes read all records (416 KB with 1,700 routes) over links of 26 Mbit/s between regions and 7.3 of a box: they were done at +0.4 to +3 s. One that had learnt from others read them all the same, once. Ruled out: the origin's own return (its connections fail until 26.9 s). Change: the manifest comes from the parent in a tree over the boxes' order, asked again until it has it, and neighbours; chunks that have not left the origin are shared anew once none has for a while, and a chunk that leaves it tells all that it is back; of starting gateways one in 8 and of agents one in 12 reads early, the others wait for what the first know, and a read ends once others have told.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -290,7 +290,7 @@
 				has.Set(c)
 			}
 		}
-		p.PeerHas(boxName(i+1), has, 0)
+		p.PeerHas(now, boxName(i+1), has, 0)
 	}
 	return each(50, func() {
 		todo, _ := p.Next(now)
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -95,8 +95,7 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	wait, lost := retryFirst, false
-	whole := f.Mirror.At() == 0
+	wait, lost, whole := retryFirst, false, false
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
 			f.setWatching(false)
@@ -114,6 +113,9 @@
 		err := f.once(ctx, whole)
 		answered.Stop()
 		f.setWatching(err == nil)
+		if err != nil && ctx.Err() == nil && f.Needed != nil && !f.Needed() {
+			continue // It was ended since others have told, or nothing is wanted of it now.
+		}
 		if err == nil {
 			if lost {
 				telemetry.Log("store_regained", "at", f.Mirror.At())
@@ -145,6 +147,7 @@
 	if whole || f.Mirror.At() == 0 {
 		ctx, cancel := context.WithTimeout(ctx, wholeIn)
 		defer cancel()
+		go f.cancelUnneeded(ctx, cancel)
 		d, err := f.Whole(ctx)
 		if err != nil {
 			return err
@@ -170,6 +173,16 @@
 	return nil
 }
 
+// cancelUnneeded ends a read of all records when somebody has told of them meanwhile:
+// they are many bytes on a link that others share.
+func (f *Follower) cancelUnneeded(ctx context.Context, cancel context.CancelFunc) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, startLook) {
+		if f.Needed != nil && !f.Needed() {
+			cancel()
+		}
+	}
+}
+
 // take applies what was read rather than told.
 func (f *Follower) take(d mirror.Delta) {
 	d.Heard = f.Earliest()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: learnLeast + rand.N(learnSpread), windows: map[string]*limit.Window{},
+		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: learnIn(), windows: map[string]*limit.Window{},
 		table: route.Table{Hall: s.Hall, Lapse: lapse(&s.RelayBounds)}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
@@ -126,13 +126,26 @@
 
 func lapse(b *settings.RelayBounds) time.Duration { return max(0, b.DrainWithin-lapseMargin) }
 
-// A gateway that has just started waits for a while for what others know: if all
-// read at once, a start of the whole system would bury the platform.
+// A gateway that has just started waits for a while for what others know: all records
+// are as much as hundreds of kilobytes, and if all gateways read them at once, a start of
+// the whole system would bury the platform and the links between regions. One in
+// learnEarly reads early, since the gateways that all ask first may be late or away.
 const (
+	learnEarly  = 8
 	learnLeast  = 50 * time.Millisecond
 	learnSpread = 250 * time.Millisecond // Differs from process to process.
+	learnLater  = 600 * time.Millisecond // The others wait at least this,
+	laterSpread = 900 * time.Millisecond // and up to so much more.
 )
 
+// learnIn draws how long a gateway that has just started waits for others.
+func learnIn() time.Duration {
+	if rand.IntN(learnEarly) == 0 {
+		return learnLeast + rand.N(learnSpread)
+	}
+	return learnLater + rand.N(laterSpread)
+}
+
 // watches reports whether this gateway is to read the platform itself. While it
 // knows nothing, the gateways that all others ask first do so at once, and the
 // others once those had time to tell.
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -26,14 +26,26 @@
 }
 
 // patience is how long an agent waits for gateways before it reads the platform
-// itself. Where it knows nothing yet it is less, and differs from box to box: if all
-// read at once, a start of the whole system would bury the platform.
+// itself. Just after its start that differs from box to box: if all read at once, a start
+// of the whole system would bury the platform, and all records may take half a second on
+// a box's link. One in firstEarly reads early, in case no gateway is there at all.
 const (
 	patience    = time.Second
+	firstEarly  = 12
 	firstLeast  = 150 * time.Millisecond
 	firstSpread = 450 * time.Millisecond
+	firstLater  = 1200 * time.Millisecond // The others wait at least this,
+	laterSpread = 1200 * time.Millisecond // and up to so much more.
 )
 
+// firstPatience draws how long an agent that has just started waits for gateways.
+func firstPatience() time.Duration {
+	if rand.IntN(firstEarly) == 0 {
+		return firstLeast + rand.N(firstSpread)
+	}
+	return firstLater + rand.N(laterSpread)
+}
+
 func (a *assignments) init() {
 	if a.changed == nil {
 		a.changed = make(chan struct{})
@@ -90,7 +102,7 @@
 func (s *Stager) subscribe(ctx context.Context) error {
 	const retry = 200 * time.Millisecond
 	s.now.mu.Lock()
-	s.now.asked, s.now.first = time.Now(), firstLeast+rand.N(firstSpread)
+	s.now.asked, s.now.first = time.Now(), firstPatience()
 	s.now.mu.Unlock()
 	s.askAll(ctx)
 	for try := 0; ctx.Err() == nil; try++ {
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -13,6 +13,7 @@
 	if p.Hold || p.Yield {
 		return todo
 	}
+	p.shareAnew(now, wake)
 	for i := range p.Chunks {
 		if p.have.Has(i) || len(p.fetching[i]) > 0 || p.asking[i] || p.offered(now, i) {
 			continue
--- a/weights/neighbour.go
+++ b/weights/neighbour.go
@@ -111,7 +111,7 @@
 		own = nil
 	} else {
 		t.sessions[peer.Name] = own
-		t.plan.PeerHas(peer.Name, first.Has, first.Queue)
+		t.plan.PeerHas(time.Now(), peer.Name, first.Has, first.Queue)
 		for i := range t.plan.Chunks {
 			if t.plan.Have().Has(i) && !told.Has(i) {
 				own.unsent = append(own.unsent, i)
@@ -169,7 +169,7 @@
 		for _, i := range h.Chunks {
 			got.Set(i)
 		}
-		t.plan.PeerHas(peer, got, h.Queue)
+		t.plan.PeerHas(time.Now(), peer, got, h.Queue)
 		t.mu.Unlock()
 		t.happened()
 	}
--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -47,3 +47,25 @@
 		})
 	}
 }
+
+// When the origin comes back, what it has yet to send leaves it at once and from many
+// boxes, one chunk each: all boxes have a copy soon after its link can have carried it.
+func TestOriginsReturnIsUsedByAll(t *testing.T) {
+	is := is.New(t)
+	b := small(20)
+	b.chunks, b.window, b.sharing = 96, 5*time.Second, true
+	b.hook = func(s *sim) {
+		time.Sleep(1100 * time.Millisecond)
+		s.mu.Lock()
+		s.originDown = true
+		s.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		s.mu.Lock()
+		s.originDown = false
+		s.mu.Unlock()
+	}
+	f := b.run(t, 12*time.Second)
+	t.Log("all boxes whole after the return", f.ready[len(f.ready)-1]-6100*time.Millisecond, "copies", f.origin, "first", f.ready[0]-6100*time.Millisecond)
+	is.True(f.ready[len(f.ready)-1] < 6100*time.Millisecond+900*time.Millisecond)
+	is.True(f.origin < 1.1)
+}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -89,6 +89,10 @@
 	near      map[string]bool
 	across    []int       // Boxes of Near ahead of this one in bringing a chunk from another hall.
 	offeredAt []time.Time // When another hall was first seen to have a chunk; zero if none was.
+	// movedAt is when a chunk was last seen that nobody was known to have before: it has
+	// left the origin.
+	movedAt  time.Time
+	reshared bool // What is left was shared anew since then.
 }
 
 type fetch struct {
@@ -212,13 +216,16 @@
 }
 
 // PeerHas records that a peer has chunks, and how many uploads wait there.
-func (p *Plan) PeerHas(name string, chunks Bitmap, queue int) {
+func (p *Plan) PeerHas(now time.Time, name string, chunks Bitmap, queue int) {
 	s := p.peer(name)
 	s.queue = queue
 	for i := range p.Chunks {
 		if chunks.Has(i) && !s.has.Has(i) {
 			s.has.Set(i)
 			p.rarity[i]++
+			if p.rarity[i] == 1 && !p.have.Has(i) {
+				p.hasMoved(now)
+			}
 		}
 	}
 }
@@ -247,6 +254,9 @@
 func (p *Plan) Fetched(now time.Time, chunk int, from string, code fault.Code) {
 	p.endFetch(chunk, from)
 	if code == "" {
+		if from == Origin {
+			p.hasMoved(now)
+		}
 		p.Found(chunk)
 		return
 	}
--- a/weights/sim_test.go
+++ b/weights/sim_test.go
@@ -29,12 +29,15 @@
 	window   time.Duration // A box's link carries 2 copies in it, the origin's 4.
 	faults   bool          // 10% die, 1% of chunks corrupt, 5% of links stall.
 	seed     uint64
+	start    string // Draws when each box hears of the artifact.
 	// pinned gives every box the manifest beforehand. A real one is a millionth
 	// of its model; that of a model as small as these would weigh a hundredth.
 	pinned bool
 	// sharing is as boxes whose replicas share their link: one copy into each hall,
 	// one fetch from the origin at once, fewer fetches where the link is slow.
 	sharing bool
+	// startAt, if set, is when a box hears of the artifact, beside a drawn moment.
+	startAt func(s *sim, name string) time.Duration
 	hook    func(s *sim) // Causes a fault of a test's own, in a goroutine.
 }
 
@@ -205,6 +208,9 @@
 	go func() {
 		defer close(b.done)
 		time.Sleep(time.Duration(rendezvous.Score("start", name) % 50_000_000))
+		if s.startAt != nil {
+			time.Sleep(s.startAt(s, name))
+		}
 		_ = b.transfer.Run(ctx)
 	}()
 	go func() {
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -15,24 +16,31 @@
 // maxManifest is the largest manifest, in bytes.
 const maxManifest = 8 << 20
 
+// Waits for a manifest.
+const (
+	manifestRetry  = 40 * time.Millisecond  // After a box that did not have it.
+	manifestTurn   = 250 * time.Millisecond // For each box ahead in the order of those that ask the origin,
+	manifestTurns  = 8                      // up to so many of them.
+	manifestRound  = 500 * time.Millisecond // After this others are asked, or the origin.
+	manifestAtOnce = 3                      // Boxes asked at once.
+	manifestFanOut = 4                      // Boxes that ask the same one, beside those that draw it.
+	manifestReach  = 300 * time.Millisecond // To reach a box,
+	manifestAnswer = time.Second            // and for its answer.
+)
+
 // getManifest fetches the manifest: the first box in its order from the origin,
-// the others from their neighbours, and from the origin once that is late.
+// the others from other boxes, and from the origin once that is late.
 func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
-	const retry, grace, mostGraces = 40 * time.Millisecond, 250 * time.Millisecond, 8 // A manifest is small.
 	x := t.Exchange
 	begin := time.Now()
-	for ; ctx.Err() == nil; kernel.Sleep(ctx, retry) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, manifestRetry) {
 		if data, ok := x.Lookup(t.Artifact); ok {
 			return data, nil
 		}
-		members := t.Members()
-		order := rank("manifest/"+t.Artifact, members)
-		place := 0
-		for place < len(order) && order[place].Name != x.Self.Name {
-			place++
-		}
-		turn := begin.Add(time.Duration(min(place, mostGraces)) * grace)
-		data, err := t.manifestFrom(ctx, x.Strategy.Neighbours(x.Self, members), place == 0 || time.Now().After(turn))
+		order := rank("manifest/"+t.Artifact, t.Members())
+		place := slices.IndexFunc(order, func(m Member) bool { return m.Name == x.Self.Name })
+		turn := begin.Add(time.Duration(min(max(0, place), manifestTurns)) * manifestTurn)
+		data, err := t.manifestFrom(ctx, order, place, turn)
 		if err == nil {
 			if _, err = ParseManifest(data, t.Artifact); err == nil {
 				x.keepManifest(t.Artifact, data)
@@ -43,51 +51,79 @@
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
 }
 
-// manifestFrom tries the origin for one whose turn has come, else a few neighbours at
-// once, so that no box is asked by many and the connections serve for the chunks
-// too. Those that wait for it themselves answer when they have it, so it runs through
-// all boxes as fast as the network is.
-func (t *Transfer) manifestFrom(ctx context.Context, neighbours []Member, turn bool) ([]byte, error) {
-	const atOnce = 3
+// manifestFrom asks the origin if this box's turn has come, and else a few boxes at
+// once, again and again until one has it or the turn comes.
+func (t *Transfer) manifestFrom(ctx context.Context, order []Member, place int, turn time.Time) ([]byte, error) {
 	x := t.Exchange
-	if x.Strategy.OrderKey == nil || len(neighbours) == 0 || turn {
+	asked := t.manifestHolders(order, place)
+	if len(asked) == 0 || !time.Now().Before(turn) {
 		return x.FromOrigin(ctx, t.Artifact)
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	round := time.Now().Add(manifestRound)
+	if turn.Before(round) {
+		round = turn
+	}
+	ctx, cancel := context.WithDeadline(ctx, round)
 	defer cancel()
-	type answer struct {
-		data []byte
-		err  error
+	queue := make(chan Member, len(asked))
+	for _, m := range asked {
+		queue <- m
 	}
-	asked := min(atOnce, len(neighbours))
-	answers := make(chan answer, asked)
-	for _, i := range rand.Perm(len(neighbours))[:asked] {
+	got := make(chan []byte, manifestAtOnce)
+	for range min(manifestAtOnce, len(asked)) {
 		go func() {
-			data, err := t.manifestOf(ctx, neighbours[i])
-			answers <- answer{data, err}
+			for ; ctx.Err() == nil; kernel.Sleep(ctx, manifestRetry) {
+				m := <-queue
+				data, err := t.manifestOf(ctx, m)
+				for fault.Is(err, fault.NotHeld) && m.Name == asked[0].Name {
+					kernel.Sleep(ctx, manifestRetry) // It has not heard of the version yet.
+					data, err = t.manifestOf(ctx, m)
+				}
+				if err == nil {
+					got <- data
+					return
+				}
+				queue <- m // Behind those that were not asked yet.
+			}
 		}()
 	}
-	var last error
-	for range asked {
-		a := <-answers
-		if a.err == nil {
-			return a.data, nil
+	select {
+	case data := <-got:
+		return data, nil
+	case <-ctx.Done():
+		return nil, fault.New(fault.NotHeld, t.Artifact)
+	}
+}
+
+// manifestHolders returns the boxes to ask, those first that should be asked first: the
+// one that is this box's parent in a tree over the order, at whose root is the box that
+// asks the origin, and its neighbours, in case boxes above have gone. Of neighbours alone
+// the answer may be long in coming: they may all wait for one another.
+func (t *Transfer) manifestHolders(order []Member, place int) []Member {
+	x := t.Exchange
+	if x.Strategy.OrderKey == nil || place <= 0 {
+		return nil
+	}
+	out := []Member{order[(place-1)/manifestFanOut]}
+	neighbours := x.Strategy.Neighbours(x.Self, order)
+	for _, i := range rand.Perm(len(neighbours)) {
+		if neighbours[i].Name != out[0].Name {
+			out = append(out, neighbours[i])
 		}
-		last = a.err
 	}
-	return nil, last
+	return out
 }
 
-// manifestOf asks one box for the manifest.
+// manifestOf asks one box for the manifest. One that waits for it itself answers once it
+// has it.
 func (t *Transfer) manifestOf(ctx context.Context, m Member) ([]byte, error) {
-	const patience, reach = time.Second, 300 * time.Millisecond
-	rctx, cancel := context.WithTimeout(ctx, reach)
+	rctx, cancel := context.WithTimeout(ctx, manifestReach)
 	defer cancel()
 	c, err := t.Exchange.Pool.Get(rctx, m.Addr)
 	if err != nil {
 		return nil, err
 	}
-	data, _, err := getFrom(ctx, c, t.Artifact, maxManifest, receiving{first: patience, next: patience})
+	data, _, err := getFrom(ctx, c, t.Artifact, maxManifest, receiving{first: manifestAnswer, next: manifestAnswer})
 	return data, err
 }
 
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -100,6 +100,35 @@
 	b.run(t, 3*quick)
 }
 
+// All boxes have a manifest soon after the one that is to ask the origin for it has heard
+// of the version, though it heard last and the others wait for one another.
+func TestManifestComesDownFromTheFirst(t *testing.T) {
+	const late = 120 * time.Millisecond
+	for _, boxes := range []int{10, 20, 40} {
+		is := is.New(t)
+		b := small(boxes)
+		b.window = 2 * time.Second // A manifest crosses a link in 9 ms.
+		b.pinned, b.chunks = false, 8
+		b.startAt = func(s *sim, name string) time.Duration {
+			if rank("manifest/"+Digest(s.manifest), s.members)[0].Name == name {
+				return late
+			}
+			return 0
+		}
+		b.hook = func(s *sim) {
+			time.Sleep(late + 150*time.Millisecond)
+			have := 0
+			for _, x := range s.boxes {
+				if _, ok := x.exchange.Lookup(Digest(s.manifest)); ok {
+					have++
+				}
+			}
+			is.Equal(have, boxes)
+		}
+		b.run(t, 3*quick)
+	}
+}
+
 // Every fault alone must end with every living box whole.
 func TestFaultsAlone(t *testing.T) {
 	half := quick / 4
@@ -210,7 +239,7 @@
 	for i := range 4 {
 		all.Set(i)
 	}
-	p.PeerHas("b", all, 0)
+	p.PeerHas(now, "b", all, 0)
 	todo, _ := p.Next(now)
 	is.Equal(len(todo), 1)
 	p.Fetched(now, todo[0].Chunk, "b", fault.StoreFull)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -40,23 +40,16 @@
 type Codec struct {
 	byKind   map[Kind]reflect.Type
 	byType   map[reflect.Type]Kind
-	compress map[Kind]*compressor // Of the kinds that are compressed.
+	compress map[Kind]bool // Kinds whose large bodies are compressed.
 }
 
 // NewCodec returns a codec for the given entries. It panics on a kind that is
 // out of range or registered twice, since that is an error of the program.
 func NewCodec(groups ...[]Entry) *Codec {
-	c := &Codec{byKind: map[Kind]reflect.Type{}, byType: map[reflect.Type]Kind{}, compress: map[Kind]*compressor{}}
-	var shared *compressor
+	c := &Codec{byKind: map[Kind]reflect.Type{}, byType: map[reflect.Type]Kind{}, compress: map[Kind]bool{}}
 	for _, g := range groups {
 		for _, e := range g {
 			c.add(e)
-			if e.Compress && shared == nil {
-				shared = newCompressor()
-			}
-			if e.Compress {
-				c.compress[e.Kind] = shared
-			}
 		}
 	}
 	return c
@@ -69,6 +62,7 @@
 	}
 	c.byKind[e.Kind] = t
 	c.byType[t] = e.Kind
+	c.compress[e.Kind] = e.Compress
 }
 
 func (c *Codec) encode(m any) (Kind, []byte, error) {
@@ -77,8 +71,8 @@
 		return 0, nil, fault.New(fault.Unsupported, reflect.TypeOf(m).String())
 	}
 	b, err := marshal(m)
-	if z := c.compress[k]; err == nil && z != nil {
-		b = z.pack(b)
+	if err == nil && c.compress[k] {
+		b = shared.pack(b)
 	}
 	return k, b, err
 }
@@ -102,9 +96,9 @@
 	if !ok {
 		return nil, fault.New(fault.Unsupported, "unknown message kind")
 	}
-	if z := c.compress[k]; z != nil {
+	if c.compress[k] {
 		var err error
-		if body, err = z.unpack(body); err != nil {
+		if body, err = shared.unpack(body); err != nil {
 			return nil, err
 		}
 	}
--- a/wire/compress.go
+++ b/wire/compress.go
@@ -16,7 +16,7 @@
 const (
 	packLeast  = 512       // Bytes; smaller bodies are sent as they are.
 	unpackMost = 64 << 20  // Bytes that a body may have once it is unpacked.
-	window     = 512 << 10 // Bytes that an encoder looks back: repeats in a list of routes are near.
+	window     = 128 << 10 // Bytes that an encoder looks back: repeats in a list of routes are near.
 )
 
 // compressor packs and unpacks whole bodies. It is safe for concurrent use.
@@ -25,8 +25,12 @@
 	dec *zstd.Decoder
 }
 
-// newCompressor returns a compressor whose parts are all made: a codec is made when the
-// program starts, and is used in tests whose time is not that of others.
+// shared is the compressor of all codecs of the process, since its tables are some
+// megabytes. It is made when the program starts: it holds channels, and tests in virtual
+// time may not use what another of them has made.
+var shared = newCompressor()
+
+// newCompressor returns a compressor with all of its parts made.
 func newCompressor() *compressor {
 	enc, err := zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(window), zstd.WithLowerEncoderMem(true))
 	if err != nil {
