peers: one gateway watches the platform for all halls that reach each other

Change: the watching gateway tells the first three of each other hall each 0.3 s that it watches; those watch themselves only when they have not heard so for a second from a hall that goes before theirs. Small changes it passes on to its hall and to one gateway of each other hall, which passes them on there. One that watches reads the revision at even intervals, a quarter of the bound on a configuration; others only when they have had no word of such a check for long. Ruled out: longer pauses after a change, which would have delayed what is leaving. Own tests: one watches for 15 gateways in three halls; when it goes, or halls lose each other, a change is in force within two seconds.

--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -19,11 +19,10 @@
 	// Whole reads all records; Watch waits for changes after a revision.
 	Whole func(ctx context.Context) (mirror.Delta, error)
 	Watch func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error)
-	// Revision reads the service's newest revision, and Sharers how many processes
-	// read it in turns: a watch may hear nothing while changes are made.
+	// Revision reads the service's newest revision: a watch may hear nothing while
+	// changes are made.
 	Revision func(ctx context.Context) (uint64, error)
-	Sharers  func() int
-	// CheckEvery is the time between two checks by anyone; 250 ms by default.
+	// CheckEvery is the time between two checks by one that watches; 250 ms by default.
 	CheckEvery time.Duration
 	Event      func(name string, c fault.Code)
 	// Doubt is how long ago a change may have been made, at the most, that is only
@@ -191,23 +190,31 @@
 }
 
 // Check compares the mirror with the service's newest revision now and then, and
-// reads all records where the watch did not tell. Each process does so at a
-// moment of its own, and whoever finds something tells the others.
+// reads all records where the watch did not tell. A process that watches does so at even
+// intervals; the others hear from it how lately the mirror was the newest, and check for
+// themselves only when that is long ago. Whoever finds something tells the others.
 func (f *Follower) Check(ctx context.Context) error {
+	every := f.CheckEvery
+	if every == 0 {
+		every = checkEvery
+	}
 	for ctx.Err() == nil {
-		every := f.CheckEvery
-		if every == 0 {
-			every = checkEvery
+		kernel.Sleep(ctx, every-every/8+rand.N(every/4))
+		if f.Mirror.At() == 0 {
+			continue
 		}
-		period := every * time.Duration(max(1, f.Sharers()))
-		kernel.Sleep(ctx, period/2+rand.N(period))
-		if f.Mirror.At() > 0 {
+		old := time.Since(f.Certain())
+		if f.Watching() && old >= every/2 || old >= uncheckedFor*every+rand.N(uncheckedFor*every) {
 			f.check(ctx)
 		}
 	}
 	return nil
 }
 
+// uncheckedFor is after how many intervals without word of a check a process that does
+// not watch makes one itself. Word takes some announcements on its way.
+const uncheckedFor = 4
+
 func (f *Follower) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, watchSlack)
 	defer cancel()
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -44,6 +44,10 @@
 	// So many of a hall may watch the platform: each one only while none before it
 	// does.
 	watchers = 3
+	// One that watches tells the first ones of other halls so often; one of theirs
+	// watches as well if it has not been told for a while.
+	leadEvery = 300 * time.Millisecond
+	leadFor   = time.Second
 )
 
 // Gossip keeps the list of gateways and a mirror that is no older than theirs.
@@ -60,6 +64,7 @@
 	pulling bool
 	waiting bool // For one of the own hall to tell what one of another hall knows.
 	pulled  bool // What was learnt last came by a pull: others may lack it as well.
+	onward  bool // It was passed on by a gateway of another hall, for all of this one.
 	rounds  int
 	pushes  []pushed // Of late, the oldest first.
 	learnt  chan struct{}
@@ -225,7 +230,7 @@
 		}
 	}
 	behind := a.At > g.Mirror.At() && !g.pulling
-	across := behind && a.From.Hall != g.Self.Hall && g.watchedHere(now)
+	across := behind && a.From.Hall != g.Self.Hall && g.toldHere(now)
 	switch {
 	case across && g.waiting:
 		behind = false
@@ -246,21 +251,13 @@
 	}
 }
 
-// watchedHere reports whether a gateway of this hall says that it watches the platform.
-// The caller holds g.mu.
-func (g *Gossip) watchedHere(now time.Time) bool {
+// toldHere reports whether a gateway of this hall is to tell this one of changes: the
+// first one of the hall, which learns of them before the others. The caller holds g.mu.
+func (g *Gossip) toldHere(now time.Time) bool {
 	if g.Mirror.At() == 0 {
 		return false
 	}
-	if g.Follow.Watching() {
-		return true
-	}
-	for _, m := range g.members {
-		if m.Hall == g.Self.Hall && m.watches && g.fresh(m, now) {
-			return true
-		}
-	}
-	return false
+	return g.place(now) > 0
 }
 
 // pullLater asks a gateway of another hall, unless what it knows has come from this
@@ -362,6 +359,21 @@
 	return nil
 }
 
+// Lead tells the first gateways of other halls, while this one watches the platform,
+// that it does: they need not do so themselves then.
+func (g *Gossip) Lead(ctx context.Context) error {
+	g.init()
+	for ctx.Err() == nil {
+		if g.Follow.Watching() {
+			g.mu.Lock()
+			g.announce(ctx, g.firstElsewhere(time.Now(), watchers), false)
+			g.mu.Unlock()
+		}
+		kernel.Sleep(ctx, leadEvery)
+	}
+	return nil
+}
+
 // every is the time between two announcements without news.
 func (g *Gossip) every() time.Duration {
 	if g.Mirror.At() == 0 {
@@ -375,14 +387,20 @@
 // round announces to this gateway's neighbours that are not being talked to.
 func (g *Gossip) round(ctx context.Context) *sync.WaitGroup {
 	now := time.Now()
-	var wg sync.WaitGroup
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.forget(now)
 	g.many.Store(len(g.members) >= tellAll)
 	others := g.rounds%tellsOf == 0
 	g.rounds++
-	for _, addr := range g.chosen(now) {
+	return g.announce(ctx, g.chosen(now), others)
+}
+
+// announce announces to those of some gateways that are not being talked to. The caller
+// holds g.mu.
+func (g *Gossip) announce(ctx context.Context, to []string, others bool) *sync.WaitGroup {
+	var wg sync.WaitGroup
+	for _, addr := range to {
 		m := g.members[addr]
 		if m.talking {
 			continue
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -35,12 +35,14 @@
 // Pull asks for what was published after a revision.
 type Pull struct{ Since uint64 }
 
-// Records answers a Pull.
+// Records answers a Pull, or passes changes on unasked.
 type Records struct {
 	Delta mirror.Delta
 	// Ages tells of each record of Delta how long ago its change may have been made
 	// at the most. Clocks differ, so times travel as ages.
 	Ages []time.Duration
+	// Onward asks a receiver in another hall to pass the changes on within its own.
+	Onward bool
 }
 
 // Subscribe asks for what concerns the replicas of a service: an Assignment now,
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -69,21 +69,20 @@
 	return chosen, rest
 }
 
-// Watches reports whether this gateway is to watch the platform itself: it is
-// among the first of its hall in an order that all share, and none before it says
-// that it does. Others learn of changes from those that watch.
+// Watches reports whether this gateway is to watch the platform itself: it is among the
+// first of its hall in an order that all share, none before it says that it does, and
+// no gateway of a hall that goes before this one was heard of late that does. Others
+// learn of changes from those that watch. Halls that are cut off from each other each
+// have one that watches.
 func (g *Gossip) Watches() bool {
 	g.init()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	hall := []string{g.Self.Addr}
-	for addr, m := range g.members {
-		if m.Hall == g.Self.Hall && g.fresh(m, now) {
-			hall = append(hall, addr)
-		}
+	if g.led(now) {
+		return false
 	}
-	for i, addr := range rendezvous.Rank("watch", hall) {
+	for i, addr := range g.hallOrder(g.Self.Hall, now) {
 		switch {
 		case addr == g.Self.Addr:
 			return i < watchers
@@ -93,3 +92,54 @@
 	}
 	return true
 }
+
+// led reports whether a gateway of a hall that goes before this one watches the
+// platform. The caller holds g.mu.
+func (g *Gossip) led(now time.Time) bool {
+	own := rendezvous.Score(hallKey, g.Self.Hall)
+	for _, m := range g.members {
+		if m.watches && now.Sub(m.heard) < leadFor && rendezvous.Score(hallKey, m.Hall) > own {
+			return true
+		}
+	}
+	return false
+}
+
+// hallKey orders halls: the one with the highest score goes first.
+const hallKey = "watch/hall"
+
+// hallOrder returns the live gateways of a hall, this one among them if it is its own, in
+// the order in which they are to watch the platform. The caller holds g.mu.
+func (g *Gossip) hallOrder(hall string, now time.Time) []string {
+	var out []string
+	if hall == g.Self.Hall {
+		out = append(out, g.Self.Addr)
+	}
+	for addr, m := range g.members {
+		if m.Hall == hall && g.fresh(m, now) {
+			out = append(out, addr)
+		}
+	}
+	return rendezvous.Rank("watch", out)
+}
+
+// place returns how many gateways of its hall go before this one. The caller holds g.mu.
+func (g *Gossip) place(now time.Time) int {
+	return slices.Index(g.hallOrder(g.Self.Hall, now), g.Self.Addr)
+}
+
+// firstElsewhere returns the first gateways of each other hall, up to so many of each.
+// The caller holds g.mu.
+func (g *Gossip) firstElsewhere(now time.Time, most int) []string {
+	halls := map[string]bool{g.Self.Hall: true}
+	var out []string
+	for _, m := range g.members {
+		if m.Hall == "" || halls[m.Hall] {
+			continue
+		}
+		halls[m.Hall] = true
+		order := g.hallOrder(m.Hall, now)
+		out = append(out, order[:min(most, len(order))]...)
+	}
+	return out
+}
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -5,30 +5,33 @@
 	"time"
 
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/mirror"
 )
 
 // passedOn reports whether what has just changed need not be announced. A gateway that
-// watches the platform sends a small change to all of its hall; one that was sent it
-// has nobody to tell. What a gateway had to ask for it announces, since others may lack
-// it too.
+// watches the platform sends a small change to all of its hall and to one gateway of
+// each other hall, which does the same there; one that was sent it has nobody to tell.
+// What a gateway had to ask for it announces, since others may lack it too.
 func (g *Gossip) passedOn(ctx context.Context) bool {
 	g.mu.Lock()
-	pulled := g.pulled
-	g.pulled = false
-	few := len(g.members) <= neighbours // An announcement reaches all of them.
+	pulled, onward := g.pulled, g.onward
+	g.pulled, g.onward = false, false
 	g.mu.Unlock()
 	switch {
-	case few || pulled:
+	case pulled:
 		return false
-	case !g.Follow.Watching():
-		return true
+	case g.Follow.Watching():
+		return g.push(ctx, true)
+	case onward:
+		return g.push(ctx, false)
 	}
-	return g.push(ctx)
+	return true
 }
 
-// push sends what changed of late to each gateway of the hall, and reports whether it
-// did: a large change is not sent, since this gateway's link would carry all copies.
-func (g *Gossip) push(ctx context.Context) bool {
+// push sends what changed of late to each gateway of the hall, and if afar is set to one
+// of each other hall. It reports whether it did: a large change is not sent, since this
+// gateway's link would carry all copies.
+func (g *Gossip) push(ctx context.Context, afar bool) bool {
 	now := time.Now()
 	since := g.pushSince(now)
 	if since == 0 {
@@ -38,20 +41,30 @@
 	if d.Whole || d.Bytes() > pushMost {
 		return false
 	}
-	m := records(d, now)
-	var to []string
+	here, there := g.pushTargets(now)
+	if !afar {
+		there = nil
+	}
+	for _, addr := range here {
+		go g.pushTo(ctx, addr, d, false)
+	}
+	for _, addr := range there {
+		go g.pushTo(ctx, addr, d, true)
+	}
+	telemetry.Log("pushed", "since", since, "at", d.At, "records", len(d.Records), "bytes", d.Bytes(), "here", len(here), "elsewhere", len(there))
+	return true
+}
+
+// pushTargets returns the other gateways of this hall, and the first one of each other.
+func (g *Gossip) pushTargets(now time.Time) (here, there []string) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	for addr, e := range g.members {
 		if e.Hall == g.Self.Hall && g.fresh(e, now) {
-			to = append(to, addr)
+			here = append(here, addr)
 		}
 	}
-	g.mu.Unlock()
-	for _, addr := range to {
-		go g.pushTo(ctx, addr, m)
-	}
-	telemetry.Log("pushed", "since", since, "at", d.At, "records", len(d.Records), "bytes", d.Bytes(), "peers", len(to))
-	return true
+	return here, g.firstElsewhere(now, 1)
 }
 
 // pushSince returns from which revision on changes are passed on, and notes the one of
@@ -70,24 +83,29 @@
 	return g.pushes[0].at
 }
 
-func (g *Gossip) pushTo(ctx context.Context, addr string, m *Records) {
+func (g *Gossip) pushTo(ctx context.Context, addr string, d mirror.Delta, onward bool) {
 	ctx, cancel := context.WithTimeout(ctx, announceIn)
 	defer cancel()
 	c, err := g.Pool.Get(ctx, addr)
 	if err != nil {
 		return // Announcements make up for it.
 	}
+	m := records(d, time.Now())
+	m.Onward = onward
 	if s, err := c.Open(ctx, m); err == nil {
 		s.Close()
 	}
 }
 
-// takePush takes changes that a gateway of the hall passed on.
+// takePush takes changes that another gateway passed on.
 func (g *Gossip) takePush(r *Records) {
 	now := time.Now()
 	had := g.Mirror.At()
 	r.heardBy(now, g.Follow.Earliest())
+	g.mu.Lock()
+	g.onward = g.onward || r.Onward // Before it is applied: that wakes the one who passes on.
+	g.mu.Unlock()
 	if taken := g.Mirror.Apply(r.Delta); !taken || r.Delta.At > had {
-		telemetry.Log("push_received", "had", had, "since", r.Delta.Base, "at", r.Delta.At, "records", len(r.Delta.Records), "taken", taken)
+		telemetry.Log("push_received", "had", had, "since", r.Delta.Base, "at", r.Delta.At, "records", len(r.Delta.Records), "taken", taken, "onward", r.Onward)
 	}
 }
--- /dev/null
+++ b/internal/relay/lead_test.go
@@ -0,0 +1,102 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// watching returns the gateways that watch the platform.
+func (w *world) watching() (out []int) {
+	for i, g := range w.gateways {
+		if g.Status().Watching {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// begin adds gateways in three halls and lets them find one another.
+func (w *world) begin(gateways int) {
+	w.halls = 3
+	for i := range gateways {
+		w.addGateway(i, w.store)
+	}
+	time.Sleep(4 * time.Second)
+	w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches of the start.
+	time.Sleep(3 * time.Second)
+}
+
+// Halls that reach each other have one gateway that watches the platform: a change costs
+// one call and not one for each hall, and is in force at all at once.
+func TestOneGatewayOfAllHallsWatches(t *testing.T) {
+	const gateways, changes = 15, 20
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		w.begin(gateways)
+		is.Equal(len(w.watching()), 1)
+		before := w.store.Calls()
+		for range changes {
+			w.store.Put("servers/p0", w.replicas[0].Record("ready"))
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.True(w.store.Calls()-before <= changes*3/2+16) // Some 39: four checks a second.
+
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(300 * time.Millisecond)
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+		}
+	})
+}
+
+// When the gateway that watches for all is gone, another one does, and a change made
+// meanwhile is in force within two seconds.
+func TestAnotherWatchesForAllHalls(t *testing.T) {
+	const gateways = 9
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		w.begin(gateways)
+		first := w.watching()
+		is.Equal(len(first), 1)
+		w.stops[first[0]]()
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(2 * time.Second)
+		for i := range w.gateways {
+			if i != first[0] {
+				is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+			}
+		}
+	})
+}
+
+// Halls that lose each other each have one that watches: a change is in force in all of
+// them within two seconds.
+func TestHallsThatAreCutOffWatchForThemselves(t *testing.T) {
+	const gateways = 9
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		w.begin(gateways)
+		for i := range gateways {
+			for j := range i {
+				if w.hallOf(i) != w.hallOf(j) {
+					w.net.Stall(gatewayAddr(i), gatewayAddr(j), true)
+				}
+			}
+		}
+		w.store.Put("op/config", withoutSafe(2))
+		time.Sleep(2 * time.Second)
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+		}
+		halls := map[string]bool{}
+		for _, i := range w.watching() {
+			halls[w.hallOf(i)] = true
+		}
+		is.Equal(len(halls), 3)
+		for i := range gateways {
+			for j := range i {
+				w.net.Stall(gatewayAddr(i), gatewayAddr(j), false)
+			}
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -110,15 +110,14 @@
 	g.options.Follow.Needed = g.watches
 	g.options.Follow.Doubt = s.VersionWithin - settledIn
 	g.options.Follow.CheckEvery = s.ApplyWithin / checksInBound
-	g.options.Follow.Sharers = func() int { return len(g.gossip.Live()) }
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
 }
 
-// checksInBound is how often all gateways together read the platform's revision within
-// the time in which a configuration is to be in force. The moments are drawn, and what
-// is found has to be read and to reach all.
-const checksInBound = 8
+// checksInBound is how often a gateway that watches reads the platform's revision within
+// the time in which a configuration is to be in force: what is found has to be read and
+// to reach all.
+const checksInBound = 4
 
 // lapseMargin is how much sooner than a leaving replica must be left alone one is
 // that has vanished from the list.
@@ -181,6 +180,7 @@
 	k.Add("platform", g.options.Follow, g.options.Follow.Run)
 	k.Duty(g.options.Follow.Check)
 	k.Add("gossip", g.gossip, g.gossip.Run)
+	k.Duty(g.gossip.Lead)
 	k.Add("catalog", &g.holder, g.translate)
 	k.Duty(g.passReports)
 	k.Duty(g.sweep)
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -38,6 +38,7 @@
 	replicas []*platformtest.Replica
 	gateways []*relay.Relay
 	stops    []context.CancelFunc
+	halls    int // Gateways stand in so many halls in turn; one by default.
 }
 
 // run plays a test in virtual time, with a configuration of one stream, one safe
@@ -80,6 +81,8 @@
 
 func gatewayAddr(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
 
+func (w *world) hallOf(gateway int) string { return fmt.Sprintf("h%d", 1+gateway%max(1, w.halls)) }
+
 func (w *world) addGateway(i int, store http.Handler) {
 	addr := gatewayAddr(i)
 	transport := &simnet.Transport{Find: func(string) http.Handler { return store }}
@@ -87,7 +90,7 @@
 	t := &platform.Translator{}
 	g, err := relay.New(&settings.Relay{
 		Own: settings.Own{
-			Cluster: "c", Box: addr, Hall: "h1", Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
+			Cluster: "c", Box: addr, Hall: w.hallOf(i), Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
 		},
 		RelayBounds: settings.RelayBounds{
 			GraceFor: 8 * time.Second, VersionWithin: 8 * time.Second,
--- a/weights/sim_test.go
+++ b/weights/sim_test.go
@@ -29,7 +29,6 @@
 	window   time.Duration // A box's link carries 2 copies in it, the origin's 4.
 	faults   bool          // 10% die, 1% of chunks corrupt, 5% of links stall.
 	seed     uint64
-	start    string // Draws when each box hears of the artifact.
 	// pinned gives every box the manifest beforehand. A real one is a millionth
 	// of its model; that of a model as small as these would weigh a hundredth.
 	pinned bool
