peers, stager: a lost watcher is missed after a second in its own hall too; a whole version is looked at at once

Cause: with many gateways one counts as live for up to 25 s after it was heard, and a gateway of the same hall took its word that it watches for as long. The hall of a lost watcher would have learnt of changes by announcements alone, and what is passed on to a hall went to its first gateway though that was gone. Change: the word that a gateway watches holds for a second, and it is said to the first gateways of the own hall as often as to others; a hall is told by its first gateway that answered of late. The loader of an agent is woken when a version is whole (it looked each 50 ms).

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -44,8 +44,8 @@
 	// So many of a hall may watch the platform: each one only while none before it
 	// does.
 	watchers = 3
-	// One that watches tells the first ones of other halls so often; one of theirs
-	// watches as well if it has not been told for a while.
+	// One that watches tells the first ones of all halls so often; one of them watches as
+	// well if it has not been told for a while.
 	leadEvery = 300 * time.Millisecond
 	leadFor   = time.Second
 )
@@ -359,14 +359,14 @@
 	return nil
 }
 
-// Lead tells the first gateways of other halls, while this one watches the platform,
-// that it does: they need not do so themselves then.
+// Lead tells the first gateways of all halls, while this one watches the platform, that
+// it does: they need not do so themselves then.
 func (g *Gossip) Lead(ctx context.Context) error {
 	g.init()
 	for ctx.Err() == nil {
 		if g.Follow.Watching() {
 			g.mu.Lock()
-			g.announce(ctx, g.firstElsewhere(time.Now(), watchers), false)
+			g.announce(ctx, g.wouldWatch(time.Now()), false)
 			g.mu.Unlock()
 		}
 		kernel.Sleep(ctx, leadEvery)
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -86,7 +86,7 @@
 		switch {
 		case addr == g.Self.Addr:
 			return i < watchers
-		case g.members[addr].watches:
+		case g.members[addr].saysItWatches(now):
 			return false
 		}
 	}
@@ -98,13 +98,19 @@
 func (g *Gossip) led(now time.Time) bool {
 	own := rendezvous.Score(hallKey, g.Self.Hall)
 	for _, m := range g.members {
-		if m.watches && now.Sub(m.heard) < leadFor && rendezvous.Score(hallKey, m.Hall) > own {
+		if m.saysItWatches(now) && rendezvous.Score(hallKey, m.Hall) > own {
 			return true
 		}
 	}
 	return false
 }
 
+// saysItWatches reports whether a gateway was heard of late that watches the platform:
+// one that does so says it often to those who would else do it.
+func (m *member) saysItWatches(now time.Time) bool {
+	return m.watches && now.Sub(m.heard) < leadFor
+}
+
 // hallKey orders halls: the one with the highest score goes first.
 const hallKey = "watch/hall"
 
@@ -128,18 +134,41 @@
 	return slices.Index(g.hallOrder(g.Self.Hall, now), g.Self.Addr)
 }
 
-// firstElsewhere returns the first gateways of each other hall, up to so many of each.
-// The caller holds g.mu.
-func (g *Gossip) firstElsewhere(now time.Time, most int) []string {
-	halls := map[string]bool{g.Self.Hall: true}
+// wouldWatch returns the gateways that would watch the platform if this one did not: the
+// first ones of each hall. The caller holds g.mu.
+func (g *Gossip) wouldWatch(now time.Time) []string {
 	var out []string
+	for _, hall := range g.halls() {
+		order := slices.DeleteFunc(g.hallOrder(hall, now), func(addr string) bool { return addr == g.Self.Addr })
+		out = append(out, order[:min(watchers, len(order))]...)
+	}
+	return out
+}
+
+// halls returns the halls of all gateways, in no order. The caller holds g.mu.
+func (g *Gossip) halls() []string {
+	seen := map[string]bool{g.Self.Hall: true}
+	out := []string{g.Self.Hall}
 	for _, m := range g.members {
-		if m.Hall == "" || halls[m.Hall] {
-			continue
+		if m.Hall != "" && !seen[m.Hall] {
+			seen[m.Hall] = true
+			out = append(out, m.Hall)
 		}
-		halls[m.Hall] = true
-		order := g.hallOrder(m.Hall, now)
-		out = append(out, order[:min(most, len(order))]...)
 	}
 	return out
 }
+
+// firstOf returns the first gateway of another hall: of those that answered of late, if
+// there is one. The caller holds g.mu.
+func (g *Gossip) firstOf(hall string, now time.Time) (string, bool) {
+	order := g.hallOrder(hall, now)
+	for _, addr := range order {
+		if now.Sub(g.members[addr].heard) < leadFor {
+			return addr, true
+		}
+	}
+	if len(order) == 0 {
+		return "", false
+	}
+	return order[0], true
+}
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -55,7 +55,7 @@
 	return true
 }
 
-// pushTargets returns the other gateways of this hall, and the first one of each other.
+// pushTargets returns the other gateways of this hall, and one of each other.
 func (g *Gossip) pushTargets(now time.Time) (here, there []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -64,7 +64,15 @@
 			here = append(here, addr)
 		}
 	}
-	return here, g.firstElsewhere(now, 1)
+	for _, hall := range g.halls() {
+		if hall == g.Self.Hall {
+			continue
+		}
+		if addr, ok := g.firstOf(hall, now); ok {
+			there = append(there, addr)
+		}
+	}
+	return here, there
 }
 
 // pushSince returns from which revision on changes are passed on, and notes the one of
--- a/internal/relay/lead_test.go
+++ b/internal/relay/lead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,20 +55,25 @@
 // When the gateway that watches for all is gone, another one does, and a change made
 // meanwhile is in force within two seconds.
 func TestAnotherWatchesForAllHalls(t *testing.T) {
-	const gateways = 9
-	run(t, 0, plain(1), func(is *is.I, w *world) {
-		w.begin(gateways)
-		first := w.watching()
-		is.Equal(len(first), 1)
-		w.stops[first[0]]()
-		w.store.Put("op/config", withoutSafe(2))
-		time.Sleep(2 * time.Second)
-		for i := range w.gateways {
-			if i != first[0] {
-				is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+	for _, gateways := range []int{9, 40} {
+		run(t, 0, plain(1), func(is *is.I, w *world) {
+			w.begin(gateways)
+			first := w.watching()
+			is.Equal(len(first), 1)
+			w.stops[first[0]]()
+			w.store.Put("op/config", withoutSafe(2))
+			time.Sleep(2 * time.Second)
+			for i := range w.gateways {
+				if i != first[0] {
+					is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+				}
 			}
-		}
-	})
+			w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches that began meanwhile.
+			time.Sleep(3 * time.Second)
+			others := slices.DeleteFunc(w.watching(), func(i int) bool { return i == first[0] })
+			is.Equal(len(others), 1)
+		})
+	}
 }
 
 // Halls that lose each other each have one that watches: a change is in force in all of
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -51,6 +51,7 @@
 		t := time.NewTimer(wait)
 		select {
 		case <-changed:
+		case <-s.whole:
 		case <-t.C:
 		case <-ctx.Done():
 		}
@@ -86,6 +87,10 @@
 		select {
 		case <-r.Complete():
 			telemetry.Log("weights_whole", "artifact", artifact, "took", time.Since(began), "moved", s.moved.take())
+			select {
+			case s.whole <- struct{}{}:
+			default:
+			}
 		case <-tctx.Done():
 		}
 	}()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -66,6 +66,7 @@
 	slowUntil time.Time // The link counts as slow until then; only the loader touches it.
 	// recovered says that what the box held was read back.
 	recovered atomic.Bool
+	whole     chan struct{}            // A ring of one: a version has become whole here.
 	rests     atomic.Bool              // The box lacks nothing of what is assigned.
 	readBack  atomic.Pointer[readBack] // Nil until a whole version was read back.
 }
@@ -76,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	st := &Stager{Settings: s, Metrics: m, options: o, began: time.Now()}
+	st := &Stager{Settings: s, Metrics: m, options: o, began: time.Now(), whole: make(chan struct{}, 1)}
 	st.bounds.Store(&s.StagerBounds)
 	st.life, st.end = context.WithCancel(context.Background())
 	local := wire.Hello{
