weights, peers: one wait of processes that start, one job a function in the search for a manifest

Cause: reading the change as a newcomer: the wait stood twice, and manifestFrom did three things. No behaviour changed. A test of its own for a start at which the gateway that all ask first is late: 40 gateways are ready within 0.3 s of it, with half as many reads of the store at the most; red when all read early.

--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -234,3 +234,21 @@
 		is.True(w.store.Pages() <= gateways*3/4) // One by the gateway of the settings, and by those in a hurry.
 	})
 }
+
+// The same, and the gateway that all ask first starts after the others: a few of these
+// read the store themselves, and all are ready soon after it has come.
+func TestColdStartWithALateFirstGateway(t *testing.T) {
+	const gateways, late = 40, 400 * time.Millisecond
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		for i := 1; i < gateways; i++ {
+			w.addGateway(i, w.store)
+		}
+		time.Sleep(late)
+		w.addGateway(0, w.store)
+		time.Sleep(300 * time.Millisecond)
+		for _, g := range w.gateways {
+			is.NoErr(g.Ready())
+		}
+		is.True(w.store.Pages() <= gateways/2) // Some six: one in eight, and the first. All by themselves would be 40.
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -77,7 +77,7 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: learnIn(), windows: map[string]*limit.Window{},
+		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: startWait.Draw(), windows: map[string]*limit.Window{},
 		table: route.Table{Hall: s.Hall, Lapse: lapse(&s.RelayBounds)}, conns: conns{Dial: o.Dial},
 	}
 	g.dialect = &g.options.Dialect
@@ -125,24 +125,11 @@
 
 func lapse(b *settings.RelayBounds) time.Duration { return max(0, b.DrainWithin-lapseMargin) }
 
-// A gateway that has just started waits for a while for what others know: all records
-// are as much as hundreds of kilobytes, and if all gateways read them at once, a start of
-// the whole system would bury the platform and the links between regions. One in
-// learnEarly reads early, since the gateways that all ask first may be late or away.
-const (
-	learnEarly  = 8
-	learnLeast  = 50 * time.Millisecond
-	learnSpread = 250 * time.Millisecond // Differs from process to process.
-	learnLater  = 600 * time.Millisecond // The others wait at least this,
-	laterSpread = 900 * time.Millisecond // and up to so much more.
-)
-
-// learnIn draws how long a gateway that has just started waits for others.
-func learnIn() time.Duration {
-	if rand.IntN(learnEarly) == 0 {
-		return learnLeast + rand.N(learnSpread)
-	}
-	return learnLater + rand.N(laterSpread)
+// startWait is for how long a gateway that has just started waits for others.
+var startWait = peers.StartWait{
+	OneIn: 8,
+	Early: 50 * time.Millisecond, EarlySpread: 250 * time.Millisecond,
+	Later: 600 * time.Millisecond, LaterSpread: 900 * time.Millisecond,
 }
 
 // watches reports whether this gateway is to read the platform itself. While it
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -25,25 +24,15 @@
 	changed chan struct{}
 }
 
-// patience is how long an agent waits for gateways before it reads the platform
-// itself. Just after its start that differs from box to box: if all read at once, a start
-// of the whole system would bury the platform, and all records may take half a second on
-// a box's link. One in firstEarly reads early, in case no gateway is there at all.
-const (
-	patience    = time.Second
-	firstEarly  = 12
-	firstLeast  = 150 * time.Millisecond
-	firstSpread = 450 * time.Millisecond
-	firstLater  = 1200 * time.Millisecond // The others wait at least this,
-	laterSpread = 1200 * time.Millisecond // and up to so much more.
-)
+// patience is how long an agent waits for gateways before it reads the platform itself.
+const patience = time.Second
 
-// firstPatience draws how long an agent that has just started waits for gateways.
-func firstPatience() time.Duration {
-	if rand.IntN(firstEarly) == 0 {
-		return firstLeast + rand.N(firstSpread)
-	}
-	return firstLater + rand.N(laterSpread)
+// startWait is the same just after its start. All records may take half a second on a
+// box's link.
+var startWait = peers.StartWait{
+	OneIn: 12,
+	Early: 150 * time.Millisecond, EarlySpread: 450 * time.Millisecond,
+	Later: 1200 * time.Millisecond, LaterSpread: 1200 * time.Millisecond,
 }
 
 func (a *assignments) init() {
@@ -102,7 +91,7 @@
 func (s *Stager) subscribe(ctx context.Context) error {
 	const retry = 200 * time.Millisecond
 	s.now.mu.Lock()
-	s.now.asked, s.now.first = time.Now(), firstPatience()
+	s.now.asked, s.now.first = time.Now(), startWait.Draw()
 	s.now.mu.Unlock()
 	s.askAll(ctx)
 	for try := 0; ctx.Err() == nil; try++ {
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -71,21 +71,7 @@
 	}
 	got := make(chan []byte, manifestAtOnce)
 	for range min(manifestAtOnce, len(asked)) {
-		go func() {
-			for ; ctx.Err() == nil; kernel.Sleep(ctx, manifestRetry) {
-				m := <-queue
-				data, err := t.manifestOf(ctx, m)
-				for fault.Is(err, fault.NotHeld) && m.Name == asked[0].Name {
-					kernel.Sleep(ctx, manifestRetry) // It has not heard of the version yet.
-					data, err = t.manifestOf(ctx, m)
-				}
-				if err == nil {
-					got <- data
-					return
-				}
-				queue <- m // Behind those that were not asked yet.
-			}
-		}()
+		go t.askHolders(ctx, queue, asked[0].Name, got)
 	}
 	select {
 	case data := <-got:
@@ -95,6 +81,25 @@
 	}
 }
 
+// askHolders asks one box of a queue after the other for the manifest, until one has it
+// or ctx ends. The parent is asked again at once while it has not heard of the version:
+// it is the one that will have it first.
+func (t *Transfer) askHolders(ctx context.Context, queue chan Member, parent string, got chan<- []byte) {
+	for ; ctx.Err() == nil; kernel.Sleep(ctx, manifestRetry) {
+		m := <-queue
+		data, err := t.manifestOf(ctx, m)
+		for fault.Is(err, fault.NotHeld) && m.Name == parent {
+			kernel.Sleep(ctx, manifestRetry)
+			data, err = t.manifestOf(ctx, m)
+		}
+		if err == nil {
+			got <- data
+			return
+		}
+		queue <- m // Behind those that were not asked yet.
+	}
+}
+
 // manifestHolders returns the boxes to ask, those first that should be asked first: the
 // one that is this box's parent in a tree over the order, at whose root is the box that
 // asks the origin, and its neighbours, in case boxes above have gone. Of neighbours alone
