peers: a watcher that hears nothing and is turned away is missed in time

Its failing checks were counted and nothing else; the others checked for themselves only after four seconds, and what they found waited for the next announcement. Ruled out: lost pushes (revisions 21 to 24 reached nobody). Change: a failing check ends a gateway's word that it watches, with a line; the first gateways of each hall check once they have had no word of a check for an interval and 0.4 s; what any of them finds it passes on at once. Measured: own test, red before: a change is in force at all within two seconds though the watcher is deaf and turned away, 20 times in a row.

--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -32,9 +32,14 @@
 	// is not needed looks again after a while.
 	Needed func() bool
 
+	// Standby, if set, reports whether this process is one of those that would watch if
+	// the one that does were lost: they miss it soonest.
+	Standby func() bool
+
 	mu       sync.Mutex
 	certain  time.Time // When the mirror was last known to be the newest.
 	watching bool
+	tookAt   uint64 // The newest revision that this process has from the platform itself.
 }
 
 // Sure records that the mirror was the newest at a time.
@@ -67,6 +72,22 @@
 	f.watching = yes
 }
 
+// TookAt returns the newest revision that this process has from the platform itself, or is
+// about to have.
+func (f *Follower) TookAt() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.tookAt
+}
+
+// apply takes what came from the platform.
+func (f *Follower) apply(d mirror.Delta) {
+	f.mu.Lock()
+	f.tookAt = max(f.tookAt, d.At) // Before it is applied: that wakes the one who passes it on.
+	f.mu.Unlock()
+	f.Mirror.Apply(d)
+}
+
 // Earliest is when a change may have been made that is only found out now.
 func (f *Follower) Earliest() time.Time {
 	f.mu.Lock()
@@ -87,9 +108,13 @@
 	idleLook   = 250 * time.Millisecond // While the platform need not be read,
 	startLook  = 20 * time.Millisecond  // and while nothing is known at all.
 	checkEvery = 250 * time.Millisecond // The default of CheckEvery.
-	checkLag   = 300 * time.Millisecond // A watch tells of a change by then, to gateways that do not watch too.
-	watchHolds = time.Second            // A watch that was not refused by then is taken as answered.
-	watchPause = 150 * time.Millisecond // After changes, so that many at once cost few calls.
+	checkLag   = 300 * time.Millisecond // The process's own watch tells of a change by then.
+	// standbySlack is how much longer than the interval of checks those on standby wait
+	// for word of one, and otherChecks for how many of them the others do.
+	standbySlack = 400 * time.Millisecond
+	otherChecks  = 4
+	watchHolds   = time.Second            // A watch that was not refused by then is taken as answered.
+	watchPause   = 150 * time.Millisecond // After changes, so that many at once cost few calls.
 )
 
 // Run follows until ctx ends.
@@ -163,7 +188,7 @@
 		return err
 	}
 	d.Heard = time.Now()
-	f.Mirror.Apply(d)
+	f.apply(d)
 	f.Sure(d.Heard)
 	if len(d.Records) > 0 {
 		telemetry.Log("store_changed", "at", d.At, "since", since, "records", len(d.Records), "first", d.Records[0].Key)
@@ -185,41 +210,49 @@
 // take applies what was read rather than told.
 func (f *Follower) take(d mirror.Delta) {
 	d.Heard = f.Earliest()
-	f.Mirror.Apply(d)
+	f.apply(d)
 	f.Sure(time.Now())
 }
 
 // Check compares the mirror with the service's newest revision now and then, and
 // reads all records where the watch did not tell. A process that watches does so at even
 // intervals; the others hear from it how lately the mirror was the newest, and check for
-// themselves only when that is long ago. Whoever finds something tells the others.
+// themselves when that is long ago. Whoever finds something tells the others.
 func (f *Follower) Check(ctx context.Context) error {
 	every := f.CheckEvery
 	if every == 0 {
 		every = checkEvery
 	}
 	for ctx.Err() == nil {
-		kernel.Sleep(ctx, every-every/8+rand.N(every/4))
-		if f.Mirror.At() == 0 {
-			continue
-		}
-		old := time.Since(f.Certain())
-		if f.Watching() && old >= every/2 || old >= uncheckedFor*every+rand.N(uncheckedFor*every) {
+		kernel.Sleep(ctx, every/2-every/16+rand.N(every/8))
+		if f.Mirror.At() > 0 && time.Since(f.Certain()) >= f.uncheckedFor(every) {
 			f.check(ctx)
 		}
 	}
 	return nil
 }
 
-// uncheckedFor is after how many intervals without word of a check a process that does
-// not watch makes one itself. Word takes some announcements on its way.
-const uncheckedFor = 4
+// uncheckedFor is how long ago the mirror was last known to be the newest when this
+// process checks. Word of a check of one that watches comes to those on standby within
+// some 0.4 s, and takes some announcements on its way to the others.
+func (f *Follower) uncheckedFor(every time.Duration) time.Duration {
+	switch {
+	case f.Watching():
+		return every / 2
+	case f.Standby != nil && f.Standby():
+		return every + standbySlack
+	}
+	return otherChecks * every
+}
 
 func (f *Follower) check(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, watchSlack)
 	defer cancel()
 	at, err := f.Revision(ctx)
 	if err != nil {
+		// The watch may hear nothing either. Others are not kept from watching by it.
+		f.setWatching(false)
+		telemetry.Log("store_check_failed", "reason", fault.CodeOf(err), "at", f.Mirror.At(), "certain", time.Since(f.Certain()))
 		f.Event("store_check_failed", fault.CodeOf(err))
 		return
 	}
@@ -227,7 +260,9 @@
 		f.Sure(time.Now())
 		return
 	}
-	kernel.Sleep(ctx, checkLag)
+	if f.Watching() {
+		kernel.Sleep(ctx, checkLag)
+	}
 	if had := f.Mirror.At(); at > had {
 		d, err := f.Whole(ctx)
 		telemetry.Log("store_watch_behind", "had", had, "newest", at, "read", d.At, "reason", fault.CodeOf(err))
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -63,13 +63,15 @@
 	members map[string]*member // By address.
 	pulling bool
 	waiting bool // For one of the own hall to tell what one of another hall knows.
-	pulled  bool // What was learnt last came by a pull: others may lack it as well.
-	onward  bool // It was passed on by a gateway of another hall, for all of this one.
-	rounds  int
-	pushes  []pushed // Of late, the oldest first.
-	learnt  chan struct{}
-	once    sync.Once
-	many    atomic.Bool // As of the last round.
+	// The newest revisions that came by a pull, where others may lack them as well, and
+	// from a gateway of another hall, for all of this one; and up to which one it was
+	// decided whether to pass them on.
+	pulledAt, onwardAt, handledAt uint64
+	rounds                        int
+	pushes                        []pushed // Of late, the oldest first.
+	learnt                        chan struct{}
+	once                          sync.Once
+	many                          atomic.Bool // As of the last round.
 }
 
 type member struct {
@@ -312,7 +314,7 @@
 	}
 	r.heardBy(asked, g.Follow.Earliest())
 	g.mu.Lock()
-	g.pulled = true // Before it is applied: that wakes the one who announces.
+	g.pulledAt = max(g.pulledAt, r.Delta.At) // Before it is applied: that wakes the one who announces.
 	g.mu.Unlock()
 	taken := g.Mirror.Apply(r.Delta)
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -105,6 +105,15 @@
 	return false
 }
 
+// Standby reports whether this gateway is among the first of its hall: it would watch the
+// platform if the gateway that does were lost.
+func (g *Gossip) Standby() bool {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.place(time.Now()) < watchers
+}
+
 // saysItWatches reports whether a gateway was heard of late that watches the platform:
 // one that does so says it often to those who would else do it.
 func (m *member) saysItWatches(now time.Time) bool {
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -9,18 +9,20 @@
 )
 
 // passedOn reports whether what has just changed need not be announced. A gateway that
-// watches the platform sends a small change to all of its hall and to one gateway of
+// has it from the platform sends a small change to all of its hall and to one gateway of
 // each other hall, which does the same there; one that was sent it has nobody to tell.
 // What a gateway had to ask for it announces, since others may lack it too.
 func (g *Gossip) passedOn(ctx context.Context) bool {
+	at := g.Mirror.At() // Before the others: what they say of later revisions is for the next time.
+	tookAt := g.Follow.TookAt()
 	g.mu.Lock()
-	pulled, onward := g.pulled, g.onward
-	g.pulled, g.onward = false, false
+	pulled, took, onward := g.pulledAt > g.handledAt, tookAt > g.handledAt, g.onwardAt > g.handledAt
+	g.handledAt = at
 	g.mu.Unlock()
 	switch {
 	case pulled:
 		return false
-	case g.Follow.Watching():
+	case took:
 		return g.push(ctx, true)
 	case onward:
 		return g.push(ctx, false)
@@ -111,7 +113,9 @@
 	had := g.Mirror.At()
 	r.heardBy(now, g.Follow.Earliest())
 	g.mu.Lock()
-	g.onward = g.onward || r.Onward // Before it is applied: that wakes the one who passes on.
+	if r.Onward {
+		g.onwardAt = max(g.onwardAt, r.Delta.At) // Before it is applied: that wakes the one who passes on.
+	}
 	g.mu.Unlock()
 	if taken := g.Mirror.Apply(r.Delta); !taken || r.Delta.At > had {
 		telemetry.Log("push_received", "had", had, "since", r.Delta.Base, "at", r.Delta.At, "records", len(r.Delta.Records), "taken", taken, "onward", r.Onward)
--- a/internal/relay/lead_test.go
+++ b/internal/relay/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -106,3 +107,45 @@
 		}
 	})
 }
+
+// The gateway that watches for all hears nothing on its watch, and the platform turns its
+// other calls away: a change is in force at all within two seconds nevertheless.
+func TestWatcherThatIsTurnedAway(t *testing.T) {
+	const gateways = 6
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		w.halls = 3
+		var away [gateways]atomic.Bool
+		for i := range gateways {
+			w.addGateway(i, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+				if away[i].Load() {
+					rw.WriteHeader(http.StatusServiceUnavailable)
+					return
+				}
+				w.store.ServeHTTP(rw, r)
+			}))
+		}
+		time.Sleep(4 * time.Second)
+		version := 1
+		for range 20 {
+			w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches that are there.
+			time.Sleep(time.Second)
+			for _, i := range w.watching() {
+				away[i].Store(true)
+			}
+			w.store.Deafen(true)
+			version++
+			w.store.Put("op/config", withoutSafe(version))
+			time.Sleep(2 * time.Second)
+			for i := range w.gateways {
+				is.Equal(w.ask(i, "GET", "/safe/", nil).status, http.StatusNotFound)
+			}
+			w.store.Deafen(false)
+			for i := range away {
+				away[i].Store(false)
+			}
+			version++
+			w.store.Put("op/config", config(version))
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -108,6 +108,7 @@
 	wire.On(g.handlers, g.serveReports)
 	g.options.Follow.Mirror = &g.mirror
 	g.options.Follow.Needed = g.watches
+	g.options.Follow.Standby = g.gossip.Standby
 	g.options.Follow.Doubt = s.VersionWithin - settledIn
 	g.options.Follow.CheckEvery = s.ApplyWithin / checksInBound
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -93,7 +93,7 @@
 			Cluster: "c", Box: addr, Hall: w.hallOf(i), Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
 		},
 		RelayBounds: settings.RelayBounds{
-			GraceFor: 8 * time.Second, VersionWithin: 8 * time.Second,
+			GraceFor: 8 * time.Second, VersionWithin: 8 * time.Second, ApplyWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
 		},
 	}, relay.Options{
