--- a/internal/relay/lead_test.go
+++ b/internal/relay/lead_test.go
@@ -8,6 +8,9 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/internal/relay"
+	"github.com/poststand/poststand/platform/platformtest"
 )
 
 // watching returns the gateways that watch the platform.
@@ -149,3 +152,26 @@
 		}
 	})
 }
+
+// What one gateway finds by a check, while no watch tells of it, all have at once.
+func TestWhatACheckFindsIsPassedOn(t *testing.T) {
+	const gateways = 9
+	run(t, 0, plain(1), func(is *is.I, w *world) {
+		w.begin(gateways)
+		for version := 2; version < 12; version++ {
+			w.store.Deafen(true)
+			w.store.Put("op/config", platformtest.Config(version))
+			revision := w.gateways[0].Status().Revision
+			newer := func(g *relay.Relay) bool { return g.Status().Revision > revision }
+			for !slices.ContainsFunc(w.gateways, newer) {
+				time.Sleep(10 * time.Millisecond)
+			}
+			time.Sleep(250 * time.Millisecond) // Two hops; the next announcement is up to 0.5 s away.
+			for _, g := range w.gateways {
+				is.True(newer(g))
+			}
+			w.store.Deafen(false)
+			time.Sleep(2 * time.Second)
+		}
+	})
+}
