--- a/internal/relay/collect_test.go
+++ b/internal/relay/collect_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,7 +36,8 @@
 		}
 		known, tell := peers.GatewaysFor("10.1.0.1:80", "h1", replicas, all)
 		is.Equal(tell, 2)
-		version := uint64(2)
+		var version atomic.Uint64 // That all agents tell of.
+		version.Store(2)
 		var first int
 		for i := range gateways {
 			for place, g := range known[:tell] {
@@ -47,7 +49,7 @@
 				}
 				w.tell(i, func() (all []peers.Status) {
 					for _, r := range w.replicas {
-						all = append(all, peers.Status{Addr: r.Addr, Hall: "h1", Model: "m", Version: version, Reached: true})
+						all = append(all, peers.Status{Addr: r.Addr, Hall: "h1", Model: "m", Version: version.Load(), Reached: true})
 					}
 					return all
 				})
@@ -56,12 +58,12 @@
 		time.Sleep(time.Second)
 		is.Equal(w.holding(2, replicas), gateways)
 
-		version = 3
+		version.Store(3)
 		time.Sleep(200 * time.Millisecond) // Agents tell each 100 ms here.
 		is.Equal(w.holding(3, replicas), gateways)
 
 		w.stops[first]()
-		version = 4
+		version.Store(4)
 		time.Sleep(200 * time.Millisecond)
 		is.Equal(w.holding(4, replicas), gateways-1)
 	})
