peers, relay: after a deaf watch all records are passed on, and checks come six times in a bound

What one gateway then reads is a whole, and wholes were not passed on but announced, hop by hop. Tried and taken back: a mirror that tells a change after a whole as a difference; 20,000 draws of its property found a history in which it is wrong. Change: a whole of up to 96 KB is passed on like a change; the revision is read six times within the bound on a configuration instead of four.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -29,6 +29,9 @@
 	// not more than this: larger changes are announced, and the others get them from
 	// one another.
 	pushMost = 16 << 10 // Bytes.
+	// pushWhole is the same for all records, after changes that no watch told of: they
+	// have been long on their way by then.
+	pushWhole = 96 << 10
 	// pushBack is how far back what is passed on reaches: one that was lost is made up
 	// for by the next.
 	pushBack = time.Second
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -40,7 +40,11 @@
 		return false
 	}
 	d := g.Mirror.Since(since)
-	if d.Whole || d.Bytes() > pushMost {
+	most := pushMost
+	if d.Whole {
+		most = pushWhole
+	}
+	if d.Bytes() > most {
 		return false
 	}
 	here, there := g.pushTargets(now)
@@ -53,7 +57,7 @@
 	for _, addr := range there {
 		go g.pushTo(ctx, addr, d, true)
 	}
-	telemetry.Log("pushed", "since", since, "at", d.At, "records", len(d.Records), "bytes", d.Bytes(), "here", len(here), "elsewhere", len(there))
+	telemetry.Log("pushed", "since", since, "at", d.At, "whole", d.Whole, "records", len(d.Records), "bytes", d.Bytes(), "here", len(here), "elsewhere", len(there))
 	return true
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -118,7 +118,7 @@
 // checksInBound is how often a gateway that watches reads the platform's revision within
 // the time in which a configuration is to be in force: what is found has to be read and
 // to reach all.
-const checksInBound = 4
+const checksInBound = 6
 
 // lapseMargin is how much sooner than a leaving replica must be left alone one is
 // that has vanished from the list.
