peers, stager, relay: collectors only where there are over 48 gateways; an agent says who is to pass on

An agent that tells only a few says so in its status: gateways that see a few more or fewer others than 48 would else pass nothing on.

--- a/internal/peers/collect.go
+++ b/internal/peers/collect.go
@@ -4,12 +4,15 @@
 	"github.com/poststand/poststand/rendezvous"
 )
 
-// Where there are few gateways an agent tells all of them how its replica stands. With
-// many that would be a mesh of all agents and all gateways: an agent then tells only two
-// of its hall, its collectors, which pass it on to the others. Each agent and each
-// gateway works out by itself who they are.
+// Where there are few gateways an agent tells all of them how its replica stands; with
+// more, those of its hall and some others. With many that would be a mesh of all agents
+// and all gateways: an agent then tells only two of its hall, its collectors, which pass
+// it on to the others. What they pass on is older, which costs worth as long as the mesh
+// can be borne. Each agent and each gateway works out by itself who is told.
 const (
 	tellAll        = 12  // With so many gateways all are told.
+	tellHall       = 48  // With so many, those of the hall are
+	tellFar        = 6   // and so many others.
 	collectors     = 2   // Of an agent: if one goes, nothing is missed.
 	agentsEach     = 128 // So many agents of a hall have the same collectors.
 	knownHere      = 8   // Gateways of its hall that an agent is told of,
@@ -24,17 +27,14 @@
 		return gateways, 0
 	}
 	here := CollectOrder(hall, gateways)
+	there := ranked("collect/far/"+agent, elsewhere(hall, gateways))
+	if len(gateways) <= tellHall {
+		return append(here, there[:min(tellFar, len(there))]...), 0
+	}
 	if groups := (agents + agentsEach - 1) / agentsEach; groups > 1 && len(here) > 0 {
 		first := collectors * int(rendezvous.Score("collect/group", agent)%uint64(groups)) % len(here)
 		here = append(here[first:len(here):len(here)], here[:first]...)
 	}
-	var others []Member
-	for _, g := range gateways {
-		if g.Hall != hall {
-			others = append(others, g)
-		}
-	}
-	there := ranked("collect/far/"+agent, others)
 	known = append(known, here[:min(knownHere, len(here))]...)
 	known = append(known, there[:min(knownElsewhere, len(there))]...)
 	return known, collectors
@@ -52,6 +52,17 @@
 	return ranked("collect", here)
 }
 
+// elsewhere returns the gateways of other halls.
+func elsewhere(hall string, gateways []Member) []Member {
+	var out []Member
+	for _, g := range gateways {
+		if g.Hall != hall {
+			out = append(out, g)
+		}
+	}
+	return out
+}
+
 // ranked orders gateways for a key, the first choice first.
 func ranked(key string, gateways []Member) []Member {
 	byAddr := make(map[string]Member, len(gateways))
@@ -65,6 +76,3 @@
 	}
 	return out
 }
-
-// Collected reports whether agents tell only some gateways, which pass it on.
-func Collected(gateways []Member) bool { return len(gateways) > tellAll }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -102,6 +102,7 @@
 	Pace     float64 // Above 1 it works slower than it should.
 	SlowLink bool    // The box's link has been slower than it should be of late.
 	Missing  int     // Pieces of the assigned version that are not here yet.
+	PassOn   bool    // The agent tells only a few gateways: this one is to tell the others.
 }
 
 // OnlyLoadDiffers reports whether two statuses differ in nothing but how much the
--- a/internal/relay/agents.go
+++ b/internal/relay/agents.go
@@ -78,7 +78,9 @@
 				Queued: m.Queued, Running: m.Running, Pace: m.Pace, SlowLink: m.SlowLink, At: now,
 			}
 			g.table.Heard(m.Addr, r)
-			g.collected.hold(m.Addr, r, true)
+			if m.PassOn {
+				g.collected.hold(m.Addr, r, true)
+			}
 		}
 		if m.Version != old.Version || m.Changing != old.Changing || m.Reached != old.Reached || m.SlowLink != old.SlowLink {
 			telemetry.Log("replica_told", "addr", m.Addr, "weights", m.Version, "changing", m.Changing, "reached", m.Reached, "slow_link", m.SlowLink, "missing", m.Missing)
--- a/internal/relay/collect.go
+++ b/internal/relay/collect.go
@@ -144,7 +144,7 @@
 
 // passedHere returns the gateways of the own hall that are told.
 func (g *Relay) passedHere(live []peers.Member) []peers.Member {
-	if !peers.Collected(live) || !g.collected.any(false) {
+	if !g.collected.any(false) {
 		return nil
 	}
 	var out []peers.Member
@@ -158,7 +158,7 @@
 
 // passedAfar returns the other halls that are told.
 func (g *Relay) passedAfar(live []peers.Member) []string {
-	if !peers.Collected(live) || !g.collected.any(true) {
+	if !g.collected.any(true) {
 		return nil
 	}
 	halls := map[string]bool{}
--- a/internal/stager/tell.go
+++ b/internal/stager/tell.go
@@ -70,7 +70,7 @@
 		pause = tellAfar
 	}
 	for ctx.Err() == nil {
-		s.tellOnce(ctx, g, pause)
+		s.tellOnce(ctx, g, pause, false)
 		kernel.Sleep(ctx, tellRetry)
 	}
 }
@@ -89,7 +89,7 @@
 		if place >= a.Tell {
 			own, cancel = context.WithTimeout(ctx, tellStay)
 		}
-		s.tellOnce(own, g, tellCollector)
+		s.tellOnce(own, g, tellCollector, true)
 		lost := own.Err() == nil
 		cancel()
 		s.claims.release(g.Addr, lost, time.Now())
@@ -139,12 +139,14 @@
 }
 
 // tellOnce tells one gateway until it is lost, the load alone no more often than pause.
-func (s *Stager) tellOnce(ctx context.Context, g peers.Member, pause time.Duration) {
+// passOn asks it to tell the others.
+func (s *Stager) tellOnce(ctx context.Context, g peers.Member, pause time.Duration, passOn bool) {
 	c, err := s.pool.Get(ctx, g.Addr)
 	if err != nil {
 		return
 	}
 	now, changed := s.status.watch()
+	now.PassOn = passOn
 	st, err := c.Open(ctx, &now)
 	if err != nil {
 		return
@@ -156,6 +158,7 @@
 			return
 		}
 		now, changed = s.status.watch()
+		now.PassOn = passOn
 		if st.Send(ctx, &now) != nil {
 			return
 		}
