--- /dev/null
+++ b/internal/peers/pull.go
@@ -0,0 +1,77 @@
+package peers
+
+import (
+	"context"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+)
+
+// toldHere reports whether a gateway of this hall is to tell this one of changes: the
+// first one of the hall, which learns of them before the others. The caller holds g.mu.
+func (g *Gossip) toldHere(now time.Time) bool {
+	if g.Mirror.At() == 0 {
+		return false
+	}
+	return g.place(now) > 0
+}
+
+// pullLater asks a gateway of another hall, unless what it knows has come from this
+// hall meanwhile: bytes between halls are few, and the same for all of them.
+func (g *Gossip) pullLater(addr string) {
+	kernel.Sleep(g.Pool.Lifetime, pullAcross)
+	g.mu.Lock()
+	m := g.members[addr]
+	behind := m != nil && m.at > g.Mirror.At() && !g.pulling
+	g.waiting = false
+	g.pulling = g.pulling || behind
+	g.mu.Unlock()
+	if behind {
+		g.pull(addr)
+	}
+}
+
+// pull asks a gateway for what this one lacks, unless the platform has told it
+// meanwhile.
+func (g *Gossip) pull(addr string) {
+	defer func() {
+		g.mu.Lock()
+		g.pulling = false
+		g.mu.Unlock()
+	}()
+	life := g.Pool.Lifetime
+	if g.Mirror.At() > 0 && g.Follow.Watching() {
+		kernel.Sleep(life, pullAfter)
+	}
+	g.mu.Lock()
+	at := uint64(0)
+	if m := g.members[addr]; m != nil {
+		at = m.at
+	}
+	g.mu.Unlock()
+	since := g.Mirror.At()
+	if since >= at {
+		return
+	}
+	ctx, cancel := context.WithTimeout(life, pullWithin)
+	defer cancel()
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return
+	}
+	asked := time.Now()
+	m, err := c.Call(ctx, &Pull{Since: since})
+	r, ok := m.(*Records)
+	if err != nil || !ok {
+		telemetry.Log("pull_failed", "peer", addr, "since", since, "reason", fault.CodeOf(err))
+		return
+	}
+	r.heardBy(asked, g.Follow.Earliest())
+	g.mu.Lock()
+	g.pulledAt = max(g.pulledAt, r.Delta.At) // Before it is applied: that wakes the one who announces.
+	g.mu.Unlock()
+	taken := g.Mirror.Apply(r.Delta)
+	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
+}
--- a/internal/relay/lead_test.go
+++ b/internal/relay/lead_test.go
@@ -119,13 +119,7 @@
 		w.halls = 3
 		var away [gateways]atomic.Bool
 		for i := range gateways {
-			w.addGateway(i, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-				if away[i].Load() {
-					rw.WriteHeader(http.StatusServiceUnavailable)
-					return
-				}
-				w.store.ServeHTTP(rw, r)
-			}))
+			w.addGateway(i, w.storeUnless(&away[i]))
 		}
 		time.Sleep(4 * time.Second)
 		version := 1
--- a/internal/relay/learn_test.go
+++ b/internal/relay/learn_test.go
@@ -168,13 +168,7 @@
 	run(t, 0, plain(1), func(is *is.I, w *world) {
 		var away [3]atomic.Bool
 		for i := range away {
-			w.addGateway(i, http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-				if away[i].Load() {
-					rw.WriteHeader(http.StatusServiceUnavailable)
-					return
-				}
-				w.store.ServeHTTP(rw, r)
-			}))
+			w.addGateway(i, w.storeUnless(&away[i]))
 		}
 		time.Sleep(2 * time.Second)
 		w.store.Put("servers/p0", w.replicas[0].Record("ready")) // Ends the watches of the start.
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -123,6 +124,17 @@
 	})
 }
 
+// storeUnless is the store, which turns away while away is set.
+func (w *world) storeUnless(away *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if away.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.store.ServeHTTP(rw, r)
+	})
+}
+
 // reply is what a caller got.
 type reply struct {
 	status int
