weights, stager: chunks leave the origin by claims that all boxes hear of

Boxes took chunks over from one another after two seconds for each box ahead in a chunk's order, so a hall that was cut off with the origin fetched 27 pieces of 125; all boxes asked an absent origin on their own (100 failed asks a second); up to 45 fetches were open at once, so a manifest waited behind them; and where weights came late, most replicas had their turns behind them and changed at the same moment. Ruled out: more chunks open, another schedule: what was missing is knowledge of who fetches what. Change: a box that fetches a chunk claims it; claims, and what has left the origin, are passed on with what boxes have. The first chunks that have not left are due, as many as keep the link busy; the next box of an order follows 150 ms after the first if it heard of no claim, boxes that let a turn pass are not waited for again. While the origin is away, all boxes together try it 27 times a second. Shares of the origin's chunks are balanced over any run of them. Two boxes ask the origin for a manifest, two answers at once. Of two versions, the one that leaves service standing still for less long goes first. Replicas share what time is left once the weights are whole. The stand-in of the origin in the stager's tests loses what it has not sent when it goes away, and the one of the stack has a rate: both tests relied on the schedule that is gone.

--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -295,9 +295,7 @@
 	return each(50, func() {
 		todo, _ := p.Next(now)
 		for _, a := range todo {
-			if a.Ask == nil {
-				p.Fetched(now, a.Chunk, a.From, "stalled")
-			}
+			p.Fetched(now, a.Chunk, a.From, "stalled")
 		}
 		now = now.Add(time.Minute)
 	}) / 1000 / 8
--- a/internal/stack/stack.go
+++ b/internal/stack/stack.go
@@ -31,7 +31,9 @@
 	Queue    int // Of each agent; 16 by default.
 	Engine   func(i int) *standin.Engine
 	Config   string // Further sections of the configuration.
-	Options  gateway.Options
+	// OriginLink is the origin's bytes a second, after the first copy; 0 is no limit.
+	OriginLink float64
+	Options    gateway.Options
 	// WrapConn, if set, may break a connection between two boxes.
 	WrapConn func(nc net.Conn, from, to string) net.Conn
 	// Transport reaches the stand-ins; its Wrap may break their answers.
@@ -61,7 +63,7 @@
 func (s *Stack) Start() error {
 	s.Halls = max(1, s.Halls)
 	s.Net = &simnet.Network{Small: 1 << 30, Latency: latency}
-	s.Platform, s.Origin = &standin.Platform{}, &standin.Origin{}
+	s.Platform, s.Origin = &standin.Platform{}, &standin.Origin{Link: s.OriginLink}
 	s.Boxes, s.Digests = map[string]fleet.Box{}, map[string]string{}
 	s.processes, s.agents = map[string]process{}, map[string]*agent.Agent{}
 	s.hosts, s.Ledgers = map[string]http.Handler{}, map[string]*standin.Ledger{}
--- a/internal/stack/stack_test.go
+++ b/internal/stack/stack_test.go
@@ -308,7 +308,8 @@
 // loaded without a fetch.
 func TestVersionChangedInMidTransfer(t *testing.T) {
 	slow := strings.Replace(limits, "window: 400ms", "window: 16s", 1)
-	bubble(t, &Stack{Halls: 2, Gateways: 1, Engines: 3, Plains: 1, Config: slow}, func(t *testing.T, s *Stack) {
+	const originLink = 8 << 10 // Eight seconds for a copy.
+	bubble(t, &Stack{Halls: 2, Gateways: 1, Engines: 3, Plains: 1, Config: slow, OriginLink: originLink}, func(t *testing.T, s *Stack) {
 		is := is.New(t)
 		done := make(chan *load.Summary)
 		go func() {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -136,30 +136,40 @@
 }
 
 // manifest fetches a manifest until two answers agree: no digest of it is known,
-// and a spoilt one would spread from here to every box.
+// and a spoilt one would spread from here to every box. Two are asked for at once.
 func (s *Stager) manifest(ctx context.Context, a *peers.Assignment) ([]byte, error) {
 	const tries = 5
-	seen := map[string]bool{}
-	var last error
-	for range tries {
+	type answer struct {
+		data []byte
+		err  error
+	}
+	answers := make(chan answer, tries)
+	ask := func() {
 		m, err := s.options.Origin.Manifest(ctx, a.Origin, a.Model, a.Version)
-		if err != nil {
-			last = err
-			continue
+		var data []byte
+		if err == nil {
+			data, err = m.Encode()
 		}
-		data, err := m.Encode()
-		if err != nil {
-			return nil, err
+		answers <- answer{data, err}
+	}
+	go ask()
+	go ask()
+	seen := map[string]bool{}
+	for asked := 2; ; asked++ {
+		got := <-answers
+		switch {
+		case got.err == nil && seen[string(got.data)]:
+			return got.data, nil
+		case got.err == nil:
+			seen[string(got.data)] = true
+		case fault.Is(got.err, fault.Unreachable):
+			return nil, got.err // The origin is away; nothing is spoilt.
 		}
-		if seen[string(data)] {
-			return data, nil
+		if asked == tries {
+			return nil, fault.New(fault.Corrupt, "manifests of "+a.Origin+" differ or do not come")
 		}
-		seen[string(data)] = true
-	}
-	if last == nil {
-		last = fault.New(fault.Corrupt, "manifests of "+a.Origin+" differ")
+		go ask()
 	}
-	return nil, last
 }
 
 // step goes as far as it can towards a replica with the assigned version, and
--- a/internal/stager/roll.go
+++ b/internal/stager/roll.go
@@ -26,11 +26,18 @@
 	}
 	place := placeOf(a, s.exchange.Self)
 	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
-	turn := turnOf(wanted, rep.Version, to.version, lead, s.bounds.Load().VersionWithin-rollMargin, place)
-	if to.wholeBy.After(turn) {
-		return to.wholeBy
+	begin := to.wholeAt
+	if begin.IsZero() {
+		begin = laterOf(wanted.Overtaken(to.version-1).Add(lead), to.wholeBy)
 	}
-	return turn
+	return turnOf(wanted, rep.Version, begin, s.bounds.Load().VersionWithin-rollMargin, place)
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // placeOf is a replica's place among all that change, from 0 to under 1: those of
@@ -55,15 +62,16 @@
 	return min(1, (place+turn)/float64(max(1, len(here))))
 }
 
-// turnOf is when the replica at a place among all changes from one version to another:
-// spread from when that can be here, lead after it was named, to when the time of its
-// own version is over, within after that was overtaken. It is pure.
-func turnOf(w catalog.Wanted, from, to uint64, lead, within time.Duration, place float64) time.Time {
-	named, overtaken := w.Overtaken(to-1), w.Overtaken(from)
-	if named.IsZero() || overtaken.IsZero() {
+// turnOf is when the replica at a place among all changes from a version: spread from
+// begin, when the next one is here, to when the time of its own version is over, within
+// after that was overtaken. Where weights come late, what time is left is shared by all:
+// if each kept to the turn that it would have had, most would have their turns behind
+// them and change at the same moment. It is pure.
+func turnOf(w catalog.Wanted, from uint64, begin time.Time, within time.Duration, place float64) time.Time {
+	overtaken := w.Overtaken(from)
+	if overtaken.IsZero() {
 		return time.Time{}
 	}
-	begin, end := named.Add(lead), overtaken.Add(within)
-	span := max(0, end.Sub(begin))
+	span := max(0, overtaken.Add(within).Sub(begin))
 	return begin.Add(time.Duration(float64(span) * place))
 }
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -147,7 +147,6 @@
 		s.mu.Unlock()
 		return fault.New(fault.Unreachable, "origin")
 	}
-	s.fetched++
 	if now := time.Now(); s.originFree.Before(now) {
 		s.originFree = now
 	}
@@ -157,6 +156,12 @@
 	sent := s.originFree
 	s.mu.Unlock()
 	time.Sleep(time.Until(sent))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		return fault.New(fault.Unreachable, "origin") // What it has not sent is lost.
+	}
+	s.fetched++
 	return nil
 }
 
--- a/internal/stager/turn_test.go
+++ b/internal/stager/turn_test.go
@@ -14,31 +14,33 @@
 var named = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
 
 func TestTurnOf(t *testing.T) {
-	const lead, within = 3 * time.Second, 7 * time.Second
+	const within = 7 * time.Second
 	once := catalog.Wanted{}.With(catalog.Step{Version: 2, Named: named})
 	twice := once.With(catalog.Step{Version: 3, Named: named.Add(2 * time.Second)})
 	cases := []struct {
 		name   string
 		wanted catalog.Wanted
 		from   uint64
-		to     uint64
+		here   time.Duration // The weights, after the first naming.
 		place  float64
 		want   time.Duration // After the first naming.
 	}{
-		{"the first waits for the weights alone", once, 1, 2, 0, 3 * time.Second},
-		{"half way between the weights and the bound", once, 1, 2, 0.5, 5 * time.Second},
-		{"the last at the bound", once, 1, 2, 1, 7 * time.Second},
-		{"the bound of the version it holds, not of the newest", twice, 1, 3, 1, 7 * time.Second},
-		{"the newest weights come later", twice, 1, 3, 0, 5 * time.Second},
-		{"one that holds the version between has longer", twice, 2, 3, 1, 9 * time.Second},
-		{"the one between is taken first", twice, 1, 2, 0, 3 * time.Second},
+		{"the first waits for the weights alone", once, 1, 3 * time.Second, 0, 3 * time.Second},
+		{"half way between the weights and the bound", once, 1, 3 * time.Second, 0.5, 5 * time.Second},
+		{"the last at the bound", once, 1, 3 * time.Second, 1, 7 * time.Second},
+		{"the bound of the version it holds, not of the newest", twice, 1, 5 * time.Second, 1, 7 * time.Second},
+		{"the newest weights come later", twice, 1, 5 * time.Second, 0, 5 * time.Second},
+		{"one that holds the version between has longer", twice, 2, 5 * time.Second, 1, 9 * time.Second},
+		{"the one between is taken first", twice, 1, 3 * time.Second, 0, 3 * time.Second},
+		{"weights that come late leave less time to all", once, 1, 6 * time.Second, 0.5, 6500 * time.Millisecond},
+		{"weights that come after the bound", once, 1, 8 * time.Second, 0.5, 8 * time.Second},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			is.New(t).Equal(turnOf(tc.wanted, tc.from, tc.to, lead, within, tc.place).Sub(named), tc.want)
+			is.New(t).Equal(turnOf(tc.wanted, tc.from, named.Add(tc.here), within, tc.place).Sub(named), tc.want)
 		})
 	}
-	is.New(t).True(turnOf(once, 2, 2, lead, within, 0).IsZero()) // It holds the newest.
+	is.New(t).True(turnOf(once, 2, named, within, 0).IsZero()) // It holds the newest.
 }
 
 // Places of all replicas differ, and those of a hall are spread over the whole
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -40,7 +40,8 @@
 // candidate is a version that a replica may take, as far as the box knows.
 type candidate struct {
 	version   uint64
-	whole     bool          // It is here.
+	whole     bool          // It is here,
+	wholeAt   time.Time     // since then; zero while it is not.
 	wholeBy   time.Time     // When it may be; zero while that is not known.
 	stalled   bool          // Nothing of it has left the origin for a while.
 	until     time.Time     // When requests may no longer begin on it; zero for the newest.
@@ -90,7 +91,7 @@
 	var out []candidate
 	for _, r := range vs.all() {
 		c := candidate{
-			version: r.version, whole: r.whole(), wholeBy: r.CompleteBy(now), until: s.until(wanted, r.version),
+			version: r.version, whole: r.whole(), wholeAt: r.WholeAt(), wholeBy: r.CompleteBy(now), until: s.until(wanted, r.version),
 			unoffered: r.Unoffered(now), before: s.until(wanted, r.version-1),
 		}
 		c.chunks, _ = r.Progress()
@@ -125,10 +126,10 @@
 	newest.stalled = newest.unoffered != 0 && now.Sub(vs.movedAt) >= stalledAfter
 }
 
-// originFirst says which version's chunks leave the origin first: an older one that
-// lacks little, if the newest will still be whole before the version that replicas
-// hold is over, or cannot be in any case. It is pure. cs is not empty, and the newest
-// is the last.
+// originFirst says which version's chunks leave the origin first: the newest, unless
+// service stands still for less long if an older one goes first, or both will be here
+// before the version that replicas hold is over: the older one is then at hand if the
+// origin goes away. It is pure. cs is not empty, and the newest is the last.
 func originFirst(now time.Time, cs []candidate) uint64 {
 	newest := cs[len(cs)-1]
 	var old candidate
@@ -141,17 +142,26 @@
 		return newest.version
 	}
 	newest.assumes(old)
-	fits := func(takes time.Duration) bool { return !now.Add(takes).After(old.before) }
-	if fits(old.takes()+newest.takes()) || fits(old.takes()) && !fits(newest.takes()) {
+	oldAt, newAt, lastAt := now.Add(old.takes()), now.Add(newest.takes()), now.Add(old.sends()+newest.takes())
+	without := lateBy(newAt, old.before)
+	with := lateBy(oldAt, old.before) + lateBy(lastAt, old.until)
+	both := !now.Add(old.takes() + newest.takes()).After(old.before)
+	if with < without || with == without && both {
 		return old.version
 	}
 	return newest.version
 }
 
+// lateBy is for how long replicas that have nothing after a time have to wait.
+func lateBy(whole, until time.Time) time.Duration { return max(0, whole.Sub(until)) }
+
 // takes is how long a version needs until it is whole everywhere, if the origin sends
 // nothing else.
-func (c *candidate) takes() time.Duration {
-	return swarmLag + time.Duration(originSlack*float64(max(0, c.unoffered))*float64(c.perChunk))
+func (c *candidate) takes() time.Duration { return swarmLag + c.sends() }
+
+// sends is how long the origin needs for what it has not sent of a version.
+func (c *candidate) sends() time.Duration {
+	return time.Duration(originSlack * float64(max(0, c.unoffered)) * float64(c.perChunk))
 }
 
 // assumes takes a version of which there is no manifest to be as large as another.
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -30,7 +30,13 @@
 		{"the older one has left the origin", with(func(o, _ *candidate) { o.unoffered = 0 }), 3},
 		{"only one of them in time", with(func(o, _ *candidate) { o.unoffered = 40 }), 3},
 		{"only the older one in time", with(func(o, _ *candidate) { o.before = now.Add(2 * time.Second) }), 2},
-		{"none in time", with(func(o, _ *candidate) { o.before = now }), 3},
+		{"none in time, and the older one here sooner", with(func(o, _ *candidate) { o.before = now }), 2},
+		{"none in time, and the older one over before the newest is here", with(func(o, _ *candidate) {
+			o.unoffered, o.before, o.until = 60, now, now.Add(5*time.Second)
+		}), 3},
+		{"the older one in time, but over long before the newest is here", with(func(o, _ *candidate) {
+			o.unoffered, o.before, o.until = 40, now.Add(2600*time.Millisecond), now.Add(4100*time.Millisecond)
+		}), 3},
 		{"the older one is nearly over", with(func(o, _ *candidate) { o.until = now.Add(2 * time.Second) }), 3},
 		{"the one that lacks less", []candidate{
 			{version: 2, unoffered: 30, chunks: 64, perChunk: perChunk, before: now.Add(9 * time.Second), until: now.Add(9 * time.Second)},
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -1,32 +1,45 @@
 package weights
 
 import (
-	"slices"
 	"time"
-
-	"github.com/poststand/poststand/rendezvous"
 )
 
-// duties looks after the chunks whose turn has come and that no neighbour has:
-// fetch from the origin if nobody is ahead, else ask those who are.
+// duties fetches from the origin what is due there and this box's to claim.
 func (p *Plan) duties(now time.Time, wake *time.Time, todo []Action) []Action {
 	if p.Hold || p.Yield {
 		return todo
 	}
-	p.shareAnew(now, wake)
+	if p.Strategy.OrderKey == nil {
+		return p.everything(now, wake, todo)
+	}
+	p.renew(now, wake)
+	due := p.due(now, wake)
+	if p.origin.away { // Boxes that try it at the same moment fetch different chunks.
+		p.Rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	}
+	for _, i := range due {
+		if p.atOrigin >= orDefault(p.AtOrigin, defaultAtOrigin) {
+			break
+		}
+		if p.mayClaim(now, i, wake) {
+			todo = append(todo, p.fetchDue(now, i))
+		}
+	}
+	return todo
+}
+
+// everything fetches whatever is missing from the origin, for a strategy without an
+// order.
+func (p *Plan) everything(now time.Time, wake *time.Time, todo []Action) []Action {
+	if p.origin.away && p.origin.tryAt.After(now) {
+		earlier(wake, p.origin.tryAt)
+		return todo
+	}
 	for i := range p.Chunks {
-		if p.have.Has(i) || len(p.fetching[i]) > 0 || p.asking[i] || p.offered(now, i) {
-			continue
+		if p.atOrigin >= orDefault(p.AtOrigin, defaultAtOrigin) {
+			break
 		}
-		switch {
-		case p.turn[i].After(now):
-			earlier(wake, p.turn[i])
-		case p.order.position[i] > 0 && !p.granted[i]:
-			p.asking[i] = true
-			todo = append(todo, Action{Chunk: i, Ask: p.ahead(i)})
-		case p.originAt.After(now):
-			earlier(wake, p.originAt)
-		case p.atOrigin < orDefault(p.AtOrigin, defaultAtOrigin):
+		if !p.have.Has(i) && len(p.fetching[i]) == 0 {
 			todo = append(todo, p.begin(now, Action{Chunk: i, From: Origin}))
 		}
 	}
@@ -46,21 +59,6 @@
 	return false
 }
 
-// ahead returns the nearest boxes before this one in a chunk's order.
-func (p *Plan) ahead(chunk int) []string {
-	const most = 3
-	ranked := rendezvous.Rank(p.Strategy.OrderKey(chunk), p.names)
-	if at := slices.Index(ranked, p.order.first[chunk]); at > 0 {
-		ranked = slices.Insert(slices.Delete(ranked, at, at+1), 0, p.order.first[chunk])
-	}
-	for i, n := range ranked {
-		if n == p.Self {
-			return ranked[max(0, i-most):i]
-		}
-	}
-	return nil
-}
-
 func earlier(t *time.Time, by time.Time) {
 	if by.Before(*t) {
 		*t = by
@@ -165,7 +163,7 @@
 // spareFetch spends what the origin may send beyond one copy, once the first
 // copy has left it and no peer has room.
 func (p *Plan) spareFetch(now time.Time) (Action, bool) {
-	if p.Hold || p.Yield || p.spare == 0 || p.atOrigin > 0 || p.originAt.After(now) || now.Before(p.Begin.Add(p.Inject)) {
+	if p.Hold || p.Yield || p.spare == 0 || p.atOrigin > 0 || p.origin.away || p.origin.leaveTil.After(now) || now.Before(p.Begin.Add(p.Inject)) {
 		return Action{}, false
 	}
 	chunk := -1
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -57,15 +57,15 @@
 
 // Kinds of events.
 const (
-	EventOrigin  EventKind = "origin"        // A chunk came from the origin.
-	EventHall    EventKind = "peer_in_hall"  // From a peer in this hall.
-	EventAcross  EventKind = "peer_across"   // From a peer of another hall.
-	EventUpload  EventKind = "upload"        // A chunk was sent to a peer.
-	EventCorrupt EventKind = "corrupt"       // A chunk did not match its digest.
-	EventStall   EventKind = "stall"         // A fetch got nothing in time.
-	EventRefused EventKind = "refused"       // A peer or the origin had no room.
-	EventTurn    EventKind = "seed_takeover" // This box took over from those ahead of it.
-	EventFull    EventKind = "store_full"    // The memory for weights is too small.
+	EventOrigin  EventKind = "origin"         // A chunk came from the origin.
+	EventHall    EventKind = "peer_in_hall"   // From a peer in this hall.
+	EventAcross  EventKind = "peer_across"    // From a peer of another hall.
+	EventUpload  EventKind = "upload"         // A chunk was sent to a peer.
+	EventCorrupt EventKind = "corrupt"        // A chunk did not match its digest.
+	EventStall   EventKind = "stall"          // A fetch got nothing in time.
+	EventRefused EventKind = "refused"        // A peer or the origin had no room.
+	EventTurn    EventKind = "claim_takeover" // This box claimed a chunk after others had let their turns pass.
+	EventFull    EventKind = "store_full"     // The memory for weights is too small.
 )
 
 // Event is one such happening.
@@ -92,7 +92,6 @@
 func (x *Exchange) Serve(hs *wire.Handlers) {
 	wire.On(hs, x.serveJoin)
 	wire.On(hs, x.serveChunk)
-	wire.On(hs, x.serveAsk)
 }
 
 // Transfer returns the transfer of an artifact that is under way or complete
@@ -155,14 +154,6 @@
 	}
 }
 
-func (x *Exchange) serveAsk(ctx context.Context, s *wire.Stream, m *Ask) {
-	var r AskReply
-	if t := x.Transfer(m.Artifact); t != nil {
-		r = t.state(m.Chunk)
-	}
-	_ = s.SendLast(ctx, &r)
-}
-
 // manifestWait is how long a box that asks for a manifest is kept waiting for it
 // where it is on its way here too.
 const manifestWait = 500 * time.Millisecond
--- a/weights/message.go
+++ b/weights/message.go
@@ -12,10 +12,11 @@
 	Queue    int
 }
 
-// Have tells what the sender got since its last word.
+// Have tells what the sender got since its last message, and what it learnt.
 type Have struct {
 	Chunks []int
 	Queue  int // Uploads that wait at the sender.
+	News   News
 }
 
 // GetChunk asks for a chunk by its digest.
@@ -28,25 +29,10 @@
 	Data []byte
 }
 
-// Ask asks whether a box has a chunk or is getting it.
-type Ask struct {
-	Artifact string
-	Chunk    int
-}
-
-// AskReply answers an Ask.
-type AskReply struct {
-	Has     bool
-	Getting bool
-	Ahead   bool // The box looks after the chunk and will get it from the origin.
-}
-
 // Messages registers this package's messages.
 var Messages = []wire.Entry{
 	{Kind: 64, Message: &Join{}},
 	{Kind: 65, Message: &Have{}},
 	{Kind: 66, Message: &GetChunk{}},
 	{Kind: 67, Message: &Part{}},
-	{Kind: 68, Message: &Ask{}},
-	{Kind: 69, Message: &AskReply{}},
 }
--- a/weights/neighbour.go
+++ b/weights/neighbour.go
@@ -111,6 +111,7 @@
 		own = nil
 	} else {
 		t.sessions[peer.Name] = own
+		own.news = t.plan.Known(time.Now())
 		t.plan.PeerHas(time.Now(), peer.Name, first.Has, first.Queue)
 		for i := range t.plan.Chunks {
 			if t.plan.Have().Has(i) && !told.Has(i) {
@@ -122,7 +123,7 @@
 	if own == nil {
 		return
 	}
-	t.happened()
+	t.happened() // What the first message told is passed on with the next look.
 	go t.sendHaves(ctx, s, own)
 	t.receiveHaves(ctx, s, peer.Name)
 	t.mu.Lock()
@@ -137,11 +138,12 @@
 	flush := orDefault(t.Exchange.Flush, defaultFlush)
 	for {
 		t.mu.Lock()
-		news := own.unsent
-		own.unsent = nil
+		h := Have{Chunks: own.unsent, News: own.news}
+		own.unsent, own.news = nil, News{}
 		t.mu.Unlock()
-		if len(news) > 0 {
-			if s.Send(ctx, &Have{Chunks: news, Queue: t.Exchange.queue()}) != nil {
+		if len(h.Chunks) > 0 || !h.News.Empty() {
+			h.Queue = t.Exchange.queue()
+			if s.Send(ctx, &h) != nil {
 				return
 			}
 		}
@@ -169,7 +171,10 @@
 		for _, i := range h.Chunks {
 			got.Set(i)
 		}
-		t.plan.PeerHas(time.Now(), peer, got, h.Queue)
+		now := time.Now()
+		t.plan.PeerHas(now, peer, got, h.Queue)
+		t.plan.Learn(now, h.News)
+		t.tellNews(peer)
 		t.mu.Unlock()
 		t.happened()
 	}
--- a/weights/order.go
+++ b/weights/order.go
@@ -9,20 +9,24 @@
 	position []int    // Boxes ahead of this one, by chunk.
 }
 
+// aheadOfShare is by how many chunks a box may be ahead of its share of those so far. With
+// fewer, a box that comes or goes would change who is first for most of the others.
+const aheadOfShare = 2
+
 // orderOf works the order of every chunk out, for one of names. Each chunk's boxes
 // are ranked by its key, but for the first one: with balanced set, that is the best
-// of those that are not yet first for their share, so that no box has many chunks to
-// get one after the other while the origin is idle. Boxes that know the same names
-// compute the same orders.
+// of those that are not yet first for their share, or for two more than their share of
+// the chunks so far. So no box has many chunks to get one after the other while the
+// origin is idle. Boxes that know the same names compute the same orders.
 func orderOf(key func(chunk int) string, chunks int, self string, names []string, balanced bool) order {
 	o := order{first: make([]string, chunks), position: make([]int, chunks)}
-	share := chunks
-	if balanced && len(names) > 0 {
-		share = (chunks + len(names) - 1) / len(names)
-	}
 	scores, led := make([]uint64, len(names)), make([]int, len(names))
 	for i := range chunks {
 		k := key(i)
+		share := chunks
+		if balanced {
+			share = min(i/max(1, len(names))+aheadOfShare, (chunks+len(names)-1)/max(1, len(names)))
+		}
 		first, at := -1, -1
 		for j, n := range names {
 			scores[j] = rendezvous.Score(k, n)
--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/simnet"
@@ -71,39 +72,231 @@
 	is.True(f.origin < 1.1)
 }
 
-// What an absent origin has yet to send is shared anew: each chunk has one box that gets
-// it, and no box has two while another has none.
+// mesh joins plans that tell one another all that they learn, each message taking some
+// time, and an origin that serves every fetch after some time.
+type mesh struct {
+	now     time.Time
+	plans   map[string]*Plan
+	names   []string
+	lag     time.Duration // Of a message,
+	serves  time.Duration // and of a fetch.
+	refuses map[string]bool
+	silent  map[string]bool // Boxes that do nothing.
+	cut     map[string]bool // Boxes that hear only one another.
+	fetched map[int]map[string]int
+	later   []event
+}
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+func newMesh(boxes, chunks int, here Bitmap) *mesh {
+	m := &mesh{
+		now: time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC), plans: map[string]*Plan{}, lag: 30 * time.Millisecond, serves: 100 * time.Millisecond,
+		refuses: map[string]bool{}, silent: map[string]bool{}, cut: map[string]bool{}, fetched: map[int]map[string]int{},
+	}
+	for i := range boxes {
+		m.names = append(m.names, fmt.Sprintf("box-%03d", i))
+	}
+	for _, n := range m.names {
+		p := &Plan{
+			Self: n, Strategy: Swarm, Chunks: chunks, Begin: m.now, Inject: 2 * time.Second, PerChunk: 25 * time.Millisecond,
+			Stagger: 150 * time.Millisecond, AtOrigin: 3,
+		}
+		p.Init(here, m.names)
+		m.plans[n] = p
+	}
+	return m
+}
+
+// run plays until a time, in small steps.
+func (m *mesh) run(until time.Duration) {
+	for end := m.now.Add(until); m.now.Before(end); m.now = m.now.Add(2 * time.Millisecond) {
+		due := m.later
+		m.later = nil
+		for _, e := range due {
+			if e.at.After(m.now) {
+				m.later = append(m.later, e)
+			} else {
+				e.do()
+			}
+		}
+		for _, n := range m.names {
+			if !m.silent[n] {
+				m.step(n)
+			}
+		}
+	}
+}
+
+func (m *mesh) step(n string) {
+	p := m.plans[n]
+	todo, _ := p.Next(m.now)
+	for _, a := range todo {
+		if a.From != Origin {
+			continue
+		}
+		m.after(m.serves, func() { m.serve(n, a.Chunk) })
+	}
+	news := p.TakeNews()
+	if news.Empty() {
+		return
+	}
+	for _, o := range m.names {
+		if o != n && !m.silent[o] && m.cut[o] == m.cut[n] {
+			m.after(m.lag, func() { m.plans[o].Learn(m.now, news) })
+		}
+	}
+}
+
+func (m *mesh) serve(n string, chunk int) {
+	p := m.plans[n]
+	if m.refuses[n] {
+		p.Fetched(m.now, chunk, Origin, fault.Unreachable)
+		return
+	}
+	if m.fetched[chunk] == nil {
+		m.fetched[chunk] = map[string]int{}
+	}
+	m.fetched[chunk][n]++
+	p.Fetched(m.now, chunk, Origin, "")
+	has := NewBitmap(p.Chunks)
+	has.Set(chunk)
+	for _, o := range m.names {
+		if o != n && !m.silent[o] && m.cut[o] == m.cut[n] {
+			m.after(m.lag, func() { m.plans[o].PeerHas(m.now, n, has, 0) })
+		}
+	}
+}
+
+func (m *mesh) after(d time.Duration, do func()) {
+	m.later = append(m.later, event{m.now.Add(d), do})
+}
+
+// copies returns how many chunks were fetched, how often in all, and by how many boxes.
+func (m *mesh) copies() (chunks, fetches, boxes int) {
+	by := map[string]bool{}
+	for _, c := range m.fetched {
+		for n, k := range c {
+			fetches += k
+			by[n] = true
+		}
+	}
+	return len(m.fetched), fetches, len(by)
+}
+
+// allBut returns all chunks but the last ones.
+func allBut(chunks, left int) Bitmap {
+	b := NewBitmap(chunks)
+	for i := range chunks - left {
+		b.Set(i)
+	}
+	return b
+}
+
+// What an absent origin has yet to send leaves it once each and soon after its return,
+// and is fetched by many boxes, none of which has many to get one after the other.
 func TestWhatIsLeftIsSharedAnew(t *testing.T) {
 	is := is.New(t)
-	const boxes, chunks, left = 20, 96, 13
-	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
-	names := make([]string, boxes)
-	for i := range names {
-		names[i] = fmt.Sprintf("box-%03d", i)
+	const boxes, left = 20, 13
+	m := newMesh(boxes, 96, allBut(96, left))
+	for _, n := range m.names {
+		m.refuses[n] = true
 	}
-	here := NewBitmap(chunks)
-	for i := range chunks - left {
-		here.Set(i)
-	}
-	gets := func(wait time.Duration) (each map[string]int) {
-		each = map[string]int{}
-		for _, n := range names {
-			p := &Plan{Self: n, Strategy: Swarm, Chunks: chunks, Begin: now, Inject: 2 * time.Second, PerChunk: 25 * time.Millisecond}
-			p.Init(nil, names)
-			p.PeerHas(now, "peer", here, 0)
-			p.Next(now.Add(wait))
-			for i := range chunks {
-				if !here.Has(i) && p.LooksAfter(i) {
-					each[n]++
-				}
+	m.run(4 * time.Second)
+	clear(m.refuses)
+	m.run(800 * time.Millisecond) // A try each 40 ms, and two rounds of 100 ms.
+	chunks, fetches, by := m.copies()
+	is.Equal(chunks, left)
+	is.True(fetches <= left+3) // Tries that found it back at the same moment.
+	is.True(by >= left/2)
+	for _, n := range m.names {
+		is.True(m.plans[n].atOrigin <= 3)
+	}
+}
+
+// While the origin is away, it is asked about as often as all boxes together may: not by
+// each of them again and again.
+func TestAbsentOriginIsAskedLittle(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(40, 96, nil)
+	asked := 0
+	for _, n := range m.names {
+		m.refuses[n] = true
+	}
+	m.run(2 * time.Second)
+	before := m.asked()
+	m.run(4 * time.Second)
+	asked = m.asked() - before
+	is.True(asked > 4*10) // Its return is seen soon,
+	is.True(asked < 4*50) // and 27 tries a second are meant.
+}
+
+// asked returns how many fetches from the origin were begun.
+func (m *mesh) asked() int {
+	n := 0
+	for _, p := range m.plans {
+		n += p.asked
+	}
+	return n
+}
+
+// A chunk always has a box that fetches it, whichever boxes are gone, cannot reach the
+// origin or are cut off with it, as long as two that hear one another can.
+func TestAChunkAlwaysHasAClaimant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.New(t)
+		const boxes, left = 16, 12
+		m := newMesh(boxes, 24, allBut(24, left))
+		for _, n := range m.names[2:] { // The first two are sound.
+			switch rapid.IntRange(0, 3).Draw(t, "state") {
+			case 0:
+				m.silent[n] = true
+			case 1:
+				m.refuses[n] = true
+			case 2:
+				m.cut[n], m.refuses[n] = true, true
 			}
 		}
-		return each
-	}
-	is.True(len(gets(time.Second/2)) < left) // Some have two: of the whole that was their share.
-	after := gets(6 * time.Second)
-	is.Equal(len(after), left)
-	for _, n := range after {
-		is.Equal(n, 1)
+		var chunks, fetches int
+		for i := 0; i < 12 && chunks < left; i++ {
+			m.run(500 * time.Millisecond)
+			chunks, fetches, _ = m.copies()
+		}
+		is.Equal(chunks, left)
+		is.True(fetches <= 2*left)
+	})
+}
+
+// A box that hears from no other leaves them their chunks: it is most likely the one
+// that is cut off, and would bring a second copy out of the origin.
+func TestBoxThatHearsNothingLeavesTheOriginAlone(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(16, 96, nil)
+	m.run(500 * time.Millisecond)
+	lone := m.names[3]
+	m.cut[lone] = true
+	before := m.plans[lone].asked
+	m.run(2 * time.Second)
+	is.True(m.plans[lone].asked-before < 30) // Of some 80 that left the origin meanwhile.
+}
+
+// A spoilt answer is asked for again at once, and then by another box.
+func TestSpoiltAnswerIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	p := &Plan{Self: "a", Strategy: Swarm, Chunks: 1, Begin: now, Inject: time.Second, PerChunk: 10 * time.Millisecond}
+	p.Init(nil, []string{"a"})
+	for range spoiltAllowed {
+		todo, _ := p.Next(now)
+		is.Equal(len(todo), 1)
+		p.Fetched(now, 0, Origin, fault.Corrupt)
 	}
+	todo, wake := p.Next(now)
+	is.Equal(len(todo), 0)
+	is.True(wake.After(now))
+	news := p.TakeNews()
+	is.Equal(news.Claims[len(news.Claims)-1].For, time.Duration(0)) // It has given the chunk up.
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -21,15 +21,11 @@
 const (
 	perPeer         = 1                       // Open fetches from one peer.
 	defaultAtOrigin = 2                       // Open fetches from the origin.
-	graceChunks     = 24                      // Between the turns of two boxes in a chunk's order,
-	minGrace        = 2 * time.Second         // and at least this.
+	graceChunks     = 24                      // A chunk that is heard to have left the origin is here after it,
+	minGrace        = time.Second             // or after this if that is longer.
 	slowChunks      = 12                      // After it a second fetch of a chunk may start.
 	strikesAllowed  = 2                       // Corrupt chunks after which a peer is left out
 	leftOutFor      = 30 * time.Second        // for this, and longer each time.
-	mostPutOff      = 3                       // Times that a chunk is left to those ahead.
-	mostWaited      = 12 * time.Second        // For one that waits for the origin.
-	originRetry     = 500 * time.Millisecond  // Between tries at the origin, with jitter.
-	pullAhead       = 0.93                    // Share of the planned time in which seeds ask.
 	slowFetch       = 14                      // Of so many, a fetch shows that this box's link is slower than it should be.
 	easeBack        = 0.1                     // Fetches regained by each one that is not.
 	acrossGrace     = 1000 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
@@ -39,8 +35,7 @@
 // Action is one thing to do.
 type Action struct {
 	Chunk int
-	From  string   // A peer's name, or Origin.
-	Ask   []string // If set, ask these boxes about the chunk instead of fetching.
+	From  string // A peer's name, or Origin.
 }
 
 // Plan decides what one box fetches next. It does no I/O and is given the time.
@@ -59,6 +54,11 @@
 	Adapt    bool // Have fewer open while they take long.
 	Hold     bool // Leave the origin alone: the box may turn out to have more already.
 	Yield    bool // Leave the origin alone: another artifact goes first.
+	// Stagger is the time between the turns of two boxes in a chunk's order: longer than
+	// a claim takes to reach all boxes.
+	Stagger time.Duration
+	// Seq is that of the last claim of this box: of an earlier process, at the start.
+	Seq uint64
 	// Near are the boxes of this box's hall, itself among them. Where it is set, a
 	// chunk that one of them has comes from them; one that only other halls have
 	// is brought by the first of Near in the chunk's order, and by the next ones
@@ -68,31 +68,34 @@
 	have      Bitmap
 	missing   int
 	names     []string
-	order     order       // Who looks after each chunk.
-	turn      []time.Time // When this box next looks after a chunk.
-	rarity    []int       // Peers known to have a chunk.
+	order     order            // Who looks after each chunk.
+	ranks     map[int][]string // The whole order of some chunks, worked out as it is needed.
+	dueAt     []time.Time      // Since when a chunk is due at the origin and not claimed; zero if it is not.
+	turn      []time.Time      // Of a chunk that is due, when this box may claim it.
+	claims    []claim
+	leftUntil []time.Time          // A chunk that has left the origin is looked for at other boxes until then.
+	spoilt    map[int]int          // Spoilt answers of the origin.
+	silent    map[string]time.Time // Boxes that let a turn pass, until when they are not waited for.
+	origin    originState
+	heardAt   time.Time         // When a neighbour last told of anything; zero before.
+	seqs      map[string]uint64 // The last claim heard of each box.
+	news      News
+	asked     int   // Fetches from the origin that were begun.
+	takeovers int   // Chunks claimed after others had let their turns pass.
+	rarity    []int // Peers known to have a chunk.
 	fetching  map[int][]fetch
 	peers     map[string]*peerState
 	sorted    []string // The names of peers, sorted, so that a plan is repeatable.
 	open      int
 	atOrigin  int
-	spare     int // Chunks that this box may still fetch beyond its duty.
-	asking    map[int]bool
-	putOff    map[int]int       // How often a box ahead said that it looks after a chunk.
-	waited    map[int]time.Time // Since when a box ahead has said that it waits for the origin.
-	granted   map[int]bool      // Nobody ahead looks after the chunk; good for one try at the origin.
-	leftOut   time.Time         // Some peer is left out until then.
-	originAt  time.Time         // The origin is left alone until then.
-	fullTill  time.Time         // The store had no room; nothing is fetched until then.
+	spare     int       // Chunks that this box may still fetch beyond its duty.
+	leftOut   time.Time // Some peer is left out until then.
+	fullTill  time.Time // The store had no room; nothing is fetched until then.
 	tieBreak  []int
 	parallel  float64 // Fetches that may be open now: fewer where the link turns out slow. Zero is the usual.
 	near      map[string]bool
 	across    []int       // Boxes of Near ahead of this one in bringing a chunk from another hall.
 	offeredAt []time.Time // When another hall was first seen to have a chunk; zero if none was.
-	// movedAt is when a chunk was last seen that nobody was known to have before: it has
-	// left the origin.
-	movedAt  time.Time
-	reshared bool // What is left was shared anew since then.
 }
 
 type fetch struct {
@@ -124,7 +127,9 @@
 	p.rarity = make([]int, p.Chunks)
 	p.fetching = map[int][]fetch{}
 	p.peers = map[string]*peerState{}
-	p.asking, p.granted, p.putOff, p.waited = map[int]bool{}, map[int]bool{}, map[int]int{}, map[int]time.Time{}
+	p.spoilt, p.silent, p.seqs = map[int]int{}, map[string]time.Time{}, map[string]uint64{}
+	p.dueAt, p.turn, p.leftUntil = make([]time.Time, p.Chunks), make([]time.Time, p.Chunks), make([]time.Time, p.Chunks)
+	p.claims = make([]claim, p.Chunks)
 	p.tieBreak = p.Rand.Perm(p.Chunks)
 	p.offeredAt = make([]time.Time, p.Chunks)
 	p.SetMembers(members)
@@ -135,24 +140,14 @@
 // SetMembers tells which boxes want the artifact now, this one among them.
 func (p *Plan) SetMembers(names []string) {
 	p.names = names
-	fresh, before := p.order.position == nil, p.order.position
-	if !fresh && p.Complete() {
+	if p.order.first != nil && p.Complete() {
 		return // Nothing is left to be looked after, and an order of many boxes takes long.
 	}
+	p.ranks = map[int][]string{}
 	p.order = order{first: make([]string, p.Chunks), position: make([]int, p.Chunks)}
 	if p.Strategy.OrderKey != nil {
 		p.order = orderOf(p.Strategy.OrderKey, p.Chunks, p.Self, names, p.Strategy.Balanced)
 	}
-	if fresh {
-		p.turn = make([]time.Time, p.Chunks)
-	}
-	for i := range p.Chunks {
-		ahead := p.order.position[i]
-		turn := p.scheduled(i).Add(time.Duration(ahead) * p.grace())
-		if fresh || ahead < before[i] && turn.Before(p.turn[i]) {
-			p.turn[i] = turn // Sooner, where a box ahead has gone.
-		}
-	}
 }
 
 // SetNear tells which boxes of this box's hall want the artifact now.
@@ -170,15 +165,6 @@
 	p.across = orderOf(across, p.Chunks, p.Self, names, p.Strategy.Balanced).position
 }
 
-// scheduled is when the origin's link comes to a chunk, one after another.
-func (p *Plan) scheduled(chunk int) time.Time {
-	if p.Strategy.OrderKey == nil {
-		return p.Begin
-	}
-	share := pullAhead * float64(chunk) / float64(p.Chunks)
-	return p.Begin.Add(time.Duration(share * float64(p.Inject)))
-}
-
 func (p *Plan) grace() time.Duration {
 	return max(minGrace, graceChunks*p.PerChunk)
 }
@@ -192,12 +178,12 @@
 // Missing returns how many chunks the box lacks.
 func (p *Plan) Missing() int { return p.missing }
 
-// Unoffered returns how many chunks neither this box nor a neighbour has: they have
-// yet to leave the origin, as far as is known.
+// Unoffered returns how many chunks no box is known to have: they have yet to leave the
+// origin.
 func (p *Plan) Unoffered(now time.Time) int {
 	n := 0
 	for i := range p.Chunks {
-		if !p.have.Has(i) && !p.offered(now, i) {
+		if !p.have.Has(i) && !p.hasLeft(now, i) {
 			n++
 		}
 	}
@@ -223,9 +209,7 @@
 		if chunks.Has(i) && !s.has.Has(i) {
 			s.has.Set(i)
 			p.rarity[i]++
-			if p.rarity[i] == 1 && !p.have.Has(i) {
-				p.hasMoved(now)
-			}
+			p.left(now, i)
 		}
 	}
 }
@@ -255,23 +239,27 @@
 	p.endFetch(chunk, from)
 	if code == "" {
 		if from == Origin {
-			p.hasMoved(now)
+			p.origin.troubles, p.origin.failedAt = 0, time.Time{}
+			p.moved(now)
 		}
+		p.claims[chunk].until, p.dueAt[chunk] = time.Time{}, time.Time{}
 		p.Found(chunk)
 		return
 	}
 	if code == fault.StoreFull {
+		p.release(chunk, false)
 		p.fullTill = now.Add(fullGraces * p.grace())
 		return
 	}
 	if from == Origin {
-		// The next try asks those ahead again: when the origin comes back, one of
-		// all that were waiting for it may have the chunk by then.
-		delete(p.granted, chunk)
-		if p.order.position[chunk] > 0 {
-			p.turn[chunk] = now.Add(p.grace() / 2)
+		switch code {
+		case fault.Corrupt:
+			p.originSpoilt(now, chunk)
+		case fault.Cancelled:
+			p.release(chunk, false)
+		default:
+			p.originFailed(now, chunk)
 		}
-		p.originAt = now.Add(originRetry/2 + time.Duration(p.Rand.Int64N(int64(originRetry))))
 		return
 	}
 	s := p.peer(from)
@@ -328,44 +316,6 @@
 	return out
 }
 
-// LooksAfter reports whether this box is to get a chunk from the origin, now or
-// when the origin can be had: it is first in the order, or those ahead have left
-// it to this box.
-func (p *Plan) LooksAfter(chunk int) bool {
-	return !p.have.Has(chunk) && (p.order.position[chunk] == 0 || p.granted[chunk])
-}
-
-// AskedAhead records that a box ahead looks after a chunk but has not begun to
-// get it: the origin is away or has a queue, and another one that asks there would
-// be no help. After long it may be that box that is cut off.
-func (p *Plan) AskedAhead(now time.Time, chunk int) {
-	delete(p.asking, chunk)
-	if p.waited[chunk].IsZero() {
-		p.waited[chunk] = now
-	}
-	if now.Sub(p.waited[chunk]) >= mostWaited {
-		p.granted[chunk] = true
-		p.turn[chunk] = now
-		return
-	}
-	p.turn[chunk] = now.Add(p.grace())
-}
-
-// Asked records the answer to an Action with Ask: whether a box ahead has the
-// chunk or is getting it. If none does, this box's turn has come. So it has if
-// one says so again and again and no neighbour ever gets the chunk: it may be
-// unable to pass it on, or passes it on corrupt.
-func (p *Plan) Asked(now time.Time, chunk int, someoneHas bool) {
-	delete(p.asking, chunk)
-	p.putOff[chunk]++
-	if someoneHas && p.putOff[chunk] < mostPutOff {
-		p.turn[chunk] = now.Add(p.grace())
-		return
-	}
-	p.granted[chunk] = true
-	p.turn[chunk] = now
-}
-
 // Next returns what to do now, and when to call again if nothing happens.
 func (p *Plan) Next(now time.Time) (todo []Action, wake time.Time) {
 	wake = now.Add(p.grace())
--- a/weights/progress.go
+++ b/weights/progress.go
@@ -8,6 +8,13 @@
 	return t.complete
 }
 
+// WholeAt is when the last chunk came; zero before that.
+func (t *Transfer) WholeAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wholeAt
+}
+
 // Manifest returns the manifest, or nil while it is not here.
 func (t *Transfer) Manifest() *Manifest {
 	t.mu.Lock()
--- a/weights/sim_test.go
+++ b/weights/sim_test.go
@@ -33,7 +33,7 @@
 	// of its model; that of a model as small as these would weigh a hundredth.
 	pinned bool
 	// sharing is as boxes whose replicas share their link: one copy into each hall,
-	// one fetch from the origin at once, fewer fetches where the link is slow.
+	// three fetches from the origin at once, fewer fetches where the link is slow.
 	sharing bool
 	// startAt, if set, is when a box hears of the artifact, beside a drawn moment.
 	startAt func(s *sim, name string) time.Duration
@@ -183,7 +183,7 @@
 		},
 	}
 	if s.sharing {
-		b.exchange.KeepInHall, b.exchange.SharesLink, b.exchange.AtOrigin = true, true, 1
+		b.exchange.KeepInHall, b.exchange.SharesLink, b.exchange.AtOrigin = true, true, 3
 		b.exchange.Flush, b.exchange.UploadSlots, b.exchange.UploadQueue = 25*time.Millisecond, 1, 4
 	}
 	if s.pinned {
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -20,7 +20,9 @@
 const (
 	manifestRetry  = 40 * time.Millisecond  // After a box that did not have it.
 	manifestTurn   = 250 * time.Millisecond // For each box ahead in the order of those that ask the origin,
-	manifestTurns  = 8                      // up to so many of them.
+	manifestTurns  = 8                      // up to so many of them, but for the first ones,
+	manifestFirst  = 2                      // of which there are so many.
+	manifestOften  = 50 * time.Millisecond  // Between two requests to an origin that does not answer, of all boxes.
 	manifestRound  = 500 * time.Millisecond // After this others are asked, or the origin.
 	manifestAtOnce = 3                      // Boxes asked at once.
 	manifestFanOut = 4                      // Boxes that ask the same one, beside those that draw it.
@@ -28,18 +30,21 @@
 	manifestAnswer = time.Second            // and for its answer.
 )
 
-// getManifest fetches the manifest: the first box in its order from the origin,
-// the others from other boxes, and from the origin once that is late.
+// getManifest fetches the manifest: the first boxes in its order from the origin, the
+// others from other boxes, and from the origin too once that is late.
 func (t *Transfer) getManifest(ctx context.Context) ([]byte, error) {
 	x := t.Exchange
-	begin := time.Now()
+	began, failed := time.Now(), time.Time{}
 	for ; ctx.Err() == nil; kernel.Sleep(ctx, manifestRetry) {
 		if data, ok := x.Lookup(t.Artifact); ok {
 			return data, nil
 		}
 		order := rank("manifest/"+t.Artifact, t.Members())
 		place := slices.IndexFunc(order, func(m Member) bool { return m.Name == x.Self.Name })
-		turn := begin.Add(time.Duration(min(max(0, place), manifestTurns)) * manifestTurn)
+		turn := began.Add(time.Duration(max(0, min(place-manifestFirst+1, manifestTurns))) * manifestTurn)
+		if !failed.IsZero() {
+			turn = failed.Add(manifestAgain(len(order), place))
+		}
 		data, err := t.manifestFrom(ctx, order, place, turn)
 		if err == nil {
 			if _, err = ParseManifest(data, t.Artifact); err == nil {
@@ -47,18 +52,35 @@
 				return data, nil
 			}
 		}
+		if !time.Now().Before(turn) {
+			failed = time.Now()
+		}
 	}
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
 }
 
+// manifestAgain draws the time until a box asks the origin for the manifest again after
+// it failed: soon for the first ones, and for the others so that all together ask it
+// about as often as one of those.
+func manifestAgain(boxes, place int) time.Duration {
+	if place < manifestFirst {
+		return rand.N(2 * manifestOften)
+	}
+	return rand.N(2 * time.Duration(max(1, boxes)) * manifestOften)
+}
+
 // manifestFrom asks the origin if this box's turn has come, and else a few boxes at
 // once, again and again until one has it or the turn comes.
 func (t *Transfer) manifestFrom(ctx context.Context, order []Member, place int, turn time.Time) ([]byte, error) {
 	x := t.Exchange
-	asked := t.manifestHolders(order, place)
-	if len(asked) == 0 || !time.Now().Before(turn) {
+	if !time.Now().Before(turn) {
 		return x.FromOrigin(ctx, t.Artifact)
 	}
+	asked := t.manifestHolders(order, place)
+	if len(asked) == 0 {
+		kernel.Sleep(ctx, time.Until(turn))
+		return nil, fault.New(fault.NotHeld, t.Artifact)
+	}
 	round := time.Now().Add(manifestRound)
 	if turn.Before(round) {
 		round = turn
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -37,6 +37,7 @@
 	chunks         []Chunk
 	missingAtFirst int
 	firstAt        time.Time // When the first chunk came; zero before.
+	wholeAt        time.Time // When the last one did.
 	yields         bool
 	sessions       map[string]*session
 	cancels        map[fetchKey]context.CancelFunc
@@ -53,6 +54,7 @@
 	peer   Member
 	conn   *wire.Conn
 	unsent []int
+	news   News // Not told yet.
 	wake   chan struct{}
 }
 
@@ -88,7 +90,9 @@
 		})
 	}
 	wg.Go(func() { t.keepNeighbours(ctx) })
-	t.settleIn(ctx)
+	if !t.justNamed(time.Now()) {
+		t.settleIn(ctx)
+	}
 	t.loop(ctx, &wg)
 	return nil
 }
@@ -106,11 +110,23 @@
 	}
 	t.plan.Hold = false
 	if !before && t.plan.Complete() {
-		close(t.complete)
+		t.whole()
 	}
 	t.happened()
 }
 
+// justNamed reports whether no other box can have had the artifact for long.
+func (t *Transfer) justNamed(now time.Time) bool {
+	const ago = time.Second
+	return !t.Since.IsZero() && now.Sub(t.Since) < ago
+}
+
+// whole records that every chunk is here. The caller holds t.mu.
+func (t *Transfer) whole() {
+	t.wholeAt = time.Now()
+	close(t.complete)
+}
+
 // settleIn gives neighbours a moment to tell what they have, so that a box that
 // joins late does not go to the origin for what they hold.
 func (t *Transfer) settleIn(ctx context.Context) {
@@ -142,6 +158,8 @@
 		Parallel: t.Exchange.Parallel, Adapt: t.Exchange.SharesLink, AtOrigin: t.Exchange.AtOrigin,
 		Inject: time.Duration(float64(t.Window) / t.Copies), Spare: t.Spare,
 		PerChunk: t.Window / 2 / time.Duration(max(1, len(chunks))), Hold: t.Prepare != nil,
+		Seq:     uint64(time.Now().UnixMicro()),
+		Stagger: staggerFlushes*orDefault(t.Exchange.Flush, defaultFlush) + staggerMore,
 	}
 	members := t.Members()
 	if t.Exchange.KeepInHall {
@@ -155,11 +173,17 @@
 	p.Yield = t.yields
 	close(t.begun)
 	if p.Complete() {
-		close(t.complete)
+		t.whole()
 	}
 	return nil
 }
 
+// A claim is at all boxes after three or four flushes, and a little more for the way.
+const (
+	staggerFlushes = 4
+	staggerMore    = 50 * time.Millisecond
+)
+
 // since is when the plan begins: with the others, if that was not long ago.
 func (t *Transfer) since(now time.Time) time.Time {
 	if t.Since.IsZero() || now.Sub(t.Since) > t.Window {
@@ -200,6 +224,7 @@
 		}
 		t.mu.Lock()
 		todo, wake := t.plan.Next(time.Now())
+		t.tellNews("")
 		t.mu.Unlock()
 		timer.Reset(time.Until(wake))
 		for _, a := range todo {
@@ -216,10 +241,6 @@
 }
 
 func (t *Transfer) act(ctx context.Context, a Action) {
-	if a.Ask != nil {
-		t.ask(ctx, a)
-		return
-	}
 	key := fetchKey{a.Chunk, a.From}
 	fctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -289,6 +310,7 @@
 	before := t.plan.Complete()
 	had := t.plan.Have().Has(a.Chunk)
 	t.plan.Fetched(time.Now(), a.Chunk, a.From, code)
+	t.tellNews("")
 	if code == "" && !had {
 		t.announce(a.Chunk)
 		if t.firstAt.IsZero() {
@@ -296,7 +318,7 @@
 		}
 	}
 	if !before && t.plan.Complete() {
-		close(t.complete)
+		t.whole()
 	}
 	t.mu.Unlock()
 	t.happened()
@@ -318,15 +340,38 @@
 	}
 }
 
+// tellNews has every neighbour told what this box has learnt, but for the one it was
+// learnt from. The caller holds t.mu.
+func (t *Transfer) tellNews(from string) {
+	for range t.plan.TakeTakeovers() {
+		t.Exchange.event(EventTurn, 0)
+	}
+	n := t.plan.TakeNews()
+	if n.Empty() {
+		return
+	}
+	for name, s := range t.sessions {
+		if name != from {
+			s.news.add(n)
+			s.wakeUp()
+		}
+	}
+}
+
+// wakeUp has the session told what is unsent.
+func (s *session) wakeUp() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // announce queues a chunk for every neighbour and cancels other fetches of it.
 // The caller holds t.mu.
 func (t *Transfer) announce(chunk int) {
 	for _, s := range t.sessions {
 		s.unsent = append(s.unsent, chunk)
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.wakeUp()
 	}
 	for _, from := range t.plan.Others(chunk) {
 		if cancel := t.cancels[fetchKey{chunk, from}]; cancel != nil {
