stager, weights: an empty replica is given the version that the others serve with

Ruled out: bringing the newest sooner: the origin was away. Change: an empty replica's box fetches what most replicas hold from other boxes, if it may be used for long enough yet; the first box in a manifest's order asks others too. Of two boxes that claim a chunk, the one that ranks higher goes on.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -34,6 +34,8 @@
 	model   string
 	version uint64
 	cancel  context.CancelFunc
+	// fromOthers says that the origin is not asked for it.
+	fromOthers bool
 }
 
 // load brings the assigned version to the box and its replica.
@@ -62,6 +64,17 @@
 
 func artifactOf(model string, version uint64) string { return fmt.Sprintf("%s/%d", model, version) }
 
+// transferFromOthers starts the transfer of an older version that other boxes have.
+func (s *Stager) transferFromOthers(ctx context.Context, a *peers.Assignment, version uint64, named time.Time) *running {
+	old := *a
+	old.Version = version
+	r := s.transfer(ctx, &old, named)
+	r.fromOthers = true
+	r.Yield(true)
+	telemetry.Log("stopgap", "artifact", r.Artifact, "newest", a.Version, "replicas", len(a.Replicas))
+	return r
+}
+
 // transfer starts the transfer of what is assigned.
 func (s *Stager) transfer(ctx context.Context, a *peers.Assignment, named time.Time) *running {
 	const window = 2 // Copies that a box's link is planned to carry.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -120,7 +120,7 @@
 	uploadSlots = 1
 	uploadQueue = 4 // So that the link is not idle between two.
 	fetches     = 6
-	atOrigin    = 3 // Chunks that this box is first for may be due together.
+	atOrigin    = 3                     // Chunks that this box is first for may be due together.
 	flush       = 25 * time.Millisecond // Chunks are small; neighbours are told at once.
 	bitsPerMega = 1e6
 	bitsPerByte = 8
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -15,7 +15,7 @@
 // newest cannot be had in time, and is better than none. Only the loader uses it.
 type versions struct {
 	newest  *running
-	older   []*running // The oldest first; each has its manifest.
+	older   []*running // The oldest first; each has its manifest, or comes from others.
 	ordered uint64     // The version that the replica was last ordered to take.
 	// left is how many chunks of the newest had yet to leave the origin when that last
 	// became less, at movedAt.
@@ -61,8 +61,11 @@
 		}
 		vs.newest = s.transfer(ctx, a, wanted.Overtaken(a.Version-1))
 	}
+	if v := s.stopgap(vs, a, wanted, now); v != 0 {
+		vs.older = append([]*running{s.transferFromOthers(ctx, a, v, wanted.Overtaken(v-1))}, vs.older...)
+	}
 	vs.older = slices.DeleteFunc(vs.older, func(r *running) bool {
-		keeps := r.model == a.Model && r.Manifest() != nil && s.until(wanted, r.version).Sub(now) >= leastUse
+		keeps := r.model == a.Model && (r.fromOthers || r.Manifest() != nil) && s.until(wanted, r.version).Sub(now) >= leastUse
 		if !keeps {
 			s.drop(r)
 		}
@@ -70,6 +73,43 @@
 	})
 }
 
+// stopgap returns the version that an empty replica should be given from other boxes
+// while the newest cannot be had: what others serve with for long enough yet. It returns 0
+// if there is none, or the transfer is under way. A replica that comes while the origin
+// is away would else stand idle until the newest is here.
+func (s *Stager) stopgap(vs *versions, a *peers.Assignment, wanted catalog.Wanted, now time.Time) uint64 {
+	rep, ok := s.status.report()
+	if !ok || rep.Version != 0 || rep.Ordered || len(vs.older) > 0 || vs.newest.whole() {
+		return 0
+	}
+	v := mostHeld(a)
+	if v == 0 {
+		return 0
+	}
+	copyIn := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
+	if s.until(wanted, v).Sub(now) < copyIn+leastUse {
+		return 0
+	}
+	return v
+}
+
+// mostHeld returns the version older than the newest that most replicas hold; 0 if none
+// does. It is pure.
+func mostHeld(a *peers.Assignment) uint64 {
+	n := map[uint64]int{}
+	best := uint64(0)
+	for _, r := range a.Replicas {
+		if r.Leaving || r.Version == 0 || r.Version >= a.Version {
+			continue
+		}
+		n[r.Version]++
+		if n[r.Version] > n[best] || n[r.Version] == n[best] && r.Version > best {
+			best = r.Version
+		}
+	}
+	return best
+}
+
 // drop ends a transfer, and lets go of its chunks.
 func (s *Stager) drop(r *running) {
 	telemetry.Log("transfer_ended", "artifact", r.Artifact)
@@ -94,6 +134,9 @@
 			version: r.version, whole: r.whole(), wholeAt: r.WholeAt(), wholeBy: r.CompleteBy(now), until: s.until(wanted, r.version),
 			unoffered: r.Unoffered(now), before: s.until(wanted, r.version-1),
 		}
+		if r.fromOthers {
+			c.unoffered = 0
+		}
 		c.chunks, _ = r.Progress()
 		if c.chunks > 0 && a.OriginRate > 0 {
 			c.perChunk = time.Duration(float64(a.Bytes) / a.OriginRate / float64(c.chunks) * float64(time.Second))
@@ -117,7 +160,7 @@
 func (vs *versions) shareOrigin(now time.Time, cs []candidate) {
 	first := originFirst(now, cs)
 	for _, r := range vs.all() {
-		r.Yield(r.version != first)
+		r.Yield(r.fromOthers || r.version != first)
 	}
 	newest := &cs[len(cs)-1]
 	if first != newest.version || newest.unoffered != vs.left {
--- a/internal/stager/versions_test.go
+++ b/internal/stager/versions_test.go
@@ -150,3 +150,46 @@
 		is.True(!s.agents[0].status.get().SlowLink)
 	})
 }
+
+// A replica that comes while the newest version cannot be had is given the one that the
+// others serve with, from them, and the newest once that is here.
+func TestEmptyReplicaServesWithTheOlderVersion(t *testing.T) {
+	play(t, func(is *is.I, s *site) {
+		s.originRate = 20
+		for range 4 {
+			s.add(t, withVersion(1))
+		}
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.setAway(true)
+		s.assign(2, 2, peers.Step{Version: 2})
+		time.Sleep(500 * time.Millisecond)
+		s.add(t, withVersion(0))
+		s.assign(3, 2, peers.Step{Version: 2, Age: 500 * time.Millisecond})
+		time.Sleep(2 * time.Second)
+		is.Equal(s.holding(), map[uint64]int{1: 5})
+		is.Equal(s.fetched, 0)
+		s.setAway(false)
+		time.Sleep(6 * time.Second)
+		is.Equal(s.holding(), map[uint64]int{2: 5})
+		is.Equal(s.replicas[4].orders, []uint64{1, 2})
+		is.Equal(s.replicas[4].spoilt, 0)
+	})
+}
+
+// Nobody is given a version whose time is nearly over.
+func TestOlderVersionThatIsNearlyOverIsNotTaken(t *testing.T) {
+	play(t, func(is *is.I, s *site) {
+		for range 4 {
+			s.add(t, withVersion(1))
+		}
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.setAway(true)
+		const ago = 6 * time.Second // Of the eight in which version 1 may still be used.
+		s.add(t, withVersion(0))
+		s.assign(2, 2, peers.Step{Version: 2, Age: ago})
+		time.Sleep(2 * time.Second)
+		is.Equal(len(s.replicas[4].orders), 0)
+	})
+}
--- a/weights/claim.go
+++ b/weights/claim.go
@@ -183,6 +183,11 @@
 	}
 	old := &p.claims[c.Chunk]
 	live := old.until.After(now)
+	if live && old.by == p.Self && c.For > 0 && p.yieldsTo(c) {
+		*old = claim{by: c.By, until: now.Add(min(c.For, p.claimFor()))}
+		p.yielded = append(p.yielded, c.Chunk)
+		return
+	}
 	if live && old.by != c.By || p.have.Has(c.Chunk) || p.leftUntil[c.Chunk].After(now) {
 		return // The one that was heard first holds.
 	}
@@ -196,6 +201,21 @@
 	*old = claim{by: c.By, until: now.Add(min(c.For, p.claimFor()))}
 }
 
+// yieldsTo reports whether this box leaves a chunk to another that claimed it at the same
+// moment, as boxes that know of different members may. All boxes see their order alike.
+func (p *Plan) yieldsTo(c Claim) bool {
+	key := p.Strategy.OrderKey(c.Chunk)
+	return rendezvous.Score(key, c.By) > rendezvous.Score(key, p.Self)
+}
+
+// TakeYielded returns the chunks whose fetches from the origin are to be cancelled, since
+// another box fetches them.
+func (p *Plan) TakeYielded() []int {
+	out := p.yielded
+	p.yielded = nil
+	return out
+}
+
 // lost records that the origin has failed some box: it is taken to be away until it is
 // known to have served one since.
 func (p *Plan) lost(now time.Time) {
--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -300,3 +300,21 @@
 	news := p.TakeNews()
 	is.Equal(news.Claims[len(news.Claims)-1].For, time.Duration(0)) // It has given the chunk up.
 }
+
+// Two boxes that claim a chunk at the same moment, as they know of different members,
+// agree on which of them goes on.
+func TestOneOfTwoClaimsYields(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(2, 1, nil)
+	a, b := m.plans[m.names[0]], m.plans[m.names[1]]
+	a.SetMembers([]string{a.Self})
+	b.SetMembers([]string{b.Self})
+	for _, p := range m.plans {
+		todo, _ := p.Next(m.now)
+		is.Equal(len(todo), 1)
+	}
+	fromA, fromB := a.TakeNews(), b.TakeNews()
+	a.Learn(m.now, fromB)
+	b.Learn(m.now, fromA)
+	is.Equal(len(a.TakeYielded())+len(b.TakeYielded()), 1)
+}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -80,6 +80,7 @@
 	heardAt   time.Time         // When a neighbour last told of anything; zero before.
 	seqs      map[string]uint64 // The last claim heard of each box.
 	news      News
+	yielded   []int // Chunks that are left to another box, to be cancelled.
 	asked     int   // Fetches from the origin that were begun.
 	takeovers int   // Chunks claimed after others had let their turns pass.
 	rarity    []int // Peers known to have a chunk.
--- a/weights/spread.go
+++ b/weights/spread.go
@@ -76,7 +76,7 @@
 	if !time.Now().Before(turn) {
 		return x.FromOrigin(ctx, t.Artifact)
 	}
-	asked := t.manifestHolders(order, place)
+	asked, parent := t.manifestHolders(order, place)
 	if len(asked) == 0 {
 		kernel.Sleep(ctx, time.Until(turn))
 		return nil, fault.New(fault.NotHeld, t.Artifact)
@@ -93,7 +93,7 @@
 	}
 	got := make(chan []byte, manifestAtOnce)
 	for range min(manifestAtOnce, len(asked)) {
-		go t.askHolders(ctx, queue, asked[0].Name, got)
+		go t.askHolders(ctx, queue, parent, got)
 	}
 	select {
 	case data := <-got:
@@ -126,19 +126,22 @@
 // one that is this box's parent in a tree over the order, at whose root is the box that
 // asks the origin, and its neighbours, in case boxes above have gone. Of neighbours alone
 // the answer may be long in coming: they may all wait for one another.
-func (t *Transfer) manifestHolders(order []Member, place int) []Member {
+func (t *Transfer) manifestHolders(order []Member, place int) (asked []Member, parent string) {
 	x := t.Exchange
-	if x.Strategy.OrderKey == nil || place <= 0 {
-		return nil
+	if x.Strategy.OrderKey == nil {
+		return nil, ""
+	}
+	if place > 0 {
+		m := order[(place-1)/manifestFanOut]
+		asked, parent = append(asked, m), m.Name
 	}
-	out := []Member{order[(place-1)/manifestFanOut]}
 	neighbours := x.Strategy.Neighbours(x.Self, order)
 	for _, i := range rand.Perm(len(neighbours)) {
-		if neighbours[i].Name != out[0].Name {
-			out = append(out, neighbours[i])
+		if neighbours[i].Name != parent {
+			asked = append(asked, neighbours[i])
 		}
 	}
-	return out
+	return asked, parent
 }
 
 // manifestOf asks one box for the manifest. One that waits for it itself answers once it
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -346,6 +346,11 @@
 	for range t.plan.TakeTakeovers() {
 		t.Exchange.event(EventTurn, 0)
 	}
+	for _, chunk := range t.plan.TakeYielded() {
+		if cancel := t.cancels[fetchKey{chunk, Origin}]; cancel != nil {
+			cancel()
+		}
+	}
 	n := t.plan.TakeNews()
 	if n.Empty() {
 		return
