internal/way, poststand-load: a model of a version's way to its boxes

The planner keeps its peers in a slice and goes through its fetches in order, so that a play repeats exactly.

--- a/cmd/poststand-load/main.go
+++ b/cmd/poststand-load/main.go
@@ -72,6 +72,7 @@
 	f.Uint64Var(&r.Seed, "seed", 1, "seed of what is drawn")
 	f.BoolVar(&r.GatewaysDie, "gateways-die", false, "count connections cut by a dead gateway apart")
 	f.BoolVar(&asJSON, "json", false, "print JSON")
+	c.AddCommand(wayCommand())
 	return c
 }
 
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -51,7 +51,7 @@
 	if p.rarity[chunk] == 0 || !p.leftOut.After(now) {
 		return p.rarity[chunk] > 0
 	}
-	for _, s := range p.peers {
+	for _, s := range p.sorted {
 		if s.has.Has(chunk) && !s.notBefore.After(now) {
 			return true
 		}
@@ -109,9 +109,8 @@
 func (p *Plan) choosePeer(now time.Time, chunk int, wake *time.Time) (string, bool) {
 	best, load, ties := "", 0, 0
 	far := p.mayCross(now, chunk, wake)
-	for _, name := range p.sorted {
-		s := p.peers[name]
-		if !s.has.Has(chunk) || s.open >= perPeer || !far && !p.near[name] {
+	for _, s := range p.sorted {
+		if !s.has.Has(chunk) || s.open >= perPeer || !far && !s.near {
 			continue
 		}
 		if until := laterOf(s.notBefore, s.busy); until.After(now) {
@@ -120,11 +119,11 @@
 		}
 		switch {
 		case best == "" || s.queue < load:
-			best, load, ties = name, s.queue, 1
+			best, load, ties = s.name, s.queue, 1
 		case s.queue == load:
 			ties++
 			if p.Rand.IntN(ties) == 0 {
-				best = name
+				best = s.name
 			}
 		}
 	}
@@ -137,8 +136,8 @@
 	if p.near == nil {
 		return true
 	}
-	for name, s := range p.peers {
-		if p.near[name] && s.has.Has(chunk) && !s.notBefore.After(now) {
+	for _, s := range p.sorted {
+		if s.near && s.has.Has(chunk) && !s.notBefore.After(now) {
 			return false
 		}
 	}
--- a/weights/claim.go
+++ b/weights/claim.go
@@ -1,6 +1,7 @@
 package weights
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -424,7 +425,8 @@
 		return
 	}
 	every := p.claimFor() / renewParts
-	for i, fs := range p.fetching {
+	for _, i := range slices.Sorted(maps.Keys(p.fetching)) {
+		fs := p.fetching[i]
 		at := slices.IndexFunc(fs, func(f fetch) bool { return f.from == Origin })
 		if at < 0 || now.Sub(fs[at].since) > claimMost*p.claimFor() {
 			continue
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -86,7 +87,7 @@
 	rarity    []int // Peers known to have a chunk.
 	fetching  map[int][]fetch
 	peers     map[string]*peerState
-	sorted    []string // The names of peers, sorted, so that a plan is repeatable.
+	sorted    []*peerState // The peers by name, so that a plan is repeatable.
 	open      int
 	atOrigin  int
 	spare     int       // Chunks that this box may still fetch beyond its duty.
@@ -105,6 +106,8 @@
 }
 
 type peerState struct {
+	name      string
+	near      bool // Of this box's hall.
 	has       Bitmap
 	queue     int // Uploads that wait there, by its last word.
 	open      int
@@ -162,6 +165,9 @@
 	for _, n := range names {
 		p.near[n] = true
 	}
+	for _, s := range p.sorted {
+		s.near = p.near[s.name]
+	}
 	across := func(chunk int) string { return "across/" + p.Strategy.OrderKey(chunk) }
 	p.across = orderOf(across, p.Chunks, p.Self, names, p.Strategy.Balanced).position
 }
@@ -194,10 +200,10 @@
 func (p *Plan) peer(name string) *peerState {
 	s, ok := p.peers[name]
 	if !ok {
-		s = &peerState{has: NewBitmap(p.Chunks)}
+		s = &peerState{name: name, near: p.near[name], has: NewBitmap(p.Chunks)}
 		p.peers[name] = s
-		i, _ := slices.BinarySearch(p.sorted, name)
-		p.sorted = slices.Insert(p.sorted, i, name)
+		i, _ := slices.BinarySearchFunc(p.sorted, name, func(o *peerState, n string) int { return strings.Compare(o.name, n) })
+		p.sorted = slices.Insert(p.sorted, i, s)
 	}
 	return s
 }
