weights: a chunk whose holder is gone is missed sooner, in its hall and at the origin

Cause: where boxes are lost, a chunk that only they had was missed after a second, and one that was to be brought into a hall by a lost box after a second for each such box. Ruled out: 300 ms between the boxes of a hall: 28 in 100 chunks cross twice without any fault. Change: 600 ms, or the time of 14 chunks, instead of 1 s and 24; 500 ms in a hall instead of 1 s.

--- a/cmd/poststand-load/way.go
+++ b/cmd/poststand-load/way.go
@@ -37,8 +37,8 @@
 					}
 				}
 				s := way.Summarize(played)
-				fmt.Fprintf(w, "plans=%s plays=%d median=%.3f most95=%.3f most=%.3f extra=%.4f failed=%.0f worst_seed=%d\n",
-					kind.name, s.Plays, s.Median, s.Most95, s.Most, s.Extra, s.Failed, s.Worst.Plan.Seed)
+				fmt.Fprintf(w, "plans=%s plays=%d median=%.3f most95=%.3f most=%.3f extra=%.4f across=%.3f failed=%.0f worst_seed=%d\n",
+					kind.name, s.Plays, s.Median, s.Most95, s.Most, s.Extra, s.Across, s.Failed, s.Worst.Plan.Seed)
 			}
 			return nil
 		},
--- a/internal/way/play.go
+++ b/internal/way/play.go
@@ -16,6 +16,7 @@
 	First, Half, All time.Duration // When so many of the boxes that live had the version.
 	Fetched          int           // Chunks that left the origin whole.
 	Failed           int           // Fetches from it that brought nothing.
+	Crossed          int           // Chunks that a box of another hall sent.
 	Bound            time.Duration
 }
 
@@ -410,6 +411,9 @@
 	} else if from < 0 {
 		w.Failed++
 	}
+	if from >= 0 && code == "" && w.hall(from) != w.hall(b.i) {
+		w.Crossed++
+	}
 	if code == "" && !had {
 		for i, p := range b.peers {
 			if p != nil {
--- a/internal/way/sweep.go
+++ b/internal/way/sweep.go
@@ -39,6 +39,7 @@
 	Median, Most95, Most float64 // Of the ratios.
 	Extra                float64 // Chunks that left the origin more than once, over one copy's.
 	Failed               float64 // Fetches that brought nothing, a play.
+	Across               float64 // Copies that crossed into a hall.
 	Worst                Played
 }
 
@@ -46,7 +47,7 @@
 func Summarize(ps []Played) Summary {
 	s := Summary{Plays: len(ps)}
 	ratios := make([]float64, len(ps))
-	extra, copies := 0, 0
+	extra, copies, crossed := 0, 0, 0
 	for i, p := range ps {
 		ratios[i] = p.Ratio()
 		if ratios[i] >= s.Most {
@@ -54,10 +55,13 @@
 		}
 		extra += max(0, p.Fetched-p.Plan.Chunks)
 		copies += p.Plan.Chunks
+		crossed += p.Plan.Chunks * (p.Plan.Halls - 1)
+		s.Across += float64(p.Crossed)
 		s.Failed += float64(p.Failed) / float64(len(ps))
 	}
 	slices.Sort(ratios)
 	s.Median, s.Most95 = ratios[len(ratios)/2], ratios[(len(ratios)-1)*95/100]
+	s.Across /= float64(crossed)
 	s.Extra = float64(extra) / float64(copies)
 	return s
 }
--- a/weights/claim.go
+++ b/weights/claim.go
@@ -61,6 +61,8 @@
 	probesInStagger = 4                      // Tries at an origin that is away, of all boxes together.
 	probeMost       = 8                      // A box's own tries are at most so many of their mean apart.
 	probeAnswered   = 100 * time.Millisecond // A try that has not failed by then is being answered.
+	leftLeast       = 600 * time.Millisecond // A chunk that has left the origin is looked for at other boxes for so long,
+	leftChunks      = 14                     // or for the time of so many chunks on an idle link.
 	servesFor       = time.Second            // A box that fails so soon, and within the time of
 	servesChunks    = 3                      // so many chunks, after the origin served some box, shows nothing of the others.
 	aloneIn         = 300 * time.Millisecond // Where the origin serves another box so soon, and within the time of
@@ -141,7 +143,7 @@
 	if p.leftUntil[chunk].IsZero() {
 		p.moved(now)
 	}
-	p.leftUntil[chunk] = now.Add(p.grace())
+	p.leftUntil[chunk] = now.Add(max(leftLeast, leftChunks*p.PerChunk))
 	p.claims[chunk].until, p.dueAt[chunk] = time.Time{}, time.Time{}
 	p.news.Left = append(p.news.Left, chunk)
 }
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -29,7 +29,7 @@
 	leftOutFor      = 30 * time.Second        // for this, and longer each time.
 	slowFetch       = 14                      // Of so many, a fetch shows that this box's link is slower than it should be.
 	easeBack        = 0.1                     // Fetches regained by each one that is not.
-	acrossGrace     = 1000 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
+	acrossGrace     = 500 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
 	fullGraces      = 5                       // Without room, nothing is fetched for so many graces.
 )
 
