catalog, relay, stager: of two incarnations at one address the one that changed last is there

Cause: after a loss of all power replicas that crashed stay listed beside those that follow them at the same addresses. What agents tell by address was taken to be of either, so gateways sent 500 requests of the first 1.5 seconds to incarnations that are gone, and told the callers 'not run' (wrong version). Ruled out: the version: the replicas hold the newest and say so. Change: an upstream keeps the revision of its entry's last change, and of one address the newest counts.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -70,6 +70,23 @@
 	return out
 }
 
+// DropReplaced drops upstreams of whose address a later one is listed: an incarnation that
+// crashed stays in the list for a while beside the one that follows it, and what is told
+// of the address would be taken to be of either. It is called before c is published.
+func (c *Catalog) DropReplaced() {
+	at := map[string]fleet.Upstream{}
+	for _, u := range c.Upstreams {
+		if o, ok := at[u.Addr]; !ok || u.Revision > o.Revision {
+			at[u.Addr] = u
+		}
+	}
+	for id, u := range c.Upstreams {
+		if at[u.Addr].ID != id {
+			delete(c.Upstreams, id)
+		}
+	}
+}
+
 // Holder keeps the newest Catalog. The zero value holds an empty one.
 type Holder struct {
 	mu      sync.Mutex
--- /dev/null
+++ b/catalog/replaced_test.go
@@ -0,0 +1,24 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/fleet"
+)
+
+// Of two incarnations at one address the one whose entry changed last is there.
+func TestDropReplaced(t *testing.T) {
+	is := is.New(t)
+	c := &Catalog{Upstreams: map[string]fleet.Upstream{
+		"crashed": {ID: "crashed", Addr: "10.0.0.1:80", Revision: 7},
+		"newer":   {ID: "newer", Addr: "10.0.0.1:80", Revision: 9},
+		"ended":   {ID: "ended", Addr: "10.0.0.1:80", Revision: 3, Leaving: true},
+		"other":   {ID: "other", Addr: "10.0.0.2:80", Revision: 1},
+	}}
+	c.DropReplaced()
+	is.Equal(len(c.Upstreams), 2)
+	is.Equal(c.Upstreams["newer"].Revision, uint64(9))
+	is.Equal(c.Upstreams["other"].Revision, uint64(1))
+}
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -12,4 +12,6 @@
 	Engine  bool   // It runs a model, and so has weights.
 	Model   string // What it holds, or empty.
 	Version uint64 // Of the weights that it holds whole; 0 for none.
+	// Revision is that of the last change of its entry.
+	Revision uint64
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -182,6 +182,7 @@
 			now := time.Now()
 			old := g.holder.Get()
 			c := g.options.Catalog(rs, at)
+			c.DropReplaced()
 			g.holder.Set(c)
 			if c.Config != nil {
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -221,6 +221,7 @@
 		_, changed := s.mirror.Watch()
 		if rs, at := s.mirror.Records(); at > 0 && s.now.orphaned() {
 			c := s.options.Catalog(rs, at)
+			c.DropReplaced()
 			if a := peers.Assign(c, s.Settings.Service, time.Now()); a != nil {
 				s.now.set(a, "platform")
 			}
