weights: a box that lost all its neighbours leaves the origin to others; guards of claims

Cause: a box that is cut off with the origin took chunk after chunk over: 32 of 80 in three seconds, for replicas that nobody reaches. Ruled out: waiting longer whenever nothing is heard. Change: without any neighbour left, a second and more for each box ahead; after a while without news, three staggers instead of one. The test of manifests that come down has both boxes late that ask the origin now.

--- a/weights/claim.go
+++ b/weights/claim.go
@@ -69,8 +69,9 @@
 	aloneChunks     = 2                      // so many chunks, after it failed this one,
 	troubleFirst    = 250 * time.Millisecond // this one leaves it to others for a while, which doubles.
 	troubleMost     = 4 * time.Second
-	deafAfter       = 2 // A box that has heard nothing for so many staggers,
-	deafChunks      = 3 // and for the time in which so many chunks leave the origin, is cut off.
+	quietAfter      = 2 // A box that has heard nothing for so many staggers,
+	quietChunks     = 3 // and for the time in which so many chunks leave the origin,
+	quietStaggers   = 3 // gives others so many times their turns.
 	spoiltAllowed   = 2 // Spoilt answers to one chunk, after which it is left to others.
 )
 
@@ -299,18 +300,20 @@
 
 // wait is how long this box leaves a chunk that has become due to those before it in the
 // chunk's order: a stagger for each that has not let a turn pass of late. One that hears
-// of nothing any more cannot know what they do, and waits longer.
+// nothing cannot know what they do, and waits longer: it may be the one that is cut off.
 func (p *Plan) wait(now time.Time, chunk int) time.Duration {
 	each, n := p.stagger(), 0
-	deaf := p.deaf(now)
-	if deaf {
+	switch {
+	case p.alone():
 		each = p.grace()
+	case p.quiet(now):
+		each *= quietStaggers
 	}
 	for _, name := range p.ranked(chunk) {
 		if name == p.Self {
 			break
 		}
-		if deaf || !p.silent[name].After(now) {
+		if p.alone() || !p.silent[name].After(now) {
 			n++
 		}
 	}
@@ -320,10 +323,13 @@
 	return time.Duration(n) * each
 }
 
-// deaf reports whether this box has heard from no other for so long that it is most
-// likely cut off from them.
-func (p *Plan) deaf(now time.Time) bool {
-	return !p.heardAt.IsZero() && now.Sub(p.heardAt) > deafAfter*p.stagger()+deafChunks*p.perChunkAtOrigin()
+// alone reports whether this box has lost all of its neighbours.
+func (p *Plan) alone() bool { return p.met && p.connected == 0 }
+
+// quiet reports whether this box has heard nothing for longer than the origin's serving
+// others, or they one another, leaves unsaid.
+func (p *Plan) quiet(now time.Time) bool {
+	return !p.heardAt.IsZero() && now.Sub(p.heardAt) > quietAfter*p.stagger()+quietChunks*p.perChunkAtOrigin()
 }
 
 // slowEase is the part of its usual fetches at which a box no longer counts on getting a
@@ -385,8 +391,12 @@
 	if p.claims[chunk].until.After(now) {
 		return true // Its own, of which the last answer was spoilt.
 	}
-	if p.turn[chunk].After(now) {
-		earlier(wake, p.turn[chunk])
+	turn := p.turn[chunk]
+	if p.alone() || p.quiet(now) {
+		turn = laterOf(turn, p.dueAt[chunk].Add(p.wait(now, chunk)))
+	}
+	if turn.After(now) {
+		earlier(wake, turn)
 		return false
 	}
 	return true
--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -275,12 +275,20 @@
 func TestBoxThatHearsNothingLeavesTheOriginAlone(t *testing.T) {
 	is := is.New(t)
 	m := newMesh(16, 96, nil)
+	for _, p := range m.plans {
+		p.PerChunk = 200 * time.Millisecond // Larger chunks: five seconds for each box ahead.
+	}
 	m.run(500 * time.Millisecond)
 	lone := m.names[3]
 	m.cut[lone] = true
+	m.after(1500*time.Millisecond, func() { // Its connections are noticed to be dead.
+		for _, n := range m.names {
+			m.plans[lone].PeerGone(n)
+		}
+	})
 	before := m.plans[lone].asked
-	m.run(2 * time.Second)
-	is.True(m.plans[lone].asked-before < 30) // Of some 80 that left the origin meanwhile.
+	m.run(3 * time.Second)
+	is.True(m.plans[lone].asked-before < 20) // Of some 80 that left the origin meanwhile.
 }
 
 // A spoilt answer is asked for again at once, and then by another box.
@@ -301,6 +309,30 @@
 	is.Equal(news.Claims[len(news.Claims)-1].For, time.Duration(0)) // It has given the chunk up.
 }
 
+// The chunk of a box that is lost while it fetches is fetched by another one soon.
+func TestClaimOfALostBoxEnds(t *testing.T) {
+	is := is.New(t)
+	m := newMesh(8, 12, allBut(12, 4))
+	m.serves = time.Second
+	m.run(50 * time.Millisecond)
+	for _, n := range m.names {
+		if m.plans[n].atOrigin > 0 {
+			m.silent[n] = true // It has claimed chunks and told all.
+		}
+	}
+	m.serves = 100 * time.Millisecond
+	m.run(950 * time.Millisecond)
+	for i := 8; i < 12; i++ {
+		by := 0
+		for n := range m.fetched[i] {
+			if !m.silent[n] {
+				by++
+			}
+		}
+		is.True(by > 0)
+	}
+}
+
 // Two boxes that claim a chunk at the same moment, as they know of different members,
 // agree on which of them goes on.
 func TestOneOfTwoClaimsYields(t *testing.T) {
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -20,17 +20,17 @@
 // Tuning of a Plan. Those in chunks are multiples of the time that one chunk
 // takes on a box's idle link.
 const (
-	perPeer         = 1                       // Open fetches from one peer.
-	defaultAtOrigin = 2                       // Open fetches from the origin.
-	graceChunks     = 24                      // A chunk that is heard to have left the origin is here after it,
-	minGrace        = time.Second             // or after this if that is longer.
-	slowChunks      = 12                      // After it a second fetch of a chunk may start.
-	strikesAllowed  = 2                       // Corrupt chunks after which a peer is left out
-	leftOutFor      = 30 * time.Second        // for this, and longer each time.
-	slowFetch       = 14                      // Of so many, a fetch shows that this box's link is slower than it should be.
-	easeBack        = 0.1                     // Fetches regained by each one that is not.
+	perPeer         = 1                      // Open fetches from one peer.
+	defaultAtOrigin = 2                      // Open fetches from the origin.
+	graceChunks     = 24                     // A chunk that is heard to have left the origin is here after it,
+	minGrace        = time.Second            // or after this if that is longer.
+	slowChunks      = 12                     // After it a second fetch of a chunk may start.
+	strikesAllowed  = 2                      // Corrupt chunks after which a peer is left out
+	leftOutFor      = 30 * time.Second       // for this, and longer each time.
+	slowFetch       = 14                     // Of so many, a fetch shows that this box's link is slower than it should be.
+	easeBack        = 0.1                    // Fetches regained by each one that is not.
 	acrossGrace     = 500 * time.Millisecond // Between the turns of two boxes of a hall in bringing a chunk there.
-	fullGraces      = 5                       // Without room, nothing is fetched for so many graces.
+	fullGraces      = 5                      // Without room, nothing is fetched for so many graces.
 )
 
 // Action is one thing to do.
@@ -78,6 +78,8 @@
 	spoilt    map[int]int          // Spoilt answers of the origin.
 	silent    map[string]time.Time // Boxes that let a turn pass, until when they are not waited for.
 	origin    originState
+	connected int               // Neighbours with which there is a session,
+	met       bool              // of which there was one before.
 	heardAt   time.Time         // When a neighbour last told of anything; zero before.
 	seqs      map[string]uint64 // The last claim heard of each box.
 	news      News
@@ -106,6 +108,7 @@
 }
 
 type peerState struct {
+	connected bool
 	name      string
 	near      bool // Of this box's hall.
 	has       Bitmap
@@ -211,6 +214,10 @@
 // PeerHas records that a peer has chunks, and how many uploads wait there.
 func (p *Plan) PeerHas(now time.Time, name string, chunks Bitmap, queue int) {
 	s := p.peer(name)
+	if !s.connected {
+		s.connected, p.met = true, true
+		p.connected++
+	}
 	s.queue = queue
 	for i := range p.Chunks {
 		if chunks.Has(i) && !s.has.Has(i) {
@@ -225,6 +232,10 @@
 // sends corrupt chunks gains nothing by connecting again.
 func (p *Plan) PeerGone(name string) {
 	s := p.peer(name)
+	if s.connected {
+		s.connected = false
+		p.connected--
+	}
 	for i := range p.Chunks {
 		if s.has.Has(i) {
 			p.rarity[i]--
--- a/weights/weights_test.go
+++ b/weights/weights_test.go
@@ -100,8 +100,8 @@
 	b.run(t, 3*quick)
 }
 
-// All boxes have a manifest soon after the one that is to ask the origin for it has heard
-// of the version, though it heard last and the others wait for one another.
+// All boxes have a manifest soon after those that are to ask the origin for it have heard
+// of the version, though they heard last and the others wait for one another.
 func TestManifestComesDownFromTheFirst(t *testing.T) {
 	const late = 120 * time.Millisecond
 	for _, boxes := range []int{10, 20, 40} {
@@ -110,8 +110,10 @@
 		b.window = 2 * time.Second // A manifest crosses a link in 9 ms.
 		b.pinned, b.chunks = false, 8
 		b.startAt = func(s *sim, name string) time.Duration {
-			if rank("manifest/"+Digest(s.manifest), s.members)[0].Name == name {
-				return late
+			for _, m := range rank("manifest/"+Digest(s.manifest), s.members)[:manifestFirst] {
+				if m.Name == name {
+					return late
+				}
 			}
 			return 0
 		}
