--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/poststand/poststand/catalog"
@@ -17,6 +19,7 @@
 	newest  *running
 	older   []*running // The oldest first; each has its manifest, or comes from others.
 	ordered uint64     // The version that the replica was last ordered to take.
+	first   uint64     // The version that uses the origin.
 	// left is how many chunks of the newest had yet to leave the origin when that last
 	// became less, at movedAt.
 	left    int
@@ -159,6 +162,10 @@
 // shareOrigin lets one transfer use the origin, and has the others leave it alone.
 func (vs *versions) shareOrigin(now time.Time, cs []candidate) {
 	first := originFirst(now, cs)
+	if first != vs.first {
+		vs.first = first
+		logFirst(now, first, cs)
+	}
 	for _, r := range vs.all() {
 		r.Yield(r.fromOthers || r.version != first)
 	}
@@ -169,6 +176,20 @@
 	newest.stalled = newest.unoffered != 0 && now.Sub(vs.movedAt) >= stalledAfter
 }
 
+// logFirst writes which version uses the origin from now on, and what of each is known:
+// chunks that have yet to leave it, and for how long it may be used.
+func logFirst(now time.Time, first uint64, cs []candidate) {
+	var known []string
+	for _, c := range cs {
+		left := "newest"
+		if !c.until.IsZero() {
+			left = c.until.Sub(now).Round(time.Millisecond).String()
+		}
+		known = append(known, fmt.Sprintf("%d:%d:%s", c.version, c.unoffered, left))
+	}
+	telemetry.Log("origin_first", "version", first, "known", strings.Join(known, ","))
+}
+
 // originFirst says which version's chunks leave the origin first: the newest, unless
 // service stands still for less long if an older one goes first, or both will be here
 // before the version that replicas hold is over: the older one is then at hand if the
--- a/weights/doc.go
+++ b/weights/doc.go
@@ -8,11 +8,10 @@
 // Each box decides for itself. A Plan is the pure part: from what the box has,
 // what its neighbours told it and the clock it says what to fetch next and from
 // whom. Every box of the same members and chunks computes the same order of
-// boxes for each chunk: the first of it fetches the chunk from the origin, on a
-// schedule that fills the origin's link once and no more; the others get it
-// from their neighbours, rarest first. When a chunk is late the next in its
-// order asks those before it, and steps in only if none of them has it or is
-// getting it. So the origin's bytes are bounded without a coordinator.
+// boxes for each chunk: the first of it claims the chunk and fetches it from the
+// origin; the others get it from their neighbours, rarest first. Claims, and what
+// has left the origin, pass from neighbour to neighbour, so that the origin's link
+// is busy with one copy while any box can reach it, without a coordinator.
 //
 // An Exchange does the I/O of a box: it holds its Transfers, one for each
 // artifact, and serves chunks to others in a few upload slots.
