--- a/weights/plan.go
+++ b/weights/plan.go
@@ -22,8 +22,8 @@
 const (
 	perPeer         = 1                      // Open fetches from one peer.
 	defaultAtOrigin = 2                      // Open fetches from the origin.
-	graceChunks     = 24                     // A chunk that is heard to have left the origin is here after it,
-	minGrace        = time.Second            // or after this if that is longer.
+	graceChunks     = 24                     // A peer that failed is left out for it, and a box without peers gives each box ahead it,
+	minGrace        = time.Second            // or this if that is longer.
 	slowChunks      = 12                     // After it a second fetch of a chunk may start.
 	strikesAllowed  = 2                      // Corrupt chunks after which a peer is left out
 	leftOutFor      = 30 * time.Second       // for this, and longer each time.
