--- a/internal/way/way_test.go
+++ b/internal/way/way_test.go
@@ -46,14 +46,19 @@
 	is.Equal(p.Play(), p.Play())
 }
 
+// summary plays so many plans.
+func summary(n uint64, draw func(seed uint64) Plan) Summary {
+	var plans []Plan
+	for seed := range n {
+		plans = append(plans, draw(seed))
+	}
+	return Summarize(Sweep(plans))
+}
+
 // Without faults a version leaves a scarce origin once, and is everywhere soon after.
 func TestScarceOrigin(t *testing.T) {
 	is := is.New(t)
-	var plans []Plan
-	for seed := range uint64(4) {
-		plans = append(plans, Scarce(seed))
-	}
-	s := Summarize(Sweep(plans))
+	s := summary(4, Scarce)
 	t.Logf("median=%.3f most=%.3f extra=%.3f", s.Median, s.Most, s.Extra)
 	is.True(s.Most <= 1.25)
 	is.True(s.Extra <= 0.02)
@@ -63,11 +68,7 @@
 // links allow it, and few chunks leave the origin twice.
 func TestRandomPlans(t *testing.T) {
 	is := is.New(t)
-	var plans []Plan
-	for seed := range uint64(16) {
-		plans = append(plans, Random(seed))
-	}
-	s := Summarize(Sweep(plans))
+	s := summary(16, Random)
 	t.Logf("median=%.3f 95%%=%.3f most=%.3f extra=%.3f worst: %s", s.Median, s.Most95, s.Most, s.Extra, s.Worst.Plan.String())
 	is.True(s.Median <= 1.35)
 	is.True(s.Most <= 2)
