simnet: open connections can go silent for good while new ones work

Cause: the users' newer kind of trouble (open connections go silent without a reset) could be brought about by no test of ours: Stall stops new connections too, and a close always reached the other side. Change: Network.Silence. What is written on such a connection is lost, and a close on it does not show on the other side.

--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -3,7 +3,8 @@
 // A Network joins named ends with net.Pipe. Every end has an up and a down
 // Link, which may be one and the same, of a given rate; bytes reserve time on
 // both in turn. Pairs of ends can be cut, which refuses and closes, or stalled,
-// which lets nothing through and closes nothing.
+// which lets nothing through and closes nothing; open connections can go silent for
+// good while new ones work.
 package simnet
 
 import (
@@ -97,9 +98,16 @@
 	cut     map[[2]string]bool
 	stalled map[[2]string]bool
 	wake    chan struct{}
+	open    map[*path]bool // Connections that may still carry something.
 	control int64
 }
 
+// path is what the two sides of one connection share.
+type path struct {
+	from, to string
+	silent   atomic.Bool
+}
+
 // Add joins an end, or puts a new one in the place of an old one.
 func (n *Network) Add(e *End) {
 	n.mu.Lock()
@@ -108,6 +116,7 @@
 		n.ends = map[string]*End{}
 		n.cut, n.stalled = map[[2]string]bool{}, map[[2]string]bool{}
 		n.wake = make(chan struct{})
+		n.open = map[*path]bool{}
 	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	n.ends[e.Name] = e
@@ -155,6 +164,37 @@
 	n.wake = make(chan struct{})
 }
 
+// Silence has open connections carry nothing any more, in either direction and without a
+// reset: what is written on them is lost, and that one side closes does not show on the
+// other. New connections work. It concerns those from one end to another for which which
+// reports true; nil is all.
+func (n *Network) Silence(which func(from, to string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for p := range n.open {
+		if which == nil || which(p.from, p.to) {
+			p.silent.Store(true)
+			delete(n.open, p)
+		}
+	}
+}
+
+// begin notes a connection that is open from now on.
+func (n *Network) begin(from, to string) *path {
+	p := &path{from: from, to: to}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.open[p] = true
+	return p
+}
+
+// over notes that a connection carries nothing any more.
+func (n *Network) over(p *path) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.open, p)
+}
+
 func (n *Network) state(a, b string) (cut, stalled bool, wake chan struct{}) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -170,11 +210,24 @@
 		return nil, fault.New(fault.Unreachable, to)
 	}
 	near, far := net.Pipe()
-	closed := func() { _, _ = near.Close(), far.Close() }
-	context.AfterFunc(a.ctx, closed)
-	context.AfterFunc(b.ctx, closed)
-	go b.Serve(b.ctx, &conn{Conn: far, net: n, from: b, to: a, ended: make(chan struct{})})
-	return &conn{Conn: near, net: n, from: a, to: b, ended: make(chan struct{})}, nil
+	p := n.begin(from, to)
+	here := &conn{Conn: near, net: n, shared: p, from: a, to: b, ended: make(chan struct{})}
+	there := &conn{Conn: far, net: n, shared: p, from: b, to: a, ended: make(chan struct{})}
+	context.AfterFunc(a.ctx, func() { here.dies(there) })
+	context.AfterFunc(b.ctx, func() { there.dies(here) })
+	go b.Serve(b.ctx, there)
+	return here, nil
+}
+
+// dies ends the connection since this side's process has. The other side notices, unless
+// the connection is silent.
+func (c *conn) dies(other *conn) {
+	if c.shared.silent.Load() {
+		_ = c.Close()
+		return
+	}
+	c.net.over(c.shared)
+	_, _ = c.Conn.Close(), other.Conn.Close()
 }
 
 // inFlight is how many writes of one direction may be between the links, as in
@@ -185,6 +238,7 @@
 type conn struct {
 	net.Conn
 	net      *Network
+	shared   *path
 	from, to *End
 	once     sync.Once
 	path     chan packet // Written and not yet delivered.
@@ -211,8 +265,8 @@
 	c.end.Do(func() {
 		close(c.ended)
 		c.once.Do(func() {}) // Nothing can be written any more.
-		if c.path == nil || c.reset.Load() {
-			err = c.Conn.Close()
+		if !c.shared.silent.Load() && (c.path == nil || c.reset.Load()) {
+			err = c.closePipe()
 			return
 		}
 		err = c.SetReadDeadline(time.Unix(1, 0))
@@ -220,6 +274,24 @@
 	return err
 }
 
+// closePipe shows the other side that the connection is over, unless it is silent.
+func (c *conn) closePipe() error {
+	if c.shared.silent.Load() {
+		return nil
+	}
+	c.net.over(c.shared)
+	return c.Conn.Close()
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if err != nil && c.isEnded() {
+		err = net.ErrClosed
+	}
+	return n, err
+}
+
 // Write implements net.Conn. It returns once the bytes have left on the up link
 // and there is room on the path.
 func (c *conn) Write(b []byte) (int, error) {
@@ -308,7 +380,7 @@
 			select {
 			case p = <-c.path:
 			case <-c.ended:
-				_ = c.Conn.Close()
+				_ = c.closePipe()
 				return
 			case <-c.from.ctx.Done():
 				return
@@ -323,6 +395,9 @@
 		if c.reset.Load() && c.isEnded() {
 			return
 		}
+		if c.shared.silent.Load() {
+			continue
+		}
 		if c.hand(p.data) != nil {
 			return
 		}
