relay: lines say when versions were named and how long the chosen one may be used

Cause: of the reported fault (a request that began on an older version after its time) no line could tell whether a gateway knew the naming's time wrongly, believed the wrong version of the replica, or sent in time and was late on the way or in the queue. Change: version_named has named_ago of each step; request has held and held_for_ms.

--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -84,7 +84,7 @@
 		res.RetryAt = g.comeBack(now, rq, 0)
 		return choice, res, false
 	}
-	rq.predicted, rq.wait, rq.reportAge = choice.Predicted, choice.Wait, choice.ReportAge
+	rq.chosen(g, now, choice)
 	if arrivals == 0 && !admits(rq, choice) {
 		g.table.Done(now, choice.Ticket, route.End{})
 		res := notRun(fault.QueueFull)
@@ -99,6 +99,15 @@
 	return choice, dispatch.Result{}, true
 }
 
+// chosen notes what is known of the replica that a send goes to.
+func (rq *request) chosen(g *Relay, now time.Time, c route.Choice) {
+	rq.predicted, rq.wait, rq.reportAge = c.Predicted, c.Wait, c.ReportAge
+	rq.held, rq.boundIn = c.Version, 0
+	if bound := g.bound(rq, c.Version); c.Engine && !bound.IsZero() {
+		rq.boundIn = bound.Sub(now)
+	}
+}
+
 // mayGoOn reports whether the request may be sent once more after a send that
 // ended so.
 func mayGoOn(rq *request, out *answer, own dispatch.Result) bool {
@@ -139,5 +148,5 @@
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.trail, ","),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
-		"prompt", rq.work.Prompt, "weights", rq.version, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -192,7 +194,7 @@
 					g.waits.forget(c.Config.Routes)
 				}
 			}
-			logChange(old, c)
+			logChange(old, c, now)
 		}
 		select {
 		case <-changed:
@@ -202,8 +204,18 @@
 	return nil
 }
 
+// namedAgo lists how long ago each of the last versions was named, as far as this process
+// knows: when requests may no longer begin on an older one counts from that.
+func namedAgo(w catalog.Wanted, now time.Time) string {
+	var out []string
+	for _, s := range w.Steps {
+		out = append(out, fmt.Sprintf("%d:%s", s.Version, now.Sub(s.Named).Round(time.Millisecond)))
+	}
+	return strings.Join(out, ",")
+}
+
 // logChange writes a line for each thing that the process now believes.
-func logChange(old, c *catalog.Catalog) {
+func logChange(old, c *catalog.Catalog, now time.Time) {
 	if c.Version != old.Version {
 		telemetry.Log("configuration", "version", c.Version, "before", old.Version, "revision", c.Revision, "routes", len(c.Config.Routes))
 	}
@@ -220,7 +232,7 @@
 	}
 	for m, w := range c.Wanted {
 		if o := old.Wanted[m]; o.Version != w.Version {
-			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "steps", len(w.Steps), "revision", c.Revision)
+			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "steps", len(w.Steps), "named_ago", namedAgo(w, now), "revision", c.Revision)
 		}
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,8 @@
 	wait         time.Duration // of it before its own work begins,
 	reportAge    time.Duration // and how old its agent's report was; -1 ms without one.
 	holding      string        // What replicas were known to hold, where none could be chosen.
+	held         uint64        // The version that the replica which was last chosen was believed to hold,
+	boundIn      time.Duration // and how long requests could yet begin on it when it was chosen; zero if for ever.
 	trail        []string      // What became of each send, for the log.
 }
 
