--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -105,7 +105,8 @@
 // path is what the two sides of one connection share.
 type path struct {
 	from, to string
-	silent   atomic.Bool
+	lost     [2]atomic.Bool // What goes there, and what comes back, is lost.
+	ends     [2]net.Conn
 }
 
 // Add joins an end, or puts a new one in the place of an old one.
@@ -168,20 +169,56 @@
 // reset: what is written on them is lost, and that one side closes does not show on the
 // other. New connections work. It concerns those from one end to another for which which
 // reports true; nil is all.
-func (n *Network) Silence(which func(from, to string) bool) {
+func (n *Network) Silence(which func(from, to string) bool) { n.lose(which, there, back) }
+
+// SilenceThere is Silence for what those who opened a connection send on it;
+// what they are sent still comes.
+func (n *Network) SilenceThere(which func(from, to string) bool) { n.lose(which, there) }
+
+// SilenceBack is Silence for what those who opened a connection are sent on it.
+func (n *Network) SilenceBack(which func(from, to string) bool) { n.lose(which, back) }
+
+// Reset closes open connections for both sides, and what is on its way is lost.
+func (n *Network) Reset(which func(from, to string) bool) {
+	for _, p := range n.found(which) {
+		n.over(p)
+		_, _ = p.ends[there].Close(), p.ends[back].Close()
+	}
+}
+
+// The directions of a connection.
+const (
+	there = iota
+	back
+)
+
+func (n *Network) lose(which func(from, to string) bool, ways ...int) {
+	for _, p := range n.found(which) {
+		for _, w := range ways {
+			p.lost[w].Store(true)
+		}
+		if p.lost[there].Load() && p.lost[back].Load() {
+			n.over(p)
+		}
+	}
+}
+
+// found returns the open connections for which which reports true; nil is all.
+func (n *Network) found(which func(from, to string) bool) []*path {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	var out []*path
 	for p := range n.open {
 		if which == nil || which(p.from, p.to) {
-			p.silent.Store(true)
-			delete(n.open, p)
+			out = append(out, p)
 		}
 	}
+	return out
 }
 
 // begin notes a connection that is open from now on.
-func (n *Network) begin(from, to string) *path {
-	p := &path{from: from, to: to}
+func (n *Network) begin(from, to string, ends [2]net.Conn) *path {
+	p := &path{from: from, to: to, ends: ends}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.open[p] = true
@@ -210,19 +247,19 @@
 		return nil, fault.New(fault.Unreachable, to)
 	}
 	near, far := net.Pipe()
-	p := n.begin(from, to)
-	here := &conn{Conn: near, net: n, shared: p, from: a, to: b, ended: make(chan struct{})}
-	there := &conn{Conn: far, net: n, shared: p, from: b, to: a, ended: make(chan struct{})}
-	context.AfterFunc(a.ctx, func() { here.dies(there) })
-	context.AfterFunc(b.ctx, func() { there.dies(here) })
-	go b.Serve(b.ctx, there)
+	p := n.begin(from, to, [2]net.Conn{near, far})
+	here := &conn{Conn: near, net: n, shared: p, from: a, to: b, ended: make(chan struct{}), refused: make(chan struct{})}
+	answering := &conn{Conn: far, net: n, shared: p, way: back, from: b, to: a, ended: make(chan struct{}), refused: make(chan struct{})}
+	context.AfterFunc(a.ctx, func() { here.dies(answering) })
+	context.AfterFunc(b.ctx, func() { answering.dies(here) })
+	go b.Serve(b.ctx, answering)
 	return here, nil
 }
 
 // dies ends the connection since this side's process has. The other side notices, unless
 // the connection is silent.
 func (c *conn) dies(other *conn) {
-	if c.shared.silent.Load() {
+	if c.silent() {
 		_ = c.Close()
 		return
 	}
@@ -239,10 +276,12 @@
 	net.Conn
 	net      *Network
 	shared   *path
+	way      int
 	from, to *End
 	once     sync.Once
 	path     chan packet // Written and not yet delivered.
 	ended    chan struct{}
+	refused  chan struct{} // Closed when the other side takes nothing any more.
 	end      sync.Once
 	reset    atomic.Bool // Closing drops what is not yet delivered.
 }
@@ -252,6 +291,20 @@
 	due  time.Time // When the first of it reaches the other side.
 }
 
+// silent reports whether what is written is lost.
+func (c *conn) silent() bool { return c.shared.lost[c.way].Load() }
+
+// RemoteAddr implements net.Conn: it is the name of the other end.
+func (c *conn) RemoteAddr() net.Addr { return addr(c.to.Name) }
+
+type addr string
+
+// Network implements net.Addr.
+func (addr) Network() string { return "sim" }
+
+// String implements net.Addr.
+func (a addr) String() string { return string(a) }
+
 // SetLinger is that of a net.TCPConn: with 0, closing the connection drops what was
 // written and is not yet delivered.
 func (c *conn) SetLinger(seconds int) error {
@@ -265,7 +318,7 @@
 	c.end.Do(func() {
 		close(c.ended)
 		c.once.Do(func() {}) // Nothing can be written any more.
-		if !c.shared.silent.Load() && (c.path == nil || c.reset.Load()) {
+		if !c.silent() && (c.path == nil || c.reset.Load()) {
 			err = c.closePipe()
 			return
 		}
@@ -276,7 +329,7 @@
 
 // closePipe shows the other side that the connection is over, unless it is silent.
 func (c *conn) closePipe() error {
-	if c.shared.silent.Load() {
+	if c.silent() {
 		return nil
 	}
 	c.net.over(c.shared)
@@ -317,6 +370,7 @@
 	select {
 	case c.path <- p:
 		return len(b), nil
+	case <-c.refused:
 	case <-c.ended:
 	case <-c.from.ctx.Done():
 	case <-c.to.ctx.Done():
@@ -395,10 +449,11 @@
 		if c.reset.Load() && c.isEnded() {
 			return
 		}
-		if c.shared.silent.Load() {
+		if c.silent() {
 			continue
 		}
 		if c.hand(p.data) != nil {
+			close(c.refused)
 			return
 		}
 	}
