internal/direct: gateways and agents joined, in virtual time, with faults

Change: a run of real relays and stagers in three halls before stand-ins of the store, the origin and the replicas, with callers over what the replicas can do and an operator who names versions, some before the last is everywhere. Faults are drawn from a seed.

--- /dev/null
+++ b/internal/direct/direct_test.go
@@ -0,0 +1,90 @@
+package direct_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// drawNamings draws when the operator names versions: some before the last one is
+// everywhere.
+func drawNamings(r *rand.Rand, before time.Duration) []time.Duration {
+	var out []time.Duration
+	for at := 6*time.Second + rand64(r, 3*time.Second); at < before; {
+		out = append(out, at)
+		if r.IntN(2) == 0 {
+			at += between(r, 300*time.Millisecond, 5*time.Second)
+		} else {
+			at += between(r, 8*time.Second, 14*time.Second)
+		}
+	}
+	return out
+}
+
+// play runs a world for a while, with faults drawn from the seed if there are to be any.
+func play(t *testing.T, seed uint64, lasts time.Duration, faulty bool) {
+	synctest.Test(t, func(t *testing.T) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		w := newWorld(t, r)
+		const settles = 14 * time.Second // No fault begins so shortly before the end.
+		load := 0.9 + 0.9*r.Float64()
+		var faults []fault
+		if faulty {
+			faults = drawFaults(r, lasts-settles)
+		}
+		namings := drawNamings(r, lasts-settles)
+		for i, at := range namings {
+			time.AfterFunc(at, func() { w.name(uint64(i + 2)) })
+		}
+		for _, f := range faults {
+			time.AfterFunc(f.at, func() { f.begin(w) })
+		}
+		var got tally
+		var queued, looks int
+		time.AfterFunc(2*time.Second, func() { w.call(load, &got) })
+		began := time.Now()
+		for time.Since(began) < lasts {
+			time.Sleep(100 * time.Millisecond)
+			q := w.queued()
+			queued, looks = queued+q, looks+1
+		}
+		holding := w.holding()
+		w.close()
+		j := w.judge
+		t.Logf("seed %d load %.2f: begun %d whole %d refused %d failed %d cut %d; queues %.2f full; oldest %v (%s); holding %v; versions at %v",
+			seed, load, j.total, got.whole.Load(), got.refused.Load(), got.failed.Load(), got.cut.Load(),
+			float64(queued)/float64(looks*halls*boxesEach*room), j.old, j.oldAt, holding, namings)
+		for _, f := range faults {
+			t.Logf("  %v %s", f.at, f.about)
+		}
+		for _, b := range j.broken {
+			t.Errorf("  %s", b)
+		}
+		if got.whole.Load() == 0 {
+			t.Error("nothing was served")
+		}
+		if newest := uint64(len(namings) + 1); !faulty && holding[newest] != len(w.boxes) {
+			t.Errorf("not all replicas hold %d: %v", newest, holding)
+		}
+	})
+}
+
+func TestNoFaults(t *testing.T) { play(t, 1, 30*time.Second, false) }
+
+// POSTSTAND_SEEDS=FROM-TO plays other seeds, and longer.
+func TestFaults(t *testing.T) {
+	from, to, lasts := uint64(1), uint64(3), 40*time.Second
+	if s := os.Getenv("POSTSTAND_SEEDS"); s != "" {
+		if _, err := fmt.Sscanf(s, "%d-%d", &from, &to); err != nil {
+			t.Fatal(err)
+		}
+		lasts = time.Minute
+	}
+	for seed := from; seed <= to; seed++ {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { play(t, seed, lasts, true) })
+	}
+}
