--- a/internal/direct/callers_test.go
+++ b/internal/direct/callers_test.go
@@ -72,7 +72,7 @@
 	default:
 		t.failed.Add(1)
 	}
-	w.judge.answered(id, target, rec.Code, !cut, wrong)
+	w.judge.answered(id, target, rec.Code, wrong)
 }
 
 // serve reports whether the answer was cut, visibly.
--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -32,11 +32,11 @@
 		w := newWorld(t, r)
 		const settles = 14 * time.Second // No fault begins so shortly before the end.
 		load := 0.9 + 0.9*r.Float64()
+		namings := drawNamings(r, lasts-settles)
 		var faults []fault
 		if faulty {
-			faults = drawFaults(r, lasts-settles)
+			faults = drawFaults(r, namings, lasts-settles)
 		}
-		namings := drawNamings(r, lasts-settles)
 		for i, at := range namings {
 			time.AfterFunc(at, func() { w.name(uint64(i + 2)) })
 		}
--- a/internal/direct/faults_test.go
+++ b/internal/direct/faults_test.go
@@ -29,21 +29,35 @@
 	{"all", func(string, string) bool { return true }},
 }
 
-// drawFaults draws what goes wrong before a time.
-func drawFaults(r *rand.Rand, before time.Duration) []fault {
-	kinds := []func(r *rand.Rand) (string, func(w *world)){
-		silence, silence, silence, silence, resets, endGateway, endAgent, freezeGateway, freezeAgent,
-		crashReplica, crashReplica, slowReplica, slowReplica, originAway, storeAway,
-	}
+// drawFaults draws what goes wrong before a time: some at any time, and series that
+// overlap from just before a version is named until just after its bound.
+func drawFaults(r *rand.Rand, namings []time.Duration, before time.Duration) []fault {
+	const first = 3 * time.Second
 	var out []fault
-	for range 3 + r.IntN(8) {
-		about, begin := kinds[r.IntN(len(kinds))](r)
-		out = append(out, fault{at: 3*time.Second + rand64(r, before-3*time.Second), about: about, begin: begin})
+	for range 1 + r.IntN(5) {
+		out = append(out, drawFault(r, between(r, first, before)))
+	}
+	for _, at := range namings {
+		if r.IntN(3) == 0 {
+			continue
+		}
+		for range 1 + r.IntN(4) {
+			out = append(out, drawFault(r, at+between(r, -2*time.Second, versionWithin)))
+		}
 	}
 	slices.SortFunc(out, func(a, b fault) int { return int(a.at - b.at) })
 	return out
 }
 
+func drawFault(r *rand.Rand, at time.Duration) fault {
+	kinds := []func(r *rand.Rand) (string, func(w *world)){
+		silence, silence, silence, silence, resets, endGateway, endAgent, freezeGateway, freezeAgent,
+		crashReplica, crashReplica, slowReplica, slowReplica, originAway, originAway, storeAway,
+	}
+	about, begin := kinds[r.IntN(len(kinds))](r)
+	return fault{at: at, about: about, begin: begin}
+}
+
 func rand64(r *rand.Rand, most time.Duration) time.Duration {
 	return time.Duration(r.Int64N(int64(most)))
 }
--- a/internal/direct/judge_test.go
+++ b/internal/direct/judge_test.go
@@ -104,11 +104,11 @@
 		}
 		calm := j.calm(v.at, b.At)
 		if calm > j.old {
-			j.old, j.oldAt = calm, fmt.Sprintf("%s by %s on %s, sent %s", j.since(b.At), b.Sender, b.Engine, j.since(b.Came))
+			j.old, j.oldAt = calm, fmt.Sprintf("%s at %s by %s on %s, sent %s", b.Target, j.since(b.At), b.Sender, b.Engine, j.since(b.Came))
 		}
 		if calm > versionWithin {
-			j.breaks("VERSION %s began on %d, %v (calm %v) after %d was named at %s; sent %s by %s to %s, sender in touch until then: %v",
-				b.ID, b.Version, b.At.Sub(v.at), calm, v.version, j.since(v.at), j.since(b.Came), b.Sender, b.Engine, j.inTouch(b.Sender, b.At))
+			j.breaks("VERSION %s (%s) began on %d, %v (calm %v) after %d was named at %s; sent %s by %s to %s, sender in touch until then: %v",
+				b.ID, b.Target, b.Version, b.At.Sub(v.at), calm, v.version, j.since(v.at), j.since(b.Came), b.Sender, b.Engine, j.inTouch(b.Sender, b.At))
 		}
 		return
 	}
@@ -173,7 +173,7 @@
 }
 
 // answered is told what a caller got.
-func (j *judge) answered(id, target string, status int, complete bool, wrong string) {
+func (j *judge) answered(id, target string, status int, wrong string) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if wrong != "" {
@@ -188,5 +188,4 @@
 			j.begins[id] = 1 // It must not run later.
 		}
 	}
-	_ = complete
 }
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -77,7 +77,7 @@
 	engine     *platformtest.Engine // Nil while it is crashed.
 	starts     int
 	up, down   *simnet.Link
-	endAgent   func()
+	end        func() // Of its agent; nil while that does not run.
 }
 
 func (b *box) agent() string   { return b.name + ":7" }
@@ -196,7 +196,13 @@
 	return out
 }
 
+// startGateway starts a gateway, unless it runs.
 func (w *world) startGateway(g *gateway) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.relay != nil {
+		return
+	}
 	f, t := w.follower(g.addr)
 	r, err := relay.New(&settings.Relay{
 		Own: settings.Own{Cluster: "c", Box: g.addr, Hall: g.hall, Listen: g.addr, Store: storeAddr, Join: w.seeds()},
@@ -214,8 +220,6 @@
 	r.Duties(&k)
 	end := w.run(&k, g.addr, r.Close)
 	life, over := context.WithCancel(w.ctx)
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	g.relay, g.life = r, life
 	g.end = func() {
 		over()
@@ -250,7 +254,13 @@
 	}
 }
 
+// startAgent starts a box's agent, unless it runs.
 func (w *world) startAgent(b *box) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.end != nil {
+		return
+	}
 	f, t := w.follower(b.agent())
 	rep := &platform.Replica{Addr: b.replica(), HTTP: w.client(b.agent(), true)}
 	from := w.client(b.agent(), false)
@@ -277,7 +287,18 @@
 	w.net.Add(&simnet.End{Name: b.agent(), Up: b.up, Down: b.down, Serve: st.Server().One})
 	var k kernel.Kernel
 	st.Duties(&k)
-	b.endAgent = w.run(&k, b.agent(), st.Close)
+	b.end = w.run(&k, b.agent(), st.Close)
+}
+
+// endAgent kills a box's agent, if it runs.
+func (b *box) endAgent() {
+	b.mu.Lock()
+	end := b.end
+	b.end = nil
+	b.mu.Unlock()
+	if end != nil {
+		end()
+	}
 }
 
 func (b *box) nextID() string {
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -259,7 +259,7 @@
 // dies ends the connection since this side's process has. The other side notices, unless
 // the connection is silent.
 func (c *conn) dies(other *conn) {
-	if c.silent() {
+	if c.silent() && c.to.ctx.Err() == nil {
 		_ = c.Close()
 		return
 	}
