--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -25,8 +25,9 @@
 	return out
 }
 
-// play runs a world for a while, with faults drawn from the seed if there are to be any.
-func play(t *testing.T, seed uint64, lasts time.Duration, faulty bool) {
+// play runs a world with faults drawn from the seed, if there are to be any, over a time.
+// It ends sooner if ends is not zero.
+func play(t *testing.T, seed uint64, lasts, ends time.Duration, faulty bool) {
 	synctest.Test(t, func(t *testing.T) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		w := newWorld(t, r)
@@ -47,7 +48,10 @@
 		var queued, looks int
 		time.AfterFunc(2*time.Second, func() { w.call(load, &got) })
 		began := time.Now()
-		for time.Since(began) < lasts {
+		if ends == 0 {
+			ends = lasts
+		}
+		for time.Since(began) < ends {
 			time.Sleep(100 * time.Millisecond)
 			q := w.queued()
 			queued, looks = queued+q, looks+1
@@ -73,7 +77,7 @@
 	})
 }
 
-func TestNoFaults(t *testing.T) { play(t, 1, 30*time.Second, false) }
+func TestNoFaults(t *testing.T) { play(t, 1, 30*time.Second, 0, false) }
 
 // POSTSTAND_SEEDS=FROM-TO plays other seeds, and longer.
 func TestFaults(t *testing.T) {
@@ -85,6 +89,6 @@
 		lasts = time.Minute
 	}
 	for seed := from; seed <= to; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { play(t, seed, lasts, true) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { play(t, seed, lasts, 0, true) })
 	}
 }
