--- a/internal/direct/direct_test.go
+++ b/internal/direct/direct_test.go
@@ -56,12 +56,12 @@
 			q := w.queued()
 			queued, looks = queued+q, looks+1
 		}
-		holding := w.holding()
+		holding, deaf := w.holding(), w.deaf()
 		w.close()
 		j := w.judge
-		t.Logf("seed %d load %.2f: begun %d whole %d refused %d failed %d cut %d; queues %.2f full; oldest %v (%s); holding %v; versions at %v",
+		t.Logf("seed %d load %.2f: begun %d whole %d refused %d failed %d cut %d; queues %.2f full; oldest %v (%s); holding %v, deaf %v; versions at %v",
 			seed, load, j.total, got.whole.Load(), got.refused.Load(), got.failed.Load(), got.cut.Load(),
-			float64(queued)/float64(looks*halls*boxesEach*room), j.old, j.oldAt, holding, namings)
+			float64(queued)/float64(looks*halls*boxesEach*room), j.old, j.oldAt, holding, deaf, namings)
 		for _, f := range faults {
 			t.Logf("  %v %s", f.at, f.about)
 		}
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -162,7 +162,9 @@
 	w.net.Add(&simnet.End{Name: name, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: platformtest.Serve(h)})
 }
 
+// addOrigin has the origin there, and ends what it had before.
 func (w *world) addOrigin() {
+	w.net.Remove(originAddr)
 	w.net.Add(&simnet.End{Name: originAddr, Up: &simnet.Link{Rate: linkRate}, Down: &simnet.Link{}, Serve: platformtest.Serve(w.origin)})
 }
 
@@ -366,6 +368,18 @@
 	return out
 }
 
+// deaf returns the replicas that go on with requests whose connection closes.
+func (w *world) deaf() (out []string) {
+	for _, b := range w.boxes {
+		b.mu.Lock()
+		if b.engine != nil && b.engine.Deaf {
+			out = append(out, b.replica())
+		}
+		b.mu.Unlock()
+	}
+	return out
+}
+
 // queued counts the requests that wait at replicas.
 func (w *world) queued() int {
 	n := 0
