--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -49,7 +49,7 @@
 // Mirror is a copy of published records. The zero value is empty. Methods are
 // safe for use by many goroutines.
 type Mirror struct {
-	// Keeps, if set, reports for which keys a record remembers the changes before it.
+	// Keeps reports for which keys a record remembers the changes before it; if nil, for all.
 	Keeps func(key string) bool
 
 	mu      sync.Mutex
@@ -98,7 +98,7 @@
 // put takes a record, of which nothing that is not here yet was made before earliest.
 func (m *Mirror) put(r Record, earliest time.Time) bool {
 	old, ok := m.records[r.Key]
-	keeps := m.Keeps != nil && m.Keeps(r.Key)
+	keeps := m.Keeps == nil || m.Keeps(r.Key)
 	if ok && old.Rev == r.Rev && keeps && !r.Gone {
 		return m.learn(old, r)
 	}
