relay: a queued request begins late where its connection has gone silent (fails)

Story, in virtual time from the naming of version 2, with 8 s for version 1: at 6.3 s a stream takes the one slot of a replica with 1; at 6.5 s another is sent there, is predicted to begin in time, and waits; at 6.7 s all open connections go silent; at 7.2 s the gateway gives the second up and closes its connection, of which nothing arrives; at 8.301 s the slot is free and the replica begins the second, on version 1. Its X-Deadline-Ms was 6000, and it carried no X-Expect-Version. Not said: whether the machine counts as in touch.

--- a/internal/relay/overtaken_test.go
+++ b/internal/relay/overtaken_test.go
@@ -95,3 +95,12 @@
 	is.Equal(len(r.Runs()), 1)
 	is.Equal(len(late), 0)
 }
+
+// The same, and the connection to the replica has gone silent: it does not see that the
+// request was given up.
+func TestQueuedBehindASilentConnectionDoesNotBeginLate(t *testing.T) {
+	is := is.New(t)
+	asked, late := afterTheEnd(t, oneSlot(), held, "/s/", func(w *world) { w.net.Silence(nil) })
+	is.Equal(asked, 2)
+	is.Equal(late, nil)
+}
