relay: a queued stream that cannot be repeated begins late (fails)

Story: a stream of a route without resumable is sent at 6.5 s from the naming of version 2 to a replica with 1, and waits there. attempt.patience returns the request's deadline before it looks at the version's bound, so the gateway never gives it up; at 8.3 s it begins, on version 1. No connection fails and the replica drops whatever is closed. X-Deadline-Ms was 6000, and no X-Expect-Version was sent. Sites with streams that may not are exposed.

--- a/internal/relay/overtaken_test.go
+++ b/internal/relay/overtaken_test.go
@@ -116,3 +116,21 @@
 		})
 	}
 }
+
+// A stream that may not be resumed waits at its replica until its deadline, whatever
+// becomes of the version there meanwhile.
+func TestQueuedStreamThatCannotBeRepeatedDoesNotBeginLate(t *testing.T) {
+	check := is.New(t)
+	rs := []*platformtest.Replica{oneSlot()}
+	asked, late := 0, []string(nil)
+	once := platformtest.Route("once", "/once/", "stream", "llm", platformtest.Body{"resumable": false})
+	run(t, 1, rs, func(_ *is.I, w *world) {
+		w.store.Put("op/config", platformtest.Config(2, once))
+		w.agents(held)
+		named := w.queueBeforeTheEnd("/once/")
+		time.Sleep(versionWithin)
+		asked, late = rs[0].Asked(), beganLate(rs, named)
+	})
+	check.Equal(asked, 2)
+	check.Equal(late, nil)
+}
