stager: a replica whose connection goes silent is asked again (fails)

Cause: Stage, Staged and ReadStaged are called without a deadline. Over a connection that is silent for good the call never ends, and with it the loader: the replica keeps the version that it has. Found by a run of joined gateways and agents, 7 of 9 loaders in the dump.

--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -52,6 +52,22 @@
 	puts   int       // Pieces that were staged.
 	spoilt int       // Orders while a staged piece was not of the version.
 	upAt   time.Time // It answers nothing before.
+	hangs  int       // So many calls about staged pieces get no answer.
+}
+
+// hang keeps the caller waiting if this call gets no answer.
+func (r *fakeReplica) hang(ctx context.Context) error {
+	r.mu.Lock()
+	hangs := r.hangs > 0
+	if hangs {
+		r.hangs--
+	}
+	r.mu.Unlock()
+	if !hangs {
+		return nil
+	}
+	<-ctx.Done()
+	return fault.Wrap(fault.Unreachable, ctx.Err(), "replica")
 }
 
 func (r *fakeReplica) replica() Replica {
@@ -85,14 +101,20 @@
 			})
 			return nil
 		},
-		Stage: func(_ context.Context, _ string, n int, data []byte) error {
+		Stage: func(ctx context.Context, _ string, n int, data []byte) error {
+			if err := r.hang(ctx); err != nil {
+				return err
+			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			r.puts++
 			r.staged[n] = data
 			return nil
 		},
-		Staged: func(context.Context, string) ([]int, error) {
+		Staged: func(ctx context.Context, _ string) ([]int, error) {
+			if err := r.hang(ctx); err != nil {
+				return nil, err
+			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			var held []int
@@ -103,7 +125,10 @@
 			}
 			return held, nil
 		},
-		ReadStaged: func(_ context.Context, _ string, n int) ([]byte, error) {
+		ReadStaged: func(ctx context.Context, _ string, n int) ([]byte, error) {
+			if err := r.hang(ctx); err != nil {
+				return nil, err
+			}
 			r.mu.Lock()
 			defer r.mu.Unlock()
 			return r.staged[n], nil
@@ -328,6 +353,40 @@
 	})
 }
 
+// A box's connection to its replica goes silent while pieces are staged, or read back: the
+// call that lay on it gets no answer, and is given up and made anew. In a run of joined
+// gateways and agents 7 of 9 loaders hung in such a call for ever, and five replicas kept a
+// version of which three newer ones were named.
+func TestSilentReplicaIsAskedAgain(t *testing.T) {
+	for name, hangs := range map[string]int{"while staging": 1, "twice while staging": 2} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(is *is.I, s *site) {
+				r := withVersion(1)
+				s.add(t, r)
+				s.assign(1, 1)
+				time.Sleep(2 * time.Second)
+				r.mu.Lock()
+				r.hangs = hangs
+				r.mu.Unlock()
+				s.assign(2, 2, peers.Step{Version: 2})
+				time.Sleep(7500 * time.Millisecond)
+				is.Equal(s.holding(), map[uint64]int{2: 1})
+			})
+		})
+	}
+	t.Run("while reading back", func(t *testing.T) {
+		play(t, func(is *is.I, s *site) {
+			r := withVersion(1)
+			r.restart()
+			r.hangs = 2
+			s.add(t, r)
+			s.assign(1, 1)
+			time.Sleep(6 * time.Second)
+			is.Equal(s.holding(), map[uint64]int{1: 1})
+		})
+	})
+}
+
 // What lies staged is not fetched again from the origin, though the replica that has
 // it answers only a while after the box has started.
 func TestStagedPiecesAreNotFetchedAgain(t *testing.T) {
