stager, relay: calls about staged pieces have a deadline; no request waits past a version's bound

Change: a second for each call about staged pieces, and what is staged is asked for twice; patience ends at the version's bound for every request that has no first event.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -176,25 +176,30 @@
 	return max(firstLeast, firstFactor*a.to.Predicted)
 }
 
-// patience is until when a sign is waited for: one that may go elsewhere waits
-// only for a while.
+// patience is until when a sign is waited for: one that may go elsewhere waits only for a
+// while, and none begins on a version whose time is over. One that may not be repeated is
+// given up at that time too: it would begin up to its caller's deadline later.
 func (a *attempt) patience(now time.Time, wait time.Duration) time.Time {
 	t := a.rq.deadline
-	if !a.rq.repeatable() {
-		return t
+	if a.rq.repeatable() {
+		t = sooner(t, now.Add(wait))
 	}
-	if own := now.Add(wait); own.Before(t) {
-		t = own
+	if a.first || !a.to.Engine {
+		return t
 	}
-	if !a.first && a.to.Engine {
-		// It must not begin on a version whose time is over.
-		if bound := a.relay.bound(a.rq, a.to.Version); !bound.IsZero() && bound.Before(t) {
-			t = bound
-		}
+	if bound := a.relay.bound(a.rq, a.to.Version); !bound.IsZero() {
+		t = sooner(t, bound)
 	}
 	return t
 }
 
+func sooner(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // broken is the result of a connection that failed under a request.
 func (a *attempt) broken(ctx context.Context, err error) dispatch.Result {
 	switch {
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -18,7 +18,7 @@
 		return
 	}
 	s.status.awaitReplica(ctx, replicaUpIn)
-	held, err := s.options.Replica.Staged(ctx, model)
+	held, err := s.stagedPieces(ctx, model)
 	if err != nil {
 		telemetry.Log("staged_unknown", "model", model, "reason", fault.CodeOf(err))
 		return
@@ -28,7 +28,7 @@
 		if n < 0 || n >= len(chunks) {
 			continue
 		}
-		data, err := s.options.Replica.ReadStaged(ctx, model, n)
+		data, err := s.readStaged(ctx, model, n)
 		if err == nil && s.exchange.Store.Put(chunks[n].Digest, data) == nil {
 			kept++
 		}
@@ -66,10 +66,43 @@
 		if !ok {
 			return false
 		}
-		if err := s.options.Replica.Stage(ctx, r.model, i, data); err != nil {
+		if err := s.stagePiece(ctx, r.model, i, data); err != nil {
 			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
 			return false
 		}
 	}
 	return true
 }
+
+// pieceIn is how long the replica has to answer a call about what is staged. It is on the
+// same box, and answers in milliseconds; on a connection that has gone silent it never
+// does, and the loader would wait for ever.
+const pieceIn = time.Second
+
+func (s *Stager) stagePiece(ctx context.Context, model string, n int, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, pieceIn)
+	defer cancel()
+	return s.options.Replica.Stage(ctx, model, n, data)
+}
+
+func (s *Stager) readStaged(ctx context.Context, model string, n int) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, pieceIn)
+	defer cancel()
+	return s.options.Replica.ReadStaged(ctx, model, n)
+}
+
+// stagedPieces asks for what is staged, once more if there is no answer: without it all
+// pieces would be fetched again.
+func (s *Stager) stagedPieces(ctx context.Context, model string) ([]int, error) {
+	held, err := s.stagedOnce(ctx, model)
+	if err != nil && ctx.Err() == nil {
+		return s.stagedOnce(ctx, model)
+	}
+	return held, err
+}
+
+func (s *Stager) stagedOnce(ctx context.Context, model string) ([]int, error) {
+	ctx, cancel := context.WithTimeout(ctx, pieceIn)
+	defer cancel()
+	return s.options.Replica.Staged(ctx, model)
+}
