peers, mirror: gateways tell one another when a naming was made; a naming is not of when a watch is taken over

Change: an announcement that answers one tells how old late changes of the kept keys are, at the most; whoever asked takes the nearer time. Asking back is gone.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -109,9 +109,8 @@
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
 		_ = s.SendLast(ctx, records(g.Mirror.Since(m.Since), time.Now()))
 	})
-	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Records) {
+	wire.On(hs, func(_ context.Context, _ *wire.Stream, m *Records) {
 		g.takePush(m)
-		g.date(ctx, s.Conn(), m)
 	})
 }
 
@@ -164,6 +163,7 @@
 	a.Certain = now.Sub(g.Follow.Certain()) // Before At, so that it is not of an older one.
 	a.Complete = now.Sub(g.Follow.Complete())
 	a.At = g.Mirror.At()
+	a.Dates = dates(g.Mirror.Kept(now.Add(-datedFor)), now)
 	if !others {
 		return a
 	}
@@ -227,9 +227,9 @@
 	g.mu.Unlock()
 	if a.At == g.Mirror.At() {
 		g.Follow.Sure(now.Add(-a.Certain))
-		if !asked.IsZero() { // Else it may have been long on its way.
-			g.Follow.Proved(asked.Add(-a.Complete))
-		}
+	}
+	if !asked.IsZero() { // Else it may have been long on its way.
+		g.learn(a, asked)
 	}
 	switch {
 	case across && behind:
@@ -239,6 +239,16 @@
 	}
 }
 
+// learn takes what another gateway, asked at a time, knows of when changes were made.
+func (g *Gossip) learn(a *Announce, asked time.Time) {
+	if a.At == g.Mirror.At() {
+		g.Follow.Proved(asked.Add(-a.Complete))
+	}
+	for _, d := range a.Dates {
+		g.Mirror.Date(d.Key, d.Rev, asked.Add(-d.Heard), asked.Add(-d.Unseen))
+	}
+}
+
 // Learnt is closed once every address to join was asked, whether it answered or
 // not.
 func (g *Gossip) Learnt() <-chan struct{} {
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -27,6 +27,15 @@
 	// Complete is how long ago at the most the sender still lacked something; see
 	// Follower.Complete.
 	Complete time.Duration
+	Dates    []Date // Of late changes that times are counted from.
+}
+
+// Date is how long ago, at the most, a change was made.
+type Date struct {
+	Key    string
+	Rev    uint64
+	Heard  time.Duration // The change itself,
+	Unseen time.Duration // and any before it that the sender has not seen.
 }
 
 // Known is a gateway that somebody heard of.
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -4,10 +4,8 @@
 	"context"
 	"time"
 
-	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/mirror"
-	"github.com/poststand/poststand/wire"
 )
 
 // passedOn reports whether what has just changed need not be announced. A gateway that
@@ -126,28 +124,3 @@
 		telemetry.Log("push_received", "had", had, "since", r.Delta.Base, "at", r.Delta.At, "records", len(r.Delta.Records), "taken", taken, "onward", r.Onward)
 	}
 }
-
-// date asks who passed records on how old those are that remember the changes before them,
-// and what was before them: a time counts from when they were made.
-func (g *Gossip) date(ctx context.Context, c *wire.Conn, r *Records) {
-	if len(r.Histories) == 0 || r.Delta.Whole {
-		return
-	}
-	since := r.Delta.At
-	for _, h := range r.Histories {
-		if h.Record >= 0 && h.Record < len(r.Delta.Records) {
-			since = min(since, r.Delta.Records[h.Record].Rev-1)
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, pullWithin)
-	defer cancel()
-	asked := time.Now()
-	m, err := c.Call(ctx, &Pull{Since: since})
-	dated, ok := m.(*Records)
-	if err != nil || !ok {
-		telemetry.Log("date_failed", "peer", c.Remote().Box, "since", since, "reason", fault.CodeOf(err))
-		return
-	}
-	dated.heardBy(asked, g.Follow.Earliest())
-	g.Mirror.Apply(dated.Delta)
-}
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -55,6 +55,18 @@
 	r.Unseen = asked.Add(-h.Unseen[len(r.Earlier)])
 }
 
+// datedFor is for how long gateways tell one another when a change was made, so that all
+// count from the same time.
+const datedFor = 10 * time.Second
+
+func dates(rs []mirror.Record, now time.Time) []Date {
+	var out []Date
+	for _, r := range rs {
+		out = append(out, Date{Key: r.Key, Rev: r.Rev, Heard: now.Sub(r.Heard), Unseen: now.Sub(r.Unseen)})
+	}
+	return out
+}
+
 // undated takes the times off records that came unasked: what was long on its way, or lay
 // in the socket while this process stood still, is older than its age says. Nothing that
 // this process lacks was made before earliest.
--- a/internal/relay/lead_test.go
+++ b/internal/relay/lead_test.go
@@ -1,8 +1,11 @@
 package relay_test
 
 import (
+	"context"
+	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -169,3 +172,82 @@
 		}
 	})
 }
+
+// Users saw requests begin on a version of which the time was over, on days at size. The
+// gateway that watches for all halls is lost as a newer version is named. The standby
+// gateways find out by their checks, but then read all records, which takes a second and
+// more where there are many. Before they have them another gateway has taken the watch
+// over. It is told of the naming at once, took it to be of that moment, and told all
+// others so, whose own reading came too late. The evidence: a gateway's lines
+// "store_changed at=18 since=17 records=1" 1.3 s after the naming and before any
+// "store_watch_behind", and requests of 34 gateways that begin until 8.5 s after it, on a
+// day with 51 gateways and 310 KB of records; with 24 KB the checks came first, and no
+// request was late.
+func TestNamingIsNotOfWhenTheWatchIsTakenOver(t *testing.T) {
+	const gateways, readAll = 6, 1500 * time.Millisecond
+	const fills, waits = 5500 * time.Millisecond, 7500 * time.Millisecond // After the naming.
+	rs := engines(1, 54)                                                  // What fills its slot ends 8.2 s after the naming.
+	rs[0].Slots = 1
+	run(t, 0, rs, func(is *is.I, w *world) {
+		w.halls = 3
+		slow := http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/kv-range") {
+				time.Sleep(readAll)
+			}
+			w.store.ServeHTTP(rw, r)
+		})
+		for i := range gateways {
+			w.addGateway(i, slow)
+		}
+		time.Sleep(6 * time.Second)
+		w.store.Put("servers/e0", w.replicas[0].Record("ready")) // Ends the watches of the start.
+		time.Sleep(3 * time.Second)
+		first := w.watching()
+		is.Equal(len(first), 1)
+		w.agents(held)
+		go w.stops[first[0]]()
+		time.Sleep(10 * time.Millisecond) // Its watch is over.
+		named := time.Now()
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		ask := func(gateway int, id string) {
+			go w.askWith(context.Background(), gateway, "POST", "/s/", map[string]string{"X-Attempt-Id": id})
+		}
+		lives := (first[0] + 1) % gateways
+		time.Sleep(time.Until(named.Add(fills)))
+		ask(lives, "fills")
+		time.Sleep(time.Until(named.Add(waits)))
+		is.Equal(rs[0].Asked(), 1)
+		for i := range w.gateways {
+			if i != first[0] {
+				ask(i, fmt.Sprint("waits at ", i))
+			}
+		}
+		time.Sleep(versionWithin)
+		is.Equal(beganLate(rs, named), nil)
+	})
+}
+
+// All gateways give a version the same time, whoever told them of the naming: they ask how
+// old it is. Without that the ones that do not watch would take it to be as old as may be,
+// a second and more, and leave the replicas that hold the version so much sooner.
+func TestNamingHasTheSameTimeEverywhere(t *testing.T) {
+	const gateways, within = 6, 5900 * time.Millisecond // Of eight seconds, less the margins and the time between two checks.
+	run(t, 0, engines(2, 2), func(is *is.I, w *world) {
+		w.halls = 3
+		for i := range gateways {
+			w.addGateway(i, w.store)
+		}
+		time.Sleep(6 * time.Second)
+		w.agents(held)
+		named := time.Now()
+		w.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
+		time.Sleep(time.Until(named.Add(within)))
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "POST", "/s/", nil).status, http.StatusOK)
+		}
+		time.Sleep(time.Until(named.Add(versionWithin - 500*time.Millisecond)))
+		for i := range w.gateways {
+			is.Equal(w.ask(i, "POST", "/s/", nil).status, http.StatusServiceUnavailable)
+		}
+	})
+}
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -9,6 +9,35 @@
 // maxEarlier bounds the changes of a key that a record remembers.
 const maxEarlier = 32
 
+// Kept returns the records that remember the changes before them and may have been made
+// since a time, without what was before.
+func (m *Mirror) Kept(since time.Time) []Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Record
+	for key := range m.kept {
+		if r := m.records[key]; !r.Gone && r.Heard.After(since) {
+			r.Earlier = nil
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// Date takes what another process knows of when a record was made that is here as well:
+// not before heard, and nothing unseen before it before unseen.
+func (m *Mirror) Date(key string, rev uint64, heard, unseen time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	old, ok := m.records[key]
+	if !ok || old.Rev != rev || !m.kept[key] {
+		return
+	}
+	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, Heard: heard, Unseen: unseen}) {
+		m.wake()
+	}
+}
+
 // joined returns the newer one of two records of a key with all that either knows of the
 // changes before it. Times are the earliest that a change may have been made, by what two
 // processes know: both hold, so the later one does.
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -57,12 +57,13 @@
 	floor   uint64 // Deletions up to it may have been forgotten.
 	gone    int
 	records map[string]Record
-	changed chan struct{} // Closed and replaced at each change.
+	kept    map[string]bool // Keys of records that remember the changes before them.
+	changed chan struct{}   // Closed and replaced at each change.
 }
 
 func (m *Mirror) init() {
 	if m.records == nil {
-		m.records = map[string]Record{}
+		m.records, m.kept = map[string]Record{}, map[string]bool{}
 		m.changed = make(chan struct{})
 	}
 }
@@ -89,17 +90,21 @@
 		changed = true
 	}
 	if changed {
-		close(m.changed)
-		m.changed = make(chan struct{})
+		m.wake()
 	}
 	return true
 }
 
+func (m *Mirror) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // put takes a record, of which nothing that is not here yet was made before earliest.
 func (m *Mirror) put(r Record, earliest time.Time) bool {
 	old, ok := m.records[r.Key]
 	keeps := m.Keeps == nil || m.Keeps(r.Key)
-	if ok && old.Rev == r.Rev && keeps && !r.Gone {
+	if ok && old.Rev == r.Rev && keeps {
 		return m.learn(old, r)
 	}
 	if r.Rev <= m.at {
@@ -118,6 +123,7 @@
 	if keeps {
 		r.Unseen = laterOf(r.Unseen, earliest)
 		r = joined(old, r)
+		m.kept[r.Key] = true
 	}
 	m.records[r.Key] = r
 	if m.gone > maxGone {
@@ -160,6 +166,7 @@
 		if r.Gone {
 			m.floor = max(m.floor, r.Rev)
 			delete(m.records, k)
+			delete(m.kept, k)
 		}
 	}
 	m.gone = 0
