--- /dev/null
+++ b/internal/stager/told_test.go
@@ -0,0 +1,27 @@
+package stager
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/internal/peers"
+)
+
+// Of two gateways the one knows better when a version was named. Ages are at most what
+// they say, so the later time holds.
+func TestLaterTimeOfANamingIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var a assignments
+		assignment := func(at uint64, age time.Duration) *peers.Assignment {
+			return &peers.Assignment{At: at, Model: "m", Version: 2, Steps: []peers.Step{{Version: 2, Age: age}}}
+		}
+		a.set(assignment(7, 5500*time.Millisecond), "told of it")
+		a.set(assignment(8, 200*time.Millisecond), "watches")
+		_, wanted, _ := a.watch()
+		is.Equal(time.Since(wanted.Overtaken(1)), 200*time.Millisecond)
+	})
+}
