mirror, peers, relay, stager: what is only doubted is not told on; rounds go on beside pushes; agents hear of nearer times

Change: a record has its proved time and, apart and never told, the doubted one; a round is due however many pushes there are; assignments differ where a naming's time does, and agents take the nearer one; the newest version is expected from its naming on.

--- a/internal/peers/assign.go
+++ b/internal/peers/assign.go
@@ -35,7 +35,7 @@
 	if w, ok := c.Wanted[s.Model]; ok && w.Version >= newest {
 		a.Version = w.Version
 		for _, s := range w.Steps {
-			a.Steps = append(a.Steps, Step{Version: s.Version, Age: now.Sub(s.Named)})
+			a.Steps = append(a.Steps, Step{Version: s.Version, Age: now.Sub(s.Named), Named: s.Named})
 		}
 	}
 	return a
@@ -45,7 +45,14 @@
 // are, and by which revision, is no difference.
 func (a *Assignment) Same(b *Assignment) bool {
 	return a.Model == b.Model && a.Version == b.Version && a.Origin == b.Origin && a.OriginRate == b.OriginRate &&
-		a.Bytes == b.Bytes && a.Tell == b.Tell && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Gateways, b.Gateways)
+		a.Bytes == b.Bytes && a.Tell == b.Tell && slices.EqualFunc(a.Steps, b.Steps, sameStep) && slices.Equal(a.Replicas, b.Replicas) && slices.Equal(a.Gateways, b.Gateways)
+}
+
+// sameStep reports whether two namings are the same to an agent: it need not be told of a
+// time that is hardly nearer.
+func sameStep(a, b Step) bool {
+	const near = 50 * time.Millisecond
+	return a.Version == b.Version && a.Named.Sub(b.Named).Abs() < near
 }
 
 // Urgent reports whether b differs from a in more than who else there is.
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -25,8 +25,8 @@
 	// CheckEvery is the time between two checks by one that watches; 250 ms by default.
 	CheckEvery time.Duration
 	Event      func(name string, c fault.Code)
-	// Doubt is how long ago a change may have been made, at the most, that is only
-	// found out now.
+	// Doubt is how long ago a change is taken to have been made, at the most, that is only
+	// found out now, where nothing proves that it is younger.
 	Doubt time.Duration
 	// Needed, if set, holds while the platform should be read; a follower that
 	// is not needed looks again after a while.
@@ -112,11 +112,11 @@
 	f.Mirror.Apply(d)
 }
 
-// Earliest is when a change may have been made that is only found out now.
-func (f *Follower) Earliest() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return laterOf(time.Now().Add(-f.Doubt), f.complete)
+// dated returns a delta with the times before which nothing in it was made that the mirror
+// lacks: as is proved, and as far as this process doubts.
+func (f *Follower) dated(d mirror.Delta) mirror.Delta {
+	d.Heard, d.Doubted = f.Complete(), time.Now().Add(-f.Doubt)
+	return d
 }
 
 // settledIn is how long a process that has started, or has been cut off, may still use a
@@ -221,8 +221,7 @@
 	// Not of now: a watch that begins after a gap is told at once what was missed in it,
 	// and an answer may have lain in the socket while this process stood still. Dated now,
 	// gateways that stood still for 2.5 s over a naming used the older version 1.1 s too long.
-	d.Heard = f.Earliest()
-	f.apply(d)
+	f.apply(f.dated(d))
 	f.Sure(time.Now())
 	f.Proved(asked)
 	if len(d.Records) > 0 {
@@ -244,8 +243,7 @@
 
 // take applies what was read rather than told, as asked for at a time.
 func (f *Follower) take(d mirror.Delta, asked time.Time) {
-	d.Heard = f.Earliest()
-	f.apply(d)
+	f.apply(f.dated(d))
 	f.Sure(time.Now())
 	f.Proved(asked)
 }
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -241,7 +241,7 @@
 
 // learn takes what another gateway, asked at a time, knows of when changes were made.
 func (g *Gossip) learn(a *Announce, asked time.Time) {
-	if a.At == g.Mirror.At() {
+	if a.At <= g.Mirror.At() {
 		g.Follow.Proved(asked.Add(-a.Complete))
 	}
 	for _, d := range a.Dates {
@@ -269,10 +269,11 @@
 		first.Wait()
 		close(g.learnt)
 	}()
+	due := time.Now().Add(g.every())
 	for ctx.Err() == nil {
 		_, changed := g.Mirror.Watch()
 		began := time.Now()
-		t := time.NewTimer(g.every())
+		t := time.NewTimer(due.Sub(began))
 		news := false
 		select {
 		case <-changed:
@@ -282,10 +283,13 @@
 		}
 		t.Stop()
 		kernel.Sleep(ctx, announceLeast-time.Since(began))
-		if news && g.passedOn(ctx) {
+		// However often changes are passed on: by a round the others are known to live, and
+		// this one's mirror to be complete.
+		if news && g.passedOn(ctx) && time.Now().Before(due) {
 			continue
 		}
 		g.round(ctx)
+		due = time.Now().Add(g.every())
 	}
 	return nil
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -84,6 +84,7 @@
 
 // Step is one naming of a version. Clocks differ, so it travels as an age.
 type Step struct {
+	Named   time.Time `msgpack:"-"` // By the sender's clock.
 	Version uint64
 	Age     time.Duration // By the sender's clock, when it sent the message.
 }
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -68,10 +68,10 @@
 		telemetry.Log("pull_failed", "peer", addr, "since", since, "reason", fault.CodeOf(err))
 		return
 	}
-	r.heardBy(asked, g.Follow.Earliest())
+	r.heardBy(asked)
 	g.mu.Lock()
 	g.pulledAt = max(g.pulledAt, r.Delta.At) // Before it is applied: that wakes the one who announces.
 	g.mu.Unlock()
-	taken := g.Mirror.Apply(r.Delta)
+	taken := g.Mirror.Apply(g.Follow.dated(r.Delta))
 	telemetry.Log("pulled", "peer", addr, "since", since, "at", r.Delta.At, "whole", r.Delta.Whole, "records", len(r.Delta.Records), "taken", taken)
 }
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -114,13 +114,13 @@
 // takePush takes changes that another gateway passed on.
 func (g *Gossip) takePush(r *Records) {
 	had := g.Mirror.At()
-	r.undated(g.Follow.Earliest())
+	r.undated()
 	g.mu.Lock()
 	if r.Onward {
 		g.onwardAt = max(g.onwardAt, r.Delta.At) // Before it is applied: that wakes the one who passes on.
 	}
 	g.mu.Unlock()
-	if taken := g.Mirror.Apply(r.Delta); !taken || r.Delta.At > had {
+	if taken := g.Mirror.Apply(g.Follow.dated(r.Delta)); !taken || r.Delta.At > had {
 		telemetry.Log("push_received", "had", had, "since", r.Delta.Base, "at", r.Delta.At, "records", len(r.Delta.Records), "taken", taken, "onward", r.Onward)
 	}
 }
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -12,7 +12,7 @@
 	for i := range d.Records {
 		rec := &d.Records[i]
 		r.Ages[i] = now.Sub(rec.Heard)
-		if rec.Unseen.IsZero() {
+		if rec.Unseen.IsZero() && len(rec.Earlier) == 0 {
 			continue
 		}
 		h := History{Record: i}
@@ -27,10 +27,8 @@
 }
 
 // heardBy puts the times of records by this process's clock: asked is when they were asked
-// for, and nothing that this process lacks was made before earliest. An answer is made
-// after it was asked for, so nothing is dated later than it was.
-func (r *Records) heardBy(asked, earliest time.Time) {
-	r.Delta.Heard = earliest
+// for. An answer is made after it was asked for, so nothing is dated later than it was.
+func (r *Records) heardBy(asked time.Time) {
 	for i := range r.Delta.Records {
 		if i < len(r.Ages) {
 			r.Delta.Records[i].Heard = asked.Add(-r.Ages[i])
@@ -68,10 +66,8 @@
 }
 
 // undated takes the times off records that came unasked: what was long on its way, or lay
-// in the socket while this process stood still, is older than its age says. Nothing that
-// this process lacks was made before earliest.
-func (r *Records) undated(earliest time.Time) {
-	r.Delta.Heard = earliest
+// in the socket while this process stood still, is older than its age says.
+func (r *Records) undated() {
 	for i := range r.Delta.Records {
 		r.Delta.Records[i].Earlier = nil
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -153,20 +153,22 @@
 	return a.conn.Write(b.Bytes())
 }
 
-// expects is the version that alone may run the request, or 0: the one that the
-// answer began with, and any request's once the time of older ones is over.
+// expects is the version that alone may run the request, or 0: the one that the answer
+// began with, the newest where the replica is believed to hold it, and any once the time of
+// older ones is over. A request that was sent on a wrong belief would else begin on the
+// older version, and nothing would give it up when the time of that is over.
 func (a *attempt) expects() uint64 {
 	if a.rq.version > 0 {
 		return a.rq.version
 	}
-	if !a.to.Engine {
-		return 0
-	}
 	before := a.relay.bound(a.rq, 0)
-	if before.IsZero() || time.Now().Before(before) {
+	if !a.to.Engine || before.IsZero() {
 		return 0
 	}
-	return a.to.Version
+	if a.relay.bound(a.rq, a.to.Version).IsZero() || !time.Now().Before(before) {
+		return a.to.Version
+	}
+	return 0
 }
 
 func (a *attempt) firstWait() time.Duration {
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -51,11 +51,8 @@
 	if old != nil && (n.At < old.At || n.Version < old.Version) {
 		return
 	}
+	a.wanted = wantedBy(n, now, a.wanted)
 	if old == nil || old.Model != n.Model || old.Version != n.Version {
-		a.wanted = catalog.Wanted{}
-		for _, s := range n.Steps {
-			a.wanted = a.wanted.With(catalog.Step{Version: s.Version, Named: now.Add(-s.Age)})
-		}
 		telemetry.Log("assigned", "model", n.Model, "version", n.Version, "steps", len(n.Steps), "replicas", len(n.Replicas), "at", n.At, "from", from)
 	}
 	a.now = n
@@ -63,6 +60,22 @@
 	a.changed = make(chan struct{})
 }
 
+// wantedBy returns what an assignment that came at now names. Ages are at most what they
+// say: of two times of a naming the later one holds, which an agent that knew has.
+func wantedBy(n *peers.Assignment, now time.Time, knew catalog.Wanted) catalog.Wanted {
+	var w catalog.Wanted
+	for _, s := range n.Steps {
+		named := now.Add(-s.Age)
+		for _, k := range knew.Steps {
+			if k.Version == s.Version {
+				named = laterOf(named, k.Named)
+			}
+		}
+		w = w.With(catalog.Step{Version: s.Version, Named: named})
+	}
+	return w
+}
+
 func (a *assignments) watch() (*peers.Assignment, catalog.Wanted, <-chan struct{}) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -39,8 +39,8 @@
 }
 
 // joined returns the newer one of two records of a key with all that either knows of the
-// changes before it. Times are the earliest that a change may have been made, by what two
-// processes know: both hold, so the later one does.
+// changes before it; a is what is here. Before each of two times that are proved the change
+// was not made, so the later one holds. What is here keeps its doubt.
 func joined(a, b Record) Record {
 	all := slices.Concat(a.history(), b.history())
 	slices.SortStableFunc(all, func(x, y Record) int { return cmp.Compare(x.Rev, y.Rev) })
@@ -62,7 +62,7 @@
 		newest = b
 	}
 	last := out[len(out)-1]
-	newest.Heard, newest.Unseen, newest.Earlier = last.Heard, last.Unseen, out[:len(out)-1]
+	newest.Heard, newest.Unseen, newest.Doubted, newest.Earlier = last.Heard, last.Unseen, last.Doubted, out[:len(out)-1]
 	return newest
 }
 
@@ -73,9 +73,25 @@
 	if r.Rev == 0 {
 		return out
 	}
-	return append(out, Record{Value: r.Value, Rev: r.Rev, Gone: r.Gone, Heard: r.Heard, Unseen: r.Unseen})
+	return append(out, Record{Value: r.Value, Rev: r.Rev, Gone: r.Gone, Heard: r.Heard, Unseen: r.Unseen, Doubted: r.Doubted})
 }
 
+// doubted returns r with changes before it that this process heard of only now.
+func (r Record) doubted(at time.Time) Record {
+	r.Earlier = slices.Clone(r.Earlier)
+	for i := range r.Earlier {
+		r.Earlier[i].Doubted = at
+	}
+	return r
+}
+
+// MadeBy is the time that the change counts as made: not later than it was, where that is
+// known, and not longer ago than this process doubts.
+func (r *Record) MadeBy() time.Time { return laterOf(r.Heard, r.Doubted) }
+
+// UnseenBy is MadeBy of any change before it that is not known.
+func (r *Record) UnseenBy() time.Time { return laterOf(r.Unseen, r.Doubted) }
+
 // SameHistory reports whether two records of a key know the same of its changes.
 func (r *Record) SameHistory(o *Record) bool {
 	same := func(x, y Record) bool {
@@ -91,9 +107,8 @@
 	return b
 }
 
-// earlierOf returns the earlier of two times of which a may be zero, which is not known.
 func earlierOf(a, b time.Time) time.Time {
-	if a.IsZero() || b.Before(a) {
+	if b.Before(a) {
 		return b
 	}
 	return a
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -11,12 +11,15 @@
 	Value []byte
 	Rev   uint64
 	Gone  bool // Deleted at Rev.
-	// Heard is the earliest time at which the change may have been made, as far as
-	// this process knows. It is by this process's clock and does not travel.
+	// Heard is a time before which the change was not made, as is proved; zero if nothing
+	// is. It is by this process's clock and does not travel.
 	Heard time.Time `msgpack:"-"`
 	// Unseen is the same of any change between this one and the one before it that is
-	// known. It is zero where Mirror.Keeps does not hold.
+	// known.
 	Unseen time.Time `msgpack:"-"`
+	// Doubted is a time before which this process takes the change not to have been made,
+	// for want of proof. Others are not told of it.
+	Doubted time.Time `msgpack:"-"`
 	// Earlier are the key's changes before this one, the oldest first, where
 	// Mirror.Keeps holds. They have neither Key nor Earlier.
 	Earlier []Record
@@ -28,9 +31,11 @@
 	At      uint64
 	Whole   bool // Records are all that exist; whatever else the reader has is gone.
 	Records []Record
-	// Heard is the earliest time at which anything that the reader lacked may have been
-	// made. Records that it has already may be older.
-	Heard time.Time `msgpack:"-"`
+	// Heard is a time before which nothing that the reader lacked was made, as is proved,
+	// and Doubted one before which it takes nothing to have been made. Records that it has
+	// already may be older.
+	Heard   time.Time `msgpack:"-"`
+	Doubted time.Time `msgpack:"-"`
 }
 
 // Bytes returns the size of the values of d.
@@ -80,7 +85,7 @@
 	}
 	changed := false
 	for _, r := range d.Records {
-		changed = m.put(r, d.Heard) || changed
+		changed = m.put(r, d) || changed
 	}
 	if d.Whole && d.At >= m.at {
 		changed = m.dropOthers(d) || changed
@@ -100,8 +105,8 @@
 	m.changed = make(chan struct{})
 }
 
-// put takes a record, of which nothing that is not here yet was made before earliest.
-func (m *Mirror) put(r Record, earliest time.Time) bool {
+// put takes a record of a delta.
+func (m *Mirror) put(r Record, d Delta) bool {
 	old, ok := m.records[r.Key]
 	keeps := m.Keeps == nil || m.Keeps(r.Key)
 	if ok && old.Rev == r.Rev && keeps {
@@ -119,10 +124,10 @@
 	if r.Gone {
 		m.gone++
 	}
-	r.Heard = laterOf(r.Heard, earliest)
+	r.Heard, r.Doubted = laterOf(r.Heard, d.Heard), d.Doubted
 	if keeps {
-		r.Unseen = laterOf(r.Unseen, earliest)
-		r = joined(old, r)
+		r.Unseen = laterOf(r.Unseen, d.Heard)
+		r = joined(old, r.doubted(d.Doubted))
 		m.kept[r.Key] = true
 	}
 	m.records[r.Key] = r
