--- /dev/null
+++ b/internal/peers/slow_test.go
@@ -0,0 +1,59 @@
+package peers
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/mirror"
+)
+
+// A watch hears nothing, and all records are 2.5 s on their way, over a full link: the
+// check that found a change has as long for them as a first read has, and does not begin
+// again and again.
+func TestCheckReadsAllRecordsOverASlowLink(t *testing.T) {
+	const slow, within = 2500 * time.Millisecond, 8 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var at, wholes atomic.Uint64
+		at.Store(1)
+		pause := func(ctx context.Context, d time.Duration) error {
+			select {
+			case <-time.After(d):
+				return nil
+			case <-ctx.Done():
+				return fault.New(fault.Unreachable, "too late")
+			}
+		}
+		f := &Follower{
+			Mirror: &mirror.Mirror{}, Event: func(string, fault.Code) {},
+			Whole: func(ctx context.Context) (mirror.Delta, error) {
+				wholes.Add(1)
+				d := mirror.Delta{Whole: true, At: at.Load(), Records: []mirror.Record{{Key: "k", Rev: at.Load()}}}
+				return d, pause(ctx, slow)
+			},
+			Watch: func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error) {
+				return mirror.Delta{Base: since, At: since}, pause(ctx, wait)
+			},
+			Revision: func(context.Context) (uint64, error) { return at.Load(), nil },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = f.Run(ctx) }()
+		go func() { _ = f.Check(ctx) }()
+		time.Sleep(4 * time.Second)
+		is.Equal(f.Mirror.At(), uint64(1)) // The first read has five seconds.
+		at.Store(2)
+		time.Sleep(within)
+		got := f.Mirror.At()
+		cancel()
+		synctest.Wait()
+		time.Sleep(time.Minute)
+		t.Logf("%d whole reads", wholes.Load())
+		is.Equal(got, uint64(2))
+	})
+}
