--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -280,10 +280,8 @@
 }
 
 func (f *Follower) check(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, watchSlack)
-	defer cancel()
 	asked := time.Now()
-	at, err := f.Revision(ctx)
+	at, err := f.newest(ctx)
 	if err != nil {
 		// The watch may hear nothing either. Others are not kept from watching by it.
 		f.setWatching(false)
@@ -300,6 +298,8 @@
 		f.Proved(asked)
 		return
 	}
+	ctx, cancel := context.WithTimeout(ctx, wholeIn) // Of its own: records are many on a slow link.
+	defer cancel()
 	asked = time.Now()
 	d, err := f.Whole(ctx)
 	telemetry.Log("store_watch_behind", "had", had, "newest", at, "read", d.At, "reason", fault.CodeOf(err))
@@ -307,3 +307,10 @@
 		f.take(d, asked)
 	}
 }
+
+// newest reads the service's newest revision.
+func (f *Follower) newest(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchSlack)
+	defer cancel()
+	return f.Revision(ctx)
+}
