--- a/internal/peers/doubt_test.go
+++ b/internal/peers/doubt_test.go
@@ -37,8 +37,8 @@
 		rs, at := lived.Mirror.Records()
 		is.Equal(at, uint64(3))
 		named := rs["named"]
-		is.True(!named.Heard.After(made))  // It is no lower bound else.
-		is.True(!named.Unseen.After(made)) // Nor is this.
+		is.True(!named.NotBefore.After(made))    // It is no lower bound else.
+		is.True(!named.GapNotBefore.After(made)) // Nor is this.
 		is.True(!named.MadeBy().After(made))
 	})
 }
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -44,7 +44,8 @@
 }
 
 // Sure records that the mirror was the newest at a time, by what was heard. What was heard
-// may have been on its way for a while: this decides when to look again, and no more.
+// may have been on its way for a while: this is a hint of when to look again, and nothing is
+// dated by it.
 func (f *Follower) Sure(at time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -115,7 +116,7 @@
 // dated returns a delta with the times before which nothing in it was made that the mirror
 // lacks: as is proved, and as far as this process doubts.
 func (f *Follower) dated(d mirror.Delta) mirror.Delta {
-	d.Heard, d.Doubted = f.Complete(), time.Now().Add(-f.Doubt)
+	d.NotBefore, d.Doubted = f.Complete(), time.Now().Add(-f.Doubt)
 	return d
 }
 
--- a/internal/peers/heard_test.go
+++ b/internal/peers/heard_test.go
@@ -57,6 +57,6 @@
 		synctest.Wait()
 		time.Sleep(time.Minute) // The watch under way is over.
 		is.Equal(at, uint64(2))
-		is.True(!records["named"].Heard.After(began.Add(change))) // It was made a second into the silence.
+		is.True(!records["named"].NotBefore.After(began.Add(change))) // It was made a second into the silence.
 	})
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -34,8 +34,8 @@
 type Date struct {
 	Key    string
 	Rev    uint64
-	Heard  time.Duration // The change itself,
-	Unseen time.Duration // and any before it that the sender has not seen.
+	Age    time.Duration // Of the change itself,
+	GapAge time.Duration // and of any before it that the sender has not seen.
 }
 
 // Known is a gateway that somebody heard of.
@@ -62,9 +62,9 @@
 
 // History tells of a record how long ago, at the most, changes before it may have been made.
 type History struct {
-	Record  int             // Its place in Delta.
-	Unseen  []time.Duration // Of any change that the sender has not seen: before each of Earlier, and last before the record.
-	Earlier []time.Duration // Of each of the record's Earlier.
+	Record      int             // Its place in Delta.
+	GapAges     []time.Duration // Of any change that the sender has not seen: before each of Earlier, and last before the record.
+	EarlierAges []time.Duration // Of each of the record's Earlier.
 }
 
 // Subscribe asks for what concerns the replicas of a service: an Assignment now,
--- a/internal/peers/records.go
+++ b/internal/peers/records.go
@@ -11,16 +11,16 @@
 	r := &Records{Delta: d, Ages: make([]time.Duration, len(d.Records))}
 	for i := range d.Records {
 		rec := &d.Records[i]
-		r.Ages[i] = now.Sub(rec.Heard)
-		if rec.Unseen.IsZero() && len(rec.Earlier) == 0 {
+		r.Ages[i] = now.Sub(rec.NotBefore)
+		if rec.GapNotBefore.IsZero() && len(rec.Earlier) == 0 {
 			continue
 		}
 		h := History{Record: i}
 		for _, e := range rec.Earlier {
-			h.Earlier = append(h.Earlier, now.Sub(e.Heard))
-			h.Unseen = append(h.Unseen, now.Sub(e.Unseen))
+			h.EarlierAges = append(h.EarlierAges, now.Sub(e.NotBefore))
+			h.GapAges = append(h.GapAges, now.Sub(e.GapNotBefore))
 		}
-		h.Unseen = append(h.Unseen, now.Sub(rec.Unseen))
+		h.GapAges = append(h.GapAges, now.Sub(rec.GapNotBefore))
 		r.Histories = append(r.Histories, h)
 	}
 	return r
@@ -31,7 +31,7 @@
 func (r *Records) heardBy(asked time.Time) {
 	for i := range r.Delta.Records {
 		if i < len(r.Ages) {
-			r.Delta.Records[i].Heard = asked.Add(-r.Ages[i])
+			r.Delta.Records[i].NotBefore = asked.Add(-r.Ages[i])
 		}
 	}
 	for _, h := range r.Histories {
@@ -42,15 +42,15 @@
 }
 
 func (h *History) heardBy(r *mirror.Record, asked time.Time) {
-	if len(h.Earlier) != len(r.Earlier) || len(h.Unseen) != len(r.Earlier)+1 {
+	if len(h.EarlierAges) != len(r.Earlier) || len(h.GapAges) != len(r.Earlier)+1 {
 		r.Earlier = nil // It is no history of this record.
 		return
 	}
 	for i := range r.Earlier {
-		r.Earlier[i].Heard = asked.Add(-h.Earlier[i])
-		r.Earlier[i].Unseen = asked.Add(-h.Unseen[i])
+		r.Earlier[i].NotBefore = asked.Add(-h.EarlierAges[i])
+		r.Earlier[i].GapNotBefore = asked.Add(-h.GapAges[i])
 	}
-	r.Unseen = asked.Add(-h.Unseen[len(r.Earlier)])
+	r.GapNotBefore = asked.Add(-h.GapAges[len(r.Earlier)])
 }
 
 // datedFor is for how long gateways tell one another when a change was made, so that all
@@ -60,13 +60,14 @@
 func dates(rs []mirror.Record, now time.Time) []Date {
 	var out []Date
 	for _, r := range rs {
-		out = append(out, Date{Key: r.Key, Rev: r.Rev, Heard: now.Sub(r.Heard), Unseen: now.Sub(r.Unseen)})
+		out = append(out, Date{Key: r.Key, Rev: r.Rev, Age: now.Sub(r.NotBefore), GapAge: now.Sub(r.GapNotBefore)})
 	}
 	return out
 }
 
-// undated takes the times off records that came unasked: what was long on its way, or lay
-// in the socket while this process stood still, is older than its age says.
+// undated takes the times, and with them the changes before, off records that came unasked:
+// what was long on its way, or lay in the socket while this process stood still, is older
+// than its age says.
 func (r *Records) undated() {
 	for i := range r.Delta.Records {
 		r.Delta.Records[i].Earlier = nil
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -16,7 +16,7 @@
 	defer m.mu.Unlock()
 	var out []Record
 	for key := range m.kept {
-		if r := m.records[key]; !r.Gone && r.Heard.After(since) {
+		if r := m.records[key]; !r.Gone && r.NotBefore.After(since) {
 			r.Earlier = nil
 			out = append(out, r)
 		}
@@ -33,28 +33,28 @@
 	if !ok || old.Rev != rev || !m.kept[key] {
 		return
 	}
-	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, Heard: heard, Unseen: unseen}) {
+	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, NotBefore: heard, GapNotBefore: unseen}) {
 		m.wake()
 	}
 }
 
 // joined returns the newer one of two records of a key with all that either knows of the
-// changes before it; a is what is here. Before each of two times that are proved the change
-// was not made, so the later one holds. What is here keeps its doubt.
+// changes before it; a is what is here. Two times of a change are both lower bounds, so the
+// later one is nearer. What is here keeps its doubt.
 func joined(a, b Record) Record {
 	all := slices.Concat(a.history(), b.history())
 	slices.SortStableFunc(all, func(x, y Record) int { return cmp.Compare(x.Rev, y.Rev) })
 	var out []Record
 	for _, r := range all {
 		if n := len(out); n > 0 && out[n-1].Rev == r.Rev {
-			out[n-1].Heard = laterOf(out[n-1].Heard, r.Heard)
-			out[n-1].Unseen = laterOf(out[n-1].Unseen, r.Unseen)
+			out[n-1].NotBefore = laterOf(out[n-1].NotBefore, r.NotBefore)
+			out[n-1].GapNotBefore = laterOf(out[n-1].GapNotBefore, r.GapNotBefore)
 			continue
 		}
 		out = append(out, r)
 	}
 	for len(out) > maxEarlier+1 {
-		out[1].Unseen = earlierOf(out[0].Unseen, out[0].Heard) // It is one that is not known now.
+		out[1].GapNotBefore = earlierOf(out[0].GapNotBefore, out[0].NotBefore) // It is one that is not known now.
 		out = out[1:]
 	}
 	newest := a
@@ -62,7 +62,7 @@
 		newest = b
 	}
 	last := out[len(out)-1]
-	newest.Heard, newest.Unseen, newest.Doubted, newest.Earlier = last.Heard, last.Unseen, last.Doubted, out[:len(out)-1]
+	newest.NotBefore, newest.GapNotBefore, newest.Doubted, newest.Earlier = last.NotBefore, last.GapNotBefore, last.Doubted, out[:len(out)-1]
 	return newest
 }
 
@@ -73,7 +73,7 @@
 	if r.Rev == 0 {
 		return out
 	}
-	return append(out, Record{Value: r.Value, Rev: r.Rev, Gone: r.Gone, Heard: r.Heard, Unseen: r.Unseen, Doubted: r.Doubted})
+	return append(out, Record{Value: r.Value, Rev: r.Rev, Gone: r.Gone, NotBefore: r.NotBefore, GapNotBefore: r.GapNotBefore, Doubted: r.Doubted})
 }
 
 // doubted returns r with changes before it that this process heard of only now.
@@ -87,15 +87,15 @@
 
 // MadeBy is the time that the change counts as made: not later than it was, where that is
 // known, and not longer ago than this process doubts.
-func (r *Record) MadeBy() time.Time { return laterOf(r.Heard, r.Doubted) }
+func (r *Record) MadeBy() time.Time { return laterOf(r.NotBefore, r.Doubted) }
 
-// UnseenBy is MadeBy of any change before it that is not known.
-func (r *Record) UnseenBy() time.Time { return laterOf(r.Unseen, r.Doubted) }
+// GapMadeBy is MadeBy of any change before it that is not known.
+func (r *Record) GapMadeBy() time.Time { return laterOf(r.GapNotBefore, r.Doubted) }
 
 // SameHistory reports whether two records of a key know the same of its changes.
 func (r *Record) SameHistory(o *Record) bool {
 	same := func(x, y Record) bool {
-		return x.Rev == y.Rev && x.Heard.Equal(y.Heard) && x.Unseen.Equal(y.Unseen)
+		return x.Rev == y.Rev && x.NotBefore.Equal(y.NotBefore) && x.GapNotBefore.Equal(y.GapNotBefore)
 	}
 	return same(*r, *o) && slices.EqualFunc(r.Earlier, o.Earlier, same)
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -11,14 +11,15 @@
 	Value []byte
 	Rev   uint64
 	Gone  bool // Deleted at Rev.
-	// Heard is a time before which the change was not made, as is proved; zero if nothing
-	// is. It is by this process's clock and does not travel.
-	Heard time.Time `msgpack:"-"`
-	// Unseen is the same of any change between this one and the one before it that is
+	// NotBefore is a time before which the change was not made: a lower bound, and further
+	// back is always safe. It is zero if nothing is proved, by this process's clock, and
+	// travels as an age.
+	NotBefore time.Time `msgpack:"-"`
+	// GapNotBefore is the same of any change between this one and the one before it that is
 	// known.
-	Unseen time.Time `msgpack:"-"`
+	GapNotBefore time.Time `msgpack:"-"`
 	// Doubted is a time before which this process takes the change not to have been made,
-	// for want of proof. Others are not told of it.
+	// for want of proof: an allowance and no bound. Others are not told of it.
 	Doubted time.Time `msgpack:"-"`
 	// Earlier are the key's changes before this one, the oldest first, where
 	// Mirror.Keeps holds. They have neither Key nor Earlier.
@@ -31,11 +32,11 @@
 	At      uint64
 	Whole   bool // Records are all that exist; whatever else the reader has is gone.
 	Records []Record
-	// Heard is a time before which nothing that the reader lacked was made, as is proved,
+	// NotBefore is a time before which nothing that the reader lacked was made, as is proved,
 	// and Doubted one before which it takes nothing to have been made. Records that it has
 	// already may be older.
-	Heard   time.Time `msgpack:"-"`
-	Doubted time.Time `msgpack:"-"`
+	NotBefore time.Time `msgpack:"-"`
+	Doubted   time.Time `msgpack:"-"`
 }
 
 // Bytes returns the size of the values of d.
@@ -124,9 +125,9 @@
 	if r.Gone {
 		m.gone++
 	}
-	r.Heard, r.Doubted = laterOf(r.Heard, d.Heard), d.Doubted
+	r.NotBefore, r.Doubted = laterOf(r.NotBefore, d.NotBefore), d.Doubted
 	if keeps {
-		r.Unseen = laterOf(r.Unseen, d.Heard)
+		r.GapNotBefore = laterOf(r.GapNotBefore, d.NotBefore)
 		r = joined(old, r.doubted(d.Doubted))
 		m.kept[r.Key] = true
 	}
