relay: a stopping gateway begins nothing that it may have to cut (fails)

One that was told at 20.29 s is sent a stream at 23.33 s, 3.04 s later, on a new connection: its listener is open for 3.2 s. It hands it on; the replica runs it from 23.49 s on; at 28.02 s, 7.7 s after the stop, the gateway leaves and closes the connection in the middle of the answer.

The test: 3 of its 7 cases fail, a late stream that is long (cut), one that might be (begun), a late plain request without an answer (cut, no answer at all).

--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/platform/platformtest"
 )
 
 // pipeListener accepts what its test dials.
@@ -116,3 +119,79 @@
 	_, err = io.ReadAll(resp.Body)
 	return err
 }
+
+// A gateway that is told to stop begins nothing that it may have to cut. On a deployment
+// where the gateways of a hall were told to stop 0.6 s apart, the balancer went on using
+// them all, and a stream that was sent 3.04 s after the stop was begun. Its replica ran it
+// for 4.3 to 4.6 s, and 7.7 s after the stop the gateway left and cut it. A caller that is turned
+// away goes to another gateway at once, so what it is told must be true: it was not run.
+func TestStoppingGatewayBeginsNothingThatItMayCut(t *testing.T) {
+	const late = 3040 * time.Millisecond
+	cases := []struct {
+		name   string
+		path   string
+		asks   time.Duration // When the request is sent after the stop.
+		waits  time.Duration // For how long its caller waits for it.
+		events int           // Of a stream, 50 ms apart.
+		silent bool          // The replica gives no answer.
+		status int
+		runs   int
+	}{
+		{"a stream, early", "/s/", time.Second, 6 * time.Second, 60, false, http.StatusOK, 1},
+		{"a stream, as late as one that may be cut", "/s/", 2600 * time.Millisecond, 6 * time.Second, 60, false, http.StatusOK, 1},
+		{"a long stream, late", "/s/", late, 6 * time.Second, 100, false, http.StatusServiceUnavailable, 0},
+		{"a stream that might be long, late", "/s/", late, 6 * time.Second, 4, false, http.StatusServiceUnavailable, 0},
+		{"a stream whose caller waits no longer than the gateway stays, late", "/s/", late, 4 * time.Second, 60, false, http.StatusOK, 1},
+		{"a plain request, late", "/safe/", late, 6 * time.Second, 0, false, http.StatusOK, 1},
+		{"a plain request that gets no answer, late", "/unsafe/", late, 6 * time.Second, 0, true, http.StatusGatewayTimeout, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			replicas := plain(1)
+			if tc.events > 0 {
+				replicas = engines(1, tc.events)
+			}
+			replicas[0].Act = func(int, *platformtest.Exchange) bool { return tc.silent }
+			run(t, 1, replicas, func(_ *is.I, w *world) {
+				is := is.NewRelaxed(w.t) // What fails is told, and the rest is played to its end.
+				ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				stop, cancel := context.WithCancel(context.Background())
+				done := make(chan error, 1)
+				go func() { done <- w.gateways[0].ServeCallers(stop, context.Background(), ln) }()
+				cancel()
+				time.Sleep(tc.asks)
+				caller, server := net.Pipe()
+				defer func() { _ = caller.Close() }()
+				ln.conns <- server
+				asked := time.Now()
+				_, err := fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: %d\r\n"+
+					"Authorization: Bearer k\r\nContent-Length: 4\r\n\r\nbody", tc.path, tc.waits.Milliseconds())
+				is.NoErr(err)
+				r := bufio.NewReader(caller)
+				resp, err := http.ReadResponse(r, nil)
+				is.NoErr(err)
+				if err != nil {
+					is.NoErr(<-done)
+					return
+				}
+				body, err := io.ReadAll(resp.Body)
+				is.NoErr(err) // It is whole.
+				is.Equal(resp.StatusCode, tc.status)
+				is.Equal(runs(replicas), tc.runs)
+				is.True(resp.Close) // The caller uses the connection no more.
+				if tc.status == http.StatusOK && tc.events > 0 {
+					is.Equal(string(body), events(1, tc.events))
+				}
+				if tc.status == http.StatusServiceUnavailable {
+					is.True(time.Since(asked) < 50*time.Millisecond)
+					back, err := time.ParseDuration(resp.Header.Get("Retry-After") + "s")
+					is.NoErr(err)
+					is.True(back <= 200*time.Millisecond) // Other gateways are ready.
+				}
+				_, err = r.ReadByte()
+				is.Equal(err, io.EOF)
+				is.NoErr(<-done)
+			})
+		})
+	}
+}
