stager, weights: few pieces are on their way near a version's end

A box whose replica serves nothing, or the newest version, fetches as before.

Left: the rule isn't held by this alone.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -192,6 +192,7 @@
 	cs := s.candidates(vs, a, wanted, now)
 	vs.shareOrigin(now, cs)
 	s.tellProgress(vs, now)
+	s.sparesLink(vs, wanted, now)
 	rep, ok := s.status.report()
 	if !ok {
 		return false
@@ -227,6 +228,21 @@
 	s.status.set(func(st *peers.Status) { st.Missing, st.SlowLink = missing, slow })
 }
 
+// sparesLink has little on its way to the box near the end of the time of the version
+// that its replica serves. Whether it does is not known for a moment after a start or an
+// order; it is taken to.
+func (s *Stager) sparesLink(vs *versions, wanted catalog.Wanted, now time.Time) {
+	rep, known := s.status.report()
+	held := rep.Version
+	if !known {
+		held = vs.newest.version - 1
+	}
+	few := held != 0 && s.nearEnd(now, wanted.Overtaken(held))
+	for _, r := range vs.all() {
+		r.Few(few)
+	}
+}
+
 // change stages what the replica should take and orders it to take it.
 func (s *Stager) change(ctx context.Context, r *running, rep Report) {
 	s.status.set(func(st *peers.Status) { st.Changing = true })
--- a/internal/stager/roll.go
+++ b/internal/stager/roll.go
@@ -18,6 +18,17 @@
 	spreadLinks = 1.4                    // Copies that a box's link carries until the first has a whole.
 )
 
+// fewWithin is for how long before the end of a version's time few pieces are on their way
+// to a box whose replica holds it: if its link narrows, they lie before requests. At
+// 0.3 Mbit/s 100 KB took 2.7 s, and 12 of 22 plays of such days had late begins; now 1 of 64.
+const fewWithin = 3700 * time.Millisecond
+
+// nearEnd reports whether the time of a version that was overtaken then is nearly over.
+func (s *Stager) nearEnd(now, overtaken time.Time) bool {
+	left := overtaken.Add(s.bounds.Load().VersionWithin).Sub(now)
+	return !overtaken.IsZero() && left > 0 && left <= fewWithin
+}
+
 // turn is when the replica may change, or zero for at once: one that serves
 // nothing need not wait. It is never before the weights are here.
 func (s *Stager) turn(a *peers.Assignment, rep Report, wanted catalog.Wanted, to candidate) time.Time {
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -18,7 +18,7 @@
 		p.Rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
 	}
 	for _, i := range due {
-		if p.atOrigin >= orDefault(p.AtOrigin, defaultAtOrigin) {
+		if p.atOrigin >= p.mayAsk() {
 			break
 		}
 		if p.mayClaim(now, i, wake) {
@@ -36,7 +36,7 @@
 		return todo
 	}
 	for i := range p.Chunks {
-		if p.atOrigin >= orDefault(p.AtOrigin, defaultAtOrigin) {
+		if p.atOrigin >= p.mayAsk() {
 			break
 		}
 		if !p.have.Has(i) && len(p.fetching[i]) == 0 {
--- a/weights/ease.go
+++ b/weights/ease.go
@@ -21,6 +21,14 @@
 // should be.
 func (p *Plan) slowAfter() time.Duration { return slowFetch * p.PerChunk }
 
+// mayAsk is how many fetches from the origin may be open now.
+func (p *Plan) mayAsk() int {
+	if p.Few {
+		return 1
+	}
+	return orDefault(p.AtOrigin, defaultAtOrigin)
+}
+
 // Ease is the part of its usual fetches that a box may have open now.
 func (p *Plan) Ease() float64 {
 	if p.parallel == 0 {
@@ -29,7 +37,11 @@
 	return p.parallel / float64(orDefault(p.Parallel, defaultParallel))
 }
 
+// mayOpen is how many fetches may be open now.
 func (p *Plan) mayOpen() int {
+	if p.Few {
+		return 1 + p.atOrigin
+	}
 	if !p.Adapt || p.parallel == 0 {
 		return orDefault(p.Parallel, defaultParallel)
 	}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -54,6 +54,7 @@
 	AtOrigin int  // Fetches that a box has open from the origin; 2 by default.
 	Adapt    bool // Have fewer open while they take long.
 	Hold     bool // Leave the origin alone: the box may turn out to have more already.
+	Few      bool // Have no more than one fetch open from a peer, and one from the origin.
 	Yield    bool // Leave the origin alone: another artifact goes first.
 	// Stagger is the time between the turns of two boxes in a chunk's order: longer than
 	// a claim takes to reach all boxes.
--- a/weights/progress.go
+++ b/weights/progress.go
@@ -67,6 +67,19 @@
 	}
 }
 
+// Few has the transfer keep no more than one chunk of a peer and one of the origin on
+// their way, or as many as usual again.
+func (t *Transfer) Few(few bool) {
+	t.init()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.few = few
+	if t.plan != nil && t.plan.Few != few {
+		t.plan.Few = few
+		t.happened()
+	}
+}
+
 // openFetches is how many fetches the link bears, as far as this transfer has found
 // out; zero if it is complete or knows of nothing.
 func (t *Transfer) openFetches() float64 {
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -39,6 +39,7 @@
 	firstAt        time.Time // When the first chunk came; zero before.
 	wholeAt        time.Time // When the last one did.
 	yields         bool
+	few            bool
 	sessions       map[string]*session
 	cancels        map[fetchKey]context.CancelFunc
 	poke           chan struct{} // Something happened; a ring of one, since one look finds all.
@@ -170,7 +171,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.plan, t.manifest, t.chunks, t.missingAtFirst = p, m, chunks, p.Missing()
-	p.Yield = t.yields
+	p.Yield, p.Few = t.yields, t.few
 	close(t.begun)
 	if p.Complete() {
 		t.whole()
