--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -1,3 +1,8 @@
+// Package direct_test joins real relays and stagers with the stand-ins of the platform, in
+// virtual time: six gateways and nine boxes in three halls, callers that keep replicas'
+// queues filled, an operator who names versions, and faults drawn from a seed. The
+// stand-ins judge the rules: what begins on which version and when, what runs twice, and
+// whether what was refused has run.
 package direct_test
 
 import (
