peers, relay: gateways pass on that weights are on their way to a box

Cause: where agents tell collectors, the other gateways kept the shorter margin before a version's end. Change: Moving is in what is passed on.

--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -143,6 +143,7 @@
 	Queued   int
 	Running  int
 	Pace     float64
+	Moving   bool // Weights are on their way to its box.
 	SlowLink bool
 	Age      time.Duration // Since the agent told, when the message was sent.
 }
--- a/internal/relay/collect.go
+++ b/internal/relay/collect.go
@@ -76,7 +76,7 @@
 		case r.number > number && (r.direct || !direct):
 			out = append(out, peers.Report{
 				Addr: addr, Version: r.Version, Changing: r.Changing, ChangeIn: changeIn(r.ChangeAt, now),
-				Queued: r.Queued, Running: r.Running, Pace: r.Pace, SlowLink: r.SlowLink, Age: now.Sub(r.At),
+				Queued: r.Queued, Running: r.Running, Pace: r.Pace, Moving: r.Moving, SlowLink: r.SlowLink, Age: now.Sub(r.At),
 			})
 		}
 	}
@@ -111,7 +111,7 @@
 		for _, r := range m.Replicas {
 			held := route.AgentReport{
 				Version: r.Version, Changing: r.Changing, ChangeAt: changeAt(r.ChangeIn, now),
-				Queued: r.Queued, Running: r.Running, Pace: r.Pace, SlowLink: r.SlowLink, At: now.Add(-r.Age),
+				Queued: r.Queued, Running: r.Running, Pace: r.Pace, Moving: r.Moving, SlowLink: r.SlowLink, At: now.Add(-r.Age),
 			}
 			g.table.Heard(r.Addr, held)
 			if m.Onward {
