weights: a chunk that is due again has its turns anew (fails)

Cause: a chunk that is due only while boxes let their turns at earlier ones pass keeps the moment at which it was due when it is not any more. Once it is due again, the turns of many boxes are long past.

--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -333,6 +334,32 @@
 	}
 }
 
+// A chunk that was due for a while, since boxes let their turns at those before it pass, and
+// is due again later has its turns anew: it is the first box there is of its order that
+// claims it, not whichever of those whose turns were back then sees it first, or all of them.
+func TestTurnsBeginAnewWithAChunkThatIsDueAgain(t *testing.T) {
+	is := is.New(t)
+	const left = 8
+	m := newMesh(12, 24, allBut(24, left))
+	for _, p := range m.plans {
+		p.Inject = 24 * time.Second // One second a chunk: two of them are due at once.
+	}
+	first := m.plans[m.names[0]].order.first
+	m.silent[first[24-left]] = true   // The next one is passed over, and the chunk
+	m.silent[first[24-left+2]] = true // behind both is due until somebody claims that.
+	m.serves = 2 * time.Second
+	m.run(left * m.serves)
+	chunks, fetches, _ := m.copies()
+	is.Equal(chunks, left)
+	is.Equal(fetches, left)
+	is.Equal(m.asked(), left)
+	for chunk := 24 - left; chunk < 24; chunk++ {
+		order := m.plans[m.names[0]].ranked(chunk)
+		at := slices.IndexFunc(order, func(n string) bool { return !m.silent[n] })
+		is.Equal(m.fetched[chunk], map[string]int{order[at]: 1})
+	}
+}
+
 // Two boxes that claim a chunk at the same moment, as they know of different members,
 // agree on which of them goes on.
 func TestOneOfTwoClaimsYields(t *testing.T) {
