weights: a turn that passed while its chunk was not due begins anew

Cause: TestManifestSpreads fails at times by copies. While boxes let their turns at a chunk pass, the chunks behind it are due too. Once somebody claims it, they are not any more, but each box kept the moment and its turn for them. When such a chunk was due again, the turns of many boxes were long past, and all claimed it within 2 ms: in the failing run that was traced, six fetched chunk 13, whose first box still waited for its manifest; five of them yielded after the chunk had begun to cross the origin's link. Change: a box whose turn passed while the chunk was not due draws it anew; one that has yet to come stays. No test or bound changed. Left: chunks whose claim a box that began late has not heard of, and those missed after they left the origin.

--- a/weights/due.go
+++ b/weights/due.go
@@ -48,8 +48,11 @@
 	var out []int
 	places := p.atOnce()
 	passed := places // Chunks that hold up no other.
+	before := p.dueTo
+	p.dueTo = p.Chunks
 	for i := range p.Chunks {
 		if places == 0 {
+			p.dueTo = i
 			break
 		}
 		if p.have.Has(i) || p.hasLeft(now, i) {
@@ -72,7 +75,8 @@
 			places++ // Nobody has a turn, and tries are for different chunks.
 			continue
 		}
-		if p.dueAt[i].IsZero() {
+		// A turn that passed while the chunk was not due, as others were, begins anew.
+		if p.dueAt[i].IsZero() || i >= before && !p.turn[i].After(now) {
 			p.dueAt[i] = laterOf(now, p.origin.backAt)
 			p.turn[i] = p.dueAt[i].Add(p.wait(now, i))
 		}
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -72,6 +72,7 @@
 	order     order            // Who looks after each chunk.
 	ranks     map[int][]string // The whole order of some chunks, worked out as it is needed.
 	dueAt     []time.Time      // Since when a chunk is due at the origin and not claimed; zero if it is not.
+	dueTo     int              // Chunks from this one on were not due at the last look.
 	turn      []time.Time      // Of a chunk that is due, when this box may claim it.
 	claims    []claim
 	leftUntil []time.Time          // A chunk that has left the origin is looked for at other boxes until then.
