--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/mirror"
 )
@@ -66,7 +67,7 @@
 func (f *Follower) Proved(before time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.complete = laterOf(f.complete, before)
+	f.complete = times.Later(f.complete, before)
 }
 
 // Complete is the time before which nothing was made that the mirror lacks.
@@ -76,13 +77,6 @@
 	return f.complete
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Watching reports whether the platform is being watched, as far as this process
 // can tell: nothing has failed since.
 func (f *Follower) Watching() bool {
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -273,7 +273,7 @@
 	for ctx.Err() == nil {
 		_, changed := g.Mirror.Watch()
 		began := time.Now()
-		t := time.NewTimer(due.Sub(began))
+		t := time.NewTimer(max(time.Millisecond, due.Sub(began)))
 		news := false
 		select {
 		case <-changed:
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/route"
 )
 
@@ -184,24 +185,17 @@
 func (a *attempt) patience(now time.Time, wait time.Duration) time.Time {
 	t := a.rq.deadline
 	if a.rq.repeatable() {
-		t = sooner(t, now.Add(wait))
+		t = times.Earlier(t, now.Add(wait))
 	}
 	if a.first || !a.to.Engine {
 		return t
 	}
 	if bound := a.relay.bound(a.rq, a.to.Version); !bound.IsZero() {
-		t = sooner(t, bound)
+		t = times.Earlier(t, bound)
 	}
 	return t
 }
 
-func sooner(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
-
 // broken is the result of a connection that failed under a request.
 func (a *attempt) broken(ctx context.Context, err error) dispatch.Result {
 	switch {
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -9,6 +9,7 @@
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/rendezvous"
 )
@@ -68,7 +69,7 @@
 		named := now.Add(-s.Age)
 		for _, k := range knew.Steps {
 			if k.Version == s.Version {
-				named = laterOf(named, k.Named)
+				named = times.Later(named, k.Named)
 			}
 		}
 		w = w.With(catalog.Step{Version: s.Version, Named: named})
--- a/internal/stager/roll.go
+++ b/internal/stager/roll.go
@@ -6,6 +6,7 @@
 
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/weights"
 )
@@ -39,18 +40,11 @@
 	lead := time.Duration(spreadLinks * float64(a.Bytes) / s.linkRate() * float64(time.Second))
 	begin := to.wholeAt
 	if begin.IsZero() {
-		begin = laterOf(wanted.Overtaken(to.version-1).Add(lead), to.wholeBy)
+		begin = times.Later(wanted.Overtaken(to.version-1).Add(lead), to.wholeBy)
 	}
 	return turnOf(wanted, rep.Version, begin, s.bounds.Load().VersionWithin-rollMargin, place)
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // placeOf is a replica's place among all that change, from 0 to under 1: those of
 // a hall one after the other, and the halls by turns. It is pure.
 func placeOf(a *peers.Assignment, self weights.Member) float64 {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Record is one value and the revision of its last change.
@@ -125,9 +127,9 @@
 	if r.Gone {
 		m.gone++
 	}
-	r.NotBefore, r.Doubted = laterOf(r.NotBefore, d.NotBefore), d.Doubted
+	r.NotBefore, r.Doubted = times.Later(r.NotBefore, d.NotBefore), d.Doubted
 	if keeps {
-		r.GapNotBefore = laterOf(r.GapNotBefore, d.NotBefore)
+		r.GapNotBefore = times.Later(r.GapNotBefore, d.NotBefore)
 		r = joined(old, r.doubted(d.Doubted))
 		m.kept[r.Key] = true
 	}
--- a/weights/choose.go
+++ b/weights/choose.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // duties fetches from the origin what is due there and this box's to claim.
@@ -113,7 +115,7 @@
 		if !s.has.Has(chunk) || s.open >= perPeer || !far && !s.near {
 			continue
 		}
-		if until := laterOf(s.notBefore, s.busy); until.After(now) {
+		if until := times.Later(s.notBefore, s.busy); until.After(now) {
 			earlier(wake, until)
 			continue
 		}
@@ -152,13 +154,6 @@
 	return true
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // spareFetch spends what the origin may send beyond one copy, once the first
 // copy has left it and no peer has room.
 func (p *Plan) spareFetch(now time.Time) (Action, bool) {
--- a/weights/due.go
+++ b/weights/due.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/rendezvous"
 )
 
@@ -77,7 +78,7 @@
 		}
 		// A turn that passed while the chunk was not due, as others were, begins anew.
 		if p.dueAt[i].IsZero() || i >= before && !p.turn[i].After(now) {
-			p.dueAt[i] = laterOf(now, p.origin.backAt)
+			p.dueAt[i] = times.Later(now, p.origin.backAt)
 			p.turn[i] = p.dueAt[i].Add(p.wait(now, i))
 		}
 		if overdue := p.dueAt[i].Add(p.stagger()); overdue.After(now) {
@@ -185,7 +186,7 @@
 	}
 	turn := p.turn[chunk]
 	if p.alone() || p.quiet(now) {
-		turn = laterOf(turn, p.dueAt[chunk].Add(p.wait(now, chunk)))
+		turn = times.Later(turn, p.dueAt[chunk].Add(p.wait(now, chunk)))
 	}
 	if turn.After(now) {
 		earlier(wake, turn)
--- a/weights/plan.go
+++ b/weights/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/rendezvous"
 )
 
@@ -304,7 +305,7 @@
 
 func (p *Plan) leaveOut(s *peerState, until time.Time) {
 	s.notBefore = until
-	p.leftOut = laterOf(p.leftOut, until)
+	p.leftOut = times.Later(p.leftOut, until)
 }
 
 func (p *Plan) endFetch(chunk int, from string) {
