--- a/mirror/history.go
+++ b/mirror/history.go
@@ -26,16 +26,15 @@
 	return out
 }
 
-// Date takes what another process knows of when a record was made that is here as well:
-// not before heard, and nothing unseen before it before unseen.
-func (m *Mirror) Date(key string, rev uint64, heard, unseen time.Time) {
+// Date takes what another process knows of when a record was made that is here as well.
+func (m *Mirror) Date(key string, rev uint64, notBefore, gapNotBefore time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.records[key]
 	if !ok || old.Rev != rev || !m.kept[key] {
 		return
 	}
-	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, NotBefore: heard, GapNotBefore: unseen}) {
+	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, NotBefore: notBefore, GapNotBefore: gapNotBefore}) {
 		m.wake()
 	}
 }
