relay, route: lines tell what answers say of their replicas, and how all stood at a choice

Cause: no line tells whether a gateway does not read that a replica leaves or wants rest, or loses it again. Which replicas are candidates is asked in one place, route.standing; who is chosen is as it was, and nothing is decided by what is read.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -221,6 +221,7 @@
 		if err != nil {
 			return nil, a.broken(ctx, err)
 		}
+		a.hear(resp)
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -16,4 +16,5 @@
 	Version       string // Of the weights that answered.
 	ExpectVersion string // The version that alone may run the request.
 	Fault         string // The replica that is the cause of a refusal.
+	Leaving       string // Says that the replica which answers leaves.
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -88,6 +88,7 @@
 // choose takes a place at a replica for the next send, or says why there is none.
 func (g *Relay) choose(now time.Time, rq *request, exclude map[string]bool, arrivals int) (route.Choice, dispatch.Result, bool) {
 	choice, err := g.table.Pick(now, rq.ask(g, exclude))
+	rq.seen = choice.Seen
 	if err != nil {
 		rq.holding = fmt.Sprint(g.table.Holding(now, rq.service))
 		res := notRun(fault.CodeOf(err))
@@ -112,7 +113,7 @@
 // chosen notes what is known of the replica that a send goes to.
 func (rq *request) chosen(g *Relay, now time.Time, c route.Choice) {
 	rq.predicted, rq.wait, rq.reportAge = c.Predicted, c.Wait, c.ReportAge
-	rq.held, rq.boundIn = c.Version, 0
+	rq.held, rq.boundIn, rq.listedAt = c.Version, 0, c.Revision
 	if bound := g.bound(rq, c.Version); c.Engine && !bound.IsZero() {
 		rq.boundIn = bound.Sub(now)
 	}
@@ -158,5 +159,5 @@
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.trail, ","),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
-		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.seen, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -42,6 +42,8 @@
 	holding      string             // What replicas were known to hold, where none could be chosen.
 	held         uint64             // The version that the replica which was last chosen was believed to hold,
 	boundIn      time.Duration      // and how long requests could yet begin on it when it was chosen; zero if for ever.
+	listedAt     uint64             // The revision of its entry,
+	seen         route.Seen         // and how all replicas stood then.
 	struck       int                // The highest round of sends after which the replica may have ended, in this try.
 	known        quarantine.Verdict // Of the request, when it was last asked for.
 	trail        []string           // What became of each send, for the log.
--- a/route/direct.go
+++ b/route/direct.go
@@ -137,6 +137,7 @@
 	Wait      time.Duration // Part of it before the request itself is worked on.
 	ReportAge time.Duration // How old the agent's report of the replica is; negative without one.
 	Ticket    *Ticket
+	Seen      Seen // Set also where none was chosen.
 }
 
 // Pick chooses the replica that is predicted to answer first, and counts the
@@ -144,9 +145,9 @@
 func (t *Table) Pick(now time.Time, a Ask) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	cs := t.candidates(now, a)
+	cs, seen := t.candidates(now, a)
 	if len(cs) == 0 {
-		return Choice{}, fault.New(fault.NoUpstream, a.Service)
+		return Choice{Seen: seen}, fault.New(fault.NoUpstream, a.Service)
 	}
 	e := t.engines[a.Service]
 	var best *Replica
@@ -174,7 +175,7 @@
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work},
 		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
-		Wait: wait, ReportAge: best.reportAge(now),
+		Wait: wait, ReportAge: best.reportAge(now), Seen: seen,
 	}, nil
 }
 
@@ -217,33 +218,28 @@
 	return backShare + (1-backShare)*float64(max(0, back))/float64(backOver)
 }
 
-// candidates returns whom a request may go to. Ejected and full replicas are
-// used only where there is nobody else.
-func (t *Table) candidates(now time.Time, a Ask) []*Replica {
+// candidates returns whom a request may go to, and how all stood. Ejected and full
+// replicas are used only where there is nobody else.
+func (t *Table) candidates(now time.Time, a Ask) ([]*Replica, Seen) {
 	var good, poor []*Replica
+	var seen Seen
 	for _, r := range t.services[a.Service] {
-		if !r.LeftAt.IsZero() || !t.lasts(now, r) || a.Exclude[r.ID] || !r.fits(now, t.engines[a.Service], a) {
-			continue
-		}
-		if r.ejected.After(now) || r.full.After(now) || r.Engine && r.heard(now) && r.Report.Changing {
+		s := t.standing(now, r, a)
+		seen[s]++
+		switch s {
+		case usable:
+			good = append(good, r)
+		case ejected, full:
 			poor = append(poor, r)
-			continue
 		}
-		good = append(good, r)
 	}
 	if told := reportedLately(now, good); len(told) >= sampledHere {
-		return told
+		return told, seen
 	}
 	if len(good) > 0 {
-		return good
-	}
-	var rest []*Replica
-	for _, r := range poor {
-		if !(r.Engine && r.heard(now) && r.Report.Changing) {
-			rest = append(rest, r)
-		}
+		return good, seen
 	}
-	return rest
+	return poor, seen
 }
 
 // reportedLately returns those of which their agents have told of late: what looks idle
