relay, route: the cases of a replica's word, each tested; a true Retry-After where replicas rest

Change: rest is looked at before what a request has tried; it is the cause of a refusal only where nobody may take requests sooner. A birth that is not told is any, also of a life that is remembered. Tests: answers, failures, refusals, cut and surplus answers and heads of streams; later sends; values of both headers; all of a service; no rush; chosen before and connected after; a life's end.

--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -7,6 +7,15 @@
 	Born int64 // When it began, in Unix milliseconds by the replica's clock; 0 where that is not told.
 }
 
+// Same reports whether l and o may be one life: one whose birth is not told may be any of its
+// ID.
+func (l Life) Same(o Life) bool {
+	return l.ID == o.ID && (l.Born == o.Born || l.Born == 0 || o.Born == 0)
+}
+
+// Before reports whether l is a life of the same replica that ended before o began.
+func (l Life) Before(o Life) bool { return l.ID == o.ID && !l.Same(o) && l.Born < o.Born }
+
 // Upstream is one replica of a service as the platform lists it.
 type Upstream struct {
 	Life
--- a/internal/relay/said_test.go
+++ b/internal/relay/said_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -29,7 +33,7 @@
 }
 
 // unheard lists what came to replicas against what they had said.
-func unheard(rs []*platformtest.Replica) (out []string) {
+func unheard(rs []*platformtest.Replica) (out []platformtest.Unheard) {
 	for _, r := range rs {
 		out = append(out, r.Unheard()...)
 	}
@@ -73,3 +77,364 @@
 	check.Equal(unheard(rs), nil)
 	check.Equal(got, map[int]int{200: 150})
 }
+
+// retryAfter is when a refused caller is told to come back, in seconds.
+func (r *reply) retryAfter(t *testing.T) float64 {
+	t.Helper()
+	s, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
+	if err != nil {
+		t.Errorf("Retry-After: %v", err)
+	}
+	return s
+}
+
+// refusedAtOnce asks once more and reports whether the request was refused without a wait,
+// and without one more having come to the replicas.
+func (w *world) refusedAtOnce(target string) bool {
+	asked, began := 0, time.Now()
+	for _, r := range w.replicas {
+		asked -= r.Asked()
+	}
+	got := w.ask(0, "POST", target, nil)
+	for _, r := range w.replicas {
+		asked += r.Asked()
+	}
+	return got.status == http.StatusServiceUnavailable && got.header.Get("Retry-After") != "" && time.Since(began) == 0 && asked == 0
+}
+
+// Any answer that says that its replica leaves counts, from its head on.
+func TestEachKindOfAnswerSaysThatItsReplicaLeaves(t *testing.T) {
+	const streamHead = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+	cases := []struct {
+		name, target string
+		act          func(x *platformtest.Exchange) bool
+	}{
+		{"a whole answer", "/safe/", func(*platformtest.Exchange) bool { return false }},
+		{"its own failure", "/safe/", func(x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%sContent-Length: 4\r\n\r\nfail", x.Head(500, ""))
+			return true
+		}},
+		{"a refusal", "/unsafe/", func(x *platformtest.Exchange) bool {
+			x.TurnAway("")
+			return true
+		}},
+		{"an answer that is cut", "/unsafe/", func(x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%sContent-Length: 40\r\n\r\nfail", x.Head(200, ""))
+			_ = x.Conn.Close()
+			return true
+		}},
+		{"the head of a stream that has not begun", "/s/", func(x *platformtest.Exchange) bool {
+			x.Run()
+			x.Printf("%s", x.Head(200, streamHead))
+			time.Sleep(500 * time.Millisecond)
+			x.Event(1)
+			x.Printf("0\r\n\r\n")
+			return true
+		}},
+		{"an early answer", "/safe/", func(x *platformtest.Exchange) bool {
+			x.Printf("HTTP/1.1 103 Early Hints\r\nServer-Leaving: 1\r\n\r\n")
+			x.Replica.SayLeaving("")
+			return false
+		}},
+		{"a surplus answer", "/safe/", func(x *platformtest.Exchange) bool {
+			x.Printf("HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n")
+			x.Replica.SayLeaving("")
+			return false
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			r := plain(1)[0]
+			if tc.target == "/s/" {
+				r = engines(1, 1)[0]
+			}
+			r.Act = func(_ int, x *platformtest.Exchange) bool { return tc.act(x) }
+			refused := false
+			run(t, 1, []*platformtest.Replica{r}, func(_ *is.I, w *world) {
+				r.Leave()
+				go w.ask(0, "POST", tc.target, nil)
+				time.Sleep(200 * time.Millisecond)
+				refused = w.refusedAtOnce(tc.target)
+				time.Sleep(time.Second)
+			})
+			is.New(t).True(refused)
+		})
+	}
+}
+
+// The replica that a stream goes on at says that it leaves, and so does one that a request is
+// sent to after another one.
+func TestLaterSendsAreHeardToo(t *testing.T) {
+	for _, target := range []string{"/s/", "/safe/"} {
+		t.Run(target, func(t *testing.T) {
+			rs := plain(2)
+			if target == "/s/" {
+				rs = engines(2, 6)
+			}
+			var first atomic.Pointer[platformtest.Replica]
+			for _, r := range rs {
+				r.Act = func(_ int, x *platformtest.Exchange) bool {
+					if !first.CompareAndSwap(nil, x.Replica) {
+						return false
+					}
+					x.Run()
+					if target == "/s/" {
+						x.Printf("%s", x.Head(200, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+						x.Event(1)
+						time.Sleep(10 * time.Millisecond)
+					}
+					for _, other := range rs {
+						if other != x.Replica {
+							other.Leave()
+						}
+					}
+					_ = x.Conn.Close()
+					return true
+				}
+			}
+			status, then := 0, []int(nil)
+			run(t, 1, rs, func(_ *is.I, w *world) {
+				status = w.ask(0, "POST", target, nil).status
+				asked := rs[0].Asked() + rs[1].Asked() - first.Load().Asked()
+				for range 5 {
+					w.ask(0, "POST", target, nil)
+				}
+				then = append(then, asked, rs[0].Asked()+rs[1].Asked()-first.Load().Asked())
+			})
+			check := is.New(t)
+			check.Equal(status, http.StatusOK)
+			check.Equal(then, []int{1, 1})
+		})
+	}
+}
+
+// Only the value that the pages name says that a replica leaves. What cannot be read takes no
+// replica out of use.
+func TestValuesOfLeaving(t *testing.T) {
+	for value, believed := range map[string]bool{
+		"1": true, " 1 ": true, "": false, "0": false, "yes": false, "1.5": false, "-1": false, "99999999999999999999": false,
+		strings.Repeat("1", 4000): false,
+	} {
+		t.Run(fmt.Sprintf("%.8q", value), func(t *testing.T) {
+			rs, refused := plain(1), false
+			run(t, 1, rs, func(_ *is.I, w *world) {
+				rs[0].SayLeaving(value)
+				w.ask(0, "GET", "/safe/", nil)
+				refused = w.refusedAtOnce("/safe/")
+			})
+			is.New(t).Equal(refused, believed)
+		})
+	}
+}
+
+// For how long a replica that turned a request away is left alone, by what it asked for.
+func TestValuesOfRest(t *testing.T) {
+	const forever = 1e6
+	for value, want := range map[string]float64{
+		"3": 3, "0.3": 0.3, "2.5": 2.5, "120": 120, "1e1": 10, "99999999999": forever, "1e999": forever,
+		"": 0, "0": 0, "soon": 0, "-3": 0, "NaN": 0, "Inf": 0, "Fri, 31 Dec 1999 23:59:59 GMT": 0,
+	} {
+		t.Run(value, func(t *testing.T) {
+			rs := plain(1)
+			rs[0].Act = func(n int, x *platformtest.Exchange) bool {
+				if n == 0 {
+					x.TurnAway(value)
+				}
+				return n == 0
+			}
+			check := is.New(t)
+			run(t, 1, rs, func(_ *is.I, w *world) {
+				first := w.ask(0, "GET", "/safe/", nil)
+				if want == 0 {
+					time.Sleep(200 * time.Millisecond)
+					if w.refusedAtOnce("/safe/") {
+						t.Error("it asked for nothing, and is left alone")
+					}
+					return
+				}
+				if got := first.retryAfter(t); got < want || got > want+2 && want < forever {
+					t.Errorf("the caller is told to come back in %v s, of %v", got, want)
+				}
+				time.Sleep(time.Duration(min(want, 1000)*float64(time.Second)) - 10*time.Millisecond)
+				if !w.refusedAtOnce("/safe/") {
+					t.Error("it was not left alone for as long as it asked for")
+				}
+				if want >= forever {
+					return
+				}
+				time.Sleep(20 * time.Millisecond)
+				if got := w.ask(0, "GET", "/safe/", nil).status; got != http.StatusOK {
+					t.Errorf("%d after the rest", got)
+				}
+			})
+			check.Equal(len(rs[0].Unheard()), 0)
+		})
+	}
+}
+
+// While all replicas of a service rest, callers are refused at once, and told truly when the
+// first of them takes requests again: those that come then are served.
+func TestAllOfAServiceRest(t *testing.T) {
+	rs, first, second := plain(2), reply{}, reply{}
+	rests := []string{"3", "5"}
+	for i, r := range rs {
+		r.Act = func(n int, x *platformtest.Exchange) bool {
+			if n == 0 {
+				x.TurnAway(rests[i])
+			}
+			return n == 0
+		}
+	}
+	refused, back := false, 0.0
+	run(t, 1, rs, func(_ *is.I, w *world) {
+		first = w.ask(0, "GET", "/safe/", nil) // Both turn it away.
+		back = first.retryAfter(t)
+		time.Sleep(time.Second)
+		refused = w.refusedAtOnce("/safe/")
+		time.Sleep(time.Duration((back - 1) * float64(time.Second)))
+		second = w.ask(0, "GET", "/safe/", nil)
+	})
+	check := is.New(t)
+	check.Equal(first.status, http.StatusServiceUnavailable)
+	check.True(back >= 3 && back <= 4.5)
+	check.True(refused)
+	check.Equal(second.status, http.StatusOK)
+	check.Equal(second.body, "answer of p0")
+	check.Equal(unheard(rs), nil)
+}
+
+// Many callers come at the moment when a rest ends: one is sent, and the replica has no more
+// at once than it works on until it has answered.
+func TestNoRushWhenARestEnds(t *testing.T) {
+	const callers = 50
+	rs := plain(1)
+	var mu sync.Mutex
+	var came []time.Time
+	rs[0].Act = func(n int, x *platformtest.Exchange) bool {
+		if n == 0 {
+			x.TurnAway("2")
+			return true
+		}
+		mu.Lock()
+		came = append(came, time.Now())
+		mu.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		return false
+	}
+	statuses := map[int]int{}
+	run(t, 1, rs, func(_ *is.I, w *world) {
+		w.ask(0, "GET", "/safe/", nil)
+		time.Sleep(2 * time.Second)
+		replies := make(chan reply)
+		for range callers {
+			go func() { replies <- w.ask(0, "GET", "/safe/", nil) }()
+		}
+		for range callers {
+			got := <-replies
+			statuses[got.status]++
+			if got.status == http.StatusServiceUnavailable && got.retryAfter(t) > 1 {
+				t.Errorf("told to come back in %v s", got.retryAfter(t))
+			}
+		}
+		time.Sleep(time.Second)
+		statuses[w.ask(0, "GET", "/safe/", nil).status]++
+	})
+	check := is.New(t)
+	check.Equal(statuses, map[int]int{http.StatusOK: 2, http.StatusServiceUnavailable: callers - 1})
+	check.Equal(len(came), 2)
+}
+
+// A request is chosen a replica and its connection takes seconds. Meanwhile an answer to
+// another one says that the replica leaves, or wants rest: the first goes elsewhere.
+func TestChosenRequestIsNotSentAgainstTheReplicasWord(t *testing.T) {
+	for name, say := range map[string]func(r *platformtest.Replica){
+		"leaves": func(r *platformtest.Replica) { r.Leave() },
+		"rests":  func(r *platformtest.Replica) { r.Shed("6") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			rs := plain(2)
+			var slow atomic.Bool
+			var late reply
+			asked := 0
+			run(t, 1, rs, func(_ *is.I, w *world) {
+				w.store.Delete("servers/p1")
+				time.Sleep(time.Second)
+				w.dials = func(to string) {
+					if to == rs[0].Addr && slow.CompareAndSwap(true, false) {
+						time.Sleep(3 * time.Second)
+					}
+				}
+				slow.Store(true)
+				done := make(chan struct{})
+				go func() {
+					late = w.ask(0, "POST", "/unsafe/", map[string]string{"X-Attempt-Id": "late"})
+					close(done)
+				}()
+				time.Sleep(100 * time.Millisecond)
+				say(rs[0])
+				w.ask(0, "POST", "/unsafe/", nil)
+				asked = rs[0].Asked()
+				w.store.Put("servers/p1", rs[1].Record("ready"))
+				<-done
+			})
+			check := is.New(t)
+			check.Equal(late.status, http.StatusOK)
+			check.Equal(late.body, "answer of p1")
+			check.Equal(rs[0].Asked(), asked)
+		})
+	}
+}
+
+// What a replica said ends with its life, not with an entry of the list, and not with its
+// address.
+func TestWordEndsWithTheReplicasLife(t *testing.T) {
+	cases := []struct {
+		name  string
+		list  func(w *world, r *platformtest.Replica)
+		again bool // It is used again.
+	}{
+		{"listed as ready once more", func(w *world, r *platformtest.Replica) { w.store.Put("servers/p0", r.Record("ready")) }, false},
+		{"its entry lapses and is back", func(w *world, r *platformtest.Replica) {
+			w.store.Delete("servers/p0")
+			time.Sleep(20 * time.Second)
+			w.store.Put("servers/p0", r.Record("ready"))
+		}, false},
+		{"another replica has its address", func(w *world, r *platformtest.Replica) {
+			w.store.Delete("servers/p0")
+			r.ID = "p9"
+			w.store.Put("servers/p9", r.Record("ready"))
+		}, true},
+		{"it started again under its id", func(w *world, r *platformtest.Replica) {
+			rec := r.Record("ready")
+			rec["born"] = 1_700_000_000_001
+			w.store.Put("servers/p0", rec)
+		}, true},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			rs := plain(1)
+			said := func(say func()) (used bool) {
+				run(t, 1, rs, func(_ *is.I, w *world) {
+					rec := rs[0].Record("ready")
+					rec["born"] = 1_700_000_000_000
+					w.store.Put("servers/p0", rec)
+					time.Sleep(time.Second)
+					say()
+					w.ask(0, "GET", "/safe/", nil)
+					rs[0].SayLeaving("")
+					rs[0].Shed("")
+					tc.list(w, rs[0])
+					time.Sleep(time.Second)
+					used = w.ask(0, "GET", "/safe/", nil).status == http.StatusOK
+				})
+				rs = plain(1)
+				return used
+			}
+			check := is.New(t)
+			check.Equal(said(rs[0].Leave), tc.again)
+			check.Equal(said(func() { rs[0].Shed("600") }), tc.again)
+		})
+	}
+}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -42,8 +42,9 @@
 	replicas []*platformtest.Replica
 	gateways []*relay.Relay
 	stops    []context.CancelFunc
-	mu       sync.Mutex // Guards replicas where some start while the test plays.
-	halls    int        // Gateways stand in so many halls in turn; one by default.
+	mu       sync.Mutex      // Guards replicas where some start while the test plays.
+	halls    int             // Gateways stand in so many halls in turn; one by default.
+	dials    func(to string) // If set, called before a gateway connects.
 }
 
 // run plays a test in virtual time, with a configuration of one stream, one safe
@@ -104,7 +105,12 @@
 	}, relay.Options{
 		Dialect: platform.Dialect, Catalog: t.Catalog, Keeps: platform.Keeps,
 		Follow: &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision},
-		Dial:   func(ctx context.Context, to string) (net.Conn, error) { return w.net.Dial(ctx, addr, to) },
+		Dial: func(ctx context.Context, to string) (net.Conn, error) {
+			if w.dials != nil {
+				w.dials(to)
+			}
+			return w.net.Dial(ctx, addr, to)
+		},
 	})
 	if err != nil {
 		w.t.Fatal(err)
--- a/internal/times/seconds.go
+++ b/internal/times/seconds.go
@@ -8,11 +8,11 @@
 	"time"
 )
 
-// MostSeconds is the longest time that Seconds returns.
-const MostSeconds = 10 * 365 * 24 * time.Hour
+// Longest is the longest time that Seconds returns.
+const Longest = 10 * 365 * 24 * time.Hour
 
 // Seconds parses a time in seconds, fractions included, as headers tell it. One that is too
-// long to be told apart from forever is MostSeconds. It reports false for what is no number,
+// long to be told apart from forever is Longest. It reports false for what is no number,
 // and for one below zero.
 func Seconds(s string) (time.Duration, bool) {
 	s = strings.TrimSpace(s)
@@ -23,8 +23,8 @@
 	if err != nil && !errors.Is(err, strconv.ErrRange) {
 		return 0, false
 	}
-	if v >= MostSeconds.Seconds() {
-		return MostSeconds, true
+	if v >= Longest.Seconds() {
+		return Longest, true
 	}
 	return time.Duration(math.Ceil(v * float64(time.Second))), true
 }
--- a/route/listed.go
+++ b/route/listed.go
@@ -22,7 +22,7 @@
 	}
 	for id, u := range ups {
 		r := t.lived(now, old[id], u.Life)
-		if !r.older(u.Life) {
+		if !u.Before(r.Life) {
 			r.list(now, u)
 		}
 		t.keep(r)
@@ -93,7 +93,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.replicas[l.ID]
-	return r != nil && r.is(l) && r.leftAt.IsZero() && t.lasts(now, r)
+	return r != nil && r.Same(l) && r.leftAt.IsZero() && t.lasts(now, r)
 }
 
 // Heard takes an agent's report of the replica at an address, unless a newer one is
--- a/route/said.go
+++ b/route/said.go
@@ -33,25 +33,22 @@
 	trialFor = 500 * time.Millisecond
 )
 
-// is reports whether l is the replica's life. One that does not tell its birth is any.
-func (r *Replica) is(l fleet.Life) bool {
-	return r.ID == l.ID && (r.Born == l.Born || r.Born == 0 || l.Born == 0)
-}
-
-// older reports whether l is a life of the replica before the one that is known.
-func (r *Replica) older(l fleet.Life) bool { return !r.is(l) && l.Born < r.Born }
-
 // lived returns what is known of a life that the list tells of: r if that is of the same
 // one or a later one, and else a new one, with what it is remembered to have said.
 func (t *Table) lived(now time.Time, r *Replica, l fleet.Life) *Replica {
-	if r != nil && (r.is(l) || r.older(l)) {
+	if r != nil && (r.Same(l) || l.Before(r.Life)) {
 		return r
 	}
-	r = &Replica{slow: 1, said: t.past[l].said}
+	r = &Replica{slow: 1}
+	for o, p := range t.past {
+		if o.Same(l) {
+			r.said = p.said
+			delete(t.past, o)
+		}
+	}
 	if r.restUntil.After(now) {
 		r.rests(r.restUntil)
 	}
-	delete(t.past, l)
 	return r
 }
 
@@ -96,7 +93,7 @@
 			s.leftAt = now
 		}
 	}
-	if r := t.replicas[l.ID]; r != nil && r.is(l) {
+	if r := t.replicas[l.ID]; r != nil && r.Same(l) {
 		mark(&r.said)
 	} else {
 		t.noteOf(now, l, mark)
@@ -109,7 +106,7 @@
 func (t *Table) Rests(l fleet.Life, now, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.replicas[l.ID]; r != nil && r.is(l) {
+	if r := t.replicas[l.ID]; r != nil && r.Same(l) {
 		r.rests(until)
 		return
 	}
--- a/route/standing.go
+++ b/route/standing.go
@@ -17,17 +17,17 @@
 	ejected // It failed of late.
 	full    // It refused for want of room a moment ago.
 	// These are not used at all.
-	resting  // It has asked for rest.
-	onTrial  // It has rested, and the first request since is under way.
-	changing // It is about to take another version.
 	leaving
 	gone     // The list lacks it.
-	excluded // By who asks.
 	unfit    // It does not hold what is asked for, or could not begin in time.
+	resting  // It has asked for rest.
+	onTrial  // It has rested, and the first request since is under way.
+	excluded // By who asks.
+	changing // It is about to take another version.
 	standings
 )
 
-var standingNames = [standings]string{"usable", "ejected", "full", "resting", "on_trial", "changing", "leaving", "gone", "excluded", "unfit"}
+var standingNames = [standings]string{"usable", "ejected", "full", "leaving", "gone", "unfit", "resting", "on_trial", "excluded", "changing"}
 
 // Seen is how the replicas of a service stood when one was to be chosen.
 type Seen struct {
@@ -43,12 +43,13 @@
 	}
 }
 
-// cause is why none could be chosen.
+// cause is why none could be chosen. It is rest only if no replica may take requests before
+// one that rests.
 func (s *Seen) cause() fault.Code {
-	if !s.BackAt.IsZero() {
-		return fault.UpstreamResting
+	if s.BackAt.IsZero() || s.Count[excluded] > 0 || s.Count[changing] > 0 {
+		return fault.NoUpstream
 	}
-	return fault.NoUpstream
+	return fault.UpstreamResting
 }
 
 // String lists the counts that are not zero, as "name=count" words.
@@ -69,16 +70,16 @@
 		return leaving
 	case !t.lasts(now, r):
 		return gone
-	case a.Exclude[r.ID]:
-		return excluded
 	case !r.fits(now, t.engines[a.Service], a):
 		return unfit
-	case r.Engine && r.heard(now) && r.Report.Changing:
-		return changing
 	case r.restUntil.After(now):
 		return resting
 	case r.untried && now.Sub(r.triedAt) < trialFor:
 		return onTrial
+	case a.Exclude[r.ID]:
+		return excluded
+	case r.Engine && r.heard(now) && r.Report.Changing:
+		return changing
 	case r.ejected.After(now):
 		return ejected
 	case r.full.After(now):
