--- a/fault/fault.go
+++ b/fault/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/rotisserie/eris"
 )
@@ -78,6 +79,8 @@
 	Code   Code
 	Detail string // For people; never parsed.
 	Err    error  // The cause, or nil.
+	// RetryAt is until when who failed asked to be left alone; zero if it did not.
+	RetryAt time.Time
 }
 
 // Error implements the error interface.
@@ -119,5 +122,14 @@
 	return Internal
 }
 
+// RetryAt returns until when who failed asked to be left alone, or zero.
+func RetryAt(err error) time.Time {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.RetryAt
+	}
+	return time.Time{}
+}
+
 // Is reports whether err is a failure of type c.
 func Is(err error, c Code) bool { return CodeOf(err) == c }
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -47,6 +47,9 @@
 // silent reports whether what is written is lost.
 func (c *conn) silent() bool { return c.shared.lost[c.way].Load() }
 
+// Silent reports whether what is written is lost, of which who writes notices nothing.
+func (c *conn) Silent() bool { return c.silent() }
+
 // RemoteAddr implements net.Conn: it is the name of the other end.
 func (c *conn) RemoteAddr() net.Addr { return addr(c.to.Name) }
 
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -73,6 +73,7 @@
 	readBack  atomic.Pointer[readBack] // Nil until a whole version was read back.
 	// quarantined are the requests that the last gateway told of; nil before.
 	quarantined atomic.Pointer[quarantine.Table]
+	rest        rest
 }
 
 // New returns a stager with its parts joined.
@@ -82,6 +83,7 @@
 		return nil, err
 	}
 	st := &Stager{Settings: s, Metrics: m, options: o, began: time.Now(), whole: make(chan struct{}, 1)}
+	st.options.Replica = st.rest.respect(o.Replica)
 	st.bounds.Store(&s.StagerBounds)
 	st.life, st.end = context.WithCancel(context.Background())
 	local := wire.Hello{
