mirror: what another has missed of a record's past is not what is missed here

Cause: gateways tell one another how old the newest change of a naming is, and how old any before it that they have not seen. That was taken for any that is not known here: a gateway that was cut off over two namings, and knew that they were 3.6 s old at the most, took the first for 1.8 s younger, from one that had seen it, and let requests begin on the version before until 8.5 s after the first naming, of 8 s. Change: the age of a change is taken from another, the age of what came before it is not.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -252,7 +252,7 @@
 		g.Follow.Proved(asked.Add(-a.Complete))
 	}
 	for _, d := range a.Dates {
-		g.Mirror.Date(d.Key, d.Rev, asked.Add(-d.Age), asked.Add(-d.GapAge))
+		g.Mirror.Date(d.Key, d.Rev, asked.Add(-d.Age))
 	}
 }
 
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -40,7 +40,7 @@
 	Key    string
 	Rev    uint64
 	Age    time.Duration // Of the change itself,
-	GapAge time.Duration // and of any before it that the sender has not seen.
+	GapAge time.Duration // and of any before it that the sender has not seen: read by builds that took it for any that they had not seen.
 }
 
 // Known is a gateway that somebody heard of.
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -26,15 +26,19 @@
 	return out
 }
 
-// Date takes what another process knows of when a record was made that is here as well.
-func (m *Mirror) Date(key string, rev uint64, notBefore, gapNotBefore time.Time) {
+// Date takes what another process knows of when a record was made that is here as well. What
+// the other knows of changes before it is not taken: it is of those that the other has not
+// seen, and here others may be missing. Where it was taken, a gateway that had been cut off
+// over two namings took the first to be 1.8 s younger than it was, and requests began on the
+// version before 8.5 s after it, of 8 s.
+func (m *Mirror) Date(key string, rev uint64, notBefore time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.records[key]
 	if !ok || old.Rev != rev || !m.kept[key] {
 		return
 	}
-	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, NotBefore: notBefore, GapNotBefore: gapNotBefore}) {
+	if m.learn(old, Record{Key: key, Rev: rev, Value: old.Value, NotBefore: notBefore}) {
 		m.wake()
 	}
 }
