catalog: a naming is no younger than those after it

Cause: a process that hears of a naming late, with one after it, has no proof of when it was made and allows for its doubt, 5.5 s; what overtook it was known to be 11.8 s old. Its steps were not in the order of time, and the older version had time left: a request began on it 14 s after the naming that ended it, of 8 s. Ruled out: the mend of what another missed, which was in place: the time came with the record's own history, and not with its date. Change: a step takes those before it to its own time, where that is earlier. Measured: the test was red (30 s for 24) and is green.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -12,6 +12,7 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Step is one naming of a version.
@@ -35,6 +36,12 @@
 // 0.7 s apart.
 func (w Wanted) With(s Step) Wanted {
 	steps := append(slices.Clone(w.Steps), s)
+	for i := range steps {
+		// Those before it were named before it. One that is heard of late, without a proof of
+		// its time, else looks younger than what overtook it: a gateway took one for 5.5 s old
+		// and the next for 11.8, and let requests begin on the version before 14 s after it.
+		steps[i].Named = times.Earlier(steps[i].Named, s.Named)
+	}
 	if len(steps) > KeptSteps {
 		steps[1].Named = steps[0].Named
 		steps = steps[1:]
--- a/catalog/steps_test.go
+++ b/catalog/steps_test.go
@@ -27,3 +27,18 @@
 		is.Equal(w.Overtaken(w.Version), time.Time{})
 	}
 }
+
+// A gateway that was cut off over two namings learns of the first with the third one after it,
+// and has no proof of when it was made. It was made before those that it knows.
+func TestNamingIsNoYoungerThanThoseAfterIt(t *testing.T) {
+	is := is.New(t)
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	var w Wanted
+	for _, s := range []Step{{1, at(0)}, {2, at(30)}, {3, at(24)}, {4, at(31)}} {
+		w = w.With(s)
+	}
+	is.Equal(w.Overtaken(0), at(0))
+	is.Equal(w.Overtaken(1), at(24))
+	is.Equal(w.Overtaken(2), at(24))
+	is.Equal(w.Overtaken(3), at(31))
+}
