gateway: a request to a key's dead home is told so where its connection broke too

Cause: a gateway that had not yet noticed the end of a key's home sent the request on the old connection, asked on a new one what became of it, and was refused there. It answered by how the old connection ended, connection_lost, and not by what the new one told. Ruled out: that the key runs again; the answer stays 'may have run', since the request was sent. Change: a home that cannot be reached is the reason, whichever of the two connections shows it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -198,6 +198,9 @@
 	ask, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	c, err := a.gateway.pool.Fresh(ask, a.addr)
+	if fault.Is(err, fault.Unreachable) {
+		return nil, a.result(dispatch.Unknown, fault.Unreachable) // It says more than how the connection ended.
+	}
 	if err != nil {
 		return nil, unknown
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -161,9 +161,14 @@
 	}
 	a := &attempt{gateway: g, d: &d, addr: b.Addr, sink: out}
 	res := a.run(ctx)
-	if res.Outcome == dispatch.NotRun && res.Reason == fault.Unreachable {
-		// What a dead home ran is not known here, so nobody else may run it.
-		res.Reason, res.RetryAt = fault.HomeUnreachable, g.comeBack(rq)
+	if res.Reason != fault.Unreachable {
+		return res
+	}
+	// What a dead home ran is not known here, so nobody else may run it. The request itself may
+	// have been sent to it, where its end was noticed only then.
+	res.Reason = fault.HomeUnreachable
+	if res.Outcome == dispatch.NotRun {
+		res.RetryAt = g.comeBack(rq)
 	}
 	return res
 }
