--- a/internal/relay/said_test.go
+++ b/internal/relay/said_test.go
@@ -387,6 +387,49 @@
 	}
 }
 
+// Connections that are kept to a replica are closed when it says that it leaves, and stay
+// while it rests; none of them is used meanwhile.
+func TestKeptConnectionsOfAReplicaThatSaidSo(t *testing.T) {
+	for name, tc := range map[string]struct {
+		say   func(r *platformtest.Replica)
+		conns int
+	}{
+		"leaves": {func(r *platformtest.Replica) { r.Leave() }, 0},
+		"rests":  {func(r *platformtest.Replica) { r.Shed("600") }, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			rs, conns, asked := plain(1), []int(nil), 0
+			rs[0].Act = func(int, *platformtest.Exchange) bool {
+				time.Sleep(50 * time.Millisecond) // So that two requests are two connections.
+				return false
+			}
+			both := func(w *world) {
+				done := make(chan reply)
+				for range 2 {
+					go func() { done <- w.ask(0, "GET", "/safe/", nil) }()
+				}
+				for range 2 {
+					<-done
+				}
+			}
+			run(t, 1, rs, func(_ *is.I, w *world) {
+				both(w)
+				conns = append(conns, rs[0].Conns())
+				tc.say(rs[0])
+				both(w)
+				asked = rs[0].Asked()
+				time.Sleep(time.Second)
+				both(w)
+				conns = append(conns, rs[0].Conns())
+				asked = rs[0].Asked() - asked
+			})
+			check := is.New(t)
+			check.Equal(conns, []int{2, tc.conns})
+			check.Equal(asked, 0)
+		})
+	}
+}
+
 // What a replica said ends with its life, not with an entry of the list, and not with its
 // address.
 func TestWordEndsWithTheReplicasLife(t *testing.T) {
