--- a/internal/direct/judge_test.go
+++ b/internal/direct/judge_test.go
@@ -65,23 +65,25 @@
 	defer j.mu.Unlock()
 	s := &span{from: time.Now()}
 	*list = append(*list, s)
-	return func() {
-		j.mu.Lock()
-		defer j.mu.Unlock()
-		s.until = time.Now()
-	}
+	return func() { j.ends(s) }
 }
 
-// disturbMachine is disturb for the machine of a gateway.
-func (j *judge) disturbMachine(gateway string) (over func()) {
+func (j *judge) ends(s *span) {
 	j.mu.Lock()
-	list := j.machines[gateway]
-	j.mu.Unlock()
-	over = j.disturb(&list)
+	defer j.mu.Unlock()
+	s.until = time.Now()
+}
+
+// disturbMachine is disturb for the machine of a gateway.
+func (j *judge) disturbMachine(gateway string) (over func()) { return j.disturbOf(j.machines, gateway) }
+
+// disturbOf is disturb for one of those that spans are of.
+func (j *judge) disturbOf(spans map[string][]*span, name string) (over func()) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.machines[gateway] = list
-	return over
+	s := &span{from: time.Now()}
+	spans[name] = append(spans[name], s)
+	return func() { j.ends(s) }
 }
 
 func (j *judge) breaks(format string, args ...any) {
--- a/internal/direct/words_test.go
+++ b/internal/direct/words_test.go
@@ -107,16 +107,7 @@
 }
 
 // goesAway notes that a process is ended or cut off; what it returns ends that.
-func (j *judge) goesAway(process string) (over func()) {
-	j.mu.Lock()
-	list := j.away[process]
-	j.mu.Unlock()
-	over = j.disturb(&list)
-	j.mu.Lock()
-	defer j.mu.Unlock()
-	j.away[process] = list
-	return over
-}
+func (j *judge) goesAway(process string) (over func()) { return j.disturbOf(j.away, process) }
 
 // Replicas leave and shed among faults of all kinds: what they say in their answers is heard,
 // by gateways and by the agents that ask them.
