--- a/internal/relay/rest_test.go
+++ b/internal/relay/rest_test.go
@@ -12,6 +12,10 @@
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
+// A replica that turned all away and asked each gateway for 3 s of rest got ten requests of
+// one gateway in that time. Four of 20 did so for 9 s, and got 497 requests, three times as
+// many as those that worked: a refusal left one alone for 0.1 s, whatever it had asked for,
+// and one that runs nothing looks idle, so that it is predicted to answer first. Callers were
 // served late, or refused once the bound on repeats was spent.
 func TestReplicaThatAsksForRestGetsIt(t *testing.T) {
 	rs, got := engines(4, 3), map[int]int{}
@@ -79,6 +83,7 @@
 	}
 }
 
+// While all replicas of a service rest, callers are refused at once, and told truly when the
 // first of them takes requests again: those that come then are served.
 func TestAllOfAServiceRest(t *testing.T) {
 	rs, first, second := plain(2), reply{}, reply{}
@@ -109,6 +114,7 @@
 	check.Equal(unheard(rs), nil)
 }
 
+// Many callers come at the moment when a rest ends: one is sent, and the replica has no more
 // at once than it works on until it has answered.
 func TestNoRushWhenARestEnds(t *testing.T) {
 	const callers = 50
--- a/internal/relay/said_test.go
+++ b/internal/relay/said_test.go
@@ -60,10 +60,6 @@
 	check.Equal(got, map[int]int{200: 150}) // The others have room for all.
 }
 
-// A replica that turned all away and asked each gateway for 3 s of rest got ten requests of
-// one gateway in that time. Four of 20 did so for 9 s, and got 497 requests, three times as
-// many as those that worked: a refusal left one alone for 0.1 s, whatever it had asked for,
-// and one that runs nothing looks idle, so that it is predicted to answer first. Callers were
 // refusedAtOnce asks once more and reports whether the request was refused without a wait,
 // and without one more having come to the replicas.
 func (w *world) refusedAtOnce(target string) bool {
@@ -205,8 +201,6 @@
 	}
 }
 
-// While all replicas of a service rest, callers are refused at once, and told truly when the
-// Many callers come at the moment when a rest ends: one is sent, and the replica has no more
 // A request is chosen a replica and its connection takes seconds. Meanwhile an answer to
 // another one says that the replica leaves, or wants rest: the first goes elsewhere.
 func TestChosenRequestIsNotSentAgainstTheReplicasWord(t *testing.T) {
