relay, route: lines tell which limit a replica's answers name, and what was sent to it

Nothing read the limit that replicas name, so no line told which gateway knew of it when, or how much it had sent. An answer that names another limit than was believed now writes a line, with how many gateways are live and known; a request's line has the limit of the replica that it was last sent to and what was sent there in the last 4 s. What is believed stands with what else a replica says of itself and belongs to its life; nothing acts on it yet.

Numbers of headers are read in one place, internal/decimal.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -160,7 +160,9 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(rq.body)
-	_ = a.conn.SetDeadline(a.patience(time.Now(), a.firstWait()))
+	now := time.Now()
+	_ = a.conn.SetDeadline(a.patience(now, a.firstWait()))
+	rq.limit, rq.sent = a.to.Limit, a.relay.table.Sent(now, a.to.Ticket)
 	return a.conn.Write(b.Bytes())
 }
 
--- a/internal/relay/dialect.go
+++ b/internal/relay/dialect.go
@@ -17,4 +17,5 @@
 	ExpectVersion string // The version that alone may run the request.
 	Fault         string // The replica that is the cause of a refusal.
 	Leaving       string // Says that the replica which answers leaves.
+	Limit         string // Requests a second that the replica which answers takes from all gateways together.
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -173,5 +173,5 @@
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.trail, ","),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
-		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.seen, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.seen, "limit", rq.limit, "sent_4s", rq.sent, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -44,6 +44,8 @@
 	boundIn      time.Duration      // and how long requests could yet begin on it when it was chosen; zero if for ever.
 	listedAt     uint64             // The revision of its entry,
 	seen         route.Seen         // and how all replicas stood then.
+	limit        route.Limit        // That the replica was believed to have to which it was last sent,
+	sent         int                // and how many this gateway had sent there of late, this one among them.
 	struck       int                // The highest round of sends after which the replica may have ended, in this try.
 	known        quarantine.Verdict // Of the request, when it was last asked for.
 	trail        []string           // What became of each send, for the log.
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -6,21 +6,24 @@
 	"time"
 
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/decimal"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/internal/times"
+	"github.com/poststand/poststand/route"
 )
 
 // retryAfter is the header that says for how many seconds who answers wants nothing more.
 const retryAfter = "Retry-After"
 
-// hear takes note of what an answer says of its replica: that it leaves, and for how long it
-// wants rest. It counts at once, for an answer of any kind, from its head on. The list may tell
+// hear takes note of what an answer says of its replica: that it leaves, for how long it wants
+// rest, and how much it takes. It counts at once, for an answer of any kind, from its head on. The list may tell
 // of it much later, or never, while the platform is away: requests reached a replica up to 3.1 s
 // after an answer had said that it leaves, and ten reached one within 3 s of rest.
 func (a *attempt) hear(resp *http.Response) {
 	who := a.speaker(resp)
 	a.hearLeaving(resp, who)
 	a.hearRest(resp, who)
+	a.hearLimit(resp, who)
 }
 
 // speaker returns the replica that an answer is of. Where another one has the address now, that
@@ -73,6 +76,40 @@
 	}
 }
 
+// hearLimit takes note of how many requests the replica takes from all gateways together. An
+// answer without the word ends that, if it is surely of this replica.
+func (a *attempt) hearLimit(resp *http.Response, who fleet.Life) {
+	l := route.Limit{Asked: a.began, Heard: time.Now()}
+	if id := resp.Header.Get(a.relay.dialect.RequestID); id != "" && id != a.rq.id {
+		l.Asked = time.Time{} // It answers a request of any time before.
+	}
+	values := resp.Header.Values(a.relay.dialect.Limit)
+	l.PerSecond, l.Named = a.leastOf(resp, who, values)
+	if !l.Named && (len(values) > 0 || resp.Header.Get(a.relay.dialect.Signature) == "") {
+		return
+	}
+	before, after := a.relay.table.Limits(who, l.Heard, l)
+	if before.String() != after.String() {
+		a.relay.Metrics.Event("upstream_limit", "")
+		a.log("upstream_limit", resp, who, "limit", after, "before", before, "gateways", len(a.relay.gossip.Live()), "known", a.relay.gossip.Known())
+	}
+}
+
+// leastOf returns the lowest of the limits that an answer names, and whether there is one
+// that can be read.
+func (a *attempt) leastOf(resp *http.Response, who fleet.Life, values []string) (least float64, named bool) {
+	for _, v := range strings.Split(strings.Join(values, ","), ",") {
+		n, ok := decimal.Parse(v)
+		switch {
+		case ok && (!named || n < least):
+			least, named = n, true
+		case !ok && len(values) > 0:
+			a.unreadable(resp, who, a.relay.dialect.Limit, v)
+		}
+	}
+	return least, named
+}
+
 // unreadable counts a header that tells nothing: the answer is taken as one without it.
 func (a *attempt) unreadable(resp *http.Response, who fleet.Life, header, value string) {
 	const most = 40
--- a/internal/times/seconds.go
+++ b/internal/times/seconds.go
@@ -1,11 +1,10 @@
 package times
 
 import (
-	"errors"
 	"math"
-	"strconv"
-	"strings"
 	"time"
+
+	"github.com/poststand/poststand/internal/decimal"
 )
 
 // Longest is the longest time that Seconds returns.
@@ -15,12 +14,8 @@
 // long to be told apart from forever is Longest. It reports false for what is no number,
 // and for one below zero.
 func Seconds(s string) (time.Duration, bool) {
-	s = strings.TrimSpace(s)
-	if s == "" || strings.Trim(s, "0123456789.eE+") != "" { // Signs, names of numbers and other bases.
-		return 0, false
-	}
-	v, err := strconv.ParseFloat(s, 64)
-	if err != nil && !errors.Is(err, strconv.ErrRange) {
+	v, ok := decimal.Parse(s)
+	if !ok {
 		return 0, false
 	}
 	if v >= Longest.Seconds() {
--- a/route/direct.go
+++ b/route/direct.go
@@ -68,6 +68,7 @@
 	quick    time.Duration
 	untried  bool      // It has asked for rest, and answered nothing that was sent after it.
 	triedAt  time.Time // When a request was last sent there while untried.
+	sent     sends     // What this gateway sent there of late.
 }
 
 // Table is a gateway's table of replicas. The zero value is empty. Methods are
@@ -139,7 +140,8 @@
 	Wait      time.Duration // Part of it before the request itself is worked on.
 	ReportAge time.Duration // How old the agent's report of the replica is; negative without one.
 	Ticket    *Ticket
-	Seen      Seen // Set also where none was chosen.
+	Limit     Limit // That it is believed to have.
+	Seen      Seen  // Set also where none was chosen.
 }
 
 // Pick chooses the replica that is predicted to answer first, and counts the
@@ -180,7 +182,7 @@
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work, at: now},
 		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
-		Wait: wait, ReportAge: best.reportAge(now), Seen: seen,
+		Wait: wait, ReportAge: best.reportAge(now), Limit: best.limit, Seen: seen,
 	}, nil
 }
 
--- a/route/said.go
+++ b/route/said.go
@@ -13,6 +13,7 @@
 type said struct {
 	leftAt    time.Time // When it was first heard that it leaves, from the list or from itself; zero before.
 	restUntil time.Time // Until when it wants nothing from this gateway, by its own word.
+	limit     Limit
 }
 
 // past is what is known of a life of a replica that the list lacks. An entry that lapses
@@ -54,7 +55,7 @@
 
 // remember keeps what a replica said of itself when the list lacks it.
 func (t *Table) remember(now time.Time, r *Replica) {
-	if r.leftAt.IsZero() && !r.restUntil.After(now) {
+	if r.leftAt.IsZero() && !r.restUntil.After(now) && !r.limit.Named {
 		return
 	}
 	t.noteOf(now, r.Life, func(s *said) { *s = r.said })
@@ -101,6 +102,36 @@
 	return news
 }
 
+// Limits records what a replica said of how much it takes, and returns what was believed
+// before and what is from now on.
+func (t *Table) Limits(l fleet.Life, now time.Time, o Limit) (before, after Limit) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	mark := func(s *said) {
+		before = s.limit
+		s.limit = before.then(o)
+		after = s.limit
+	}
+	r := t.replicas[l.ID]
+	switch {
+	case r != nil && r.Same(l):
+		mark(&r.said)
+	case o.Named:
+		t.noteOf(now, l, mark)
+	}
+	return before, after
+}
+
+// Sent records that a request was sent to a replica, and returns how many were in the last
+// sentFor, this one among them.
+func (t *Table) Sent(now time.Time, k *Ticket) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := k.replica
+	r.sent.add(now)
+	return len(r.sent)
+}
+
 // Rests records that a replica wants nothing from this gateway until a time. What it asked
 // for before holds on.
 func (t *Table) Rests(l fleet.Life, now, until time.Time) {
