route, limit, relay: cases of a limit's life, its places and its keeper

A limit that is named higher than 1e6 counts as that; a keeper that did not answer is left alone by all requests for 0.3 s, else each would wait 0.08 s for it again; what was heard is told once more after 2 s, since a keeper believes of what may have been long on its way only the lower limit.

--- a/internal/relay/place.go
+++ b/internal/relay/place.go
@@ -20,7 +20,7 @@
 // first of those that live in an order that all share, and the others ask it for a place for
 // each request. Without its word nothing is sent there.
 const (
-	placeIn     = 150 * time.Millisecond // An answer that takes longer is given up, and its place is lost.
+	placeIn     = 80 * time.Millisecond  // An answer that takes longer is given up, and its place is lost.
 	placeFor    = time.Second            // A request that has a place is sent within this, or not there.
 	placeAgain  = 300 * time.Millisecond // A keeper that does not answer is left alone for this.
 	placeOther  = 50 * time.Millisecond  // The same where another gateway is the keeper by now.
@@ -71,11 +71,19 @@
 	now := time.Now()
 	ask := &peers.AskPlace{Word: wordOf(to.Life, to.Limit, now), Rank: rq.rank}
 	k := g.keeperOf(to.ID)
+	if again := g.silentUntil(now, k.addr); !again.IsZero() {
+		g.table.NoPlace(to.Ticket, 0, again)
+		return false
+	}
 	p, err := g.askPlace(ctx, k, ask)
 	switch {
+	case err != nil && ctx.Err() != nil:
+		return false // Its caller has gone.
 	case err != nil:
+		again := time.Now().Add(placeAgain)
+		g.silence(k.addr, again)
+		g.table.NoPlace(to.Ticket, 0, again)
 		g.Metrics.Event("place_not_asked", string(fault.CodeOf(err)))
-		g.table.NoPlace(to.Ticket, 0, now.Add(placeAgain))
 		telemetry.Log("place_not_asked", "id", to.ID, "keeper", k.addr, "reason", fault.CodeOf(err), "limit", to.Limit, "gateways", k.live, "known", k.known)
 		return false
 	case p.NotKeeper:
@@ -93,6 +101,24 @@
 	return true
 }
 
+// silentUntil is until when a keeper is left alone that did not answer; zero if it is not.
+func (g *Relay) silentUntil(now time.Time, keeper string) time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if until := g.silent[keeper]; until.After(now) {
+		return until
+	}
+	return time.Time{}
+}
+
+// silence leaves a keeper alone until a time, for all replicas that it is the keeper of: each
+// request would else wait for it again.
+func (g *Relay) silence(keeper string, until time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.silent[keeper] = until
+}
+
 // askPlace asks a limit's keeper, which may be this gateway.
 func (g *Relay) askPlace(ctx context.Context, k keeper, ask *peers.AskPlace) (*peers.Place, error) {
 	if k.addr == g.Settings.Listen {
@@ -117,7 +143,7 @@
 	if k.addr != g.Settings.Listen || !g.knowsOthers() {
 		return &peers.Place{NotKeeper: true, Word: m.Word}
 	}
-	g.hearLimitWord(&m.Word, now, from)
+	g.hearLimitWord(&m.Word, now, placeIn, from)
 	l := g.table.Limit(m.Word.Life())
 	p := &peers.Place{Word: wordOf(m.Word.Life(), l, now)}
 	if !l.Named {
@@ -158,10 +184,15 @@
 	return e.places.Take(now, perSecond, rank)
 }
 
-// sweepKept forgets limits of which nobody has asked for long.
+// sweepKept forgets limits of which nobody has asked for long, and which keepers were silent.
 func (g *Relay) sweepKept(now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	for addr, until := range g.silent {
+		if !until.After(now) {
+			delete(g.silent, addr)
+		}
+	}
 	for id, e := range g.kept {
 		if now.Sub(e.asked) > keptUnasked {
 			delete(g.kept, id)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -109,7 +109,9 @@
 			if asked < placesAsked && ctx.Err() == nil {
 				continue
 			}
-			return choice, notRun(fault.UpstreamLimited), false
+			res := notRun(fault.UpstreamLimited)
+			res.RetryAt = afterRest(now, now)
+			return choice, res, false
 		}
 		if arrivals > 0 && !g.window(rq.service).Spend(now, g.slack()) {
 			g.table.Done(now, choice.Ticket, route.End{})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -72,6 +72,7 @@
 	mu      sync.Mutex
 	windows map[string]*limit.Window // By service; bounded by the configuration.
 	kept    map[string]*keptLimit    // By the ID of the replica.
+	silent  map[string]time.Time     // Keepers that did not answer, until when they are left alone.
 }
 
 // roleGateway is what a gateway calls itself towards other processes.
@@ -84,7 +85,7 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: startWait.Draw(), windows: map[string]*limit.Window{}, kept: map[string]*keptLimit{},
+		Settings: s, Metrics: m, options: o, began: time.Now(), learnIn: startWait.Draw(), windows: map[string]*limit.Window{}, kept: map[string]*keptLimit{}, silent: map[string]time.Time{},
 		table: route.Table{Hall: s.Hall, Lapse: lapse(&s.RelayBounds)}, conns: conns{Dial: o.Dial},
 		endings: endings{Dial: o.Dial},
 	}
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -76,6 +76,9 @@
 	}
 }
 
+// mostLimit is what a limit that is named higher counts as, in requests a second.
+const mostLimit = 1e6
+
 // hearLimit takes note of how many requests the replica takes from all gateways together. An
 // answer without the word ends that, if it is surely of this replica.
 func (a *attempt) hearLimit(resp *http.Response, who fleet.Life) {
@@ -89,11 +92,11 @@
 		return
 	}
 	before, after := a.relay.table.Limits(who, l.Heard, l)
-	if before.String() != after.String() {
+	if !before.Same(after) {
 		k := a.relay.keeperOf(who.ID)
 		a.relay.Metrics.Event("upstream_limit", "")
 		a.log("upstream_limit", resp, who, "limit", after, "before", before, "keeper", k.addr, "gateways", k.live, "known", k.known)
-		a.relay.limitNews.add(who)
+		a.relay.limitNews.addTwice(who)
 	}
 }
 
@@ -104,7 +107,7 @@
 		n, ok := decimal.Parse(v)
 		switch {
 		case ok && (!named || n < least):
-			least, named = n, true
+			least, named = min(n, mostLimit), true
 		case !ok && len(values) > 0:
 			a.unreadable(resp, who, a.relay.dialect.Limit, v)
 		}
--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -17,6 +17,10 @@
 const (
 	tellLimits     = 200 * time.Millisecond // Between two messages to each of a few gateways, longer with many.
 	tellLimitsEach = 12                     // The time grows with their number beyond so many.
+	toldWithin     = time.Second            // So long a message may have been on its way.
+	// tellAgain is after which time what was heard is told once more: of what may have been
+	// said before what they know, others believe only the lower limit.
+	tellAgain = 2 * toldWithin
 )
 
 // wordOf is what is believed of a replica's limit, as it is told.
@@ -28,9 +32,9 @@
 }
 
 // hearLimitWord takes what another gateway tells unasked: the message may have been on its way
-// for a while.
-func (g *Relay) hearLimitWord(w *peers.LimitWord, now time.Time, from string) {
-	g.learnLimit(w, now.Add(-placeIn-w.AskedAge), from)
+// for so long.
+func (g *Relay) hearLimitWord(w *peers.LimitWord, now time.Time, onWay time.Duration, from string) {
+	g.learnLimit(w, now.Add(-onWay-w.AskedAge), from)
 }
 
 // learnLimit takes what another gateway tells of a replica's limit, by an answer that was made
@@ -39,7 +43,7 @@
 	now := time.Now()
 	o := route.Limit{Named: w.Named, PerSecond: w.PerSecond, Asked: asked, Heard: now.Add(-w.HeardAge)}
 	before, after := g.table.Limits(w.Life(), now, o)
-	if before.String() == after.String() {
+	if before.Same(after) {
 		return
 	}
 	g.Metrics.Event("upstream_limit_learnt", "")
@@ -67,6 +71,12 @@
 	}
 }
 
+// addTwice adds what is to be told now, and once more in a while.
+func (n *limitNews) addTwice(l fleet.Life) {
+	n.add(l)
+	time.AfterFunc(tellAgain, func() { n.add(l) })
+}
+
 func (n *limitNews) init() {
 	if n.some == nil {
 		n.lives, n.some = map[fleet.Life]bool{}, make(chan struct{})
@@ -127,7 +137,7 @@
 	now := time.Now()
 	for i := range m.Words {
 		if w := &m.Words[i]; w.Valid() {
-			g.hearLimitWord(w, now, s.Conn().Remote().Box)
+			g.hearLimitWord(w, now, toldWithin, s.Conn().Remote().Box)
 		}
 	}
 }
--- /dev/null
+++ b/limit/places_test.go
@@ -0,0 +1,83 @@
+package limit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+
+// However requests of all ranks come, and however the limit changes among them, no span has
+// more places than the limit gives in it and those that may be free at once.
+func TestPlacesHoldTheLimitInEverySpan(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const span = 4 * time.Second
+		var p Places
+		now := epoch
+		highest := 0.0
+		var given []time.Time
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			perSecond := rapid.SampledFrom([]float64{0, 0.4, 1.3, 1.7, 20}).Draw(t, "limit")
+			highest = max(highest, perSecond)
+			ok, next := p.Take(now, perSecond, rapid.IntRange(-1, Ranks).Draw(t, "rank"))
+			if ok {
+				given = append(given, now)
+			} else if !next.After(now) {
+				t.Fatal("none is free, and one is at once")
+			}
+		}
+		most := span.Seconds()*max(leastRate, highest) + max(leastFree, freeSeconds*highest)
+		for i, from := range given {
+			n := 0
+			for i+n < len(given) && given[i+n].Sub(from) < span {
+				n++
+			}
+			if float64(n) > most {
+				t.Fatalf("%d places within %v, of %.1f", n, span, most)
+			}
+		}
+	})
+}
+
+// Who is told when a place is free for it has one then, if nobody took it.
+func TestPlaceIsFreeWhenItIsSaidToBe(t *testing.T) {
+	for _, perSecond := range []float64{0, 0.3, 1.3, 20, 1e6} {
+		is := is.New(t)
+		var p Places
+		ok, next := p.Take(epoch, perSecond, 3)
+		is.True(!ok) // What was sent before is not known.
+		ok, _ = p.Take(next.Add(-time.Microsecond), perSecond, 3)
+		is.True(!ok)
+		ok, _ = p.Take(next.Add(time.Microsecond), perSecond, 3)
+		is.True(ok)
+	}
+}
+
+// While a more urgent request has found no place of late, the last free place is left to it.
+func TestMostUrgentRequestsHaveThePlaces(t *testing.T) {
+	const perSecond = 2.0
+	is := is.New(t)
+	var p Places
+	got := map[int]int{}
+	for i := range 600 { // Ten of each rank a second.
+		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		if ok, _ := p.Take(now, perSecond, []int{7, 1}[i%2]); ok {
+			got[[]int{7, 1}[i%2]]++
+		}
+	}
+	is.True(got[1] >= 57) // Of 60 in 30 s.
+	is.True(got[7] <= 2)
+	ok := false
+	for i := range 200 { // Alone, the others have all of them.
+		now := epoch.Add(time.Minute + time.Duration(i)*50*time.Millisecond)
+		ok, _ = p.Take(now, perSecond, 7)
+		if ok {
+			got[7]++
+		}
+	}
+	is.True(got[7] >= 20)
+}
--- a/route/limit.go
+++ b/route/limit.go
@@ -26,8 +26,8 @@
 	return strconv.FormatFloat(l.PerSecond, 'f', -1, 64)
 }
 
-// same reports whether l and o allow the same.
-func (l Limit) same(o Limit) bool { return l.Named == o.Named && l.PerSecond == o.PerSecond }
+// Same reports whether l and o allow the same.
+func (l Limit) Same(o Limit) bool { return l.Named == o.Named && l.PerSecond == o.PerSecond }
 
 // below reports whether l allows less than o.
 func (l Limit) below(o Limit) bool {
