--- a/internal/direct/words_test.go
+++ b/internal/direct/words_test.go
@@ -70,15 +70,21 @@
 }
 
 // passedOn tells a replica that a gateway has passed on an answer of it which says that it
-// leaves.
+// leaves, or names its limit.
 func (w *world) passedOn(g *gateway, h http.Header) {
-	if h.Get("Server-Leaving") != "1" {
+	leaves, limits := h.Get("Server-Leaving") == "1", h.Get("Server-Limit") != ""
+	if !leaves && !limits {
 		return
 	}
 	for _, b := range w.boxes {
 		b.mu.Lock()
 		if e := b.engine; e != nil && h.Get("X-Replica-Signature") == "sig-"+e.ID {
-			e.Said(g.addr)
+			if leaves {
+				e.Said(g.addr)
+			}
+			if limits {
+				e.SaidLimit(g.addr)
+			}
 		}
 		b.mu.Unlock()
 	}
@@ -94,6 +100,9 @@
 			j.breaks("%s: %s", e.ID, u)
 		}
 	}
+	for _, o := range e.OverLimit(j.awayBetween) {
+		j.breaks("LIMIT %s: %s", e.ID, o)
+	}
 }
 
 // awayBetween reports whether a process was ended or cut off at some time between two.
