--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -357,3 +357,105 @@
 	})
 }
 
+
+// Two halls are cut off from each other, and each has a keeper of its own: together they send
+// no more than the limit allows, though nobody tells either of the other.
+func TestHallsThatAreCutOffShareALimit(t *testing.T) {
+	const gateways = 6
+	rs, got, came := engines(4, 3), map[int]int{}, 0
+	run(t, 0, rs, func(_ *is.I, w *world) {
+		w.halls = 2
+		for i := range gateways {
+			w.addGateway(i, w.store)
+		}
+		time.Sleep(3 * time.Second)
+		rs[0].SayLimit("3")
+		w.callers("/s/", 10*time.Millisecond, 4*time.Second)
+		for i := range gateways {
+			for j := range gateways {
+				if w.hallOf(i) != w.hallOf(j) {
+					w.net.Stall(gatewayAddr(i), gatewayAddr(j), true)
+				}
+			}
+		}
+		w.callers("/s/", 10*time.Millisecond, 4*time.Second) // Each hall has noticed.
+		got = w.callers("/s/", 10*time.Millisecond, 16*time.Second)
+		came = rs[0].Came(time.Now().Add(-16*time.Second), time.Now())
+		for i := range gateways {
+			for j := range gateways {
+				w.net.Stall(gatewayAddr(i), gatewayAddr(j), false)
+			}
+		}
+	})
+	check := is.New(t)
+	check.Equal(overLimit(rs), nil)
+	check.Equal(got, map[int]int{200: 1600})
+	check.True(came >= 24 && came <= 16*3+4) // Of 48: both halls use their part.
+}
+
+// A gateway that starts beside others and reaches none of them takes itself for the only one
+// until all that it was told to join were asked; until then it gives itself no place.
+func TestStartedGatewayKeepsNoLimit(t *testing.T) {
+	rs, asked, heard, status := plain(1), 0, 0, 0
+	run(t, 0, rs, func(_ *is.I, w *world) {
+		w.join = []string{gatewayAddr(0), gatewayAddr(1)}
+		w.addGateway(0, w.store)
+		time.Sleep(3 * time.Second)
+		rs[0].SayLimit("30")
+		w.net.Stall(gatewayAddr(0), gatewayAddr(1), true)
+		w.addGateway(1, w.store)
+		time.Sleep(400 * time.Millisecond)
+		heard = w.ask(1, "GET", "/safe/", nil).status // It hears of the limit.
+		asked = rs[0].Asked()
+		for range 3 {
+			time.Sleep(100 * time.Millisecond)
+			status = max(status, w.ask(1, "GET", "/safe/", nil).status)
+		}
+		asked = rs[0].Asked() - asked
+		w.net.Stall(gatewayAddr(0), gatewayAddr(1), false)
+	})
+	check := is.New(t)
+	check.Equal(heard, http.StatusOK)
+	check.Equal(asked, 0)
+	check.Equal(status, http.StatusServiceUnavailable)
+}
+
+// The keeper of several replicas' limits is silent. Requests wait for it seldom, and each for
+// a moment only.
+func TestSilentKeeper(t *testing.T) {
+	const gateways, asks = 3, 40
+	rs, waited := plain(6), 0
+	run(t, gateways, rs, func(_ *is.I, w *world) {
+		for _, r := range rs {
+			r.ID += "k"
+			for keeperOf(r, gateways) != 2 {
+				r.ID += "k"
+			}
+			w.store.Put("servers/"+r.ID, r.Record("ready"))
+			r.SayLimit("50")
+		}
+		for i := range rs {
+			w.store.Delete(fmt.Sprintf("servers/p%d", i))
+		}
+		time.Sleep(3 * time.Second)
+		w.gateways = w.gateways[:1]
+		w.callers("/safe/", 20*time.Millisecond, 2*time.Second)
+		for i := range 2 {
+			w.net.Stall(gatewayAddr(2), gatewayAddr(i), true)
+		}
+		for range asks {
+			began := time.Now()
+			w.ask(0, "GET", "/safe/", nil)
+			if took := time.Since(began); took > 100*time.Millisecond {
+				t.Errorf("a request took %v", took)
+			} else if took >= 50*time.Millisecond {
+				waited++
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		for i := range 2 {
+			w.net.Stall(gatewayAddr(2), gatewayAddr(i), false)
+		}
+	})
+	is.New(t).True(waited >= 1 && waited <= 5) // In 0.8 s.
+}
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -45,6 +45,7 @@
 	mu       sync.Mutex      // Guards replicas where some start while the test plays.
 	halls    int             // Gateways stand in so many halls in turn; one by default.
 	dials    func(to string) // If set, called before a gateway connects.
+	join     []string        // Whom gateways ask first; the first one by default.
 }
 
 // run plays a test in virtual time, with a configuration of one stream, one safe
@@ -94,9 +95,13 @@
 	transport := &simnet.Transport{Find: func(string) http.Handler { return store }}
 	s := &platform.Store{Addr: "store:1", HTTP: &http.Client{Transport: transport}}
 	t := &platform.Translator{}
+	join := w.join
+	if join == nil {
+		join = []string{gatewayAddr(0)}
+	}
 	g, err := relay.New(&settings.Relay{
 		Own: settings.Own{
-			Cluster: "c", Box: addr, Hall: w.hallOf(i), Listen: addr, Store: "store:1", Join: []string{gatewayAddr(0)},
+			Cluster: "c", Box: addr, Hall: w.hallOf(i), Listen: addr, Store: "store:1", Join: join,
 		},
 		RelayBounds: settings.RelayBounds{
 			GraceFor: 8 * time.Second, VersionWithin: 8 * time.Second, ApplyWithin: 2 * time.Second,
--- a/limit/places_test.go
+++ b/limit/places_test.go
@@ -63,10 +63,11 @@
 	is := is.New(t)
 	var p Places
 	got := map[int]int{}
-	for i := range 600 { // Ten of each rank a second.
+	for i := range 600 { // 20 a second.
 		now := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
-		if ok, _ := p.Take(now, perSecond, []int{7, 1}[i%2]); ok {
-			got[[]int{7, 1}[i%2]]++
+		rank := []int{7, 7, 1}[i%3]
+		if ok, _ := p.Take(now, perSecond, rank); ok {
+			got[rank]++
 		}
 	}
 	is.True(got[1] >= 57) // Of 60 in 30 s.
