route, relay: a request does not wait at its replica past the time of the version there

What callers and operators saw: a request that was sent in time and waited at its replica began on an older version after the time of that, where the close of its connection did not arrive (silent connection, gateway without power) or was not heeded.

Cause: the replica was given the caller's whole deadline, and nothing else held what waits there back. Ruled out: that a better prediction would do (replicas turn slow after the send).

Change: near the end of a version's time a request's deadline at the replica ends 0.2 s before it, if the whole answer is predicted by then: replicas drop by themselves what has waited past its deadline. They would cut what has begun, so that a longer answer keeps its caller's deadline; it is not sent to a replica that is told to be slow.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -25,6 +25,19 @@
 	return t.Add(g.bounds.Load().VersionWithin - versionMargin)
 }
 
+// untilMargin is for how long a request may be on its way to a replica whose version ends.
+const untilMargin = 200 * time.Millisecond
+
+// until returns the latest deadline with which a request that waits at a replica does not begin
+// on a version after the time of that, zero for any.
+func (g *Relay) until(rq *request, version uint64) time.Time {
+	b := g.bound(rq, version)
+	if b.IsZero() {
+		return b
+	}
+	return b.Add(versionMargin - untilMargin)
+}
+
 // Admission, in parts of a route's aim: a request is sent only if what is ahead of it at
 // the chosen replica is predicted to take no longer. The answer to a new one is then most
 // likely in time. One that comes back after a refusal waits less: under lasting overload
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -137,7 +137,7 @@
 // send writes the whole request in one piece. It returns how many bytes went.
 func (a *attempt) send() (int, error) {
 	rq, d := a.rq, a.relay.dialect
-	left := time.Until(rq.deadline)
+	left := time.Until(a.deadline())
 	if left < time.Millisecond {
 		return 0, fault.New(fault.PastDeadline, "")
 	}
@@ -166,6 +166,14 @@
 	return a.conn.Write(b.Bytes())
 }
 
+// deadline is until when the replica may work on the request.
+func (a *attempt) deadline() time.Time {
+	if a.to.EndBy.IsZero() {
+		return a.rq.deadline
+	}
+	return times.Earlier(a.rq.deadline, a.to.EndBy)
+}
+
 // expects is the version that alone may run the request, or 0: the one that the answer
 // began with, the newest where the replica is believed to hold it, and any once the time of
 // older ones is over. A request that was sent on a wrong belief would else begin on the
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -68,6 +68,7 @@
 	return route.Ask{
 		Service: rq.service, Work: rq.work, Version: rq.version, Exclude: exclude, Rank: rq.rank,
 		Bound: func(v uint64) time.Time { return g.bound(rq, v) },
+		Until: func(v uint64) time.Time { return g.until(rq, v) },
 	}
 }
 
@@ -87,7 +88,7 @@
 		w.Answer = guess
 	}
 	if err == nil && bound > 0 {
-		w.Answer = min(w.Answer, bound)
+		w.Answer, w.Most = min(w.Answer, bound), bound
 	}
 	return w
 }
--- a/route/direct.go
+++ b/route/direct.go
@@ -14,7 +14,8 @@
 // requests that no engine runs.
 type Work struct {
 	Prompt int
-	Answer int // Expected.
+	Answer int // Expected,
+	Most   int // and how many there may be; 0 where that is not known.
 }
 
 // AgentReport is how a replica stood, as its agent told it.
@@ -118,6 +119,7 @@
 	sampledThere      = 2                      // and of other halls.
 	backShare         = 0.15                   // Of the choices that look at a replica when it has just come back,
 	backOver          = 700 * time.Millisecond // rising to all of them over this.
+	slowReplica       = 1.5                    // The pace of one that works slower than it should.
 	permitCost        = 5 * time.Millisecond   // To ask for a permit of a replica that has a limit.
 	holdUpCost        = 0.2                    // Of the time by which a request would hold up a change.
 )
@@ -129,7 +131,10 @@
 	Version uint64 // Exactly this one, or 0.
 	// Bound is when requests may no longer begin on a version, zero for never.
 	// Nil is never.
-	Bound    func(version uint64) time.Time
+	Bound func(version uint64) time.Time
+	// Until is the latest deadline with which a request that waits at a replica does not begin
+	// on a version after its time; zero for any. It is later than Bound. Nil is any.
+	Until    func(version uint64) time.Time
 	Exclude  map[string]bool // IDs.
 	Reported bool            // Only replicas of which their agents have told lately.
 	Rank     int             // Of the request; 0 is the most urgent.
@@ -143,8 +148,9 @@
 	Wait      time.Duration // Part of it before the request itself is worked on.
 	ReportAge time.Duration // How old the agent's report of the replica is; negative without one.
 	Ticket    *Ticket
-	Limit     Limit // That it is believed to have.
-	Seen      Seen  // Set also where none was chosen.
+	EndBy     time.Time // The deadline that it is to be given; zero for the caller's.
+	Limit     Limit     // That it is believed to have.
+	Seen      Seen      // Set also where none was chosen.
 }
 
 // Pick chooses the replica that is predicted to answer first, and counts the
@@ -183,12 +189,13 @@
 	if best.untried {
 		best.triedAt = now
 	}
+	endBy, _ := best.endsBy(now, e, a)
 	best.reading++
 	best.prompts += a.Work.Prompt
 	return Choice{
 		Ticket:   &Ticket{replica: best, work: a.Work, at: now},
 		Upstream: best.Upstream, Version: best.version(now), Predicted: at,
-		Wait: wait, ReportAge: best.reportAge(now), Limit: best.limit, Seen: seen,
+		Wait: wait, ReportAge: best.reportAge(now), EndBy: endBy, Limit: best.limit, Seen: seen,
 	}, nil
 }
 
@@ -289,6 +296,9 @@
 		return true
 	}
 	bound := a.Bound(v)
+	if bound.IsZero() {
+		return true
+	}
 	margin := boundMargin
 	if r.Report.Moving {
 		margin += movingMargin
@@ -296,7 +306,35 @@
 	if r.mayBeFar(now) {
 		margin += slowLinkMargin
 	}
-	return bound.IsZero() || now.Add(margin+time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
+	if _, outlasts := r.endsBy(now, e, a); outlasts && r.mayKeepWaiting(now) {
+		return false
+	}
+	return now.Add(margin + time.Duration(boundFactorOfWait*float64(r.expect(now, e, a.Work)))).Before(bound)
+}
+
+// mayKeepWaiting reports whether a request may well wait at the replica for longer than is
+// predicted: by its agent's word it works slower than it should.
+func (r *Replica) mayKeepWaiting(now time.Time) bool {
+	return r.heard(now) && r.Report.Pace >= slowReplica
+}
+
+// endsBy returns a request's deadline at the replica, so that it does not wait there past the
+// time of the version: replicas drop by themselves what has, where a close of the connection
+// does not arrive or is not heeded. They cut what has begun as well, so there is none, and the
+// second result is true, where the whole answer is not predicted by then.
+func (r *Replica) endsBy(now time.Time, e config.Engine, a Ask) (by time.Time, outlasts bool) {
+	if !r.Engine || a.Until == nil {
+		return time.Time{}, false
+	}
+	until := a.Until(r.version(now))
+	if until.IsZero() {
+		return until, false
+	}
+	first := time.Duration(boundFactorOfWait * float64(r.expect(now, e, a.Work)))
+	if now.Add(boundMargin + first + r.answerTime(now, e, a.Work)).After(until) {
+		return time.Time{}, true
+	}
+	return until, false
 }
 
 // mayBeFar reports whether what is sent to the replica may be long on its way: its
--- a/route/direct_test.go
+++ b/route/direct_test.go
@@ -298,3 +298,45 @@
 		})
 	}
 }
+
+// A request to a replica whose version's time ends is given a deadline by which it cannot begin
+// late, if its whole answer is predicted by then; one that would be cut has its caller's. A
+// replica that works slower than it should is sent none that may wait past that time.
+func TestDeadlineAtAReplicaWhoseVersionEnds(t *testing.T) {
+	now := epoch.Add(5 * time.Second)
+	for _, tc := range []struct {
+		name  string
+		most  int // Tokens of the answer.
+		pace  float64
+		ends  bool          // Another version was named.
+		left  time.Duration // Until requests may not begin.
+		endBy bool
+		want  fault.Code
+	}{
+		{"no end", 90, 1, false, 0, false, ""},
+		{"whole by then", 90, 1, true, 900 * time.Millisecond, true, ""},
+		{"not whole by then", 300, 1, true, 900 * time.Millisecond, false, ""},
+		{"slow, and whole by then", 90, 2, true, 5 * time.Second, true, ""},
+		{"slow, and not whole by then", 90, 2, true, 900 * time.Millisecond, false, fault.NoUpstream},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			is := is.New(t)
+			tb, _ := table(1)
+			tb.Heard("e0", AgentReport{Version: 1, Pace: tc.pace, At: now})
+			bound, until := time.Time{}, time.Time{}
+			if tc.ends {
+				bound, until = now.Add(tc.left), now.Add(tc.left+600*time.Millisecond)
+			}
+			c, err := tb.Pick(now, Ask{
+				Service: "llm", Work: Work{Prompt: 100, Answer: 50, Most: tc.most},
+				Bound: func(uint64) time.Time { return bound }, Until: func(uint64) time.Time { return until },
+			})
+			is.Equal(fault.CodeOf(err), tc.want)
+			if tc.endBy {
+				is.Equal(c.EndBy, until)
+			} else {
+				is.True(c.EndBy.IsZero())
+			}
+		})
+	}
+}
--- a/route/predict.go
+++ b/route/predict.go
@@ -21,6 +21,18 @@
 	return max(0, ends.Sub(r.Report.ChangeAt))
 }
 
+// answerTime estimates how long the replica takes to write the longest answer that a request
+// may have, from its first event on.
+func (r *Replica) answerTime(now time.Time, e config.Engine, w Work) time.Duration {
+	_, running := r.others(now)
+	step := e.Step + time.Duration((float64(r.writing)+running+1)*float64(e.PerSequence))
+	d := time.Duration(float64(max(w.Answer, w.Most)) * float64(step))
+	if r.heard(now) && r.Report.Pace > 1 {
+		d = time.Duration(float64(d) * r.Report.Pace)
+	}
+	return d
+}
+
 // others estimates what other gateways have at the replica.
 func (r *Replica) others(now time.Time) (queued, running float64) {
 	if !r.heard(now) {
