relay, quarantine, peers: gateways tell one another of each end of a replica

What callers saw: where replicas end one after the other, a request that does no harm was lost with three of them and refused for ten minutes.

Cause: its gateway judged it by the ends that it knew of: those under its own requests, and those that others suspected a request of. Ruled out: two strikes of one end (not seen).

Change: who finds that a replica has ended tells all gateways at once, by a message of its own kind; and a request must have been at more than half of the ends about its own, not at half: six ends are near the three of a sound request when it is judged, in a roll of four a second.

Why it holds: ends are judged by what all gateways saw. It does not hold where replicas go on ending just after the judgement, so that the line stays, with its new figures.

--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -70,13 +70,18 @@
 // TellLimits tells the gateway at an address what replicas said. Nothing shows whether it
 // arrives.
 func (g *Gossip) TellLimits(ctx context.Context, addr string, words []LimitWord) {
+	g.tell(ctx, addr, &LimitWords{words})
+}
+
+// tell sends a message that is not answered.
+func (g *Gossip) tell(ctx context.Context, addr string, m any) {
 	ctx, cancel := context.WithTimeout(ctx, announceIn)
 	defer cancel()
 	c, err := g.Pool.Get(ctx, addr)
 	if err != nil {
 		return
 	}
-	if s, err := c.Open(ctx, &LimitWords{words}); err == nil {
+	if s, err := c.Open(ctx, m); err == nil {
 		s.Close()
 	}
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -178,4 +178,5 @@
 	{Kind: 103, Message: &AskPermit{}, ByName: true},
 	{Kind: 104, Message: &Permit{}, ByName: true},
 	{Kind: 105, Message: &LimitWords{}, ByName: true},
+	{Kind: 106, Message: &ReplicaEnds{}, ByName: true},
 }
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -98,17 +98,9 @@
 }
 
 func (g *Gossip) pushTo(ctx context.Context, addr string, d mirror.Delta, onward bool) {
-	ctx, cancel := context.WithTimeout(ctx, announceIn)
-	defer cancel()
-	c, err := g.Pool.Get(ctx, addr)
-	if err != nil {
-		return // Announcements make up for it.
-	}
 	m := records(d, time.Now())
 	m.Onward = onward
-	if s, err := c.Open(ctx, m); err == nil {
-		s.Close()
-	}
+	g.tell(ctx, addr, m) // Announcements make up for one that is lost.
 }
 
 // takePush takes changes that another gateway passed on.
--- a/internal/relay/crash_test.go
+++ b/internal/relay/crash_test.go
@@ -155,3 +155,24 @@
 		is.True(!w.isQuarantined(0, "/s/lost"))
 	})
 }
+
+// A replica ends under requests of one gateway, that were answered for long and so are not
+// suspect. All gateways know of the end: one that has sent nothing there is told.
+func TestEachEndIsTold(t *testing.T) {
+	rs, told := engines(2, 60), 0
+	run(t, 3, rs, func(_ *is.I, w *world) {
+		c := w.crashOn()
+		go w.ask(0, "POST", "/s/long", nil)
+		time.Sleep(2 * time.Second)
+		for _, r := range rs {
+			if len(r.Runs()) > 0 {
+				c.end(r)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
+		for i := range w.gateways {
+			told += w.gateways[i].KnownEnds()
+		}
+	})
+	is.New(t).Equal(told, 3)
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,8 +66,10 @@
 	suspects quarantine.Table
 	endings  endings
 	// limitNews is of which replicas' limits others are to hear.
-	limitNews limitNews
-	bounds    atomic.Pointer[settings.RelayBounds]
+	limitNews news[fleet.Life]
+	// endNews is of which replicas' ends they are.
+	endNews news[replicaEnd]
+	bounds  atomic.Pointer[settings.RelayBounds]
 
 	mu        sync.Mutex
 	windows   map[string]*limit.Window // By service; bounded by the configuration.
@@ -118,6 +120,7 @@
 	wire.On(g.handlers, g.serveReports)
 	wire.On(g.handlers, g.serveAskPermit)
 	wire.On(g.handlers, g.serveLimitWords)
+	wire.On(g.handlers, g.serveReplicaEnds)
 	g.options.Follow.Mirror = &g.mirror
 	g.options.Follow.Needed = g.watches
 	g.options.Follow.Standby = g.gossip.Standby
@@ -184,6 +187,7 @@
 	k.Add("catalog", &g.holder, g.translate)
 	k.Duty(g.passReports)
 	k.Duty(g.tellLimitNews)
+	k.Duty(g.tellEndNews)
 	k.Duty(g.sweep)
 }
 
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -96,7 +96,7 @@
 		k := a.relay.limiterOf(who.ID)
 		a.relay.Metrics.Event("upstream_limit", "")
 		a.log("upstream_limit", resp, who, "limit", after, "before", before, "limiter", k.addr, "gateways", k.live, "known", k.known)
-		a.relay.limitNews.addTwice(who)
+		a.relay.tellLimitTwice(who)
 	}
 }
 
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -87,8 +87,8 @@
 	if !g.endings.ended(a.to.ID, a.to.Addr) {
 		return
 	}
+	g.sawEnd(a.to.ID, at)
 	if !suspect {
-		g.suspects.Ended(at, a.to.ID)
 		return
 	}
 	v := g.suspects.Struck(at, rq.key, a.epoch, quarantine.Strike{Replica: a.to.ID, Round: a.round, At: at})
--- a/internal/relay/told.go
+++ b/internal/relay/told.go
@@ -2,22 +2,18 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
-	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/route"
 	"github.com/poststand/poststand/wire"
 )
 
 // Waits of telling others what replicas said of their limits.
 const (
-	tellLimits     = 200 * time.Millisecond // Between two messages to each of a few gateways, longer with many.
-	tellLimitsEach = 12                     // The time grows with their number beyond so many.
-	toldWithin     = time.Second            // So long a message may have been on its way.
+	toldWithin = time.Second // So long a message may have been on its way.
 	// tellAgain is after which time what was heard is told once more: of what may have been
 	// said before what they know, others believe only the lower limit.
 	tellAgain = 2 * toldWithin
@@ -53,63 +49,17 @@
 	}
 }
 
-// limitNews is of which replicas others are to be told. The zero value is none.
-type limitNews struct {
-	mu    sync.Mutex
-	lives map[fleet.Life]bool
-	some  chan struct{} // Closed and replaced when there is news.
-}
-
-func (n *limitNews) add(l fleet.Life) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.init()
-	if !n.lives[l] {
-		n.lives[l] = true
-		close(n.some)
-		n.some = make(chan struct{})
-	}
-}
-
-// addTwice adds what is to be told now, and once more in a while.
-func (n *limitNews) addTwice(l fleet.Life) {
-	n.add(l)
-	time.AfterFunc(tellAgain, func() { n.add(l) })
-}
-
-func (n *limitNews) init() {
-	if n.some == nil {
-		n.lives, n.some = map[fleet.Life]bool{}, make(chan struct{})
-	}
-}
-
-// take returns the news, and what is closed when there is more.
-func (n *limitNews) take() (map[fleet.Life]bool, <-chan struct{}) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.init()
-	out := n.lives
-	n.lives = map[fleet.Life]bool{}
-	return out, n.some
-}
-
 // tellLimitNews keeps telling what replicas said of their limits: the limiter of each, which
 // tells all others. Each gateway would else send a first request to a replica in need before
 // it hears of it by itself.
 func (g *Relay) tellLimitNews(ctx context.Context) error {
-	for ctx.Err() == nil {
-		news, more := g.limitNews.take()
-		if len(news) == 0 {
-			select {
-			case <-more:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		others := g.tellLimits(ctx, news, time.Now())
-		kernel.Sleep(ctx, tellLimits*time.Duration(max(tellLimitsEach, others))/tellLimitsEach)
-	}
-	return nil
+	return tellNews(ctx, &g.limitNews, g.tellLimits)
+}
+
+// tellLimitTwice has others told of what a replica said now, and once more in a while.
+func (g *Relay) tellLimitTwice(l fleet.Life) {
+	g.limitNews.add(l)
+	time.AfterFunc(tellAgain, func() { g.limitNews.add(l) })
 }
 
 // tellLimits tells each gateway what concerns it, and returns how many were told.
--- a/quarantine/guilt.go
+++ b/quarantine/guilt.go
@@ -42,7 +42,7 @@
 // guilty reports whether the ends of replicas under a request are its doing. An end under
 // another request with more ends is put down to that one, and five that remain and count
 // are enough. Three are if no other request has as many there, and if the request was at
-// half or more of the replicas that ended about then: in a roll or a loss of power
+// more than half of the replicas that ended about then: in a roll or a loss of power
 // most of them end without it.
 func (t *Table) guilty(s *suspect) bool {
 	if count(without(s.strikes, t.endsOfOthers(s, s.count+1))) >= many {
@@ -63,7 +63,7 @@
 			about++
 		}
 	}
-	return 2*len(own) >= about
+	return 2*len(own) > about
 }
 
 // endsOfOthers returns the replicas that ended under requests other than s that have at
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -34,7 +34,7 @@
 	for _, s := range steps {
 		switch now := at(s.ms); {
 		case s.request == "":
-			t.Ended(now, s.replica)
+			t.Ended(now, s.replica, now)
 		case s.replica == "":
 			t.Served(now, key(s.request))
 		default:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -84,13 +84,14 @@
 	return s.verdict(now)
 }
 
-// Ended takes note of a replica that ended under no request that could be the cause.
-func (t *Table) Ended(now time.Time, replica string) {
+// Ended takes note of a replica that ended at a time, under whatever request, and reports
+// whether that is news.
+func (t *Table) Ended(now time.Time, replica string, at time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
 	t.sweep(now)
-	t.ended(replica, now)
+	return t.ended(replica, at)
 }
 
 // Served takes note of a request that a replica answered with success.
@@ -118,15 +119,19 @@
 	t.tell(now, s)
 }
 
-// ended notes when a replica last ended, by who saw that first. The caller holds t.mu.
-func (t *Table) ended(replica string, at time.Time) {
-	if old, ok := t.ends[replica]; ok && !at.Before(old) && at.Sub(old) <= near {
-		return
+// ended notes when a replica last ended, by who saw that first, and reports whether no end of
+// it near that time was known. The caller holds t.mu.
+func (t *Table) ended(replica string, at time.Time) bool {
+	old, ok := t.ends[replica]
+	known := ok && at.Sub(old).Abs() <= near
+	if known && !at.Before(old) {
+		return false
 	}
 	if len(t.ends) >= mostEnds {
 		t.dropOldestEnd()
 	}
 	t.ends[replica] = at
+	return !known
 }
 
 func (t *Table) dropOldestEnd() {
@@ -208,6 +213,13 @@
 	return now.Sub(last)
 }
 
+// Ends returns how many ends of replicas are remembered.
+func (t *Table) Ends() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.ends)
+}
+
 // Len returns how many requests are remembered.
 func (t *Table) Len() int {
 	t.mu.Lock()
