--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -215,7 +215,7 @@
 	}
 	// Not of now: a watch that begins after a gap is told at once what was missed in it,
 	// and an answer may have lain in the socket while this process stood still. Dated now,
-	// gateways that stood still for 2.5 s over a naming used the older version 1.1 s too long.
+	// gateways that stood still over a naming would use the older version too long.
 	f.apply(f.dated(d))
 	f.Sure(time.Now())
 	f.Proved(asked)
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -42,9 +42,7 @@
 // the chosen replica is predicted to take no longer. The answer to a new one is then most
 // likely in time. One that comes back after a refusal waits less: under lasting overload
 // they would else fill the replicas, all of them late, and new ones would be refused for
-// them. A day of lasting overload is worth 0.17 with 0.4, 0.04 with 1.5 s and 0.05 if none
-// is refused. With 0.15 such days are worth 0.03 more, and six others of a deployment 0.04
-// less in the mean.
+// them.
 const (
 	firstTryWait  = 0.55
 	secondTryWait = 0.4
--- a/internal/relay/agents.go
+++ b/internal/relay/agents.go
@@ -66,7 +66,7 @@
 }
 
 // slowDelay is how long a ping of an agent takes when what is sent to its box is long
-// on its way. While weights move it takes up to 0.2 s.
+// on its way. While weights move it takes less.
 const slowDelay = 400 * time.Millisecond
 
 // serveStatus takes an agent's reports of its replica, again and again.
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -139,7 +139,7 @@
 func (g *Relay) draining() bool { return g.leaving.Load() != nil }
 
 // admits reports whether a request may be begun. Little tells beforehand how long a stream
-// will be: the first event of those that ran for over 4 s on an overloaded deployment was
+// will be: the first event of long ones is
 // predicted no later than that of all others, and the caller's guess of the length is often
 // far off. So a late one is begun only if its caller waits no longer than the process
 // stays. An answer that is given only whole can be waited for until the process leaves, and
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -17,8 +17,8 @@
 
 // hear takes note of what an answer says of its replica: that it leaves, for how long it wants
 // rest, and how much it takes. It counts at once, for an answer of any kind, from its head on. The list may tell
-// of it much later, or never, while the platform is away: requests reached a replica up to 3.1 s
-// after an answer had said that it leaves, and ten reached one within 3 s of rest.
+// of it much later, or never, while the platform is away, and requests would go on to a replica
+// that has said what it wants.
 func (a *attempt) hear(resp *http.Response) {
 	who := a.speaker(resp)
 	a.hearLeaving(resp, who)
--- a/internal/stager/rest.go
+++ b/internal/stager/rest.go
@@ -11,8 +11,7 @@
 )
 
 // rest is until when the box's replica has asked its agent to be left alone. It holds for
-// looks at the replica, pieces and orders alike: without it 25 calls were made within 3 s of
-// rest. The zero value is none.
+// looks at the replica, pieces and orders alike. The zero value is none.
 type rest struct {
 	mu    sync.Mutex
 	until time.Time
--- a/internal/stager/roll.go
+++ b/internal/stager/roll.go
@@ -20,8 +20,7 @@
 )
 
 // fewWithin is for how long before the end of a version's time few pieces are on their way
-// to a box whose replica holds it: if its link narrows, they lie before requests. At
-// 0.3 Mbit/s 100 KB took 2.7 s, and 12 of 22 plays of such days had late begins.
+// to a box whose replica holds it: if its link narrows, they lie before requests.
 const fewWithin = 3700 * time.Millisecond
 
 // nearEnd reports whether the time of a version that was overtaken then is nearly over.
--- a/internal/stager/versions.go
+++ b/internal/stager/versions.go
@@ -30,8 +30,7 @@
 const (
 	// leastUse is for how long a version must serve to be worth a replica's change.
 	leastUse = 1500 * time.Millisecond
-	// swarmLag is how long after the last chunk has left the origin all boxes have it:
-	// 0.8 to 1.1 s were seen.
+	// swarmLag is how long after the last chunk has left the origin all boxes have it.
 	swarmLag = time.Second
 	// originSlack is how much longer than the origin's link needs a copy takes.
 	originSlack = 1.25
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -56,8 +56,7 @@
 // An end counts beside the one before it after apart, if the request was sent again in
 // between by somebody who knew of that one, and after later in any case: tries that overlap
 // know nothing of each other. Replicas that end sooner after one another may well have one
-// cause: a sound request was met by three ends within 0.27 s. With 1 s for later, four ends
-// in 1.9 s were taken for two, and with 0.5 s three in 3 s.
+// cause, and a request that does no harm is met by several of them.
 const (
 	apart = 150 * time.Millisecond
 	later = 300 * time.Millisecond
--- a/route/direct.go
+++ b/route/direct.go
@@ -110,8 +110,8 @@
 	// then, even if that takes so many times what is predicted and a margin.
 	boundFactorOfWait = 1.5
 	boundMargin       = 200 * time.Millisecond
-	movingMargin      = 400 * time.Millisecond  // More, where weights are on their way to the box. If its link narrowed, up to 1.5 s were seen: 5 of 19 plays without, 0 of 22 with.
-	slowLinkMargin    = 2500 * time.Millisecond // More, where a request may be long on its way: up to 2.4 s were seen.
+	movingMargin      = 400 * time.Millisecond  // More, where weights are on their way to the box: if its link narrows they lie before requests.
+	slowLinkMargin    = 2500 * time.Millisecond // More, where a request may be long on its way.
 	slowLinkFor       = 6 * time.Second         // After the last report that says so: it may be about to say so again.
 	slowLinkCost      = 100 * time.Millisecond
 	readingBeside     = 1.5                    // A step takes so much longer for the prompts that are read beside it.
