--- a/internal/relay/limit_cases_test.go
+++ b/internal/relay/limit_cases_test.go
@@ -234,4 +234,3 @@
 	check.True(urgent[http.StatusOK] >= 34) // Of 40 permits.
 	check.True(other[http.StatusOK] <= 4)
 }
-
