route: a rank beyond the least urgent one waits for its permit too

A request of a rank beyond 9 that got no permit asked its limiter again at each choice, since the table kept until when for ranks 0 to 9 alone.

--- a/route/limit.go
+++ b/route/limit.go
@@ -57,14 +57,17 @@
 
 // none takes note that requests of a rank, and of less urgent ones, get no permit until a time.
 func (p *permits) none(rank int, until time.Time) {
-	for i := max(0, rank); i < len(p.noneUntil); i++ {
+	for i := rankOf(rank); i < limit.Ranks; i++ {
 		p.noneUntil[i] = times.Later(p.noneUntil[i], until)
 	}
 }
 
+// rankOf bounds a rank: less urgent ones count as the least urgent.
+func rankOf(rank int) int { return max(0, min(limit.Ranks-1, rank)) }
+
 // backAt is when a permit may be asked for again for a request of a rank.
 func (p *permits) backAt(rank int) time.Time {
-	return p.noneUntil[max(0, min(limit.Ranks-1, rank))]
+	return p.noneUntil[rankOf(rank)]
 }
 
 // NoPermit records that requests of a rank, and of less urgent ones, get no permit at a replica
