--- a/internal/direct/usual_test.go
+++ b/internal/direct/usual_test.go
@@ -33,6 +33,23 @@
 	}
 }
 
+// askUntil has each gateway asked for little, again and again, until it is done or a time
+// has come.
+func (w *world) askUntil(end time.Time, done func(gateway string) bool) {
+	const every, prompt = 100 * time.Millisecond, 20
+	var all sync.WaitGroup
+	for _, g := range w.gateways {
+		all.Go(func() {
+			for n := 0; !done(g.addr) && time.Now().Before(end); n++ {
+				var t tally
+				go w.ask(g, fmt.Sprintf("little%d at %s", n, g.addr), "/s/", prompt, &t)
+				w.sleep(every)
+			}
+		})
+	}
+	all.Wait()
+}
+
 // With nothing disturbed, a gateway that is told of a naming learns within moments when it
 // was made: its requests may begin on the version before until shortly before the bound.
 // How often something else changes in the store makes no difference.
@@ -46,7 +63,9 @@
 				w.sleep(6 * time.Second)
 				named := time.Now()
 				w.name(2)
-				w.sleep(9 * time.Second)
+				w.sleep(least)
+				w.askUntil(named.Add(versionWithin), func(gateway string) bool { return last(gateway).Sub(named) >= least })
+				w.sleep(time.Until(named.Add(9 * time.Second)))
 				for _, g := range w.gateways {
 					if used := last(g.addr).Sub(named); used < least {
 						t.Errorf("requests of %s began on 1 until %v after 2 was named", g.addr, used)
