relay: a gateway that is a limiter again begins without free permits

A gateway that another followed as the limiter, and that is it again, gave at once what had come free meanwhile, beside what the other had given: up to two for each limiter that there has been.

--- a/internal/relay/limiter_test.go
+++ b/internal/relay/limiter_test.go
@@ -237,3 +237,29 @@
 	})
 	is.New(t).True(waited >= 1 && waited <= 5) // In 0.8 s.
 }
+
+// Another gateway comes that is a replica's limiter, and goes after a while. The limiter of
+// before is it again: it does not give out what came free while the other one gave.
+func TestFormerLimiterBeginsAnew(t *testing.T) {
+	const gateways = 3
+	rs, asked := plain(1), 0
+	for limiterOf(rs[0], gateways+1) != gateways {
+		rs[0].ID += "x"
+	}
+	run(t, gateways, rs, func(_ *is.I, w *world) {
+		rs[0].SayLimit("0.5")
+		w.callers("/safe/", 50*time.Millisecond, 8*time.Second)
+		w.addGateway(gateways, w.store)
+		w.callers("/safe/", 50*time.Millisecond, 8*time.Second)
+		last := len(w.stops) - 1
+		w.stops[last]()
+		w.stops, w.gateways = w.stops[:last], w.gateways[:gateways]
+		time.Sleep(4 * time.Second) // It is missed by then, and nobody has asked.
+		asked = rs[0].Asked()
+		w.callers("/safe/", 10*time.Millisecond, 200*time.Millisecond)
+		asked = rs[0].Asked() - asked
+	})
+	check := is.New(t)
+	check.Equal(overLimit(rs), nil)
+	check.Equal(asked, 0)
+}
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -141,6 +141,7 @@
 func (g *Relay) givePermit(now time.Time, m *peers.AskPermit, from string) *peers.Permit {
 	k := g.limiterOf(m.Word.ID)
 	if k.addr != g.Settings.Listen || !g.knowsOthers() {
+		g.forgetLimit(m.Word.ID)
 		return &peers.Permit{NotLimiter: true, Word: m.Word}
 	}
 	g.hearLimitWord(&m.Word, now, permitIn, from)
@@ -184,8 +185,20 @@
 	return e.permits.Take(now, perSecond, rank)
 }
 
-// sweepLimits forgets limits of which nobody has asked for long, and which limiters were silent.
+// forgetLimit forgets a limit of which another gateway is the limiter now: if this one is it
+// again later, what the other gave is not known, and it begins without free permits.
+func (g *Relay) forgetLimit(replica string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.ownLimits, replica)
+}
+
+// sweepLimits forgets limits that this gateway no longer keeps or of which nobody has asked
+// for long, and which limiters were silent.
 func (g *Relay) sweepLimits(now time.Time) {
+	for _, id := range g.idleLimits(now) {
+		g.forgetLimit(id)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for addr, until := range g.silent {
@@ -193,9 +206,21 @@
 			delete(g.silent, addr)
 		}
 	}
+}
+
+// idleLimits returns the replicas whose limits are to be forgotten.
+func (g *Relay) idleLimits(now time.Time) []string {
+	g.mu.Lock()
+	asked := make(map[string]time.Time, len(g.ownLimits))
 	for id, e := range g.ownLimits {
-		if now.Sub(e.asked) > ownUnasked {
-			delete(g.ownLimits, id)
+		asked[id] = e.asked
+	}
+	g.mu.Unlock()
+	var out []string
+	for id, at := range asked {
+		if now.Sub(at) > ownUnasked || g.limiterOf(id).addr != g.Settings.Listen {
+			out = append(out, id)
 		}
 	}
+	return out
 }
--- a/route/limit_test.go
+++ b/route/limit_test.go
@@ -121,7 +121,7 @@
 	tb.Permit(c.Ticket, until)
 	is.Equal(tb.Withdrawn(epoch, c.Ticket), fault.Code(""))
 	is.Equal(tb.Withdrawn(until, c.Ticket), fault.UpstreamLimited) // Its permit is too old.
-	const beyond = 50 // The operator may name any rank.
+	const beyond = 50                                              // The operator may name any rank.
 	tb.NoPermit(c.Ticket, beyond, until.Add(time.Second))
 	_, err = tb.Pick(until, ask(beyond))
 	is.Equal(fault.CodeOf(err), fault.UpstreamLimited)
