--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -16,7 +16,7 @@
 
 // A limit that a replica names holds for all gateways together, and no gateway can hold it
 // alone: with a part each, the first sends of many are more than the limit, and where one has
-// all the callers the replica is hardly used. One gateway keeps the limit of each replica, the
+// all the callers the replica is hardly used. One gateway is the limiter of each replica, the
 // first of those that live in an order that all share, and the others ask it for a permit for
 // each request. Without its word nothing is sent there.
 const (
@@ -28,17 +28,17 @@
 	ownUnasked      = time.Minute            // A limit that nobody asks about is forgotten.
 )
 
-// ownLimit is a replica's limit that this gateway keeps.
+// ownLimit is the limit of a replica of which this gateway is the limiter.
 type ownLimit struct {
 	life    fleet.Life
 	permits limit.Permits
 	asked   time.Time // When a permit was last asked for.
 }
 
-// limiterKey orders the gateways that may keep the limit of a replica.
+// limiterKey orders the gateways that may be the limiter of a replica.
 const limiterKey = "limit/"
 
-// limiter is who keeps a replica's limit, as far as a gateway knows.
+// limiter is who gives permits for a replica, as far as a gateway knows.
 type limiter struct {
 	addr        string
 	live, known int // Gateways that live, and all that were heard of in a while.
@@ -119,7 +119,7 @@
 	g.silent[limiter] = until
 }
 
-// askPermit asks a limit's limiter, which may be this gateway.
+// askPermit asks a limiter, which may be this gateway.
 func (g *Relay) askPermit(ctx context.Context, k limiter, ask *peers.AskPermit) (*peers.Permit, error) {
 	if k.addr == g.Settings.Listen {
 		return g.givePermit(time.Now(), ask, g.Settings.Box), nil
@@ -137,7 +137,7 @@
 	_ = s.SendLast(ctx, g.givePermit(time.Now(), m, s.Conn().Remote().Box))
 }
 
-// givePermit answers who asks for a permit at a replica of which this gateway keeps the limit.
+// givePermit answers who asks for a permit, as the limiter of its replica.
 func (g *Relay) givePermit(now time.Time, m *peers.AskPermit, from string) *peers.Permit {
 	k := g.limiterOf(m.Word.ID)
 	if k.addr != g.Settings.Listen || !g.knowsOthers() {
@@ -172,7 +172,7 @@
 	}
 }
 
-// permitOf takes a permit of a limit that this gateway keeps.
+// permitOf takes a permit for a replica of which this gateway is the limiter.
 func (g *Relay) permitOf(now time.Time, l fleet.Life, perSecond float64, rank int) (bool, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -88,7 +88,7 @@
 }
 
 // choose chooses a replica for the next send, or says why there is none. One that has a limit
-// and no place is passed over.
+// is passed over if there is no permit for the request.
 func (g *Relay) choose(ctx context.Context, rq *request, exclude map[string]bool, arrivals int) (route.Choice, dispatch.Result, bool) {
 	for asked := 0; ; asked++ {
 		now := time.Now()
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -16,9 +16,9 @@
 const retryAfter = "Retry-After"
 
 // hear takes note of what an answer says of its replica: that it leaves, for how long it wants
-// rest, and how much it takes. It counts at once, for an answer of any kind, from its head on. The list may tell
-// of it much later, or never, while the platform is away, and requests would go on to a replica
-// that has said what it wants.
+// rest, and how much it takes. It counts at once, for an answer of any kind, from its head on.
+// The list may tell of it much later, or never, while the platform is away, and requests would
+// go on to a replica that has said what it wants.
 func (a *attempt) hear(resp *http.Response) {
 	who := a.speaker(resp)
 	a.hearLeaving(resp, who)
@@ -80,7 +80,7 @@
 const mostLimit = 1e6
 
 // hearLimit takes note of how many requests the replica takes from all gateways together. An
-// answer without the word ends that, if it is surely of this replica.
+// answer without the word ends that, if its signature shows that it is of this replica.
 func (a *attempt) hearLimit(resp *http.Response, who fleet.Life) {
 	l := route.Limit{Asked: a.began, Heard: time.Now()}
 	if id := resp.Header.Get(a.relay.dialect.RequestID); id != "" && id != a.rq.id {
--- a/limit/permits.go
+++ b/limit/permits.go
@@ -5,6 +5,7 @@
 // Ranks is how many ranks requests have: 0 is the most urgent.
 const Ranks = 10
 
+// Bounds of Permits.
 const (
 	leastFree   = 2.0  // Permits that may be free at least, so that one can be kept for urgent requests.
 	freeSeconds = 0.25 // The same in seconds of the limit, where that is more.
@@ -15,8 +16,9 @@
 	leastRate = 0.1
 )
 
-// Permits is a limit on requests a second that many senders hold together, as the one of them
-// keeps it that all others ask. A new one has no free permit: what was sent before is not known.
+// Permits counts what many senders together may send under a limit on requests a second. One
+// of them has it, and all ask that one. A new one has no free permit: what was sent before is
+// not known.
 type Permits struct {
 	free    float64
 	counted time.Time        // When free was worked out; zero before the first request.
--- a/route/limit.go
+++ b/route/limit.go
@@ -49,7 +49,7 @@
 	return l
 }
 
-// permits is what a gateway knows of the permits that a replica's limit leaves to it.
+// permits is what a gateway was told of the permits for a replica that has a limit.
 type permits struct {
 	// noneUntil is, for each rank of requests, until when no permit is to be asked for.
 	noneUntil [limit.Ranks]time.Time
--- a/route/said.go
+++ b/route/said.go
@@ -116,16 +116,17 @@
 	switch {
 	case r != nil && r.Same(l):
 		mark(&r.said)
-		r.limited(now, before)
+		r.limitChanged(now, before)
 	case o.Named:
 		t.noteOf(now, l, mark)
 	}
 	return before, after
 }
 
-// limited follows a change of the replica's limit. One that ends leaves the replica looking
-// idle to all gateways at one moment: it is drawn less often at first.
-func (r *Replica) limited(now time.Time, before Limit) {
+// limitChanged follows a limit that has risen or ended: permits may be asked for at once. One
+// that ended leaves the replica looking idle to all gateways at one moment, so that it is drawn
+// less often at first.
+func (r *Replica) limitChanged(now time.Time, before Limit) {
 	if !before.below(r.limit) {
 		return
 	}
