--- a/internal/direct/limits_test.go
+++ b/internal/direct/limits_test.go
@@ -4,8 +4,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
@@ -43,3 +46,24 @@
 		playWith(t, seed, lasts, 0, true, func(w *world) { w.needs(rand.New(rand.NewPCG(seed, 6))) })
 	})
 }
+
+// A replica that takes no requests at all by its own word still gets its next version: its
+// agent's looks, pieces and orders are no requests.
+func TestLimitedReplicaGetsItsNextVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		check := is.New(t)
+		w := newWorld(t, rand.New(rand.NewPCG(1, 1)))
+		e := w.boxes[0].engine
+		e.SayLimit("0")
+		var got tally
+		time.AfterFunc(time.Second, func() { w.call(0.5, &got) })
+		w.sleep(6 * time.Second)
+		w.name(2)
+		w.sleep(14 * time.Second)
+		holds, over := e.Holds(), e.OverLimit(nil)
+		w.close()
+		check.Equal(holds, uint64(2))
+		check.Equal(over, nil)
+		check.Equal(w.judge.broken, nil)
+	})
+}
