--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -176,13 +177,13 @@
 func (g *Relay) permitOf(now time.Time, l fleet.Life, perSecond float64, rank int) (bool, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	e := g.ownLimits[l.ID]
-	if e == nil || e.life.Before(l) {
-		e = &ownLimit{life: l}
-		g.ownLimits[l.ID] = e
+	own := g.ownLimits[l.ID]
+	if own == nil || own.life.Before(l) {
+		own = &ownLimit{life: l}
+		g.ownLimits[l.ID] = own
 	}
-	e.asked = now
-	return e.permits.Take(now, perSecond, rank)
+	own.asked = now
+	return own.permits.Take(now, perSecond, rank)
 }
 
 // forgetLimit forgets a limit of which another gateway is the limiter now: if this one is it
@@ -193,34 +194,13 @@
 	delete(g.ownLimits, replica)
 }
 
-// sweepLimits forgets limits that this gateway no longer keeps or of which nobody has asked
+// sweepLimits forgets limits of which this gateway is no longer the limiter or nobody has asked
 // for long, and which limiters were silent.
 func (g *Relay) sweepLimits(now time.Time) {
-	for _, id := range g.idleLimits(now) {
-		g.forgetLimit(id)
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for addr, until := range g.silent {
-		if !until.After(now) {
-			delete(g.silent, addr)
-		}
-	}
-}
-
-// idleLimits returns the replicas whose limits are to be forgotten.
-func (g *Relay) idleLimits(now time.Time) []string {
-	g.mu.Lock()
-	asked := make(map[string]time.Time, len(g.ownLimits))
-	for id, e := range g.ownLimits {
-		asked[id] = e.asked
-	}
-	g.mu.Unlock()
-	var out []string
-	for id, at := range asked {
-		if now.Sub(at) > ownUnasked || g.limiterOf(id).addr != g.Settings.Listen {
-			out = append(out, id)
-		}
-	}
-	return out
+	maps.DeleteFunc(g.ownLimits, func(id string, l *ownLimit) bool {
+		return now.Sub(l.asked) > ownUnasked || g.limiterOf(id).addr != g.Settings.Listen
+	})
+	maps.DeleteFunc(g.silent, func(_ string, until time.Time) bool { return !until.After(now) })
 }
