--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -69,10 +69,14 @@
 
 // follow reads the platform's store at an address.
 func follow(addr string) *peers.Follower {
-	s := &platform.Store{Addr: addr, HTTP: platformClient()}
+	s := &platform.Store{Addr: addr, HTTP: platformClient(), NewEra: newEra}
 	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}
 }
 
+func newEra(era, before, path string, status int) {
+	telemetry.Log("store_era", "era", era, "before", before, "path", path, "status", status)
+}
+
 // platformClient speaks to what stands on the platform. It notices a dead path
 // by itself and keeps its connections.
 func platformClient() *http.Client {
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -201,8 +201,10 @@
 		if err != nil {
 			return err
 		}
+		had := f.Mirror.At()
 		f.take(d, asked)
-		telemetry.Log("store_read", "at", d.At, "records", len(d.Records), "bytes", d.Bytes())
+		over, key := f.Mirror.PassedOver(d)
+		telemetry.Log("store_read", "at", d.At, "had", had, "records", len(d.Records), "bytes", d.Bytes(), "passed_over", over, "such_as", key)
 		return nil
 	}
 	since := f.Mirror.At()
@@ -288,6 +290,9 @@
 		kernel.Sleep(ctx, checkLag)
 	}
 	had := f.Mirror.At()
+	if at < had {
+		telemetry.Log("store_check_lower", "had", had, "newest", at)
+	}
 	if at <= had {
 		f.Sure(time.Now())
 		f.Proved(asked)
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -41,6 +41,19 @@
 	Doubted   time.Time `msgpack:"-"`
 }
 
+// PassedOver returns how many records of a delta that was applied are not what the mirror
+// holds, and the key of one of them.
+func (m *Mirror) PassedOver(d Delta) (n int, key string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range d.Records {
+		if m.records[r.Key].Rev != r.Rev {
+			n, key = n+1, r.Key
+		}
+	}
+	return n, key
+}
+
 // Bytes returns the size of the values of d.
 func (d *Delta) Bytes() int {
 	n := 0
