--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -13,6 +13,7 @@
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/internal/times"
+	"github.com/poststand/poststand/mirror"
 )
 
 // Step is one naming of a version.
@@ -62,7 +63,7 @@
 
 // Catalog is one snapshot. Nothing in it changes once it is published.
 type Catalog struct {
-	Revision  uint64          // Of the published records.
+	At        mirror.Position // Of the published records.
 	Version   uint64          // Of the configuration.
 	Config    *config.Config  // Nil until one is known.
 	Routing   *config.Routing // Of Config.
@@ -87,7 +88,7 @@
 func (c *Catalog) DropReplaced() {
 	at := map[string]fleet.Upstream{}
 	for _, u := range c.Upstreams {
-		if o, ok := at[u.Addr]; !ok || u.Revision > o.Revision {
+		if o, ok := at[u.Addr]; !ok || u.ListedAt > o.ListedAt {
 			at[u.Addr] = u
 		}
 	}
@@ -133,7 +134,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.init()
-	if c.Revision < h.now.Revision || c.Version < h.now.Version {
+	if c.At < h.now.At || c.Version < h.now.Version {
 		panic("catalog: a version fell")
 	}
 	h.now = c
--- a/catalog/replaced_test.go
+++ b/catalog/replaced_test.go
@@ -6,19 +6,20 @@
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/mirror"
 )
 
 // Of two incarnations at one address the one whose entry changed last is there.
 func TestDropReplaced(t *testing.T) {
 	is := is.New(t)
 	c := &Catalog{Upstreams: map[string]fleet.Upstream{
-		"crashed": {Life: fleet.Life{ID: "crashed"}, Addr: "10.0.0.1:80", Revision: 7},
-		"newer":   {Life: fleet.Life{ID: "newer"}, Addr: "10.0.0.1:80", Revision: 9},
-		"ended":   {Life: fleet.Life{ID: "ended"}, Addr: "10.0.0.1:80", Revision: 3, Leaving: true},
-		"other":   {Life: fleet.Life{ID: "other"}, Addr: "10.0.0.2:80", Revision: 1},
+		"crashed": {Life: fleet.Life{ID: "crashed"}, Addr: "10.0.0.1:80", ListedAt: 7},
+		"newer":   {Life: fleet.Life{ID: "newer"}, Addr: "10.0.0.1:80", ListedAt: 9},
+		"ended":   {Life: fleet.Life{ID: "ended"}, Addr: "10.0.0.1:80", ListedAt: 3, Leaving: true},
+		"other":   {Life: fleet.Life{ID: "other"}, Addr: "10.0.0.2:80", ListedAt: 1},
 	}}
 	c.DropReplaced()
 	is.Equal(len(c.Upstreams), 2)
-	is.Equal(c.Upstreams["newer"].Revision, uint64(9))
-	is.Equal(c.Upstreams["other"].Revision, uint64(1))
+	is.Equal(c.Upstreams["newer"].ListedAt, mirror.Position(9))
+	is.Equal(c.Upstreams["other"].ListedAt, mirror.Position(1))
 }
--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -32,7 +32,7 @@
 				return err
 			}
 			t := &platform.Translator{Bad: badRecord}
-			g, err := relay.New(s, relay.Options{Dialect: platform.Dialect, Follow: follow(s.Store), Catalog: t.Catalog, Keeps: platform.Keeps})
+			g, err := relay.New(s, relay.Options{Dialect: platform.Dialect, Follow: follow(s.Store), Catalog: t.Catalog, Keeps: platform.Keeps, Outlasts: platform.Outlasts})
 			if err != nil {
 				return err
 			}
@@ -70,10 +70,10 @@
 // follow reads the platform's store at an address.
 func follow(addr string) *peers.Follower {
 	s := &platform.Store{Addr: addr, HTTP: platformClient(), NewEra: newEra}
-	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}
+	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Newest: s.Newest}
 }
 
-func newEra(era, before, path string, status int) {
+func newEra(era, before uint64, path string, status int) {
 	telemetry.Log("store_era", "era", era, "before", before, "path", path, "status", status)
 }
 
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -27,7 +27,7 @@
 			}
 			t := &platform.Translator{Bad: badRecord}
 			st, err := stager.New(s, stager.Options{
-				Replica: replica(s.Replica), Origin: origin(originClient()), Follow: follow(s.Store), Catalog: t.Catalog, Keeps: platform.Keeps,
+				Replica: replica(s.Replica), Origin: origin(originClient()), Follow: follow(s.Store), Catalog: t.Catalog, Keeps: platform.Keeps, Outlasts: platform.Outlasts,
 			})
 			if err != nil {
 				return err
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "github.com/poststand/poststand/mirror"
+
 // Life is one life of a replica: a restart begins another one, most often under another ID.
 // All that is believed of a replica is believed of one life of it.
 type Life struct {
@@ -27,6 +29,6 @@
 	Engine  bool   // It runs a model, and so has weights.
 	Model   string // What it holds, or empty.
 	Version uint64 // Of the weights that it holds whole; 0 for none.
-	// Revision is that of the last change of its entry.
-	Revision uint64
+	// ListedAt is the position of the last change of its entry.
+	ListedAt mirror.Position
 }
--- a/internal/direct/process_test.go
+++ b/internal/direct/process_test.go
@@ -30,7 +30,7 @@
 			GraceFor: 8 * time.Second, VersionWithin: versionWithin, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
 		},
-	}, relay.Options{Dialect: platform.Dialect, Catalog: t.Catalog, Keeps: platform.Keeps, Follow: f, Dial: w.dialer(g.addr)})
+	}, relay.Options{Dialect: platform.Dialect, Catalog: t.Catalog, Keeps: platform.Keeps, Outlasts: platform.Outlasts, Follow: f, Dial: w.dialer(g.addr)})
 	if err != nil {
 		w.t.Error(err)
 		return
@@ -100,7 +100,7 @@
 				return (&platform.Origin{Addr: addr, HTTP: from}).Piece(ctx, model, version, piece)
 			},
 		},
-		Follow: f, Catalog: t.Catalog, Keeps: platform.Keeps, Dial: w.dialer(b.agent()),
+		Follow: f, Catalog: t.Catalog, Keeps: platform.Keeps, Outlasts: platform.Outlasts, Dial: w.dialer(b.agent()),
 	})
 	if err != nil {
 		w.t.Error(err)
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -187,7 +187,7 @@
 
 func (w *world) follower(from string) (*peers.Follower, *platform.Translator) {
 	s := &platform.Store{Addr: storeAddr, HTTP: w.client(from, true)}
-	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision}, &platform.Translator{}
+	return &peers.Follower{Whole: s.Whole, Watch: s.Watch, Newest: s.Newest}, &platform.Translator{}
 }
 
 // seeds are the gateways that processes ask first.
--- a/internal/peers/assign.go
+++ b/internal/peers/assign.go
@@ -23,7 +23,7 @@
 		return nil
 	}
 	a := &Assignment{
-		At: c.Revision, Model: s.Model, Origin: s.Origin, OriginRate: s.OriginRate,
+		At: c.At, Model: s.Model, Origin: s.Origin, OriginRate: s.OriginRate,
 		Bytes: s.Engine.Chunks * s.Engine.ChunkBytes,
 	}
 	newest := uint64(firstVersion)
--- a/internal/peers/doubt_test.go
+++ b/internal/peers/doubt_test.go
@@ -35,7 +35,7 @@
 		answer.heardBy(asked)
 		is.True(lived.Mirror.Apply(lived.dated(answer.Delta)))
 		rs, at := lived.Mirror.Records()
-		is.Equal(at, uint64(3))
+		is.Equal(at, mirror.Position(3))
 		named := rs["named"]
 		is.True(!named.NotBefore.After(made))    // It is no lower bound else.
 		is.True(!named.GapNotBefore.After(made)) // Nor is this.
--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -19,10 +19,10 @@
 	Mirror *mirror.Mirror
 	// Whole reads all records; Watch waits for changes after a revision.
 	Whole func(ctx context.Context) (mirror.Delta, error)
-	Watch func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error)
-	// Revision reads the service's newest revision: a watch may hear nothing while
+	Watch func(ctx context.Context, since mirror.Position, wait time.Duration) (mirror.Delta, error)
+	// Newest reads the position of the service's newest change: a watch may hear nothing while
 	// changes are made.
-	Revision func(ctx context.Context) (uint64, error)
+	Newest func(ctx context.Context) (mirror.Position, error)
 	// CheckEvery is the time between two checks by one that watches; 250 ms by default.
 	CheckEvery time.Duration
 	Event      func(name string, c fault.Code)
@@ -33,6 +33,10 @@
 	// is not needed looks again after a while.
 	Needed func() bool
 
+	// Turn, if set, returns for how long this process waits for others to tell it before it reads
+	// all records, where its place in the changes is lost.
+	Turn func() time.Duration
+
 	// Standby, if set, reports whether this process is one of those that would watch if
 	// the one that does were lost: they miss it soonest.
 	Standby func() bool
@@ -41,7 +45,7 @@
 	certain  time.Time // When the mirror was last known to be the newest.
 	complete time.Time // Nothing that was made before it is lacking in the mirror.
 	watching bool
-	tookAt   uint64 // The newest revision that this process has from the platform itself.
+	tookAt   mirror.Position // The newest revision that this process has from the platform itself.
 }
 
 // Sure records that the mirror was the newest at a time, by what was heard. What was heard
@@ -93,7 +97,7 @@
 
 // TookAt returns the newest revision that this process has from the platform itself, or is
 // about to have.
-func (f *Follower) TookAt() uint64 {
+func (f *Follower) TookAt() mirror.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.tookAt
@@ -143,7 +147,8 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	wait, lost, whole := retryFirst, false, false
+	wait, lost, whole, rushed := retryFirst, false, false, false
+	var gone mirror.Position // The service does not tell what followed it.
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
 			f.setWatching(false)
@@ -157,6 +162,8 @@
 		if !lost {
 			f.setWatching(true)
 		}
+		had := f.Mirror.At()
+		whole = whole && had == gone // Else others have told.
 		answered := time.AfterFunc(watchHolds, func() { f.setWatching(true) })
 		err := f.once(ctx, whole)
 		answered.Stop()
@@ -164,17 +171,22 @@
 		if err != nil && ctx.Err() == nil && f.Needed != nil && !f.Needed() {
 			continue // It was ended since others have told, or nothing is wanted of it now.
 		}
+		if err != nil && f.Mirror.At().Era() > had.Era() {
+			continue // Others have told.
+		}
 		if err == nil {
 			if lost {
 				telemetry.Log("store_regained", "at", f.Mirror.At())
 			}
-			wait, lost, whole = retryFirst, false, false
+			if !whole {
+				wait, rushed = retryFirst, false
+			}
+			lost, whole = false, false
 			continue
 		}
 		if ctx.Err() != nil {
 			return nil
 		}
-		whole = whole || fault.Is(err, fault.HistoryGone)
 		if !lost {
 			telemetry.Log("store_lost", "reason", fault.CodeOf(err), "at", f.Mirror.At(), "detail", err.Error())
 		}
@@ -183,7 +195,11 @@
 			f.Event("store_failed", fault.CodeOf(err))
 		}
 		if fault.Is(err, fault.HistoryGone) {
-			continue
+			whole, gone = !f.told(ctx, had), had
+			if !rushed {
+				rushed = true
+				continue
+			}
 		}
 		kernel.Sleep(ctx, wait/2+rand.N(wait))
 		wait = min(2*wait, retryMost)
@@ -191,25 +207,27 @@
 	return nil
 }
 
+// told waits for this process's turn to read all records, and reports whether others have told
+// of what followed a position meanwhile.
+func (f *Follower) told(ctx context.Context, had mirror.Position) bool {
+	if f.Turn != nil {
+		for until := time.Now().Add(f.Turn()); ctx.Err() == nil && f.Mirror.At() == had && time.Now().Before(until); {
+			kernel.Sleep(ctx, startLook)
+		}
+	}
+	return f.Mirror.At() > had
+}
+
+// once reads once: all records while the mirror is empty or its place in the
+// changes was lost, and else what changes next.
 func (f *Follower) once(ctx context.Context, whole bool) error {
 	if whole || f.Mirror.At() == 0 {
-		ctx, cancel := context.WithTimeout(ctx, wholeIn)
-		defer cancel()
-		go f.cancelUnneeded(ctx, cancel)
-		asked := time.Now()
-		d, err := f.Whole(ctx)
-		if err != nil {
-			return err
-		}
-		had := f.Mirror.At()
-		f.take(d, asked)
-		over, key := f.Mirror.PassedOver(d)
-		telemetry.Log("store_read", "at", d.At, "had", had, "records", len(d.Records), "bytes", d.Bytes(), "passed_over", over, "such_as", key)
-		return nil
+		return f.readAll(ctx)
 	}
 	since := f.Mirror.At()
 	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
 	defer cancel()
+	go f.cancelOutdated(ctx, cancel, since)
 	asked := time.Now()
 	d, err := f.Watch(ctx, since, watchWait)
 	if err != nil {
@@ -218,9 +236,7 @@
 	// Not of now: a watch that begins after a gap is told at once what was missed in it,
 	// and an answer may have lain in the socket while this process stood still. Dated now,
 	// gateways that stood still over a naming would use the older version too long.
-	f.apply(f.dated(d))
-	f.Sure(time.Now())
-	f.Proved(asked)
+	f.take(d, asked)
 	if len(d.Records) > 0 {
 		telemetry.Log("store_changed", "at", d.At, "since", since, "records", len(d.Records), "first", d.Records[0].Key)
 		kernel.Sleep(ctx, watchPause)
@@ -228,6 +244,39 @@
 	return nil
 }
 
+func (f *Follower) readAll(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, wholeIn)
+	defer cancel()
+	go f.cancelUnneeded(ctx, cancel)
+	asked := time.Now()
+	d, err := f.Whole(ctx)
+	if err != nil {
+		return err
+	}
+	had := f.Mirror.At()
+	f.take(d, asked)
+	over, key := f.Mirror.PassedOver(d)
+	telemetry.Log("store_read", "at", d.At, "had", had, "records", len(d.Records), "bytes", d.Bytes(), "passed_over", over, "such_as", key)
+	return nil
+}
+
+// cancelOutdated ends a watch when others have told of a later era: the service tells nothing
+// more on it.
+func (f *Follower) cancelOutdated(ctx context.Context, cancel context.CancelFunc, since mirror.Position) {
+	for {
+		at, changed := f.Mirror.Watch()
+		if at.Era() > since.Era() {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // cancelUnneeded ends a read of all records when somebody has told of them meanwhile:
 // they are many bytes on a link that others share.
 func (f *Follower) cancelUnneeded(ctx context.Context, cancel context.CancelFunc) {
@@ -256,6 +305,7 @@
 	}
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, every/2-every/16+rand.N(every/8))
+		f.Mirror.Expire(time.Now())
 		if f.Mirror.At() > 0 && time.Since(f.Certain()) >= f.uncheckedFor(every) {
 			f.check(ctx)
 		}
@@ -286,12 +336,17 @@
 		f.Event("store_check_failed", fault.CodeOf(err))
 		return
 	}
-	if at > f.Mirror.At() && f.Watching() {
+	had := f.Mirror.At()
+	switch {
+	case at.Era() > had.Era():
+		f.told(ctx, had)
+	case at > had && f.Watching():
 		kernel.Sleep(ctx, checkLag)
 	}
-	had := f.Mirror.At()
-	if at < had {
-		telemetry.Log("store_check_lower", "had", had, "newest", at)
+	had = f.Mirror.At()
+	if at.Era() < had.Era() {
+		telemetry.Log("store_check_of_an_older_era", "had", had, "newest", at)
+		return // It proves nothing of this one.
 	}
 	if at <= had {
 		f.Sure(time.Now())
@@ -308,9 +363,9 @@
 	}
 }
 
-// newest reads the service's newest revision.
-func (f *Follower) newest(ctx context.Context) (uint64, error) {
+// newest is Newest, not waited for long.
+func (f *Follower) newest(ctx context.Context) (mirror.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchSlack)
 	defer cancel()
-	return f.Revision(ctx)
+	return f.Newest(ctx)
 }
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -71,19 +71,21 @@
 	// The newest revisions that came by a pull, where others may lack them as well, and
 	// from a gateway of another hall, for all of this one; and up to which one it was
 	// decided whether to pass them on.
-	pulledAt, onwardAt, handledAt uint64
+	pulledAt, onwardAt, handledAt mirror.Position
 	rounds                        int
 	pushes                        []pushed // Of late, the oldest first.
 	learnt                        chan struct{}
 	once                          sync.Once
 	many                          atomic.Bool // As of the last round.
+	spoken                        spoken
+	askingHeld                    atomic.Bool // Another gateway, for records that it holds.
 }
 
 type member struct {
 	Member
 	heard    time.Time // Zero if it never answered.
 	named    time.Time // When someone last named it.
-	at       uint64
+	at       mirror.Position
 	watches  bool // It watches the platform, by its last sign.
 	talking  bool
 	live     bool   // As last logged.
@@ -92,7 +94,7 @@
 
 // pushed is a revision up to which changes were passed on to the hall, and when.
 type pushed struct {
-	at   uint64
+	at   mirror.Position
 	when time.Time
 }
 
@@ -108,11 +110,15 @@
 	g.init()
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Announce) {
 		g.heard(m, time.Time{})
-		_ = s.SendLast(ctx, g.announcement(m.From.Addr, len(m.Known) > 0))
+		eras, _ := g.spoken.knows(s.Conn())
+		_ = s.SendLast(ctx, g.announcement(m.From.Addr, len(m.Known) > 0, eras))
 	})
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
-		_ = s.SendLast(ctx, records(g.Mirror.Since(m.Since), time.Now()))
+		_ = s.SendLast(ctx, g.pulled(s.Conn(), m))
 	})
+	wire.On(hs, g.serveSpeaks)
+	wire.On(hs, g.serveHeldKeys)
+	wire.On(hs, g.serveAskHeld)
 	wire.On(hs, func(_ context.Context, _ *wire.Stream, m *Records) {
 		g.takePush(m)
 	})
@@ -159,8 +165,8 @@
 }
 
 // announcement tells the gateway at an address of this one and, if others is set, of some
-// others.
-func (g *Gossip) announcement(to string, others bool) *Announce {
+// others. It names the era if that gateway understands it.
+func (g *Gossip) announcement(to string, others, eras bool) *Announce {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -169,6 +175,9 @@
 	a.Complete = now.Sub(g.Follow.Complete())
 	a.At = g.Mirror.At()
 	a.Dates = dates(g.Mirror.Kept(now.Add(-datedFor)), now)
+	if !eras {
+		a.withoutEra()
+	}
 	g.addSuspects(a, to, now)
 	if !others {
 		return a
@@ -210,7 +219,8 @@
 		g.mu.Unlock()
 		return
 	}
-	e.heard, e.at, e.watches, e.suspects = now, max(e.at, a.At), a.Watching, a.SuspectsDigest
+	e.heard, e.at, e.suspects = now, max(e.at, a.At), a.SuspectsDigest
+	e.watches = a.Watching && a.At.Era() >= g.Mirror.At().Era() // Else it tells nothing that is taken here.
 	if !e.live {
 		e.live = true
 		telemetry.Log("peer_gained", "peer", e.Name, "addr", e.Addr, "hall", e.Hall, "at", a.At)
@@ -248,7 +258,7 @@
 
 // learn takes what another gateway, asked at a time, knows of when changes were made.
 func (g *Gossip) learn(a *Announce, asked time.Time) {
-	if a.At <= g.Mirror.At() {
+	if at := g.Mirror.At(); a.At <= at && a.At.Era() == at.Era() {
 		g.Follow.Proved(asked.Add(-a.Complete))
 	}
 	for _, d := range a.Dates {
@@ -348,7 +358,9 @@
 	g.many.Store(len(g.members) >= tellAll)
 	others := g.rounds%tellsOf == 0
 	g.rounds++
-	return g.announce(ctx, g.chosen(now), others)
+	to := g.chosen(now)
+	g.tellHeld(ctx, to)
+	return g.announce(ctx, to, others)
 }
 
 // announce announces to those of some gateways that are not being talked to. The caller
@@ -379,8 +391,9 @@
 	if err != nil {
 		return
 	}
+	eras := g.spoken.ask(ctx, c)
 	asked := time.Now()
-	m, err := c.Call(ctx, g.announcement(addr, others))
+	m, err := c.Call(ctx, g.announcement(addr, others, eras))
 	if a, ok := m.(*Announce); ok && err == nil {
 		g.heard(a, asked)
 	}
--- a/internal/peers/heard_test.go
+++ b/internal/peers/heard_test.go
@@ -37,7 +37,7 @@
 			Whole: func(context.Context) (mirror.Delta, error) {
 				return mirror.Delta{Whole: true, At: 1, Records: []mirror.Record{{Key: "old", Rev: 1}}}, nil
 			},
-			Watch: func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error) {
+			Watch: func(ctx context.Context, since mirror.Position, wait time.Duration) (mirror.Delta, error) {
 				if time.Since(began) < deaf {
 					return mirror.Delta{}, silent(ctx)
 				}
@@ -47,7 +47,7 @@
 				time.Sleep(wait)
 				return mirror.Delta{Base: since, At: 2}, nil
 			},
-			Revision: func(ctx context.Context) (uint64, error) { return 0, silent(ctx) },
+			Newest: func(ctx context.Context) (mirror.Position, error) { return 0, silent(ctx) },
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = f.Run(ctx) }()
@@ -56,7 +56,7 @@
 		cancel()
 		synctest.Wait()
 		time.Sleep(time.Minute) // The watch under way is over.
-		is.Equal(at, uint64(2))
+		is.Equal(at, mirror.Position(2))
 		is.True(!records["named"].NotBefore.After(began.Add(change))) // It was made a second into the silence.
 	})
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -18,8 +18,8 @@
 // Announce says who is there and what it knows. It is answered by another one.
 type Announce struct {
 	From  Member
-	At    uint64  // The sender holds every published change up to it.
-	Known []Known // Some of the gateways that the sender heard of lately; in some announcements only.
+	At    mirror.Position // The sender holds every published change up to it.
+	Known []Known         // Some of the gateways that the sender heard of lately; in some announcements only.
 	// Watching says that the sender watches the platform itself and is answered.
 	Watching bool
 	// Certain is how long ago At was last known to be the newest revision, by whatever
@@ -38,7 +38,7 @@
 // Date is how long ago, at the most, a change was made.
 type Date struct {
 	Key    string
-	Rev    uint64
+	Rev    mirror.Position
 	Age    time.Duration // Of the change itself,
 	GapAge time.Duration // and of any before it that the sender has not seen: read by builds that took it for any that they had not seen.
 }
@@ -50,8 +50,8 @@
 	Watching bool          // By that sign.
 }
 
-// Pull asks for what was published after a revision.
-type Pull struct{ Since uint64 }
+// Pull asks for what was published after a position.
+type Pull struct{ Since mirror.Position }
 
 // Records answers a Pull, or passes changes on unasked.
 type Records struct {
@@ -99,7 +99,7 @@
 
 // Assignment is all that an agent needs to know.
 type Assignment struct {
-	At          uint64 // Revision of the published records.
+	At          mirror.Position // Of the published records.
 	Model       string
 	Version     uint64  // To be brought to the replica.
 	Steps       []Step  // How it came to be named, the oldest first.
@@ -179,4 +179,8 @@
 	{Kind: 104, Message: &Permit{}, ByName: true},
 	{Kind: 105, Message: &LimitWords{}, ByName: true},
 	{Kind: 106, Message: &ReplicaEnds{}, ByName: true},
+	{Kind: 107, Message: &Speaks{}, ByName: true},
+	{Kind: 108, Message: &HeldKeys{}, ByName: true},
+	{Kind: 109, Message: &AskHeld{}, ByName: true},
+	{Kind: 110, Message: &HeldRecords{}, ByName: true, Compress: true},
 }
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -143,6 +143,30 @@
 	return slices.Index(g.hallOrder(g.Self.Hall, now), g.Self.Addr)
 }
 
+// Waits of a gateway whose place in the platform's changes is lost, while another one is to
+// read all records and tell it of them.
+const (
+	hallTurn = 150 * time.Millisecond // For each hall whose gateways read before those of this one,
+	ownTurn  = 300 * time.Millisecond // and for each gateway of this hall that does.
+	turns    = 3                      // No more than so many of each are waited for.
+)
+
+// Turn returns for how long this gateway waits to be told before it reads all records.
+func (g *Gossip) Turn() time.Duration {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	before := 0
+	own := rendezvous.Score(hallKey, g.Self.Hall)
+	for _, hall := range g.halls() {
+		if len(g.hallOrder(hall, now)) > 0 && rendezvous.Score(hallKey, hall) > own {
+			before++
+		}
+	}
+	return time.Duration(min(turns, before))*hallTurn + time.Duration(min(turns, g.place(now)))*ownTurn
+}
+
 // wouldWatch returns the gateways that would watch the platform if this one did not: the
 // first ones of each hall. The caller holds g.mu.
 func (g *Gossip) wouldWatch(now time.Time) []string {
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -7,6 +7,8 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/wire"
 )
 
 // toldHere reports whether a gateway of this hall is to tell this one of changes: the
@@ -33,6 +35,20 @@
 	}
 }
 
+// pulled answers a Pull. One that knows no eras asks for what followed a revision of this one.
+func (g *Gossip) pulled(c *wire.Conn, m *Pull) *Records {
+	now := time.Now()
+	eras, _ := g.spoken.knows(c)
+	if eras {
+		return records(g.Mirror.Since(m.Since), now)
+	}
+	since := m.Since
+	if since > 0 {
+		since = mirror.NewPosition(g.Mirror.At().Era(), since.Revision())
+	}
+	return records(deltaWithoutEra(g.Mirror.Since(since)), now)
+}
+
 // pull asks a gateway for what this one lacks, unless the platform has told it
 // meanwhile.
 func (g *Gossip) pull(addr string) {
@@ -46,7 +62,7 @@
 		kernel.Sleep(life, pullAfter)
 	}
 	g.mu.Lock()
-	at := uint64(0)
+	at := mirror.Position(0)
 	if m := g.members[addr]; m != nil {
 		at = m.at
 	}
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -83,7 +83,7 @@
 
 // pushSince returns from which revision on changes are passed on, and notes the one of
 // now. It is zero until there was one before.
-func (g *Gossip) pushSince(now time.Time) uint64 {
+func (g *Gossip) pushSince(now time.Time) mirror.Position {
 	at := g.Mirror.At()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -98,6 +98,15 @@
 }
 
 func (g *Gossip) pushTo(ctx context.Context, addr string, d mirror.Delta, onward bool) {
+	ctx, cancel := context.WithTimeout(ctx, announceIn)
+	defer cancel()
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return
+	}
+	if !g.spoken.ask(ctx, c) {
+		d = deltaWithoutEra(d)
+	}
 	m := records(d, time.Now())
 	m.Onward = onward
 	g.tell(ctx, addr, m) // Announcements make up for one that is lost.
--- a/internal/peers/slow_test.go
+++ b/internal/peers/slow_test.go
@@ -34,19 +34,19 @@
 			Mirror: &mirror.Mirror{}, Event: func(string, fault.Code) {},
 			Whole: func(ctx context.Context) (mirror.Delta, error) {
 				wholes.Add(1)
-				d := mirror.Delta{Whole: true, At: at.Load(), Records: []mirror.Record{{Key: "k", Rev: at.Load()}}}
+				d := mirror.Delta{Whole: true, At: mirror.Position(at.Load()), Records: []mirror.Record{{Key: "k", Rev: mirror.Position(at.Load())}}}
 				return d, pause(ctx, slow)
 			},
-			Watch: func(ctx context.Context, since uint64, wait time.Duration) (mirror.Delta, error) {
+			Watch: func(ctx context.Context, since mirror.Position, wait time.Duration) (mirror.Delta, error) {
 				return mirror.Delta{Base: since, At: since}, pause(ctx, wait)
 			},
-			Revision: func(context.Context) (uint64, error) { return at.Load(), nil },
+			Newest: func(context.Context) (mirror.Position, error) { return mirror.Position(at.Load()), nil },
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		go func() { _ = f.Run(ctx) }()
 		go func() { _ = f.Check(ctx) }()
 		time.Sleep(4 * time.Second)
-		is.Equal(f.Mirror.At(), uint64(1)) // The first read has five seconds.
+		is.Equal(f.Mirror.At(), mirror.Position(1)) // The first read has five seconds.
 		at.Store(2)
 		time.Sleep(within)
 		got := f.Mirror.At()
@@ -54,6 +54,6 @@
 		synctest.Wait()
 		time.Sleep(time.Minute)
 		t.Logf("%d whole reads", wholes.Load())
-		is.Equal(got, uint64(2))
+		is.Equal(got, mirror.Position(2))
 	})
 }
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -198,7 +198,7 @@
 	}
 	if err != nil {
 		telemetry.Log("refused", "id", rq.id, "status", status, "reason", res.Reason, "detail", err.Error(),
-			"host", r.Host, "route", rq.routeName, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+			"host", r.Host, "route", rq.routeName, "revision", rq.catalog.At, "version", rq.catalog.Version)
 	}
 	h.Set("Content-Length", "0")
 	g.sayClosing(h)
--- a/internal/relay/collect_test.go
+++ b/internal/relay/collect_test.go
@@ -90,6 +90,7 @@
 			}
 		}
 		each := (w.sent() - before) / gateways / changes
+		w.t.Logf("%d bytes for a change", each)
 		is.True(each < 1100) // Bytes for a change; 690, and 1,580 where each gateway announces it.
 	})
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -136,7 +136,7 @@
 // chosen notes what is known of the replica that a send goes to.
 func (rq *request) chosen(g *Relay, now time.Time, c route.Choice) {
 	rq.predicted, rq.wait, rq.reportAge = c.Predicted, c.Wait, c.ReportAge
-	rq.held, rq.boundIn, rq.listedAt = c.Version, 0, c.Revision
+	rq.held, rq.boundIn, rq.listedAt = c.Version, 0, c.ListedAt
 	if bound := g.bound(rq, c.Version); c.Engine && !bound.IsZero() {
 		rq.boundIn = bound.Sub(now)
 	}
@@ -191,5 +191,5 @@
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.trail, ","),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.wait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.holding, "retry_in_ms", retryIn(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.pause.Milliseconds(), "took_ms", now.Sub(rq.arrived).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
-		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.seen, "limit", rq.limit, "sent_4s", rq.sent, "revision", rq.catalog.Revision, "version", rq.catalog.Version)
+		"prompt", rq.work.Prompt, "weights", rq.version, "held", rq.held, "held_for_ms", rq.boundIn.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.seen, "limit", rq.limit, "sent_4s", rq.sent, "revision", rq.catalog.At, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -34,10 +34,11 @@
 type Options struct {
 	Dialect Dialect
 	// Follow reads the platform's service, and Catalog translates what it reads.
-	Follow  *peers.Follower
-	Catalog func(rs map[string]mirror.Record, at uint64) *catalog.Catalog
-	Keeps   func(key string) bool                                    // See mirror.Mirror.
-	Dial    func(ctx context.Context, addr string) (net.Conn, error) // To upstreams and gateways; TCP by default.
+	Follow   *peers.Follower
+	Catalog  func(rs map[string]mirror.Record, at mirror.Position) *catalog.Catalog
+	Keeps    func(key string) bool // See mirror.Mirror.
+	Outlasts mirror.Outlasts
+	Dial     func(ctx context.Context, addr string) (net.Conn, error) // To upstreams and gateways; TCP by default.
 }
 
 // Relay is one gateway. Use New.
@@ -93,7 +94,7 @@
 	}
 	g.dialect = &g.options.Dialect
 	g.bounds.Store(&s.RelayBounds)
-	g.mirror.Keeps = o.Keeps
+	g.mirror.Keeps, g.mirror.Outlasts, g.mirror.Note = o.Keeps, o.Outlasts, peers.LogNote
 	g.life, g.end = context.WithCancel(context.Background())
 	g.handlers = &wire.Handlers{}
 	const ping, stall = 500 * time.Millisecond, 1500 * time.Millisecond
@@ -124,6 +125,7 @@
 	g.options.Follow.Mirror = &g.mirror
 	g.options.Follow.Needed = g.watches
 	g.options.Follow.Standby = g.gossip.Standby
+	g.options.Follow.Turn = g.gossip.Turn
 	g.options.Follow.Doubt = peers.DoubtOf(s.VersionWithin)
 	g.options.Follow.CheckEvery = s.ApplyWithin / checksInBound
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
@@ -203,7 +205,7 @@
 			g.holder.Set(c)
 			if c.Config != nil {
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
-					telemetry.Log("upstream_lapsed", "id", id, "used_for", lapse(g.bounds.Load()), "revision", c.Revision)
+					telemetry.Log("upstream_lapsed", "id", id, "used_for", lapse(g.bounds.Load()), "revision", c.At)
 				}
 				if c.Version != old.Version {
 					g.waits.forget(c.Config.Routes)
@@ -232,22 +234,22 @@
 // logChange writes a line for each thing that the process now believes.
 func logChange(old, c *catalog.Catalog, now time.Time) {
 	if c.Version != old.Version {
-		telemetry.Log("configuration", "version", c.Version, "before", old.Version, "revision", c.Revision, "routes", len(c.Config.Routes))
+		telemetry.Log("configuration", "version", c.Version, "before", old.Version, "revision", c.At, "routes", len(c.Config.Routes))
 	}
 	for id, u := range c.Upstreams {
 		o, ok := old.Upstreams[id]
 		if !ok || o.Leaving != u.Leaving || o.Version != u.Version {
-			telemetry.Log("upstream", "id", id, "service", u.Service, "addr", u.Addr, "hall", u.Hall, "leaving", u.Leaving, "weights", u.Version, "revision", c.Revision)
+			telemetry.Log("upstream", "id", id, "service", u.Service, "addr", u.Addr, "hall", u.Hall, "leaving", u.Leaving, "weights", u.Version, "revision", c.At)
 		}
 	}
 	for id, u := range old.Upstreams {
 		if _, ok := c.Upstreams[id]; !ok {
-			telemetry.Log("upstream_gone", "id", id, "service", u.Service, "addr", u.Addr, "revision", c.Revision)
+			telemetry.Log("upstream_gone", "id", id, "service", u.Service, "addr", u.Addr, "revision", c.At)
 		}
 	}
 	for m, w := range c.Wanted {
 		if o := old.Wanted[m]; o.Version != w.Version {
-			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "steps", len(w.Steps), "named_ago", namedAgo(w, now), "revision", c.Revision)
+			telemetry.Log("version_named", "model", m, "version", w.Version, "before", o.Version, "steps", len(w.Steps), "named_ago", namedAgo(w, now), "revision", c.At)
 		}
 	}
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
 )
@@ -42,7 +43,7 @@
 	holding      string             // What replicas were known to hold, where none could be chosen.
 	held         uint64             // The version that the replica which was last chosen was believed to hold,
 	boundIn      time.Duration      // and how long requests could yet begin on it when it was chosen; zero if for ever.
-	listedAt     uint64             // The revision of its entry,
+	listedAt     mirror.Position    // The position of its entry,
 	seen         route.Seen         // and how all replicas stood then.
 	limit        route.Limit        // That the replica was believed to have to which it was last sent,
 	sent         int                // and how many this gateway had sent there of late, this one among them.
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -86,6 +86,7 @@
 	Role     string                    `json:"role"`
 	Box      string                    `json:"box"`
 	Hall     string                    `json:"hall"`
+	Era      uint64                    `json:"era"` // Of the platform's service; see mirror.Position.
 	Revision uint64                    `json:"revision"`
 	Version  uint64                    `json:"configuration"`
 	Draining bool                      `json:"draining"`
@@ -98,7 +99,7 @@
 func (g *Relay) Status() *Status {
 	c := g.holder.Get()
 	s := &Status{
-		Role: "gateway", Box: g.Settings.Box, Hall: g.Settings.Hall, Revision: c.Revision, Version: c.Version,
+		Role: "gateway", Box: g.Settings.Box, Hall: g.Settings.Hall, Revision: c.At.Revision(), Era: c.At.Era(), Version: c.Version,
 		Draining: g.draining(), Watching: g.options.Follow.Watching(), Weights: map[string]map[uint64]int{},
 	}
 	for _, m := range g.gossip.Live() {
--- a/internal/relay/said.go
+++ b/internal/relay/said.go
@@ -127,6 +127,6 @@
 func (a *attempt) log(event string, resp *http.Response, who fleet.Life, more ...any) {
 	telemetry.Log(event, append([]any{
 		"id", who.ID, "addr", a.to.Addr, "service", a.to.Service, "request", a.rq.id, "status", resp.StatusCode,
-		"sent_ago", time.Since(a.began), "listed_at", a.to.Revision,
+		"sent_ago", time.Since(a.began), "listed_at", a.to.ListedAt,
 	}, more...)...)
 }
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -108,8 +108,8 @@
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
 		},
 	}, relay.Options{
-		Dialect: platform.Dialect, Catalog: t.Catalog, Keeps: platform.Keeps,
-		Follow: &peers.Follower{Whole: s.Whole, Watch: s.Watch, Revision: s.Revision},
+		Dialect: platform.Dialect, Catalog: t.Catalog, Keeps: platform.Keeps, Outlasts: platform.Outlasts,
+		Follow: &peers.Follower{Whole: s.Whole, Watch: s.Watch, Newest: s.Newest},
 		Dial: func(ctx context.Context, to string) (net.Conn, error) {
 			if w.dials != nil {
 				w.dials(to)
--- a/internal/stager/assign.go
+++ b/internal/stager/assign.go
@@ -7,10 +7,12 @@
 	"time"
 
 	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/rendezvous"
 )
@@ -50,7 +52,7 @@
 	defer a.mu.Unlock()
 	a.init()
 	old := a.now
-	if old != nil && (n.At < old.At || n.Version < old.Version) {
+	if old != nil && (overtaken(n.At, old.At) || n.Version < old.Version) {
 		return
 	}
 	a.wanted = wantedBy(n, now, a.wanted)
@@ -62,6 +64,12 @@
 	a.changed = make(chan struct{})
 }
 
+// overtaken reports whether what was told as of one position is older than what was as of
+// another. Where only one of them names an era, that is not known.
+func overtaken(at, by mirror.Position) bool {
+	return at < by && (at.Era() == 0) == (by.Era() == 0)
+}
+
 // wantedBy returns what an assignment that came at now names. Ages are at most what they
 // say: of two times of a naming the later one holds, which an agent that knew has.
 func wantedBy(n *peers.Assignment, now time.Time, knew catalog.Wanted) catalog.Wanted {
@@ -187,6 +195,9 @@
 	if err != nil {
 		return false
 	}
+	if _, err := peers.Introduce(dctx, c); err != nil && !fault.Is(err, fault.Unsupported) {
+		return false
+	}
 	st, err := c.Open(ctx, &peers.Subscribe{
 		Service: s.Settings.Service, Addr: s.Settings.Replica, Quarantined: s.quarantinedNow(),
 	})
--- a/internal/stager/site_test.go
+++ b/internal/stager/site_test.go
@@ -16,6 +16,7 @@
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/simnet"
 	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/weights"
 )
 
@@ -137,7 +138,7 @@
 }
 
 // assign tells every agent what a gateway would.
-func (s *site) assign(at, version uint64, steps ...peers.Step) {
+func (s *site) assign(at mirror.Position, version uint64, steps ...peers.Step) {
 	a := &peers.Assignment{
 		At: at, Model: "m", Version: version, Steps: steps, Origin: "origin:1", OriginRate: 9e5, Bytes: pieceCount * pieceBytes,
 	}
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -39,10 +39,11 @@
 	Origin  Origin
 	// Follow reads the platform itself while no gateway answers, and Catalog
 	// translates what it reads.
-	Follow  *peers.Follower
-	Keeps   func(key string) bool // See mirror.Mirror.
-	Catalog func(rs map[string]mirror.Record, at uint64) *catalog.Catalog
-	Dial    func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
+	Follow   *peers.Follower
+	Keeps    func(key string) bool // See mirror.Mirror.
+	Outlasts mirror.Outlasts
+	Catalog  func(rs map[string]mirror.Record, at mirror.Position) *catalog.Catalog
+	Dial     func(ctx context.Context, addr string) (net.Conn, error) // TCP by default.
 }
 
 // Stager is one agent. Use New.
@@ -103,7 +104,7 @@
 	st.options.Follow.Mirror = &st.mirror
 	st.options.Follow.Needed = st.now.orphaned
 	st.options.Follow.Doubt = peers.DoubtOf(s.VersionWithin)
-	st.mirror.Keeps = o.Keeps
+	st.mirror.Keeps, st.mirror.Outlasts, st.mirror.Note = o.Keeps, o.Outlasts, peers.LogNote
 	return st, nil
 }
 
--- a/internal/stager/told_test.go
+++ b/internal/stager/told_test.go
@@ -8,6 +8,7 @@
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/mirror"
 )
 
 // Of two gateways the one knows better when a version was named. Ages are at most what
@@ -16,7 +17,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		var a assignments
-		assignment := func(at uint64, age time.Duration) *peers.Assignment {
+		assignment := func(at mirror.Position, age time.Duration) *peers.Assignment {
 			return &peers.Assignment{At: at, Model: "m", Version: 2, Steps: []peers.Step{{Version: 2, Age: age}}}
 		}
 		a.set(assignment(7, 5500*time.Millisecond), "told of it")
--- /dev/null
+++ b/mirror/held.go
@@ -0,0 +1,220 @@
+package mirror
+
+import (
+	"bytes"
+	"math"
+	"time"
+)
+
+// Forever is how long a record outlasts a copy that nothing but news ends.
+const Forever = time.Duration(math.MaxInt64)
+
+// Outlasts tells for how long what was known of a key, before a service came back from a copy,
+// holds against what the service says of it since, or 0 where it does not. If the service lacks
+// the key, said is Gone; if what was known is that it was deleted, known is.
+type Outlasts func(known, said Record) time.Duration
+
+// Held is a record that holds against what the service says of its key since it came back from
+// a copy.
+type Held struct {
+	Record
+	Until time.Time // It holds no longer than this; zero if only news ends it.
+}
+
+// holding is what a Mirror knows of a record that it holds.
+type holding struct {
+	said  Record    // What the service says instead; Gone if it lacks the key.
+	until time.Time // See Held.
+}
+
+// ends reports whether a time alone ends it.
+func (h holding) ends() bool { return !h.until.IsZero() }
+
+// lacked reports whether it is held although the service lacks its key.
+func (h holding) lacked() bool { return h.said.Gone }
+
+// Kinds of a Note.
+const (
+	NoteTurned   = "turned"   // The service came back from a copy.
+	NoteHeld     = "held"     // A record outlasts what the service says.
+	NoteReleased = "released" // What the service says is taken again.
+)
+
+// Note tells of what a Mirror made of a copy.
+type Note struct {
+	Kind  string
+	Key   string
+	Known Record // What was known; for NoteTurned only its Rev.
+	Said  Record // What the service says; Gone if it lacks the key.
+	Until time.Time
+	Held  int // Records that are held, after NoteTurned.
+}
+
+func (m *Mirror) note(n Note) {
+	if m.Note != nil {
+		m.Note(n)
+	}
+}
+
+func (m *Mirror) outlasts(known, said Record) time.Duration {
+	if m.Outlasts == nil || known.Rev == 0 {
+		return 0
+	}
+	return m.Outlasts(known, said)
+}
+
+// turn takes a whole of a later era. What outlasts the copy is held against it.
+func (m *Mirror) turn(d Delta, now time.Time) {
+	before := m.at
+	m.held = map[string]holding{}
+	m.declined = map[string]Position{}
+	told := make(map[string]bool, len(d.Records))
+	for _, r := range d.Records {
+		told[r.Key] = true
+		m.compare(m.records[r.Key], r, d, now)
+	}
+	for key, old := range m.records {
+		if !told[key] && !old.Gone {
+			m.compare(old, Record{Key: key, Rev: d.At, Gone: true}, d, now)
+		}
+	}
+	m.at, m.floor, m.turned = d.At, d.At, d.At
+	m.note(Note{Kind: NoteTurned, Known: Record{Rev: before}, Said: Record{Rev: d.At}, Held: len(m.held)})
+}
+
+// compare takes what a later era says of a key, unless what is known of it is the same change
+// or outlasts that.
+func (m *Mirror) compare(old, r Record, d Delta, now time.Time) {
+	if old.sameChange(&r) {
+		r.Rev = old.Rev
+		if m.keeps(r.Key) {
+			m.learn(old, r)
+		}
+		return
+	}
+	if f := m.outlasts(old, r); f > 0 {
+		m.hold(old, r, f, now)
+		return
+	}
+	m.take(old, r, d)
+}
+
+// sameChange reports whether two records of a key are of one change, which a copy had.
+func (r *Record) sameChange(o *Record) bool {
+	return r.Rev.Revision() == o.Rev.Revision() && r.Gone == o.Gone && bytes.Equal(r.Value, o.Value)
+}
+
+func (m *Mirror) hold(known, said Record, f time.Duration, now time.Time) {
+	h := holding{said: said}
+	if f < Forever {
+		h.until = now.Add(f)
+	}
+	if m.held == nil {
+		m.held = map[string]holding{}
+	}
+	m.held[known.Key] = h
+	m.note(Note{Kind: NoteHeld, Key: known.Key, Known: known, Said: said, Until: h.until})
+}
+
+// release ends that a record is held, where it is.
+func (m *Mirror) release(key string) {
+	h, ok := m.held[key]
+	if !ok {
+		return
+	}
+	delete(m.held, key)
+	m.note(Note{Kind: NoteReleased, Key: key, Known: m.records[key], Said: h.said, Until: h.until})
+}
+
+// Expire takes what the service says in the place of records whose time is over.
+func (m *Mirror) Expire(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	changed := false
+	for key, h := range m.held {
+		if !h.ends() || now.Before(h.until) {
+			continue
+		}
+		m.release(key)
+		old := m.records[key]
+		if !h.said.Gone {
+			m.take(old, h.said, Delta{})
+		} else if !old.Gone {
+			m.set(Record{Key: key, Value: old.Value, Rev: m.at, Gone: true})
+		}
+		changed = true
+	}
+	if changed {
+		m.wake()
+	}
+}
+
+// Held returns the records that are held.
+func (m *Mirror) Held() []Held {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Held
+	for key, h := range m.held {
+		out = append(out, Held{m.records[key], h.until})
+	}
+	return out
+}
+
+// Wants reports whether a record that another process holds may be news here.
+func (m *Mirror) Wants(key string, at Position) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.at > 0 && at.Era() < m.at.Era() && m.records[key].Rev != at && m.declined[key] != at
+}
+
+// Hold holds a record as another process does, unless something newer is known, and reports
+// whether it does so.
+func (m *Mirror) Hold(o Held, now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.at == 0 || o.Rev.Era() >= m.at.Era() {
+		return false
+	}
+	old := m.records[o.Key]
+	h, isHeld := m.held[o.Key]
+	said := old
+	switch {
+	case isHeld:
+		said = h.said
+	case old.Rev == 0 || old.Gone:
+		said = Record{Key: o.Key, Rev: m.at, Gone: true}
+	}
+	left := m.outlasts(o.Record, said)
+	if !o.Until.IsZero() {
+		left = min(left, o.Until.Sub(now))
+	}
+	if left <= 0 || !m.outranks(&o.Record, &old, isHeld) {
+		m.declined[o.Key] = o.Rev
+		return false
+	}
+	r := o.Record
+	if m.keeps(r.Key) {
+		m.kept[r.Key] = true
+		if isHeld {
+			r = joined(old, r)
+		}
+	}
+	m.set(r)
+	m.hold(r, said, left, now)
+	m.wake()
+	return true
+}
+
+// outranks reports whether a record that another process holds is to be held in the place of
+// what is known here.
+func (m *Mirror) outranks(o, old *Record, isHeld bool) bool {
+	switch {
+	case old.Rev == 0:
+		return true
+	case old.Gone:
+		return o.Rev > old.Rev
+	case m.outlasts(*o, *old) > 0:
+		return !o.Gone || old.Rev <= m.turned // Since then it was written again.
+	}
+	return isHeld && o.Rev > old.Rev && m.outlasts(*old, *o) == 0
+}
--- a/mirror/history.go
+++ b/mirror/history.go
@@ -31,7 +31,7 @@
 // seen, and here others may be missing. Where it was taken, a gateway that had been cut off
 // over two namings took the first to be 1.8 s younger than it was, and requests began on the
 // version before 8.5 s after it, of 8 s.
-func (m *Mirror) Date(key string, rev uint64, notBefore time.Time) {
+func (m *Mirror) Date(key string, rev Position, notBefore time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	old, ok := m.records[key]
--- a/mirror/history_test.go
+++ b/mirror/history_test.go
@@ -19,7 +19,7 @@
 	is := is.New(t)
 	const key = "version"
 	at := func(s int) time.Time { return epoch.Add(time.Duration(s) * time.Second) }
-	read := func(m *Mirror, rev uint64, complete time.Time) {
+	read := func(m *Mirror, rev Position, complete time.Time) {
 		m.Apply(Delta{At: rev, Whole: true, Records: []Record{{Key: key, Rev: rev}}, NotBefore: complete})
 	}
 	var cut, other Mirror
@@ -38,7 +38,7 @@
 
 // change is one change of a key, and when it was made.
 type change struct {
-	rev  uint64
+	rev  Position
 	made time.Time
 }
 
@@ -57,7 +57,7 @@
 			i := rapid.IntRange(0, mirrors-1).Draw(t, "mirror")
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
-				made = append(made, change{uint64(len(made) + 1), now})
+				made = append(made, change{Position(len(made) + 1), now})
 			case 1:
 				if len(made) > 0 {
 					newest := made[len(made)-1]
@@ -83,7 +83,7 @@
 }
 
 func neverTooLate(t *rapid.T, known []Record, made []change) {
-	before := uint64(0)
+	before := Position(0)
 	for _, r := range known {
 		for _, c := range made {
 			if c.rev == r.Rev && r.NotBefore.After(c.made) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -7,11 +7,11 @@
 	"github.com/poststand/poststand/internal/times"
 )
 
-// Record is one value and the revision of its last change.
+// Record is one value and the position of its last change.
 type Record struct {
 	Key   string
 	Value []byte
-	Rev   uint64
+	Rev   Position
 	Gone  bool // Deleted at Rev.
 	// NotBefore is a time before which the change was not made: a lower bound, and further
 	// back is always safe. It is zero if nothing is proved, by this process's clock, and
@@ -28,10 +28,10 @@
 	Earlier []Record
 }
 
-// Delta is what a reader at revision Base lacks up to revision At.
+// Delta is what a reader at position Base lacks up to position At.
 type Delta struct {
-	Base    uint64
-	At      uint64
+	Base    Position
+	At      Position
 	Whole   bool // Records are all that exist; whatever else the reader has is gone.
 	Records []Record
 	// NotBefore is a time before which nothing that the reader lacked was made, as is proved,
@@ -47,7 +47,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range d.Records {
-		if m.records[r.Key].Rev != r.Rev {
+		if known := m.records[r.Key]; known.Rev != r.Rev && !known.sameChange(&r) {
 			n, key = n+1, r.Key
 		}
 	}
@@ -73,32 +73,52 @@
 	// Keeps reports for which keys a record remembers the changes before it; if nil, for all.
 	Keeps func(key string) bool
 
+	// Outlasts says what holds when the service comes back from a copy; if nil, nothing does.
+	Outlasts Outlasts
+	// Note, if set, is told what is made of a copy. It must not call the mirror.
+	Note func(Note)
+
 	mu      sync.Mutex
-	at      uint64 // Every change up to it is in records; never falls.
-	floor   uint64 // Deletions up to it may have been forgotten.
+	at      Position // Every change up to it is in records; never falls.
+	floor   Position // Deletions up to it may have been forgotten.
+	turned  Position // Of the first whole of at's era.
 	gone    int
-	records map[string]Record
-	kept    map[string]bool // Keys of records that remember the changes before them.
-	changed chan struct{}   // Closed and replaced at each change.
+	records map[string]Record // Deleted ones have the value that they had.
+	kept    map[string]bool   // Keys of records that remember the changes before them.
+	// held are the keys of records that hold against what the service says, and declined the
+	// records that others hold and that do not here; of at's era.
+	held     map[string]holding
+	declined map[string]Position
+	changed  chan struct{} // Closed and replaced at each change.
 }
 
 func (m *Mirror) init() {
 	if m.records == nil {
 		m.records, m.kept = map[string]Record{}, map[string]bool{}
+		m.held, m.declined = map[string]holding{}, map[string]Position{}
 		m.changed = make(chan struct{})
 	}
 }
 
 // Apply takes a delta. One that starts after the mirror's revision would leave
-// a gap and is refused; one that ends before it changes nothing. It reports
+// a gap and is refused, and so would one of a later era that is not whole; one that ends
+// before it changes nothing. It reports
 // whether the mirror now holds every change up to d.At.
 func (m *Mirror) Apply(d Delta) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
-	if !d.Whole && d.Base > m.at {
+	if !d.Whole && (d.Base > m.at || d.At.Era() > m.at.Era()) {
 		return false
 	}
+	if d.Whole && m.at > 0 && d.At.Era() > m.at.Era() {
+		m.turn(d, time.Now())
+		m.wake()
+		return true
+	}
+	if d.Whole && m.at == 0 {
+		m.turned = d.At
+	}
 	changed := false
 	for _, r := range d.Records {
 		changed = m.put(r, d) || changed
@@ -121,11 +141,12 @@
 	m.changed = make(chan struct{})
 }
 
+func (m *Mirror) keeps(key string) bool { return m.Keeps == nil || m.Keeps(key) }
+
 // put takes a record of a delta.
 func (m *Mirror) put(r Record, d Delta) bool {
 	old, ok := m.records[r.Key]
-	keeps := m.Keeps == nil || m.Keeps(r.Key)
-	if ok && old.Rev == r.Rev && keeps {
+	if ok && old.Rev == r.Rev && m.keeps(r.Key) {
 		return m.learn(old, r)
 	}
 	if r.Rev <= m.at {
@@ -134,23 +155,42 @@
 	if ok && old.Rev >= r.Rev {
 		return false
 	}
-	if ok && old.Gone {
-		m.gone--
+	if !r.Gone && !old.Gone && old.Rev.Era() < r.Rev.Era() {
+		if f := m.outlasts(old, r); f > 0 {
+			m.hold(old, r, f, time.Now())
+			return false
+		}
 	}
-	if r.Gone {
-		m.gone++
+	m.release(r.Key)
+	m.take(old, r, d)
+	if m.gone > maxGone {
+		m.forget()
 	}
+	return true
+}
+
+// take has a record of a delta in the place of the one before it.
+func (m *Mirror) take(old, r Record, d Delta) {
 	r.NotBefore, r.Doubted = times.Later(r.NotBefore, d.NotBefore), d.Doubted
-	if keeps {
+	if m.keeps(r.Key) {
 		r.GapNotBefore = times.Later(r.GapNotBefore, d.NotBefore)
 		r = joined(old, r.doubted(d.Doubted))
 		m.kept[r.Key] = true
 	}
-	m.records[r.Key] = r
-	if m.gone > maxGone {
-		m.forget()
+	if r.Gone {
+		r.Value = old.Value
 	}
-	return true
+	m.set(r)
+}
+
+func (m *Mirror) set(r Record) {
+	if m.records[r.Key].Gone {
+		m.gone--
+	}
+	if r.Gone {
+		m.gone++
+	}
+	m.records[r.Key] = r
 }
 
 // learn takes what another process knows of a record that is here, and reports whether
@@ -173,9 +213,12 @@
 	}
 	changed := false
 	for k, r := range m.records {
-		if !kept[k] && !r.Gone && r.Rev <= d.At {
-			m.records[k] = Record{Key: k, Rev: d.At, Gone: true}
-			m.gone++
+		if kept[k] || r.Rev > d.At || m.held[k].lacked() {
+			continue
+		}
+		m.release(k)
+		if !r.Gone {
+			m.set(Record{Key: k, Value: r.Value, Rev: d.At, Gone: true})
 			changed = true
 		}
 	}
@@ -184,21 +227,22 @@
 
 func (m *Mirror) forget() {
 	for k, r := range m.records {
-		if r.Gone {
+		if _, isHeld := m.held[k]; r.Gone && !isHeld {
 			m.floor = max(m.floor, r.Rev)
 			delete(m.records, k)
 			delete(m.kept, k)
+			m.gone--
 		}
 	}
-	m.gone = 0
 }
 
-// Since returns what a reader at a revision lacks.
-func (m *Mirror) Since(rev uint64) Delta {
+// Since returns what a reader at a position lacks.
+func (m *Mirror) Since(rev Position) Delta {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	d := Delta{Base: rev, At: m.at, Whole: rev < m.floor || rev == 0}
-	for _, r := range m.records {
+	for key := range m.records {
+		r := m.told(key)
 		if r.Rev > rev && !d.Whole || d.Whole && !r.Gone {
 			d.Records = append(d.Records, r)
 		}
@@ -206,23 +250,36 @@
 	return d
 }
 
-// Watch returns the mirror's revision and a channel that is closed at the next
+// told is what other mirrors are told of a key. What is held for a while is left out: they would
+// not learn of its end.
+func (m *Mirror) told(key string) Record {
+	r := m.records[key]
+	if h := m.held[key]; h.ends() {
+		r = h.said
+	}
+	if r.Gone {
+		r.Value = nil
+	}
+	return r
+}
+
+// Watch returns the mirror's position and a channel that is closed at the next
 // change.
-func (m *Mirror) Watch() (uint64, <-chan struct{}) {
+func (m *Mirror) Watch() (Position, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.init()
 	return m.at, m.changed
 }
 
-// At returns the revision up to which the mirror holds every change.
-func (m *Mirror) At() uint64 {
+// At returns the position up to which the mirror holds every change.
+func (m *Mirror) At() Position {
 	at, _ := m.Watch()
 	return at
 }
 
-// Records returns the records that exist, by key, and their revision.
-func (m *Mirror) Records() (map[string]Record, uint64) {
+// Records returns the records that exist, by key, and their position.
+func (m *Mirror) Records() (map[string]Record, Position) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := make(map[string]Record, len(m.records))
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -20,14 +20,18 @@
 	for rev := range n {
 		key := fmt.Sprint("k", rapid.IntRange(0, 5).Draw(t, "key"))
 		gone := rapid.IntRange(0, 3).Draw(t, "gone") == 0
-		out = append(out, Record{Key: key, Value: []byte{byte(rev)}, Rev: uint64(rev + 1), Gone: gone})
+		out = append(out, Record{Key: key, Value: []byte{byte(rev)}, Rev: Position(rev + 1), Gone: gone})
 	}
 	return out
 }
 
+func draw(t *rapid.T, least, most Position, label string) Position {
+	return Position(rapid.Uint64Range(uint64(least), uint64(most)).Draw(t, label))
+}
+
 // at returns what exists after the first n changes.
-func at(history []Record, n uint64) map[string]uint64 {
-	out := map[string]uint64{}
+func at(history []Record, n Position) map[string]Position {
+	out := map[string]Position{}
 	for _, r := range history[:n] {
 		out[r.Key] = r.Rev
 		if r.Gone {
@@ -37,16 +41,16 @@
 	return out
 }
 
-func held(m *Mirror) map[string]uint64 {
+func held(m *Mirror) map[string]Position {
 	rs, _ := m.Records()
-	out := map[string]uint64{}
+	out := map[string]Position{}
 	for k, r := range rs {
 		out[k] = r.Rev
 	}
 	return out
 }
 
-func whole(history []Record, n uint64) Delta {
+func whole(history []Record, n Position) Delta {
 	d := Delta{At: n, Whole: true}
 	exists := at(history, n)
 	for _, r := range history[:n] {
@@ -63,18 +67,18 @@
 func TestMirrorsConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		history := publish(t)
-		last := uint64(len(history))
+		last := Position(len(history))
 		ms := []*Mirror{{}, {}, {}}
 		for range rapid.IntRange(1, 40).Draw(t, "steps") {
 			m := ms[rapid.IntRange(0, 2).Draw(t, "mirror")]
 			before := m.At()
 			switch rapid.IntRange(0, 2).Draw(t, "what") {
 			case 0:
-				from := rapid.Uint64Range(0, last).Draw(t, "from")
-				to := rapid.Uint64Range(from, last).Draw(t, "to")
+				from := draw(t, 0, last, "from")
+				to := draw(t, from, last, "to")
 				m.Apply(Delta{Base: from, At: to, Records: slices.Clone(history[from:to])})
 			case 1:
-				m.Apply(whole(history, rapid.Uint64Range(0, last).Draw(t, "of")))
+				m.Apply(whole(history, draw(t, 0, last, "of")))
 			case 2:
 				m.Apply(ms[rapid.IntRange(0, 2).Draw(t, "other")].Since(before))
 			}
--- a/route/said_test.go
+++ b/route/said_test.go
@@ -33,7 +33,7 @@
 	}{
 		{"the list is silent", func(*Table, map[string]fleet.Upstream) {}, false},
 		{"listed as ready later", func(tb *Table, ups map[string]fleet.Upstream) {
-			lists(tb, ups, at(1), func(u *fleet.Upstream) { u.Revision = 9 })
+			lists(tb, ups, at(1), func(u *fleet.Upstream) { u.ListedAt = 9 })
 		}, false},
 		{"not listed, and listed again", func(tb *Table, ups map[string]fleet.Upstream) {
 			tb.Sync(at(1), map[string]fleet.Upstream{"e1": ups["e1"]}, services)
