--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -29,6 +29,6 @@
 	Engine  bool   // It runs a model, and so has weights.
 	Model   string // What it holds, or empty.
 	Version uint64 // Of the weights that it holds whole; 0 for none.
-	// ListedAt is the position of the last change of its entry.
+	// ListedAt is the position at which the last change of its entry was first known.
 	ListedAt mirror.Position
 }
--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -224,6 +224,7 @@
 	if !e.live {
 		e.live = true
 		telemetry.Log("peer_gained", "peer", e.Name, "addr", e.Addr, "hall", e.Hall, "at", a.At)
+		g.tellHeld(g.Pool.Lifetime, []string{e.Addr})
 	}
 	for _, k := range a.Known {
 		if e := g.note(k.Member, now); e != nil && now.Add(-k.Age).After(e.heard) {
--- a/mirror/held.go
+++ b/mirror/held.go
@@ -86,8 +86,10 @@
 // or outlasts that.
 func (m *Mirror) compare(old, r Record, d Delta, now time.Time) {
 	if old.sameChange(&r) {
-		r.Rev = old.Rev
-		if m.keeps(r.Key) {
+		old.First = old.FirstAt()
+		old.Rev = max(old.Rev, r.Rev)
+		m.set(old)
+		if r.Rev = old.Rev; m.keeps(r.Key) {
 			m.learn(old, r)
 		}
 		return
@@ -96,6 +98,10 @@
 		m.hold(old, r, f, now)
 		return
 	}
+	if r.Rev <= old.Rev {
+		// Another process holds it, and here it was overtaken by one that is lost.
+		r.Rev = min(d.At, NewPosition(d.At.Era(), r.Rev.Revision()))
+	}
 	m.take(old, r, d)
 }
 
@@ -195,7 +201,7 @@
 	r := o.Record
 	if m.keeps(r.Key) {
 		m.kept[r.Key] = true
-		if isHeld {
+		if isHeld && r.Rev > old.Rev {
 			r = joined(old, r)
 		}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -13,6 +13,9 @@
 	Value []byte
 	Rev   Position
 	Gone  bool // Deleted at Rev.
+	// First is the position at which this process first knew of the change, if that is before
+	// Rev: the service came back from a copy that has the change. Others are not told of it.
+	First Position `msgpack:"-"`
 	// NotBefore is a time before which the change was not made: a lower bound, and further
 	// back is always safe. It is zero if nothing is proved, by this process's clock, and
 	// travels as an age.
@@ -28,6 +31,14 @@
 	Earlier []Record
 }
 
+// FirstAt returns the position at which the change was first known.
+func (r *Record) FirstAt() Position {
+	if r.First > 0 {
+		return r.First
+	}
+	return r.Rev
+}
+
 // Delta is what a reader at position Base lacks up to position At.
 type Delta struct {
 	Base    Position
@@ -47,7 +58,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, r := range d.Records {
-		if known := m.records[r.Key]; known.Rev != r.Rev && !known.sameChange(&r) {
+		if m.records[r.Key].Rev != r.Rev {
 			n, key = n+1, r.Key
 		}
 	}
@@ -197,6 +208,7 @@
 // anything of it is new.
 func (m *Mirror) learn(old, r Record) bool {
 	r = joined(old, r)
+	r.First = old.First
 	m.records[r.Key] = r
 	return !r.SameHistory(&old)
 }
