--- a/internal/relay/copy_test.go
+++ b/internal/relay/copy_test.go
@@ -47,7 +47,7 @@
 func (w *world) startHalls() {
 	w.halls = 3
 	for i := range 6 {
-		w.addGateway(i, slowly(w.store))
+		w.addGateway(i, w.storeOf(i))
 	}
 	time.Sleep(3 * time.Second)
 }
@@ -61,6 +61,18 @@
 	})
 }
 
+// storeOf is the store as a gateway reaches it.
+func (w *world) storeOf(gateway int) http.Handler {
+	store := slowly(w.store)
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if only := w.only.Load(); only > 0 && only != int64(gateway+1) {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		store.ServeHTTP(rw, r)
+	})
+}
+
 // changes has a replica write so many times.
 func (w *world) changes(n int) {
 	for range n {
--- a/internal/relay/world_test.go
+++ b/internal/relay/world_test.go
@@ -46,6 +46,7 @@
 	halls    int             // Gateways stand in so many halls in turn; one by default.
 	dials    func(to string) // If set, called before a gateway connects.
 	join     []string        // Whom gateways ask first; the first one by default.
+	only     atomic.Int64    // If positive, the number, from 1, of the one gateway that storeOf answers.
 }
 
 // run plays a test in virtual time, with a configuration of one stream, one safe
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -228,6 +228,9 @@
 	started := &Mirror{Outlasts: newest}
 	started.Apply(m.Since(0))
 	is.Equal(values(started)["k"], "9")
+	is.Equal(len(started.Held()), 1) // Those that read the copy are told by it as well.
+	knew := turned(newest, rec("k", "9", pos(1, 9)), started.Since(0).Records...)
+	is.Equal(len(knew.Held()), 1)
 	started.Apply(Delta{Base: pos(2, 7), At: pos(2, 8), Records: []Record{rec("k", "6", pos(2, 8))}})
 	is.Equal(values(started)["k"], "9")
 }
--- a/mirror/held.go
+++ b/mirror/held.go
@@ -30,8 +30,8 @@
 // ends reports whether a time alone ends it.
 func (h holding) ends() bool { return !h.until.IsZero() }
 
-// lacked reports whether it is held although the service lacks its key.
-func (h holding) lacked() bool { return h.said.Gone }
+// lacking stands for what a service that lacks a key says of it.
+func lacking(key string, at Position) Record { return Record{Key: key, Rev: at, Gone: true} }
 
 // Kinds of a Note.
 const (
@@ -75,7 +75,7 @@
 	}
 	for key, old := range m.records {
 		if !told[key] && !old.Gone {
-			m.compare(old, Record{Key: key, Rev: d.At, Gone: true}, d, now)
+			m.compare(old, lacking(key, d.At), d, now)
 		}
 	}
 	m.at, m.floor, m.turned = d.At, d.At, d.At
@@ -89,6 +89,7 @@
 		old.First = old.FirstAt()
 		old.Rev = max(old.Rev, r.Rev)
 		m.set(old)
+		m.holdAsTold(old, d)
 		if r.Rev = old.Rev; m.keeps(r.Key) {
 			m.learn(old, r)
 		}
@@ -122,6 +123,13 @@
 	m.note(Note{Kind: NoteHeld, Key: known.Key, Known: known, Said: said, Until: h.until})
 }
 
+// holdAsTold holds a record of an era before that of a whole, as who told of the whole does.
+func (m *Mirror) holdAsTold(r Record, d Delta) {
+	if r.Rev.Era() < d.At.Era() {
+		m.held[r.Key] = holding{said: lacking(r.Key, d.At)}
+	}
+}
+
 // release ends that a record is held, where it is.
 func (m *Mirror) release(key string) {
 	h, ok := m.held[key]
@@ -132,6 +140,20 @@
 	m.note(Note{Kind: NoteReleased, Key: key, Known: m.records[key], Said: h.said, Until: h.until})
 }
 
+// stillHeld reports whether a record is held although a whole of the era lacks its key. It is
+// not if the service had the key before, so that it was deleted.
+func (m *Mirror) stillHeld(r Record) bool {
+	h, ok := m.held[r.Key]
+	if !ok || !h.said.Gone {
+		return false
+	}
+	if f := m.outlasts(r, h.said); !h.ends() && f < Forever {
+		h.until = time.Now().Add(f) // Who told of it knew what the service says, and this process does not.
+		m.held[r.Key] = h
+	}
+	return true
+}
+
 // Expire takes what the service says in the place of records whose time is over.
 func (m *Mirror) Expire(now time.Time) {
 	m.mu.Lock()
@@ -188,7 +210,7 @@
 	case isHeld:
 		said = h.said
 	case old.Rev == 0 || old.Gone:
-		said = Record{Key: o.Key, Rev: m.at, Gone: true}
+		said = lacking(o.Key, m.at)
 	}
 	left := m.outlasts(o.Record, said)
 	if !o.Until.IsZero() {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -183,6 +183,7 @@
 // take has a record of a delta in the place of the one before it.
 func (m *Mirror) take(old, r Record, d Delta) {
 	r.NotBefore, r.Doubted = times.Later(r.NotBefore, d.NotBefore), d.Doubted
+	m.holdAsTold(r, d)
 	if m.keeps(r.Key) {
 		r.GapNotBefore = times.Later(r.GapNotBefore, d.NotBefore)
 		r = joined(old, r.doubted(d.Doubted))
@@ -225,7 +226,7 @@
 	}
 	changed := false
 	for k, r := range m.records {
-		if kept[k] || r.Rev > d.At || m.held[k].lacked() {
+		if kept[k] || r.Rev > d.At || m.stillHeld(r) {
 			continue
 		}
 		m.release(k)
