--- a/internal/peers/follow.go
+++ b/internal/peers/follow.go
@@ -33,9 +33,9 @@
 	// is not needed looks again after a while.
 	Needed func() bool
 
-	// Turn, if set, returns for how long this process waits for others to tell it before it reads
+	// Yield, if set, returns for how long this process waits for others to tell it before it reads
 	// all records, where its place in the changes is lost.
-	Turn func() time.Duration
+	Yield func() time.Duration
 
 	// Standby, if set, reports whether this process is one of those that would watch if
 	// the one that does were lost: they miss it soonest.
@@ -147,74 +147,101 @@
 
 // Run follows until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	wait, lost, whole, rushed := retryFirst, false, false, false
-	var gone mirror.Position // The service does not tell what followed it.
+	r := reading{wait: retryFirst}
 	for ctx.Err() == nil {
 		if f.Needed != nil && !f.Needed() {
-			f.setWatching(false)
-			look := idleLook
-			if f.Mirror.At() == 0 {
-				look = startLook
-			}
-			kernel.Sleep(ctx, look)
+			f.idle(ctx)
 			continue
 		}
-		if !lost {
-			f.setWatching(true)
-		}
 		had := f.Mirror.At()
-		whole = whole && had == gone // Else others have told.
-		answered := time.AfterFunc(watchHolds, func() { f.setWatching(true) })
-		err := f.once(ctx, whole)
-		answered.Stop()
-		f.setWatching(err == nil)
-		if err != nil && ctx.Err() == nil && f.Needed != nil && !f.Needed() {
-			continue // It was ended since others have told, or nothing is wanted of it now.
-		}
-		if err != nil && f.Mirror.At().Era() > had.Era() {
-			continue // Others have told.
-		}
-		if err == nil {
-			if lost {
-				telemetry.Log("store_regained", "at", f.Mirror.At())
-			}
-			if !whole {
-				wait, rushed = retryFirst, false
-			}
-			lost, whole = false, false
-			continue
-		}
-		if ctx.Err() != nil {
+		r.whole = r.whole && had == r.gone // Else others have told.
+		err := f.attempt(ctx, &r)
+		switch {
+		case err == nil:
+			r.answered(f.Mirror.At())
+		case ctx.Err() != nil:
 			return nil
+		case f.Needed != nil && !f.Needed(), f.Mirror.At().Era() > had.Era():
+			// It was ended since others have told, or nothing is wanted of it now.
+		default:
+			f.failed(ctx, &r, err, had)
 		}
-		if !lost {
-			telemetry.Log("store_lost", "reason", fault.CodeOf(err), "at", f.Mirror.At(), "detail", err.Error())
-		}
-		lost = true
-		if f.Event != nil {
-			f.Event("store_failed", fault.CodeOf(err))
-		}
-		if fault.Is(err, fault.HistoryGone) {
-			whole, gone = !f.told(ctx, had), had
-			if !rushed {
-				rushed = true
-				continue
-			}
-		}
-		kernel.Sleep(ctx, wait/2+rand.N(wait))
-		wait = min(2*wait, retryMost)
 	}
 	return nil
 }
 
-// told waits for this process's turn to read all records, and reports whether others have told
-// of what followed a position meanwhile.
-func (f *Follower) told(ctx context.Context, had mirror.Position) bool {
-	if f.Turn != nil {
-		for until := time.Now().Add(f.Turn()); ctx.Err() == nil && f.Mirror.At() == had && time.Now().Before(until); {
-			kernel.Sleep(ctx, startLook)
+// reading is how it stands with a Follower's reads.
+type reading struct {
+	wait   time.Duration   // After the next failure.
+	lost   bool            // The last read failed.
+	whole  bool            // The next one is of all records,
+	gone   mirror.Position // since the service does not tell what followed this.
+	rushed bool            // A whole was read without a pause, and no watch was answered since.
+}
+
+// answered takes note of a read that was answered.
+func (r *reading) answered(at mirror.Position) {
+	if r.lost {
+		telemetry.Log("store_regained", "at", at)
+	}
+	if !r.whole {
+		r.wait, r.rushed = retryFirst, false
+	}
+	r.lost, r.whole = false, false
+}
+
+// idle waits while the platform need not be read.
+func (f *Follower) idle(ctx context.Context) {
+	f.setWatching(false)
+	look := idleLook
+	if f.Mirror.At() == 0 {
+		look = startLook
+	}
+	kernel.Sleep(ctx, look)
+}
+
+// attempt reads once, and keeps what others are told of that up to date.
+func (f *Follower) attempt(ctx context.Context, r *reading) error {
+	if !r.lost {
+		f.setWatching(true)
+	}
+	answered := time.AfterFunc(watchHolds, func() { f.setWatching(true) })
+	err := f.once(ctx, r.whole)
+	answered.Stop()
+	f.setWatching(err == nil)
+	return err
+}
+
+// failed takes note of a read after a position that failed, and waits until the next one.
+func (f *Follower) failed(ctx context.Context, r *reading, err error, had mirror.Position) {
+	if !r.lost {
+		telemetry.Log("store_lost", "reason", fault.CodeOf(err), "at", f.Mirror.At(), "detail", err.Error())
+	}
+	r.lost = true
+	if f.Event != nil {
+		f.Event("store_failed", fault.CodeOf(err))
+	}
+	if fault.Is(err, fault.HistoryGone) {
+		r.whole, r.gone = !f.told(ctx, had), had
+		if !r.rushed {
+			r.rushed = true
+			return
 		}
 	}
+	kernel.Sleep(ctx, r.wait/2+rand.N(r.wait))
+	r.wait = min(2*r.wait, retryMost)
+}
+
+// told waits while it is others' turn to read all records, and reports whether they have told
+// of what followed a position.
+func (f *Follower) told(ctx context.Context, had mirror.Position) bool {
+	if f.Yield == nil {
+		return false
+	}
+	until := time.Now().Add(f.Yield())
+	for ctx.Err() == nil && f.Mirror.At() == had && time.Now().Before(until) {
+		kernel.Sleep(ctx, startLook)
+	}
 	return f.Mirror.At() > had
 }
 
@@ -305,7 +332,6 @@
 	}
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, every/2-every/16+rand.N(every/8))
-		f.Mirror.Expire(time.Now())
 		if f.Mirror.At() > 0 && time.Since(f.Certain()) >= f.uncheckedFor(every) {
 			f.check(ctx)
 		}
--- a/internal/peers/held.go
+++ b/internal/peers/held.go
@@ -130,7 +130,7 @@
 // LogNote writes what a mirror made of a copy.
 func LogNote(n mirror.Note) {
 	switch n.Kind {
-	case mirror.NoteTurned:
+	case mirror.NoteEra:
 		telemetry.Log("store_returned", "before", n.Known.Rev, "at", n.Said.Rev, "held", n.Held)
 	case mirror.NoteHeld:
 		telemetry.Log("record_held", "key", n.Key, "known", n.Known.Rev, "deleted", n.Known.Gone, "copied", n.Said.Rev, "lacks", n.Said.Gone, "for", leftOf(n.Until))
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -146,13 +146,13 @@
 // Waits of a gateway whose place in the platform's changes is lost, while another one is to
 // read all records and tell it of them.
 const (
-	hallTurn = 150 * time.Millisecond // For each hall whose gateways read before those of this one,
-	ownTurn  = 300 * time.Millisecond // and for each gateway of this hall that does.
-	turns    = 3                      // No more than so many of each are waited for.
+	yieldToHall    = 150 * time.Millisecond // For each hall whose gateways read before those of this one,
+	yieldToGateway = 300 * time.Millisecond // and for each gateway of this hall that does.
+	yieldMost      = 3                      // No more than so many of each are waited for.
 )
 
-// Turn returns for how long this gateway waits to be told before it reads all records.
-func (g *Gossip) Turn() time.Duration {
+// Yield returns for how long this gateway waits to be told before it reads all records.
+func (g *Gossip) Yield() time.Duration {
 	g.init()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -164,7 +164,7 @@
 			before++
 		}
 	}
-	return time.Duration(min(turns, before))*hallTurn + time.Duration(min(turns, g.place(now)))*ownTurn
+	return time.Duration(min(yieldMost, before))*yieldToHall + time.Duration(min(yieldMost, g.place(now)))*yieldToGateway
 }
 
 // wouldWatch returns the gateways that would watch the platform if this one did not: the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,7 +125,7 @@
 	g.options.Follow.Mirror = &g.mirror
 	g.options.Follow.Needed = g.watches
 	g.options.Follow.Standby = g.gossip.Standby
-	g.options.Follow.Turn = g.gossip.Turn
+	g.options.Follow.Yield = g.gossip.Yield
 	g.options.Follow.Doubt = peers.DoubtOf(s.VersionWithin)
 	g.options.Follow.CheckEvery = s.ApplyWithin / checksInBound
 	g.options.Follow.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
--- a/mirror/copy_test.go
+++ b/mirror/copy_test.go
@@ -297,9 +297,9 @@
 	var other Mirror
 	other.Apply(m.Since(0))
 	is.Equal(values(&other), map[string]string{"deleted": "1"}) // Else it would lack it for good.
-	m.Expire(time.Now())
+	m.expire(time.Now())
 	is.Equal(values(m), map[string]string{"missing": "2"})
-	m.Expire(time.Now().Add(time.Second))
+	m.expire(time.Now().Add(time.Second))
 	is.Equal(values(m), map[string]string{"deleted": "1"})
 	is.Equal(len(m.Held()), 0)
 }
--- a/mirror/held.go
+++ b/mirror/held.go
@@ -35,7 +35,7 @@
 
 // Kinds of a Note.
 const (
-	NoteTurned   = "turned"   // The service came back from a copy.
+	NoteEra      = "era"      // The service came back from a copy.
 	NoteHeld     = "held"     // A record outlasts what the service says.
 	NoteReleased = "released" // What the service says is taken again.
 )
@@ -44,10 +44,10 @@
 type Note struct {
 	Kind  string
 	Key   string
-	Known Record // What was known; for NoteTurned only its Rev.
+	Known Record // What was known; for NoteEra only its Rev.
 	Said  Record // What the service says; Gone if it lacks the key.
 	Until time.Time
-	Held  int // Records that are held, after NoteTurned.
+	Held  int // Records that are held, after NoteEra.
 }
 
 func (m *Mirror) note(n Note) {
@@ -63,8 +63,8 @@
 	return m.Outlasts(known, said)
 }
 
-// turn takes a whole of a later era. What outlasts the copy is held against it.
-func (m *Mirror) turn(d Delta, now time.Time) {
+// enterEra takes a whole of a later era. What outlasts the copy is held against it.
+func (m *Mirror) enterEra(d Delta, now time.Time) {
 	before := m.at
 	m.held = map[string]holding{}
 	m.declined = map[string]Position{}
@@ -78,8 +78,8 @@
 			m.compare(old, lacking(key, d.At), d, now)
 		}
 	}
-	m.at, m.floor, m.turned = d.At, d.At, d.At
-	m.note(Note{Kind: NoteTurned, Known: Record{Rev: before}, Said: Record{Rev: d.At}, Held: len(m.held)})
+	m.at, m.floor, m.entered = d.At, d.At, d.At
+	m.note(Note{Kind: NoteEra, Known: Record{Rev: before}, Said: Record{Rev: d.At}, Held: len(m.held)})
 }
 
 // compare takes what a later era says of a key, unless what is known of it is the same change
@@ -115,9 +115,7 @@
 	h := holding{said: said}
 	if f < Forever {
 		h.until = now.Add(f)
-	}
-	if m.held == nil {
-		m.held = map[string]holding{}
+		time.AfterFunc(f, m.expireNow)
 	}
 	m.held[known.Key] = h
 	m.note(Note{Kind: NoteHeld, Key: known.Key, Known: known, Said: said, Until: h.until})
@@ -149,13 +147,16 @@
 	}
 	if f := m.outlasts(r, h.said); !h.ends() && f < Forever {
 		h.until = time.Now().Add(f) // Who told of it knew what the service says, and this process does not.
+		time.AfterFunc(f, m.expireNow)
 		m.held[r.Key] = h
 	}
 	return true
 }
 
-// Expire takes what the service says in the place of records whose time is over.
-func (m *Mirror) Expire(now time.Time) {
+func (m *Mirror) expireNow() { m.expire(time.Now()) }
+
+// expire takes what the service says in the place of records whose time is over.
+func (m *Mirror) expire(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	changed := false
@@ -195,6 +196,9 @@
 	return m.at > 0 && at.Era() < m.at.Era() && m.records[key].Rev != at && m.declined[key] != at
 }
 
+// maxDeclined bounds the records of others that are remembered as declined.
+const maxDeclined = 4096
+
 // Hold holds a record as another process does, unless something newer is known, and reports
 // whether it does so.
 func (m *Mirror) Hold(o Held, now time.Time) bool {
@@ -217,7 +221,7 @@
 		left = min(left, o.Until.Sub(now))
 	}
 	if left <= 0 || !m.outranks(&o.Record, &old, isHeld) {
-		m.declined[o.Key] = o.Rev
+		m.decline(o.Key, o.Rev)
 		return false
 	}
 	r := o.Record
@@ -233,6 +237,13 @@
 	return true
 }
 
+func (m *Mirror) decline(key string, at Position) {
+	if len(m.declined) >= maxDeclined {
+		m.declined = map[string]Position{}
+	}
+	m.declined[key] = at
+}
+
 // outranks reports whether a record that another process holds is to be held in the place of
 // what is known here.
 func (m *Mirror) outranks(o, old *Record, isHeld bool) bool {
@@ -242,7 +253,7 @@
 	case old.Gone:
 		return o.Rev > old.Rev
 	case m.outlasts(*o, *old) > 0:
-		return !o.Gone || old.Rev <= m.turned // Since then it was written again.
+		return !o.Gone || old.Rev <= m.entered // Since then it was written again.
 	}
 	return isHeld && o.Rev > old.Rev && m.outlasts(*old, *o) == 0
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -92,7 +92,7 @@
 	mu      sync.Mutex
 	at      Position // Every change up to it is in records; never falls.
 	floor   Position // Deletions up to it may have been forgotten.
-	turned  Position // Of the first whole of at's era.
+	entered Position // Of the first whole of at's era.
 	gone    int
 	records map[string]Record // Deleted ones have the value that they had.
 	kept    map[string]bool   // Keys of records that remember the changes before them.
@@ -111,10 +111,10 @@
 	}
 }
 
-// Apply takes a delta. One that starts after the mirror's revision would leave
-// a gap and is refused, and so would one of a later era that is not whole; one that ends
-// before it changes nothing. It reports
-// whether the mirror now holds every change up to d.At.
+// Apply takes a delta. One that starts after the mirror's position would leave a
+// gap and is refused, and so is one of a later era that is not whole; one that ends
+// before it changes nothing. It reports whether the mirror now holds every change
+// up to d.At.
 func (m *Mirror) Apply(d Delta) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -123,12 +123,12 @@
 		return false
 	}
 	if d.Whole && m.at > 0 && d.At.Era() > m.at.Era() {
-		m.turn(d, time.Now())
+		m.enterEra(d, time.Now())
 		m.wake()
 		return true
 	}
 	if d.Whole && m.at == 0 {
-		m.turned = d.At
+		m.entered = d.At
 	}
 	changed := false
 	for _, r := range d.Records {
