--- a/internal/relay/copy_cases_test.go
+++ b/internal/relay/copy_cases_test.go
@@ -262,7 +262,25 @@
 	check.Equal(added, map[int]int{http.StatusOK: 6}) // A route of the lost part is served on.
 }
 
-// ways in which a reader hears of another era first.
+// The copy is from before anything was written.
+func TestCopyThatHasNothing(t *testing.T) {
+	check := is.New(t)
+	var got map[int]int
+	rs := plain(3)
+	among(t, rs, func(w *world) {
+		w.store.Refuse(http.StatusServiceUnavailable)
+		w.store.FallBack(int(w.store.Revision()))
+		w.store.Refuse(0)
+		for i, r := range rs {
+			time.AfterFunc(time.Duration(500+500*i)*time.Millisecond, func() { w.store.Put("servers/"+r.ID, r.Record("ready")) })
+		}
+		time.AfterFunc(2*time.Second, func() { w.store.Put("op/config", config(1)) })
+		got = w.callers("/safe/", 20*time.Millisecond, 4*time.Second)
+	})
+	check.Equal(got, map[int]int{http.StatusOK: 200})
+}
+
+// A reader hears of another era first in each of these ways.
 func TestEraIsHeardOf(t *testing.T) {
 	cases := []struct {
 		name string
