--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -114,7 +114,7 @@
 		_ = s.SendLast(ctx, g.announcement(m.From.Addr, len(m.Known) > 0, eras))
 	})
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
-		_ = s.SendLast(ctx, g.pulled(s.Conn(), m))
+		_ = s.SendLast(ctx, g.answerPull(s.Conn(), m))
 	})
 	wire.On(hs, g.serveSpeaks)
 	wire.On(hs, g.serveHeldKeys)
--- a/internal/peers/pull.go
+++ b/internal/peers/pull.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// pulled answers a Pull. One that knows no eras asks for what followed a revision of this one.
-func (g *Gossip) pulled(c *wire.Conn, m *Pull) *Records {
+// answerPull answers a Pull. One that knows no eras asks for what followed a revision of this one.
+func (g *Gossip) answerPull(c *wire.Conn, m *Pull) *Records {
 	now := time.Now()
 	eras, _ := g.spoken.knows(c)
 	if eras {
--- a/internal/peers/speaks.go
+++ b/internal/peers/speaks.go
@@ -66,8 +66,8 @@
 	return Speaks{}, fault.New(fault.Garbage, "introduction")
 }
 
-// Understands returns a position as the other end of a connection understands it.
-func (g *Gossip) Understands(c *wire.Conn, at mirror.Position) mirror.Position {
+// PositionFor returns a position as the other end of a connection understands it.
+func (g *Gossip) PositionFor(c *wire.Conn, at mirror.Position) mirror.Position {
 	if eras, _ := g.spoken.knows(c); eras {
 		return at
 	}
--- a/internal/relay/agents.go
+++ b/internal/relay/agents.go
@@ -30,7 +30,7 @@
 		now := time.Now()
 		a := g.assign(c, s.Conn().Remote().Hall, m, now)
 		if a != nil && !a.Same(&sent) && (a.Urgent(&sent) || !now.Before(notBefore)) {
-			a.At = g.gossip.Understands(s.Conn(), a.At)
+			a.At = g.gossip.PositionFor(s.Conn(), a.At)
 			if s.Send(ctx, a) != nil {
 				return
 			}
