--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -92,12 +92,6 @@
 	suspects uint64 // quarantine.Table.Digest of it, by its last sign.
 }
 
-// pushed is a revision up to which changes were passed on to the hall, and when.
-type pushed struct {
-	at   mirror.Position
-	when time.Time
-}
-
 func (g *Gossip) init() {
 	g.once.Do(func() {
 		g.members = map[string]*member{}
--- a/internal/peers/push.go
+++ b/internal/peers/push.go
@@ -8,6 +8,12 @@
 	"github.com/poststand/poststand/mirror"
 )
 
+// pushed is a position up to which changes were passed on to the hall, and when.
+type pushed struct {
+	at   mirror.Position
+	when time.Time
+}
+
 // passedOn reports whether what has just changed need not be announced. A gateway that
 // has it from the platform sends a small change to all of its hall and to one gateway of
 // each other hall, which does the same there; one that was sent it has nobody to tell.
--- a/internal/relay/limiter_test.go
+++ b/internal/relay/limiter_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -13,7 +12,6 @@
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/internal/peers"
-	"github.com/poststand/poststand/internal/simnet"
 	"github.com/poststand/poststand/platform/platformtest"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/wire"
@@ -106,34 +104,11 @@
 
 // addOlder adds what a gateway of a build without limits says to others.
 func (w *world) addOlder(addr string) {
-	codec := wire.NewCodec(slices.DeleteFunc(slices.Clone(peers.Messages), func(e wire.Entry) bool { return e.ByName }))
 	announce := &peers.Announce{From: peers.Member{Name: addr, Addr: addr, Hall: "h1"}}
 	var hs wire.Handlers
 	wire.On(&hs, func(ctx context.Context, s *wire.Stream, _ *peers.Announce) { _ = s.SendLast(ctx, announce) })
-	ctx, cancel := context.WithCancel(context.Background())
-	pool := &wire.Pool{
-		Local: wire.Hello{Cluster: "c", Box: addr, Hall: "h1", Role: "gateway", Incarnation: 9}, Codec: codec, Handlers: &hs, Lifetime: ctx,
-		Options: wire.Options{PingEvery: time.Second, StallAfter: 3 * time.Second},
-		Dial:    func(ctx context.Context, to string) (net.Conn, error) { return w.net.Dial(ctx, addr, to) },
-	}
-	srv := &wire.Server{Local: pool.Local, Codec: codec, Handlers: &hs, Options: pool.Options}
-	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: srv.One})
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		for ; ctx.Err() == nil; time.Sleep(200 * time.Millisecond) {
-			for i := range w.gateways {
-				if c, err := pool.Get(ctx, gatewayAddr(i)); err == nil {
-					_, _ = c.Call(ctx, announce)
-				}
-			}
-		}
-	}()
-	w.stops = append(w.stops, func() {
-		cancel()
-		w.net.Remove(addr)
-		<-done
-	})
+	const every = 200 * time.Millisecond
+	w.addOlderProcess(addr, "h1", &hs, every, func(ctx context.Context, c *wire.Conn) { _, _ = c.Call(ctx, announce) })
 }
 
 // Two halls are cut off from each other, and each has a limiter of its own: together they send
--- a/internal/relay/older_test.go
+++ b/internal/relay/older_test.go
@@ -76,7 +76,6 @@
 		w.t.Fatal(err)
 	}
 	o.mirror.Apply(d)
-	codec := wire.NewCodec(slices.DeleteFunc(slices.Clone(peers.Messages), func(e wire.Entry) bool { return e.ByName }))
 	var hs wire.Handlers
 	wire.On(&hs, func(ctx context.Context, s *wire.Stream, m *peers.Announce) {
 		o.hears(m)
@@ -91,21 +90,30 @@
 		d := o.mirror.Since(m.Since)
 		_ = s.SendLast(ctx, &peers.Records{Delta: d, Ages: make([]time.Duration, len(d.Records))})
 	})
+	const every = 300 * time.Millisecond
+	w.addOlderProcess(addr, leadingHall(), &hs, every, func(ctx context.Context, c *wire.Conn) { w.asOlder(ctx, c, o, addr) })
+	return o
+}
+
+// addOlderProcess adds a gateway of a build that knows no messages by field names. It says
+// something to each other gateway every so often.
+func (w *world) addOlderProcess(addr, hall string, hs *wire.Handlers, every time.Duration, say func(ctx context.Context, c *wire.Conn)) {
+	codec := wire.NewCodec(slices.DeleteFunc(slices.Clone(peers.Messages), func(e wire.Entry) bool { return e.ByName }))
 	ctx, cancel := context.WithCancel(context.Background())
 	pool := &wire.Pool{
-		Local: wire.Hello{Cluster: "c", Box: addr, Hall: leadingHall(), Role: "gateway", Incarnation: 9}, Codec: codec, Handlers: &hs, Lifetime: ctx,
+		Local: wire.Hello{Cluster: "c", Box: addr, Hall: hall, Role: "gateway", Incarnation: 9}, Codec: codec, Handlers: hs, Lifetime: ctx,
 		Options: wire.Options{PingEvery: time.Second, StallAfter: 3 * time.Second},
 		Dial:    func(ctx context.Context, to string) (net.Conn, error) { return w.net.Dial(ctx, addr, to) },
 	}
-	srv := &wire.Server{Local: pool.Local, Codec: codec, Handlers: &hs, Options: pool.Options}
+	srv := &wire.Server{Local: pool.Local, Codec: codec, Handlers: hs, Options: pool.Options}
 	w.net.Add(&simnet.End{Name: addr, Up: &simnet.Link{}, Down: &simnet.Link{}, Serve: srv.One})
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		for ; ctx.Err() == nil; time.Sleep(300 * time.Millisecond) {
+		for ; ctx.Err() == nil; time.Sleep(every) {
 			for i := range halfDozen {
 				if c, err := pool.Get(ctx, gatewayAddr(i)); err == nil {
-					w.asOlder(ctx, c, o, addr)
+					say(ctx, c)
 				}
 			}
 		}
@@ -115,7 +123,6 @@
 		w.net.Remove(addr)
 		<-done
 	})
-	return o
 }
 
 // asOlder announces as an older gateway does, and asks for what it lacks.
