--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -20,10 +20,8 @@
 
 // Main runs the command line and returns the exit status: 0 on success, 1 on failure.
 func Main() int {
-	lines := telemetry.NewLineWriter(os.Stdout)
-	defer lines.Close()
-	defer klog.Flush()
-	klog.SetOutput(lines)
+	telemetry.Start(os.Stdout)
+	defer telemetry.Flush()
 	if err := New().ExecuteContext(context.Background()); err != nil {
 		printError(err)
 		return 1
@@ -67,14 +65,15 @@
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
 	go func() {
 		select {
-		case <-signals:
+		case s := <-signals:
+			telemetry.Log("signal", "signal", s)
 			cancel()
 		case <-ctx.Done():
 			return
 		}
-		<-signals
-		klog.InfoS("stopped_at_once", "reason", "second_signal")
-		klog.Flush()
+		s := <-signals
+		telemetry.Log("stopped_at_once", "signal", s)
+		telemetry.Flush()
 		os.Exit(1)
 	}()
 	return ctx, cancel
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -43,6 +43,9 @@
 	epoch   uint64 // Epoch of the quarantine status when the request was sent.
 	result  route.RequestResult
 	status  int
+	// lastDataAt is when the request was sent or data last arrived; zero before.
+	lastDataAt time.Time
+	broken     breakdown
 }
 
 // run sends the request and passes on the answer. The result covers this attempt only.
@@ -124,7 +127,10 @@
 	}
 	a.conn = c
 	a.stopAbort = context.AfterFunc(ctx, c.abort)
-	if n, err := a.send(); err != nil {
+	a.relay.inFlight.setReplica(a.rq, a.to.ID)
+	n, err := a.send()
+	a.lastDataAt = time.Now()
+	if err != nil {
 		if n == 0 {
 			return nil, notRun(fault.Unreachable)
 		}
@@ -221,6 +227,7 @@
 
 // connectionResult returns the result of a request whose connection failed with err.
 func (a *attempt) connectionResult(ctx context.Context, err error) dispatch.Result {
+	a.recordBreakdown(ctx, err)
 	switch {
 	case ctx.Err() != nil:
 		return unknown(fault.Cancelled)
@@ -241,6 +248,7 @@
 		if err != nil {
 			return nil, a.connectionResult(ctx, err)
 		}
+		a.lastDataAt = time.Now()
 		a.recordHeaders(resp)
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -320,8 +328,12 @@
 	case err == nil:
 		return dispatch.Result{Outcome: dispatch.Done}
 	case fault.Is(err, errCaller):
+		a.broken = breakdown{by: endedByCaller, err: err}
 		return unknown(fault.Cancelled)
-	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge), fault.Is(err, fault.Moved):
+	case fault.Is(err, fault.Moved):
+		return unknown(fault.Moved)
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
+		a.recordBreakdown(ctx, err)
 		return unknown(fault.CodeOf(err))
 	}
 	return a.connectionResult(ctx, err)
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -27,11 +27,15 @@
 		g.refuse(w, r, rq, dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.CodeOf(err)}, err)
 		return
 	}
+	g.inFlight.add(rq)
+	defer g.inFlight.remove(rq)
+	defer g.logPanic(rq.id)
 	out := &answer{relay: g, w: w, rq: rq}
 	res := g.process(r.Context(), rq, out)
 	g.Metrics.FullAnswer(time.Since(began).Seconds())
 	g.Metrics.Outcome(res.Outcome.String(), res.Reason)
 	g.logRequest(rq, out, res)
+	g.logBroken(rq, out, res)
 	if res.Outcome == dispatch.Done {
 		return
 	}
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -173,10 +173,12 @@
 	go func() { served <- telemetry.ServeHTTP(lifetime, callerListener{ln}, srv) }()
 	select {
 	case err := <-served:
+		g.logCut("server_ended")
 		return err
 	case <-stop.Done():
 	}
 	g.drain(lifetime, ln, &conns)
+	g.logCut("grace_over")
 	return srv.Close()
 }
 
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -169,6 +169,9 @@
 		reason = "done"
 	}
 	rq.attemptResults = append(rq.attemptResults, a.to.ID+"="+reason)
+	if a.broken.by != endedByNobody {
+		rq.broken = a.broken
+	}
 }
 
 // retryInMillis returns the milliseconds until a refused caller should retry, or 0 if that is
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,7 @@
 	startDelay time.Duration
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	timeouts   callerTimeouts
+	inFlight   requestsInFlight
 	// suspects holds requests during which replicas terminated.
 	suspects  quarantine.Table
 	endProbes endProbes
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -49,6 +49,7 @@
 	struckRound      int                // Highest strike round of the attempts after which a replica may have terminated.
 	quarantineStatus quarantine.Status  // Result of the last quarantine lookup.
 	attemptResults   []string           // Result of each attempt, for the log.
+	broken           breakdown          // How the last attempt that broke off ended.
 }
 
 // quarantineKey returns the key that identifies this request at every gateway, computed from
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -82,7 +82,9 @@
 	k.AddTask(func(lifetime context.Context) error { return g.ServeCallers(ctx, lifetime, lns[2]) })
 	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.pool.Local.Incarnation)
 	defer g.Close()
-	return k.Run(context.Background())
+	err := k.Run(context.Background())
+	telemetry.Log("gateway_stopped", "box", s.Box, "reason", fault.CodeOf(err), "error", err)
+	return err
 }
 
 // Status is the state that a relay reports about itself.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -37,6 +37,9 @@
 		}
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
+		if n > 0 {
+			a.lastDataAt = time.Now()
+		}
 		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
 			end += len(eventEnd)
 			a.recordFirst()
