--- a/fault/fault.go
+++ b/fault/fault.go
@@ -21,6 +21,7 @@
 	UnknownStream  Code = "frame_for_unknown_stream" // A frame was dropped because its stream has ended.
 	StreamOverflow Code = "stream_overflow"          // The reader of a stream was too slow and its buffer filled up.
 	Busy           Code = "busy"                     // A bounded table or queue is full.
+	AcceptFailed   Code = "accept_failed"            // A connection could not be accepted, for lack of descriptors or memory.
 	Unsupported    Code = "unsupported"              // There is no handler for this message.
 	Unreachable    Code = "unreachable"              // Dialling failed.
 	Cancelled      Code = "cancelled"                // The caller cancelled the request.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,23 +153,26 @@
 	return a.linkLimiter.WaitN(ctx, n)
 }
 
-// Run runs the agent until ctx ends, and then drains it: it reports that it is
+// Run runs the agent until ctx ends or one of its tasks fails, and then drains it: it reports that it is
 // draining, waits for the admitted requests, and returns.
 func (a *Agent) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", a.Settings.Listen)
+	onFault := a.peerPool.Options.OnFault
+	ln, err := wire.Listen(a.Settings.Listen, onFault)
 	if err != nil {
-		return fault.Wrap(fault.Unreachable, err, "listen")
+		return err
 	}
-	admin, err := net.Listen("tcp", a.Settings.Admin)
+	admin, err := wire.Listen(a.Settings.Admin, onFault)
 	if err != nil {
-		return fault.Wrap(fault.Unreachable, err, "admin")
+		return err
 	}
-	source, err := net.Listen("tcp", a.Settings.Source)
+	source, err := wire.Listen(a.Settings.Source, onFault)
 	if err != nil {
-		return fault.Wrap(fault.Unreachable, err, "source")
+		return err
 	}
 	srv := a.Server()
-	var k kernel.Kernel
+	stop, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	k := kernel.Kernel{OnFailure: fail}
 	a.AddTasks(&k)
 	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, ln) })
 	k.AddTask(func(ctx context.Context) error {
@@ -178,10 +181,12 @@
 	k.AddTask(func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, admin, &http.Server{Handler: a.admin().Handler()})
 	})
-	k.AddTask(func(taskCtx context.Context) error { return a.drain(ctx, taskCtx) })
+	k.AddDrainTask(func(taskCtx context.Context) error { return a.drain(stop, taskCtx) })
 	telemetry.Log("agent_started", "box", a.Settings.Box, "hall", a.Settings.Hall, "incarnation", a.gate.Incarnation)
 	defer a.Close()
-	return k.Run(context.Background())
+	err = k.Run(context.Background())
+	telemetry.Log("agent_stopped", "box", a.Settings.Box, "reason", fault.CodeOf(err), "error", err)
+	return err
 }
 
 // Server returns the server for connections from other processes.
@@ -213,6 +218,7 @@
 	select {
 	case <-stop.Done():
 		a.Drain(time.Now().Add(a.Settings.DrainTimeout))
+		return kernel.Failure(stop)
 	case <-taskCtx.Done():
 	}
 	return nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -125,14 +125,14 @@
 	k.Add("subscriptions", &g.router, g.subscribe)
 }
 
-// Run runs the gateway until ctx ends, and then drains it.
+// Run runs the gateway until ctx ends or one of its tasks fails, and then drains it.
 func (g *Gateway) Run(ctx context.Context) error {
 	s := g.Settings
 	var lns [3]net.Listener
 	for i, addr := range []string{s.Listen, s.Admin, s.HTTP} {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := wire.Listen(addr, g.options().OnFault)
 		if err != nil {
-			return fault.Wrap(fault.Unreachable, err, addr)
+			return err
 		}
 		lns[i] = ln
 	}
@@ -141,16 +141,20 @@
 		Handler: g.CallerHandler(), ReadHeaderTimeout: s.HeaderTimeout, ReadTimeout: s.BodyTimeout,
 		MaxHeaderBytes: 64 << 10, IdleTimeout: time.Minute,
 	}
-	var k kernel.Kernel
+	stop, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	k := kernel.Kernel{OnFailure: fail}
 	g.AddTasks(&k)
 	k.Add("peers", peers, func(ctx context.Context) error { return peers.Serve(ctx, lns[0]) })
 	k.AddTask(func(ctx context.Context) error {
 		return telemetry.ServeHTTP(ctx, lns[1], &http.Server{Handler: g.admin().Handler()})
 	})
-	k.Add("callers", callers, func(taskCtx context.Context) error { return g.serveCallers(ctx, taskCtx, callers, lns[2]) })
+	k.AddDrainTask(func(taskCtx context.Context) error { return g.serveCallers(stop, taskCtx, callers, lns[2]) })
 	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.incarnation)
 	defer g.Close()
-	return k.Run(context.Background())
+	err := k.Run(context.Background())
+	telemetry.Log("gateway_stopped", "box", s.Box, "reason", fault.CodeOf(err), "error", err)
+	return err
 }
 
 // Close closes every connection of the gateway.
@@ -167,14 +171,14 @@
 		return err
 	case <-stop.Done():
 	}
-	telemetry.Log("drain_started", "box", g.Settings.Box)
+	telemetry.Log("drain_started", "box", g.Settings.Box, "reason", kernel.Failure(stop))
 	g.draining.Store(true)
 	time.Sleep(g.Settings.LingerPeriod)
 	ctx, cancel := context.WithTimeout(taskCtx, g.Settings.DrainTimeout)
 	defer cancel()
 	err := srv.Shutdown(ctx)
 	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil)
-	return nil
+	return kernel.Failure(stop)
 }
 
 func (g *Gateway) admin() *telemetry.Admin {
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -161,8 +161,8 @@
 	return minDelay + rand.N(spread)
 }
 
-// ServeCallers serves callers until stop ends, and then drains. It returns at once when
-// lifetime ends.
+// ServeCallers serves callers until stop ends, and then drains and returns the cause of the stop
+// unless that was a plain cancellation. It returns at once when lifetime ends.
 func (g *Relay) ServeCallers(stop, lifetime context.Context, ln net.Listener) error {
 	var conns callerConns
 	srv := &http.Server{
@@ -177,17 +177,20 @@
 		return err
 	case <-stop.Done():
 	}
-	g.drain(lifetime, ln, &conns)
+	g.drain(stop, lifetime, ln, &conns)
 	g.logCut("grace_over")
-	return srv.Close()
+	if err := srv.Close(); err != nil {
+		return err
+	}
+	return kernel.Failure(stop)
 }
 
 // drain reports "not ready" and continues to serve for as long as the load balancer may take
 // to notice. Then it closes the listener and lets requests in progress finish.
-func (g *Relay) drain(lifetime context.Context, ln net.Listener, conns *callerConns) {
+func (g *Relay) drain(stop, lifetime context.Context, ln net.Listener, conns *callerConns) {
 	const pollInterval = 50 * time.Millisecond
 	began := time.Now()
-	telemetry.Log("drain_started", "box", g.Settings.Box)
+	telemetry.Log("drain_started", "box", g.Settings.Box, "reason", kernel.Failure(stop))
 	noticedBy, end := began.Add(balancerNotice), began.Add(g.bounds.Load().GracePeriod-exitMargin)
 	g.stopping.Store(&drainTimes{streamsUntil: began.Add(streamCutoff), answersUntil: end.Add(-answerMargin)})
 	left := conns.closeIdle(false)
--- a/internal/relay/run.go
+++ b/internal/relay/run.go
@@ -53,18 +53,21 @@
 	return &wire.Server{Local: g.pool.Local, Codec: Codec, Handlers: g.handlers, Options: g.pool.Options}
 }
 
-// Run runs the relay until ctx ends, and then drains it.
+// Run runs the relay until ctx ends or one of its tasks fails, and then drains it.
 func (g *Relay) Run(ctx context.Context) error {
 	s := g.Settings
+	onFault := func(c fault.Code) { g.Metrics.Event("listener", string(c)) }
 	var lns [3]net.Listener
 	for i, addr := range []string{s.Listen, s.Ready, s.HTTP} {
-		ln, err := net.Listen("tcp", addr)
+		ln, err := wire.Listen(addr, onFault)
 		if err != nil {
-			return fault.Wrap(fault.Unreachable, err, addr)
+			return err
 		}
 		lns[i] = ln
 	}
-	var k kernel.Kernel
+	stop, fail := context.WithCancelCause(ctx)
+	defer fail(nil)
+	k := kernel.Kernel{OnFailure: fail}
 	g.AddTasks(&k)
 	srv := g.Server()
 	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, lns[0]) })
@@ -72,14 +75,14 @@
 		return telemetry.ServeHTTP(ctx, lns[1], &http.Server{Handler: g.readiness()})
 	})
 	if s.Admin != "" {
-		admin, err := net.Listen("tcp", s.Admin)
+		admin, err := wire.Listen(s.Admin, onFault)
 		if err != nil {
-			return fault.Wrap(fault.Unreachable, err, "admin listener")
+			return err
 		}
 		a := &telemetry.Admin{Metrics: g.Metrics, Ready: g.Ready, Status: func() any { return g.Status() }}
 		k.AddTask(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
 	}
-	k.AddTask(func(lifetime context.Context) error { return g.ServeCallers(ctx, lifetime, lns[2]) })
+	k.AddDrainTask(func(lifetime context.Context) error { return g.ServeCallers(stop, lifetime, lns[2]) })
 	telemetry.Log("gateway_started", "box", s.Box, "hall", s.Hall, "incarnation", g.pool.Local.Incarnation)
 	defer g.Close()
 	err := k.Run(context.Background())
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -239,18 +239,19 @@
 
 // Run runs the stager until ctx ends.
 func (s *Stager) Run(ctx context.Context) error {
-	ln, err := net.Listen("tcp", s.Settings.Listen)
+	onFault := func(c fault.Code) { s.Metrics.Event("listener", string(c)) }
+	ln, err := wire.Listen(s.Settings.Listen, onFault)
 	if err != nil {
-		return fault.Wrap(fault.Unreachable, err, "listen")
+		return err
 	}
 	srv := s.Server()
 	var k kernel.Kernel
 	s.AddTasks(&k)
 	k.Add("peers", srv, func(ctx context.Context) error { return srv.Serve(ctx, ln) })
 	if s.Settings.Admin != "" {
-		admin, err := net.Listen("tcp", s.Settings.Admin)
+		admin, err := wire.Listen(s.Settings.Admin, onFault)
 		if err != nil {
-			return fault.Wrap(fault.Unreachable, err, "admin")
+			return err
 		}
 		a := &telemetry.Admin{Metrics: s.Metrics, Ready: func() error { return nil }, Status: func() any { return s.status.get() }}
 		k.AddTask(func(ctx context.Context) error { return telemetry.ServeHTTP(ctx, admin, a.Server()) })
--- a/wire/pool.go
+++ b/wire/pool.go
@@ -187,8 +187,9 @@
 	MaxConns int // Connections at once; 4096 by default.
 }
 
-// Serve accepts connections until ctx ends, then closes ln.
-func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
+// Serve accepts connections until ctx ends, then closes ln. It accepts as a Listener does.
+func (s *Server) Serve(ctx context.Context, inner net.Listener) error {
+	ln := &Listener{inner, s.Options.withDefaults().OnFault}
 	stop := context.AfterFunc(ctx, func() { _ = ln.Close() })
 	defer stop()
 	slots := make(chan struct{}, intOrDefault(s.MaxConns, 4096))
