--- a/cmd/poststand/cmd/agent.go
+++ b/cmd/poststand/cmd/agent.go
@@ -14,6 +14,9 @@
 		Short: "Run the agent of an upstream box",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			logHangups(ctx, notifyHangups())
 			s, err := settings.LoadAgent(file)
 			if err != nil {
 				return err
@@ -22,8 +25,6 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := stopContext(c.Context())
-			defer cancel()
 			return a.Run(ctx)
 		},
 	}
--- a/cmd/poststand/cmd/gateway.go
+++ b/cmd/poststand/cmd/gateway.go
@@ -14,6 +14,9 @@
 		Short: "Run a gateway on an entry box",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			logHangups(ctx, notifyHangups())
 			s, err := settings.LoadGateway(file)
 			if err != nil {
 				return err
@@ -22,8 +25,6 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := stopContext(c.Context())
-			defer cancel()
 			return g.Run(ctx)
 		},
 	}
--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -27,6 +27,9 @@
 		Short: "Run a gateway that sends requests directly to the platform's replicas",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			hangups := notifyHangups()
 			file := settingsPathOrEnv(file)
 			s, err := settings.LoadRelay(file)
 			if err != nil {
@@ -37,9 +40,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := stopContext(c.Context())
-			defer cancel()
-			reloadOnChange(ctx, file, func() error {
+			reloadOnChange(ctx, hangups, file, func() error {
 				s, err := settings.LoadRelay(file)
 				if err != nil {
 					return err
--- a/cmd/poststand/cmd/reload.go
+++ b/cmd/poststand/cmd/reload.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/internal/telemetry"
@@ -14,13 +12,10 @@
 // change without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// reloadOnChange calls reload on SIGHUP and whenever the settings file has changed. If
+// reloadOnChange calls reload on each of hangups and whenever the settings file has changed. If
 // reload refuses the new settings, the old ones stay in force.
-func reloadOnChange(ctx context.Context, file string, reload func() error) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+func reloadOnChange(ctx context.Context, hangups chan os.Signal, file string, reload func() error) {
 	go func() {
-		defer signal.Stop(hangups)
 		t := time.NewTicker(settingsPollInterval)
 		defer t.Stop()
 		last := statFile(file)
--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -8,8 +8,6 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 	"k8s.io/klog/v2"
@@ -56,25 +54,3 @@
 	}
 	fmt.Fprintln(os.Stderr, "poststand:", err)
 }
-
-// stopContext returns a context that is cancelled by the first SIGTERM or interrupt, which
-// starts a drain. A second signal exits the process immediately.
-func stopContext(parent context.Context) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancel(parent)
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
-	go func() {
-		select {
-		case s := <-signals:
-			telemetry.Log("signal", "signal", s)
-			cancel()
-		case <-ctx.Done():
-			return
-		}
-		s := <-signals
-		telemetry.Log("stopped_at_once", "signal", s)
-		telemetry.Flush()
-		os.Exit(1)
-	}()
-	return ctx, cancel
-}
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -20,6 +20,9 @@
 		Short: "Run the agent of a box whose replica loads staged weights",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
+			ctx, cancel := stopContext(c.Context())
+			defer cancel()
+			hangups := notifyHangups()
 			file := settingsPathOrEnv(file)
 			s, err := settings.LoadStager(file)
 			if err != nil {
@@ -32,9 +35,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, cancel := stopContext(c.Context())
-			defer cancel()
-			reloadOnChange(ctx, file, func() error {
+			reloadOnChange(ctx, hangups, file, func() error {
 				s, err := settings.LoadStager(file)
 				if err != nil {
 					return err
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -130,3 +131,32 @@
 		time.Sleep(3 * time.Second) // Connections to the replica expire.
 	}
 }
+
+// Gateways and agents of the product's own interface read their settings only when they start.
+func TestHangupEndsNoProcess(t *testing.T) {
+	common := func(ip string) string {
+		return fmt.Sprintf("cluster: c\nbox: b\nhall: h1\nlisten: %s:%d\nadmin: %s:%d\njoin: [%q]\n",
+			ip, listenPort, ip, adminPort, fmt.Sprintf("%s:%d", ip, listenPort))
+	}
+	for _, tc := range []struct{ command, settings string }{
+		{"gateway", "http: %[1]s:%[2]d\nplatform: http://%[1]s:%[3]d\nlinger_for: 300ms\n"},
+		{"agent", "engine: http://%[1]s:%[2]d\nsource: %[1]s:%[3]d\norigin: http://%[1]s:%[2]d\n"},
+	} {
+		t.Run(tc.command, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			ip := loopback()
+			p := newProcess(t, t.TempDir(), tc.command, tc.command, common(ip)+fmt.Sprintf(tc.settings, ip, httpPort, readyPort))
+			p.start()
+			t.Cleanup(p.kill)
+			p.awaitLine(`_started"`)
+			p.signal(syscall.SIGHUP)
+			p.awaitLine("settings_kept")
+			p.signal(syscall.SIGTERM)
+			p.awaitLine("drain_started")
+			p.signal(syscall.SIGHUP)
+			is.NoErr(p.wait())
+			is.Equal(len(p.lines("drain_ended")), 1)
+		})
+	}
+}
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -211,6 +211,17 @@
 // nextAddress numbers the addresses of this test process.
 var nextAddress atomic.Uint32
 
+// awaitLine waits until the log has a line that contains text.
+func (p *process) awaitLine(text string) {
+	p.t.Helper()
+	const timeout, poll = 30 * time.Second, 10 * time.Millisecond
+	for deadline := time.Now().Add(timeout); len(p.lines(text)) == 0; time.Sleep(poll) {
+		if p.ended() || time.Now().After(deadline) {
+			p.t.Fatalf("%s has no line %s; ended: %v; log: %s", p.name, text, p.ended(), p.log.String())
+		}
+	}
+}
+
 // loopback returns an IP address that nothing else in this or another test process uses.
 func loopback() string {
 	const block, hosts = 64, 250
