--- a/wire/listener_test.go
+++ b/wire/listener_test.go
@@ -46,6 +46,7 @@
 		ended := make(chan error, 1)
 		go func() { ended <- s.Serve(ctx, ln) }()
 		time.Sleep(10 * maxAcceptDelay)
+		synctest.Wait()
 		select {
 		case err := <-ended:
 			t.Fatal("the server ended:", err)
