--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -1,5 +1,7 @@
 // Package link dials TCP connections with short timeouts, keep-alive probes and a limit on
-// unacknowledged data, so that a dead path is detected within about a second.
+// unacknowledged data, so that a dead path to another process is detected within about a second.
+// Connections to replicas are left open for longer: whoever sends a request decides what its
+// silence means.
 package link
 
 import (
@@ -18,6 +20,11 @@
 	ackTimeout        = 1200 * time.Millisecond // Data that is unacknowledged for longer closes the connection.
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// replicaAckTimeout and replicaKeepAliveProbes are those of connections with requests to
+	// replicas. A paused box or a full link acknowledges nothing for a while, and a request
+	// whose connection is closed then is lost, so they are longer than callers wait.
+	replicaAckTimeout      = 30 * time.Second
+	replicaKeepAliveProbes = 30
 	// startupDialTimeout bounds each dial of a starting process. A peer that is not up yet,
 	// or that many processes dial at once, may accept a moment later, but the kernel would
 	// resend the SYN only after a second.
@@ -45,21 +52,30 @@
 	return Dial(ctx, addr)
 }
 
-// DialContext connects to an upstream, another process or the platform.
+// DialContext connects to another process or the platform.
 func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
-	}, Control: setUserTimeout}
-	return d.DialContext(ctx, network, addr)
+	return dial(ctx, network, addr, ackTimeout, keepAliveProbes)
 }
 
 // Dial is DialContext with network "tcp".
 func Dial(ctx context.Context, addr string) (net.Conn, error) { return DialContext(ctx, "tcp", addr) }
 
-func setUserTimeout(_, _ string, c syscall.RawConn) error {
+// DialReplica connects to a replica, to send requests of callers.
+func DialReplica(ctx context.Context, addr string) (net.Conn, error) {
+	return dial(ctx, "tcp", addr, replicaAckTimeout, replicaKeepAliveProbes)
+}
+
+func dial(ctx context.Context, network, addr string, ackTimeout time.Duration, probes int) (net.Conn, error) {
+	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
+		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: probes,
+	}, Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, ackTimeout) }}
+	return d.DialContext(ctx, network, addr)
+}
+
+func setUserTimeout(c syscall.RawConn, d time.Duration) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
 	})
 	return errors.Join(err, sockErr)
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -44,7 +44,8 @@
 	_ = c.Close()
 }
 
-// connPool keeps idle connections to upstreams. Dial defaults to link.Dial.
+// connPool keeps idle connections to upstreams. Dial defaults to
+// link.DialReplica.
 type connPool struct {
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
@@ -66,9 +67,14 @@
 		}
 		_ = c.Close()
 	}
+	return p.dialNew(ctx, addr)
+}
+
+// dialNew returns a new connection.
+func (p *connPool) dialNew(ctx context.Context, addr string) (*conn, error) {
 	dial := p.Dial
 	if dial == nil {
-		dial = link.Dial
+		dial = link.DialReplica
 	}
 	nc, err := dial(ctx, addr)
 	if err != nil {
