--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -14,45 +14,96 @@
 	"github.com/poststand/poststand/route"
 )
 
-// Timeouts and limits of one attempt.
+// Limits of one attempt.
 const (
-	minFirstWait    = 900 * time.Millisecond // Minimum time that a repeatable request waits for its first data.
-	firstWaitFactor = 4                      // Multiple of the predicted time that it waits, if that is longer.
-	minGapWait      = 900 * time.Millisecond // Minimum time to wait for the next event of a stream.
-	gapWaitFactor   = 2                      // Multiple of the route's event gap to wait, if that is longer.
-	maxStrayAnswers = 3                      // Responses read in search of the matching one before the connection is abandoned.
+	maxStrayAnswers = 3 // Responses read in search of the matching one before the connection is abandoned.
 	maxAnswerBytes  = 16 << 20
 	maxEventBytes   = 1 << 20
 )
 
-// attempt is one try at sending a request to a replica.
+// attempt is one try at sending a request to a replica. It runs in a goroutine of its own and
+// passes on what it receives as parts. Its fields belong to that goroutine until its last part
+// has been received or it has been abandoned, except for those that are set before it starts.
 type attempt struct {
-	relay       *Relay
-	rq          *request
-	out         *answer
-	to          route.Choice
-	startedAt   time.Time
+	relay     *Relay
+	rq        *request
+	to        route.Choice
+	startedAt time.Time
+	// lastEventID, version and continues are what the caller has of the answer: its last event,
+	// the version that made it (0 for any), and whether it has any part.
+	lastEventID string
+	version     uint64
+	continues   bool
+	isBackup    bool   // Another attempt is open, which is silent.
+	round       int    // Strike round if the replica terminates during this attempt.
+	epoch       uint64 // Epoch of the quarantine status when the request was sent.
+
+	cancel context.CancelFunc
+	parts  chan<- receivedPart
+	resume chan struct{} // Receives once for each part but the last, when the next one may come.
+	ended  chan struct{} // Closed when the attempt has released its connection.
+
+	// gotData and silent belong to the delivery: the caller got data of this attempt, and the
+	// replica was silent for longer than usual.
+	gotData bool
+	silent  bool
+
 	conn        *conn
-	stopAbort   func() bool    // Stops the abort of conn on cancellation by the caller.
-	resp        *http.Response // Set in advance if the stream was opened before this attempt runs.
-	headTimeout time.Duration  // If set, limits the wait for the response header.
+	stopAbort   func() bool // Stops the abort of conn when the attempt is cancelled.
 	idleTimeout time.Duration
 	// firstAt is when the first event or the complete answer arrived; zero before.
-	firstAt time.Time
-	round   int    // Strike round if the replica terminates during this attempt.
-	epoch   uint64 // Epoch of the quarantine status when the request was sent.
-	result  route.RequestResult
-	status  int
+	firstAt     time.Time
+	result      route.RequestResult
+	status      int
+	recentSends int // Recent requests of this gateway to the replica, including this one.
 	// lastDataAt is when the request was sent or data last arrived; zero before.
 	lastDataAt time.Time
 	broken     breakdown
 }
 
-// run sends the request and passes on the answer. The result covers this attempt only.
-func (a *attempt) run(ctx context.Context) dispatch.Result {
-	res := a.exchange(ctx)
-	a.finish(ctx, res)
-	return res
+// part is something that a replica sent for the caller.
+type part struct {
+	resp        *http.Response // Header of the answer that it belongs to; nil if there is none.
+	stream      bool           // The answer is a stream that may be passed on in parts.
+	data        []byte         // Complete events of a stream, or any other answer as a whole.
+	lastEventID string         // Of the last event in data that has one.
+	last        bool           // The attempt has ended with result.
+	result      dispatch.Result
+}
+
+// receivedPart is a part with its attempt.
+type receivedPart struct {
+	part
+	from *attempt
+}
+
+// run sends the request and passes on the answer.
+func (a *attempt) run(ctx context.Context) {
+	p := a.exchange(ctx)
+	p.last = true
+	a.finish(ctx, p.result)
+	close(a.ended)
+	a.send(ctx, p)
+}
+
+// send passes on a part, unless the attempt is abandoned.
+func (a *attempt) send(ctx context.Context, p part) {
+	select {
+	case a.parts <- receivedPart{p, a}:
+	case <-ctx.Done():
+	}
+}
+
+// sendEvents passes on complete events and waits until more may follow. It reports whether the
+// attempt goes on.
+func (a *attempt) sendEvents(ctx context.Context, p part) bool {
+	a.send(ctx, p)
+	select {
+	case <-a.resume:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // finish reports the end of the attempt to the routing table.
@@ -78,16 +129,16 @@
 	return dispatch.Result{Outcome: dispatch.Unknown, Reason: c}
 }
 
-func (a *attempt) exchange(ctx context.Context) dispatch.Result {
-	resp, res, reuse := a.resp, dispatch.Result{}, false
-	if resp == nil {
-		resp, res = a.open(ctx)
-	}
+// exchange sends the request and returns the last part, which has the result.
+func (a *attempt) exchange(ctx context.Context) part {
+	reuse := false
+	resp, res := a.open(ctx)
+	p := part{result: res}
 	if resp != nil {
-		res, reuse = a.forward(ctx, resp)
+		p, reuse = a.receive(ctx, resp)
 	}
 	a.release(reuse)
-	return res
+	return p
 }
 
 // release returns the connection to the pool, or aborts it if it can't be reused.
@@ -105,14 +156,9 @@
 // open sends the request and reads the response header. If there is no response, the result
 // gives the reason.
 func (a *attempt) open(ctx context.Context) (*http.Response, dispatch.Result) {
-	a.startedAt = time.Now()
-	idleLimit := maxIdle
-	if !a.rq.repeatable() {
-		idleLimit = maxIdleUnsafe
-	}
 	dctx, cancel := context.WithDeadline(ctx, a.rq.deadline)
 	defer cancel()
-	c, err := a.relay.conns.get(dctx, a.to.Incarnation, a.to.Addr, idleLimit)
+	c, err := a.connect(dctx)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, notRun(fault.Cancelled)
@@ -127,8 +173,7 @@
 	}
 	a.conn = c
 	a.stopAbort = context.AfterFunc(ctx, c.abort)
-	a.relay.inFlight.setReplica(a.rq, a.to.ID)
-	n, err := a.send()
+	n, err := a.write()
 	a.lastDataAt = time.Now()
 	if err != nil {
 		if n == 0 {
@@ -139,8 +184,21 @@
 	return a.readHead(ctx)
 }
 
-// send writes the whole request at once and returns the number of bytes written.
-func (a *attempt) send() (int, error) {
+// connect returns a connection to the replica. While another attempt is silent, idle connections
+// may have gone silent as well.
+func (a *attempt) connect(ctx context.Context) (*conn, error) {
+	if a.isBackup {
+		return a.relay.conns.dialNew(ctx, a.to.Addr)
+	}
+	idleLimit := maxIdle
+	if !a.rq.repeatable() {
+		idleLimit = maxIdleUnsafe
+	}
+	return a.relay.conns.get(ctx, a.to.Incarnation, a.to.Addr, idleLimit)
+}
+
+// write writes the whole request at once and returns the number of bytes written.
+func (a *attempt) write() (int, error) {
 	rq, names := a.rq, a.relay.headers
 	remaining := time.Until(a.deadline())
 	if remaining < time.Millisecond {
@@ -149,8 +207,8 @@
 	h := rq.header.Clone()
 	h.Set(names.Deadline, strconv.FormatInt(remaining.Milliseconds(), 10))
 	h.Set(names.ExpectReplica, a.to.ID)
-	if rq.lastEventID != "" {
-		h.Set(names.LastEventID, rq.lastEventID)
+	if a.lastEventID != "" {
+		h.Set(names.LastEventID, a.lastEventID)
 	}
 	if v := a.expectedVersion(); v > 0 {
 		h.Set(names.ExpectVersion, strconv.FormatUint(v, 10))
@@ -165,9 +223,8 @@
 	}
 	b.WriteString("\r\n")
 	b.Write(rq.body)
-	now := time.Now()
-	_ = a.conn.SetDeadline(a.readDeadline(now, a.firstWait()))
-	rq.limit, rq.recentSends = a.to.Limit, a.relay.table.RecordSend(now, a.to.Reservation)
+	_ = a.conn.SetDeadline(rq.deadline)
+	a.recentSends = a.relay.table.RecordSend(time.Now(), a.to.Reservation)
 	return a.conn.Write(b.Bytes())
 }
 
@@ -186,8 +243,8 @@
 // a request sent on outdated information would start on the older version, and nothing would
 // cancel it at that version's deadline.
 func (a *attempt) expectedVersion() uint64 {
-	if a.rq.version > 0 {
-		return a.rq.version
+	if a.version > 0 {
+		return a.version
 	}
 	olderDeadline := a.relay.versionDeadline(a.rq, 0)
 	if !a.to.Engine || olderDeadline.IsZero() {
@@ -199,32 +256,6 @@
 	return 0
 }
 
-func (a *attempt) firstWait() time.Duration {
-	if a.headTimeout > 0 {
-		return a.headTimeout
-	}
-	return max(minFirstWait, firstWaitFactor*a.to.Predicted)
-}
-
-// readDeadline returns when to stop waiting for data. A request that may be repeated waits for
-// at most wait, so that it can go to another replica. Before its first data, any request also
-// stops at the deadline of the replica's version, so that none starts on a version past its
-// deadline. That includes requests that may not be repeated: they could otherwise start as
-// late as their caller's deadline.
-func (a *attempt) readDeadline(now time.Time, wait time.Duration) time.Time {
-	t := a.rq.deadline
-	if a.rq.repeatable() {
-		t = times.Earlier(t, now.Add(wait))
-	}
-	if !a.firstAt.IsZero() || !a.to.Engine {
-		return t
-	}
-	if deadline := a.relay.versionDeadline(a.rq, a.to.Version); !deadline.IsZero() {
-		t = times.Earlier(t, deadline)
-	}
-	return t
-}
-
 // connectionResult returns the result of a request whose connection failed with err.
 func (a *attempt) connectionResult(ctx context.Context, err error) dispatch.Result {
 	a.recordBreakdown(ctx, err)
@@ -234,7 +265,7 @@
 	case isTimeout(err) && !time.Now().Before(a.rq.deadline):
 		return unknown(fault.Timeout)
 	case isTimeout(err):
-		return unknown(fault.LinkStalled)
+		return unknown(fault.LinkStalled) // By the kernel.
 	}
 	return unknown(fault.ConnectionLost)
 }
@@ -264,8 +295,9 @@
 	return nil, unknown(fault.Garbage)
 }
 
-// forward passes on an answer and reports whether its connection can be reused.
-func (a *attempt) forward(ctx context.Context, resp *http.Response) (dispatch.Result, bool) {
+// receive passes on an answer. It returns the last part, and whether the connection can be
+// reused.
+func (a *attempt) receive(ctx context.Context, resp *http.Response) (p part, reuse bool) {
 	names := a.relay.headers
 	a.status = resp.StatusCode
 	if id := resp.Header.Get(names.Incarnation); resp.StatusCode == http.StatusMisdirectedRequest && id != "" && id != a.to.ID {
@@ -278,40 +310,39 @@
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := framed && !resp.Close
 	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(names.NotRun) != "" {
-		return a.refusal(resp), reusable
+		return part{result: a.refusal(resp)}, reusable
 	}
 	if v, err := strconv.ParseUint(resp.Header.Get(names.Version), 10, 64); err == nil {
 		a.result.Version = v
-		if a.rq.version > 0 && v != a.rq.version {
-			return unknown(fault.MixedVersion), false
-		}
-		if a.out.started {
-			a.rq.version = v
+		if a.version > 0 && v != a.version {
+			return part{result: unknown(fault.MixedVersion)}, false
 		}
 	}
 	if a.rq.route.Kind == streamKind && resp.StatusCode == http.StatusOK {
-		err := a.stream(ctx, resp, framed)
-		return a.bodyResult(ctx, err), reusable && err == nil
+		rest, err := a.stream(ctx, resp, framed)
+		return part{resp: resp, stream: true, data: rest, result: a.bodyResult(ctx, err)}, reusable && err == nil
 	}
-	if a.out.started {
-		return unknown(fault.UpstreamFailed), false
+	if a.continues {
+		return part{result: unknown(fault.UpstreamFailed)}, false
 	}
+	return a.receiveWhole(ctx, resp, reusable)
+}
+
+// receiveWhole reads an answer that is passed on as a whole.
+func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, reusable bool) (p part, reuse bool) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil || len(data) > maxAnswerBytes {
 		if err == nil {
 			err = fault.New(fault.TooLarge, "answer exceeds the size limit")
 		}
-		return a.bodyResult(ctx, err), false
+		return part{result: a.bodyResult(ctx, err)}, false
 	}
 	a.recordFirst()
-	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(names.Signature) == "" {
-		a.out.keepFailure(resp, data)
-		return unknown(fault.UpstreamFailed), reusable
+	p = part{resp: resp, data: data, result: dispatch.Result{Outcome: dispatch.Done}}
+	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(a.relay.headers.Signature) == "" {
+		p.result = unknown(fault.UpstreamFailed)
 	}
-	if err := a.out.writeWhole(resp, data); err != nil {
-		return unknown(fault.Cancelled), reusable
-	}
-	return dispatch.Result{Outcome: dispatch.Done}, reusable
+	return p, reusable
 }
 
 func (a *attempt) refusal(resp *http.Response) dispatch.Result {
@@ -327,11 +358,6 @@
 	switch {
 	case err == nil:
 		return dispatch.Result{Outcome: dispatch.Done}
-	case fault.Is(err, errCaller):
-		a.broken = breakdown{by: endedByCaller, err: err}
-		return unknown(fault.Cancelled)
-	case fault.Is(err, fault.Moved):
-		return unknown(fault.Moved)
 	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
 		a.recordBreakdown(ctx, err)
 		return unknown(fault.CodeOf(err))
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -12,9 +12,6 @@
 	"github.com/poststand/poststand/route"
 )
 
-// maxAttempts limits the attempts of one request.
-const maxAttempts = 5
-
 // process sends a request, with retries, until its outcome is final.
 func (g *Relay) process(ctx context.Context, rq *request, out *answer) dispatch.Result {
 	if now := time.Now(); !g.stopping.Load().admits(now, rq) {
@@ -23,61 +20,10 @@
 	if g.isQuarantined(time.Now(), rq) {
 		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: rq.quarantineStatus.Until}
 	}
-	window := g.retryWindow(rq.service)
-	window.RecordRequest(rq.arrivedAt)
-	var results dispatch.Attempts
-	exclude := map[string]bool{}
-	arrivals, runs := 0, 0 // Attempts that reached a replica, and those that may have run.
-	last := notRun(fault.NoUpstream)
-	defer func() {
-		if rq.next != nil { // The attempt was opened but is not used.
-			rq.next.release(false)
-			g.table.Done(time.Now(), rq.next.to.Reservation, route.RequestResult{})
-		}
-	}()
-	for rq.attempts < maxAttempts {
-		now := time.Now()
-		if !now.Before(rq.deadline) {
-			last = results.Add(notRun(fault.PastDeadline))
-			break
-		}
-		a := rq.next
-		rq.next = nil
-		if a == nil {
-			choice, res, ok := g.choose(ctx, rq, exclude, arrivals)
-			if !ok {
-				if rq.attempts == 0 {
-					last = results.Add(res)
-				} else if last.Outcome == dispatch.NotRun {
-					last.RetryAt = res.RetryAt
-				}
-				break
-			}
-			rq.attempts++
-			a = &attempt{relay: g, rq: rq, out: out, to: choice, round: rq.nextStrikeRound(), epoch: rq.quarantineStatus.Epoch}
-		}
-		exclude[a.to.ID] = true
-		result := a.run(ctx)
-		rq.recordAttempt(a, result)
-		a.updateSuspects(result)
-		if reached(result) {
-			arrivals++
-		}
-		if result.Outcome == dispatch.Unknown {
-			runs++
-		}
-		last = results.Add(result)
-		if result.Outcome == dispatch.Done {
-			return result
-		}
-		if ctx.Err() != nil || !mayRetry(rq, out, result) || runs >= max(1, rq.route.MaxAttempts) {
-			break
-		}
-		if g.isQuarantined(time.Now(), rq) {
-			break
-		}
-		g.Metrics.Retried(result.Reason)
-	}
+	g.retryWindow(rq.service).RecordRequest(rq.arrivedAt)
+	d := newDelivery(g, ctx, rq, out)
+	defer d.close()
+	last := d.run()
 	if last.Outcome == dispatch.NotRun && last.RetryAt.IsZero() {
 		last.RetryAt = g.retryTime(time.Now(), rq, 0)
 	}
@@ -169,6 +115,7 @@
 		reason = "done"
 	}
 	rq.attemptResults = append(rq.attemptResults, a.to.ID+"="+reason)
+	rq.limit, rq.recentSends = a.to.Limit, a.recentSends
 	if a.broken.by != endedByNobody {
 		rq.broken = a.broken
 	}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -35,7 +35,6 @@
 	lastEventID      string             // ID of the last stream event sent to the caller.
 	version          uint64             // Version of the first part of the answer; all further parts must match it.
 	attempts         int                // Attempts made so far.
-	next             *attempt           // Attempt that continues the stream, if already opened.
 	predicted        time.Duration      // Time until the first event, at the replica chosen last.
 	queueWait        time.Duration      // Part of predicted before the replica starts on the request.
 	reportAge        time.Duration      // Age of the agent's report about that replica; -1 ms if there is none.
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -8,6 +8,7 @@
 	workload      Workload
 	pickedAt      time.Time // When the replica was chosen.
 	gotFirstEvent bool
+	failed        bool // A failure of the request has been counted.
 	// permitUntil is when the request's permit for a rate-limited replica expires; zero without
 	// a permit.
 	permitUntil time.Time
@@ -76,9 +77,25 @@
 	if result.NotHeld {
 		r.notHeldAt = now
 	}
-	if !result.Failed {
+	if result.Failed {
+		r.recordFailure(now, res)
+	}
+}
+
+// RecordSilence records that the replica has sent nothing for a request for longer than usual.
+// The request goes on, and may still be answered.
+func (t *Table) RecordSilence(now time.Time, res *Reservation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	res.replica.recordFailure(now, res)
+}
+
+// recordFailure counts a failure of a request, once, and ejects the replica after several.
+func (r *Replica) recordFailure(now time.Time, res *Reservation) {
+	if res.failed {
 		return
 	}
+	res.failed = true
 	if !res.gotFirstEvent {
 		r.recordLatencyRatio(2 * r.latencyRatio)
 	}
