--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/feed"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/telemetry"
@@ -164,8 +165,10 @@
 // gateway as not ready, continues to serve for LingerPeriod so that load
 // balancers can notice, then stops listening and waits for the requests in progress.
 func (g *Gateway) serveCallers(stop, taskCtx context.Context, srv *http.Server, ln net.Listener) error {
+	var conns drain.Conns
+	srv.ConnState = conns.TrackState
 	served := make(chan error, 1)
-	go func() { served <- telemetry.ServeHTTP(taskCtx, ln, srv) }()
+	go func() { served <- telemetry.ServeHTTP(taskCtx, conns.Listener(ln), srv) }()
 	select {
 	case err := <-served:
 		return err
@@ -174,10 +177,10 @@
 	telemetry.Log("drain_started", "box", g.Settings.Box, "reason", kernel.Failure(stop))
 	g.draining.Store(true)
 	time.Sleep(g.Settings.LingerPeriod)
-	ctx, cancel := context.WithTimeout(taskCtx, g.Settings.DrainTimeout)
-	defer cancel()
-	err := srv.Shutdown(ctx)
-	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", err == nil)
+	_ = ln.Close()
+	left := conns.Wait(taskCtx, time.Now().Add(g.Settings.DrainTimeout))
+	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", left == 0, "left", left)
+	_ = srv.Close()
 	return kernel.Failure(stop)
 }
 
--- a/internal/relay/drain_test.go
+++ b/internal/relay/drain_test.go
@@ -8,57 +8,15 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/internal/simnet"
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
-// pipeListener accepts the connections that a test puts into conns.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-}
-
-func (l *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-l.conns:
-		return c, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (l *pipeListener) Close() error {
-	err := net.ErrClosed // Of all but the first call.
-	l.once.Do(func() {
-		close(l.closed)
-		err = nil
-	})
-	return err
-}
-
-func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
-// delayedConn returns the bytes that it has read after a delay, like a process that has read them
-// from the kernel and is not scheduled to handle them yet.
-type delayedConn struct {
-	net.Conn
-	delay time.Duration
-}
-
-func (c *delayedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 1 { // The server reads a single byte to detect that the caller has disconnected.
-		time.Sleep(c.delay)
-	}
-	return n, err
-}
-
 const rawRequest = "GET /safe/ HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: 6000\r\nAuthorization: Bearer k\r\n\r\n"
 
 // A stopping gateway answers each request that it has read, and closes connections only while no
@@ -81,14 +39,14 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			runCluster(t, 1, plainReplicas(1), func(is *is.I, cl *testCluster) {
-				ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				ln := simnet.NewListener()
 				stop, cancel := context.WithCancel(context.Background())
 				defer cancel()
 				done := make(chan error, 1)
 				go func() { done <- cl.gateways[0].ServeCallers(stop, context.Background(), ln) }()
 				caller, server := net.Pipe()
 				defer func() { _ = caller.Close() }()
-				ln.conns <- &delayedConn{server, tc.readDelay}
+				ln.Offer(&simnet.DelayedConn{Conn: server, Delay: func() { time.Sleep(tc.readDelay) }})
 				r := bufio.NewReader(caller)
 				if tc.reused {
 					is.NoErr(roundTrip(caller, r))
@@ -158,7 +116,7 @@
 			replicas[0].Handle = func(int, *platformtest.Exchange) bool { return tc.silent }
 			runCluster(t, 1, replicas, func(_ *is.I, cl *testCluster) {
 				is := is.NewRelaxed(cl.t) // Failures are reported, and the test continues to its end.
-				ln := &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+				ln := simnet.NewListener()
 				stop, cancel := context.WithCancel(context.Background())
 				done := make(chan error, 1)
 				go func() { done <- cl.gateways[0].ServeCallers(stop, context.Background(), ln) }()
@@ -166,7 +124,7 @@
 				time.Sleep(tc.sendAfter)
 				caller, server := net.Pipe()
 				defer func() { _ = caller.Close() }()
-				ln.conns <- server
+				ln.Offer(server)
 				sentAt := time.Now()
 				_, err := fmt.Fprintf(caller, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: a1\r\nX-Deadline-Ms: %d\r\n"+
 					"Authorization: Bearer k\r\nContent-Length: 4\r\n\r\nbody", tc.path, tc.timeout.Milliseconds())
