--- a/internal/relay/silence_test.go
+++ b/internal/relay/silence_test.go
@@ -106,6 +106,7 @@
 		{"other is silent as well, after the header", "/s/", silentBefore(3, pause), silentBefore(3, forever), false, 0, 2, forever},
 		{"other breaks off before any event", "/s/", silentBefore(3, pause), script{breaksAt: 3}, false, 0, 2, forever},
 		{"other takes it late and goes silent, first speaks again", "/s/", silentBefore(3, pause), silentBefore(3, 1500*time.Millisecond), false, 0, 2, forever},
+		{"other takes it and is silent later, first speaks again", "/s/", silentBefore(3, pause), silentBefore(4, 1500*time.Millisecond), false, 0, 2, forever},
 		{"no further attempt is allowed", "/one/", silentBefore(3, pause), script{}, false, 1, 1, forever},
 		{"may not be repeated", "/once/", silentBefore(3, pause), script{}, false, 0, 1, forever},
 	}
