--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -291,13 +291,14 @@
 
 // handleSilence opens another attempt, if possible. Those that are open go on.
 func (d *delivery) handleSilence(now time.Time) {
+	d.silentAt = now.Add(minFirstWait)
+	if !d.rq.repeatable() {
+		return
+	}
 	for _, a := range d.open {
-		if !a.silent {
-			a.silent = true
-			d.relay.table.RecordSilence(now, a.to.Reservation)
-		}
+		a.silent = true
+		d.relay.table.RecordSilence(now, a.to.Reservation)
 	}
-	d.silentAt = now.Add(minFirstWait)
 	if !d.mayOpenAnother() {
 		return
 	}
