--- a/dispatch/gate_test.go
+++ b/dispatch/gate_test.go
@@ -323,3 +323,11 @@
 		}
 	})
 }
+
+func TestUnknownOutcomeIsKept(t *testing.T) {
+	is := is.New(t)
+	var attempts Attempts
+	is.Equal(attempts.Add(Result{Outcome: NotRun, Reason: fault.QueueFull}).Outcome, NotRun)
+	is.Equal(attempts.Add(Result{Outcome: Unknown, Reason: fault.ConnectionLost}).Outcome, Unknown)
+	is.Equal(attempts.Add(Result{Outcome: NotRun, Reason: fault.QueueFull}).Outcome, Unknown) // The one before may have run.
+}
--- a/route/table_test.go
+++ b/route/table_test.go
@@ -186,9 +186,12 @@
 	is.NoErr(err)
 	later := epoch.Add(2 * time.Second)
 	for i := range 3 {
-		if id := fmt.Sprint("e", i); id != c.ID {
-			tb.UpdateReport(id, AgentReport{Version: 1, Queued: 4, ReceivedAt: later}) // The others are busier.
+		rep := AgentReport{Version: 1, Queued: 4, ReceivedAt: later.Add(-time.Second)}
+		id := fmt.Sprint("e", i)
+		if id == c.ID {
+			rep.Queued = 0 // The silent one seems to be idle.
 		}
+		tb.UpdateReport(id, rep)
 	}
 	got := pickCounts(tb, later, crit)
 	is.Equal(got[c.ID], 0)
