--- a/internal/drain/conns.go
+++ b/internal/drain/conns.go
@@ -1,4 +1,5 @@
-// Package drain closes the idle connections of an HTTP server without losing requests.
+// Package drain holds what a server of callers needs to stop without losing requests: Conns closes
+// its idle connections, and InFlight knows the requests that it handles.
 //
 // http.Server.Shutdown closes an idle connection even if its next request has been read but not
 // yet handled, and that request gets no answer. Here only the reads of a connection are made to
--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/simnet"
 )
@@ -60,3 +61,25 @@
 		is.NoErr(<-done)
 	})
 }
+
+// A request that a gateway of another hall has forwarded has no connection of a caller here.
+func TestStoppingGatewayWaitsForForwardedRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const answerTime = 3 * time.Second
+		g, err := New(&settings.Gateway{Common: settings.Common{DrainTimeout: 10 * time.Second}}, Options{})
+		is.NoErr(err)
+		defer g.Close()
+		stop, cancel := context.WithCancel(t.Context())
+		done := make(chan time.Time, 1)
+		go func() {
+			_ = g.serveCallers(stop, t.Context(), &http.Server{Handler: g.CallerHandler()}, simnet.NewListener())
+			done <- time.Now()
+		}()
+		ended := g.inFlight.Add(&drain.Request{ID: "forwarded"})
+		time.AfterFunc(answerTime, ended)
+		began := time.Now()
+		cancel()
+		is.True((<-done).Sub(began) >= answerTime)
+	})
+}
--- a/internal/gateway/forward.go
+++ b/internal/gateway/forward.go
@@ -37,6 +37,10 @@
 			ID: id, Reason: res.Reason, MayHaveRun: res.Outcome != dispatch.NotRun, RetryAt: res.RetryAt,
 		})
 	}
+	if g.draining.Load() {
+		sendRefusal(refusal(fault.New(fault.Draining, g.Settings.Box), time.Time{}))
+		return
+	}
 	rq, err := g.newRequest(*d)
 	if err != nil {
 		sendRefusal(refusal(err, time.Time{}))
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,6 +41,7 @@
 	lifetime    context.Context
 	cancel      context.CancelFunc
 	draining    atomic.Bool
+	inFlight    drain.InFlight // From callers and from gateways of other halls.
 
 	mu     sync.Mutex
 	queues map[string]*limit.Queue // By service; the configuration bounds their number.
@@ -171,6 +172,7 @@
 	go func() { served <- telemetry.ServeHTTP(taskCtx, conns.Listener(ln), srv) }()
 	select {
 	case err := <-served:
+		g.inFlight.LogCut(g.Metrics, "server_ended")
 		return err
 	case <-stop.Done():
 	}
@@ -178,8 +180,11 @@
 	g.draining.Store(true)
 	time.Sleep(g.Settings.LingerPeriod)
 	_ = ln.Close()
-	left := conns.Wait(taskCtx, time.Now().Add(g.Settings.DrainTimeout))
+	deadline := time.Now().Add(g.Settings.DrainTimeout)
+	left := conns.Wait(taskCtx, deadline)
+	g.inFlight.Wait(taskCtx, deadline)
 	telemetry.Log("drain_ended", "box", g.Settings.Box, "whole", left == 0, "left", left)
+	g.inFlight.LogCut(g.Metrics, "drain_over")
 	_ = srv.Close()
 	return kernel.Failure(stop)
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -9,6 +10,7 @@
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/limit"
 	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/route"
@@ -25,12 +27,15 @@
 	forwarded bool   // Received from a gateway of another hall; never forwarded again.
 	arrived   time.Time
 	version   string // The version of the last dispatch.
+	inFlight  drain.Request
 }
 
 // process admits a request, dispatches it with retries where that is safe, and
 // returns the result for the caller. If the outcome is Done, the answer has been
 // written to out.
 func (g *Gateway) process(ctx context.Context, rq *request, out *sink) dispatch.Result {
+	rq.inFlight = drain.Request{ID: fmt.Sprintf("%x/%d", rq.d.ID.Incarnation, rq.d.ID.Seq), Service: rq.d.Service, ArrivedAt: rq.arrived, Deadline: rq.d.Deadline}
+	defer g.inFlight.Add(&rq.inFlight)()
 	org := rq.view.Config.Organisations[rq.d.Organisation]
 	gateways := len(rq.view.Gateways(""))
 	r := g.rate(rq.d.Organisation)
@@ -119,6 +124,7 @@
 		return g.spill(ctx, rq, d, out, err)
 	}
 	tried[u.Box.Name] = true
+	g.inFlight.SetUpstream(&rq.inFlight, u.Box.Name)
 	a := &attempt{gateway: g, d: &d, addr: u.Box.Addr, box: u.Box.Name, sink: out}
 	res := a.run(ctx)
 	g.recordResult(u, a, now, res)
--- a/internal/gateway/writer.go
+++ b/internal/gateway/writer.go
@@ -12,6 +12,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
 )
 
 // writer writes the answer to one caller: a buffered answer once it is complete, a
@@ -93,6 +94,9 @@
 	switch {
 	case res.Outcome != dispatch.Done && o.started:
 		o.gateway.Metrics.Refused(res.Reason)
+		o.gateway.Metrics.Event("answer_broken", string(res.Reason))
+		telemetry.Log("answer_broken", "id", o.rq.inFlight.ID, "service", o.rq.d.Service, "reason", res.Reason, "attempts", o.rq.d.ID.Attempt+1,
+			"left_ms", time.Until(o.rq.d.Deadline).Milliseconds())
 		b, _ := json.Marshal(errorBody(res))
 		_, _ = fmt.Fprintf(o.w, "event: error\ndata: %s\n\n", b)
 		_ = http.NewResponseController(o.w).Flush()
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -13,6 +13,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/telemetry"
 )
 
@@ -27,8 +28,8 @@
 		g.refuse(w, r, rq, dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.CodeOf(err)}, err)
 		return
 	}
-	g.inFlight.add(rq)
-	defer g.inFlight.remove(rq)
+	rq.inFlight = drain.Request{ID: rq.id, Service: rq.service, ArrivedAt: rq.arrivedAt, Deadline: rq.deadline}
+	defer g.inFlight.Add(&rq.inFlight)()
 	defer g.logPanic(rq.id)
 	out := &answer{relay: g, w: w, rq: rq}
 	res := g.process(r.Context(), rq, out)
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -106,11 +106,11 @@
 }
 
 // start starts an attempt.
-func (d *delivery) start(choice route.Choice) *attempt {
+func (d *delivery) start(choice route.Choice) {
 	rq, now := d.rq, time.Now()
 	rq.attempts++
 	d.exclude[choice.ID] = true
-	d.relay.inFlight.setReplica(rq, choice.ID)
+	d.relay.inFlight.SetUpstream(&rq.inFlight, choice.ID)
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &attempt{
 		relay: d.relay, rq: rq, to: choice, startedAt: now, lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started,
@@ -120,7 +120,6 @@
 	d.open = append(d.open, a)
 	d.silentAt = now.Add(max(minFirstWait, firstWaitFactor*choice.Predicted))
 	go a.run(ctx)
-	return a
 }
 
 // follow passes on what the open attempts receive until none is left, or the answer is complete,
@@ -148,25 +147,15 @@
 // result.
 func (d *delivery) take(p receivedPart) (dispatch.Result, bool) {
 	if p.last && p.result.Outcome != dispatch.Done {
-		if p.result.Reason == fault.UpstreamFailed && p.resp != nil {
-			d.out.keepFailure(p.resp, p.data)
-		}
-		d.ended(p.from, p.result)
-		if d.ctx.Err() != nil || len(d.open) == 0 {
-			return p.result, true
-		}
-		d.endMove()
-		if !slices.ContainsFunc(d.open, func(a *attempt) bool { return !a.silent }) {
-			d.silentAt = time.Now() // Another replica may take the request at once.
-		}
-		return dispatch.Result{}, false
+		done := d.takeFailure(p)
+		return p.result, done
 	}
 	d.abandonOthers(p.from)
 	if err := d.pass(p); err != nil {
 		return d.cancelled(err), true
 	}
 	if p.last {
-		d.ended(p.from, p.result)
+		d.recordEnd(p.from, p.result)
 		return p.result, true
 	}
 	d.silentAt = time.Now().Add(max(minGapWait, gapWaitFactor*d.rq.route.TargetGap))
@@ -176,6 +165,23 @@
 	return dispatch.Result{}, false
 }
 
+// takeFailure handles the last part of an attempt that failed. It reports whether no attempt is
+// left that may yet answer.
+func (d *delivery) takeFailure(p receivedPart) bool {
+	if p.result.Reason == fault.UpstreamFailed && p.resp != nil {
+		d.out.keepFailure(p.resp, p.data)
+	}
+	d.recordEnd(p.from, p.result)
+	if d.ctx.Err() != nil || len(d.open) == 0 {
+		return true
+	}
+	d.endMove()
+	if !slices.ContainsFunc(d.open, func(a *attempt) bool { return !a.silent }) {
+		d.silentAt = time.Now() // Another replica may take the request at once.
+	}
+	return false
+}
+
 // pass passes on a part to the caller.
 func (d *delivery) pass(p receivedPart) error {
 	rq, a := d.rq, p.from
@@ -200,8 +206,8 @@
 	return nil
 }
 
-// ended records the result of an attempt that has ended.
-func (d *delivery) ended(a *attempt, res dispatch.Result) {
+// recordEnd records the result of an attempt that has ended.
+func (d *delivery) recordEnd(a *attempt, res dispatch.Result) {
 	d.open = slices.DeleteFunc(d.open, func(o *attempt) bool { return o == a })
 	a.cancel()
 	d.rq.recordAttempt(a, res)
@@ -219,7 +225,7 @@
 func (d *delivery) giveUp(a *attempt, reason fault.Code) {
 	a.abandon()
 	a.broken = breakdown{by: endedByGateway, silent: time.Since(a.lastDataAt)}
-	d.ended(a, unknown(reason))
+	d.recordEnd(a, unknown(reason))
 }
 
 // abandonOthers gives up all attempts but the one that goes on.
@@ -239,7 +245,7 @@
 func (d *delivery) cancelled(err error) dispatch.Result {
 	for _, a := range slices.Clone(d.open) {
 		a.abandon()
-		d.ended(a, unknown(fault.Cancelled))
+		d.recordEnd(a, unknown(fault.Cancelled))
 	}
 	d.rq.broken = breakdown{by: endedByCaller, err: err}
 	d.last = unknown(fault.Cancelled)
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -57,12 +57,12 @@
 	go func() { served <- telemetry.ServeHTTP(lifetime, conns.Listener(ln), srv) }()
 	select {
 	case err := <-served:
-		g.logCut("server_ended")
+		g.inFlight.LogCut(g.Metrics, "server_ended")
 		return err
 	case <-stop.Done():
 	}
 	g.drain(stop, lifetime, ln, &conns)
-	g.logCut("grace_over")
+	g.inFlight.LogCut(g.Metrics, "grace_over")
 	_ = srv.Close() // It fails if the server has not noticed yet that the listener is closed.
 	return kernel.Failure(stop)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/settings"
@@ -63,7 +64,7 @@
 	startDelay time.Duration
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	timeouts   callerTimeouts
-	inFlight   requestsInFlight
+	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects  quarantine.Table
 	endProbes endProbes
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
@@ -48,6 +49,7 @@
 	struckRound      int                // Highest strike round of the attempts after which a replica may have terminated.
 	quarantineStatus quarantine.Status  // Result of the last quarantine lookup.
 	attemptResults   []string           // Result of each attempt, for the log.
+	inFlight         drain.Request      // What is logged if the end of the process cuts it off.
 	broken           breakdown          // How the last attempt that broke off ended.
 }
 
