--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -194,6 +194,10 @@
 	return p.wait()
 }
 
+// neverRan reports whether the process has logged nothing: a signal that comes before it handles
+// signals ends it, and it has nothing to cut off.
+func (p *process) neverRan() bool { return p.log.String() == "" }
+
 // lines returns the lines of the log that contain all of the given texts.
 func (p *process) lines(texts ...string) (out []string) {
 	for _, line := range strings.Split(p.log.String(), "\n") {
