--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -445,7 +445,7 @@
 	callers.Wait()
 	for _, g := range s.gateways {
 		if g.ended() {
-			s.violate("%s ended by itself: %s", g.name, g.log.String())
+			s.violate("%s ended by itself: %v: %s", g.name, g.wait(), g.log.String())
 		}
 		for _, line := range g.lines("panic") {
 			s.violate("%s: %s", g.name, line)
