--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -153,8 +153,8 @@
 	return a.linkLimiter.WaitN(ctx, n)
 }
 
-// Run runs the agent until ctx ends or one of its tasks fails, and then drains it: it reports that it is
-// draining, waits for the admitted requests, and returns.
+// Run runs the agent until ctx ends or one of its tasks fails, and then drains it: it reports
+// that it is draining, waits for the admitted requests, and returns.
 func (a *Agent) Run(ctx context.Context) error {
 	onFault := a.peerPool.Options.OnFault
 	ln, err := wire.Listen(a.Settings.Listen, onFault)
--- a/internal/relay/broken.go
+++ b/internal/relay/broken.go
@@ -19,7 +19,7 @@
 const (
 	endedByReplica  endedBy = "replica"  // It closed or reset the connection, or its answer is invalid.
 	endedByKernel   endedBy = "kernel"   // A timeout of the socket.
-	endedByGateway  endedBy = "gateway"  // The replica was silent for too long.
+	endedByGateway  endedBy = "gateway"  // It gave the attempt up: another one goes on, or a version is past its deadline.
 	endedByDeadline endedBy = "deadline" // The deadline of the request passed.
 	endedByCaller   endedBy = "caller"   // It disconnected or did not read.
 	endedByNobody   endedBy = ""         // There was no exchange, or it is complete.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -44,8 +44,7 @@
 	_ = c.Close()
 }
 
-// connPool keeps idle connections to upstreams. Dial defaults to
-// link.DialReplica.
+// connPool keeps idle connections to upstreams. Dial defaults to link.DialReplica.
 type connPool struct {
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -1,16 +1,13 @@
 package soak
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -59,48 +56,6 @@
 	disturbances                         []string
 }
 
-// balancer directs new connections to gateways as a load balancer does: it leaves out those that
-// failed two checks in a row, unless fewer than half are left.
-type balancer struct {
-	mu     sync.Mutex
-	missed map[*gateway]int
-}
-
-func (b *balancer) run(gateways []*gateway, done <-chan struct{}) {
-	const interval = time.Second
-	for {
-		for _, g := range gateways {
-			ready := g.isReady()
-			b.mu.Lock()
-			b.missed[g]++
-			if ready {
-				b.missed[g] = 0
-			}
-			b.mu.Unlock()
-		}
-		select {
-		case <-time.After(interval):
-		case <-done:
-			return
-		}
-	}
-}
-
-func (b *balancer) pick(gateways []*gateway) *gateway {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var in []*gateway
-	for _, g := range gateways {
-		if b.missed[g] < 2 {
-			in = append(in, g)
-		}
-	}
-	if 2*len(in) < len(gateways) {
-		in = gateways
-	}
-	return in[rand.IntN(len(in))]
-}
-
 func soakConfig(version int) platformtest.Body {
 	plain := func(name, kind string) platformtest.Body {
 		return platformtest.Route(name, "/plain/"+name+"/", kind, "llm", nil)
@@ -221,211 +176,6 @@
 	s.violations = append(s.violations, fmt.Sprintf(format, args...))
 }
 
-// runCaller sends requests one after the other until done is closed. It keeps its connection until
-// the gateway closes it.
-func (s *soak) runCaller(n int, r *rand.Rand, done <-chan struct{}) {
-	c := &caller{}
-	defer c.close()
-	for i := 0; ; i++ {
-		select {
-		case <-done:
-			return
-		case <-time.After(time.Duration(r.IntN(400)) * time.Millisecond):
-		}
-		if c.conn == nil {
-			c.addr = s.balancer.pick(s.gateways).callers()
-		}
-		s.sendOne(c, fmt.Sprintf("a%d-%d", n, i), r)
-	}
-}
-
-// sendOne sends a request and checks its answer.
-func (s *soak) sendOne(c *caller, id string, r *rand.Rand) {
-	target := []string{"/s/", "/s/", "/s/", "/once/", "/plain/safe/", "/plain/unsafe/"}[r.IntN(6)]
-	eventCount := 4 + r.IntN(40)
-	prompt := 100 + r.IntN(1500)
-	s.sent.Add(1)
-	got := c.send(id, target, callerTimeout, fmt.Sprintf("X-Token-Count: %d,%d", prompt, eventCount*tokensPerStep))
-	switch {
-	case got.whole() && got.status == 200:
-		s.whole.Add(1)
-		if !oneVersion(got.body, eventCount) {
-			s.violate("%s %s: not the whole answer of one version: %q", id, target, got.body)
-		}
-	case got.whole() && got.status == 503:
-		s.refused.Add(1)
-		if s.runsOf(id) > 0 {
-			s.violate("%s %s: refused as not run, but it ran", id, target)
-		}
-		time.Sleep(retryAfter(got))
-	case got.whole():
-		s.failed.Add(1)
-		if got.status != 504 && !s.withFaults {
-			s.violate("%s %s by %s: %v", id, target, c.addr, got)
-		}
-	case errors.Is(got.err, errNotConnected):
-		s.unread.Add(1)
-		time.Sleep(redialDelay)
-	case got.status == 0 && s.runsOf(id) == 0 && got.took < lossSlack:
-		s.unread.Add(1) // It crossed the close of the connection.
-	case got.took < callerTimeout && !s.withFaults:
-		s.violate("%s %s by %s: broken off: %v, %d runs", id, target, c.addr, got, s.runsOf(id))
-	}
-	if n := s.runsOf(id); n > 1 && (target == "/once/" || target == "/plain/unsafe/") {
-		s.violate("%s %s ran %d times", id, target, n)
-	}
-}
-
-func retryAfter(r *reply) time.Duration {
-	seconds, err := strconv.ParseFloat(r.header.Get("Retry-After"), 64)
-	if err != nil {
-		return 0
-	}
-	return min(time.Second, time.Duration(seconds*float64(time.Second)))
-}
-
-// oneVersion reports whether body has n events in order, all of one version.
-func oneVersion(body string, n int) bool {
-	var first, version int
-	if _, err := fmt.Sscanf(body, "id: %d\ndata: e1 of %d\n\n", &first, &version); err != nil {
-		return false
-	}
-	var want strings.Builder
-	for i := 1; i <= n; i++ {
-		fmt.Fprintf(&want, "id: %d\ndata: e%d of %d\n\n", i, i, version)
-	}
-	return body == want.String()
-}
-
-// disturb does one piece of planned work, or silences a link, drawn at random.
-func (s *soak) disturb(wg *sync.WaitGroup) {
-	r := s.rand
-	g := s.gateways[r.IntN(len(s.gateways))]
-	pause := time.Duration(r.IntN(600)) * time.Millisecond
-	begin := func(name string, do func()) {
-		s.disturbances = append(s.disturbances, name)
-		wg.Go(do)
-	}
-	const faultShare = 0.3
-	if s.withFaults && r.Float64() < faultShare {
-		s.drawFault(g, pause, begin)
-		return
-	}
-	switch r.IntN(16) {
-	case 0, 1:
-		s.configVersion++
-		cfg := s.config()
-		begin("config", func() { s.store.Put("op/config", cfg) })
-	case 2:
-		s.target++
-		v := s.target
-		begin("version", func() {
-			s.origin.Newest.Store(v)
-			s.store.Put("op/version/m", platformtest.Body{"model": "m", "version": v})
-		})
-	case 3, 4:
-		begin("reload all", func() {
-			for _, g := range s.gateways {
-				g.signal(syscall.SIGHUP)
-			}
-		})
-	case 5, 6, 7, 8:
-		repeated, reload := r.IntN(2) == 0, r.IntN(2) == 0
-		begin(fmt.Sprintf("roll %s repeated=%v reload=%v", g.name, repeated, reload), func() { s.roll(g, pause, repeated, reload) })
-	case 9:
-		a := s.agents[r.IntN(len(s.agents))]
-		begin("restart "+a.name, func() {
-			if err := a.stop(grace); err != nil && !a.neverRan() {
-				s.violate("%s ended: %v: %s", a.name, err, a.log.String())
-			}
-			a.start()
-		})
-	default:
-		const minStall = 300 * time.Millisecond
-		p := s.links[r.IntN(len(s.links))]
-		begin("silence", func() {
-			p.stall()
-			time.Sleep(minStall + 2*pause)
-			p.resume()
-		})
-	}
-}
-
-// drawFault begins one fault, drawn at random.
-func (s *soak) drawFault(g *gateway, pause time.Duration, begin func(name string, do func())) {
-	switch s.rand.IntN(4) {
-	case 0:
-		begin("kill "+g.name, func() {
-			if !s.beginRoll(g) {
-				return
-			}
-			defer s.endRoll(g)
-			g.kill()
-			time.Sleep(pause)
-			g.start()
-		})
-	case 1:
-		begin("pause "+g.name, func() {
-			g.signal(syscall.SIGSTOP)
-			time.Sleep(4 * pause)
-			g.signal(syscall.SIGCONT)
-		})
-	case 2:
-		p := s.links[s.rand.IntN(len(s.links))]
-		begin("reset", p.cut)
-	default:
-		begin("store refuses", func() {
-			s.store.Refuse(503)
-			time.Sleep(4 * pause)
-			s.store.Refuse(0)
-		})
-	}
-}
-
-// roll stops a gateway as the platform does, possibly with further signals, and starts it again.
-func (s *soak) roll(g *gateway, pause time.Duration, repeated, reload bool) {
-	if !s.beginRoll(g) {
-		return
-	}
-	defer s.endRoll(g)
-	time.AfterFunc(pause, func() {
-		if repeated {
-			g.signal(syscall.SIGTERM)
-		}
-		if reload {
-			g.signal(syscall.SIGHUP)
-		}
-	})
-	err := g.stop(grace)
-	if !s.withFaults {
-		if err != nil && !g.neverRan() {
-			s.violate("%s ended: %v: %s", g.name, err, g.log.String())
-		}
-		for _, line := range g.lines("request_cut") {
-			s.violate("%s", line)
-		}
-	}
-	g.start()
-}
-
-// beginRoll reports whether the gateway may be rolled: not too many are being rolled, and it is
-// not one of them.
-func (s *soak) beginRoll(g *gateway) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if len(s.rolling) >= maxRolling || slices.Contains(s.rolling, g) {
-		return false
-	}
-	s.rolling = append(s.rolling, g)
-	return true
-}
-
-func (s *soak) endRoll(g *gateway) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.rolling = slices.DeleteFunc(s.rolling, func(o *gateway) bool { return o == g })
-}
-
 // play runs the soak for a time, and reports what was broken.
 func (s *soak) play(duration time.Duration) {
 	done := make(chan struct{})
