peers: a gateway that starts learns all others with the first answer

What callers saw: on a fleet of 587 boxes a request was sent to a replica 5.55 s after its entry had disappeared (bound 5 s); gateways of one hall heard of eight revisions 1.4 to 2.2 s late, the same nine each time.

Cause: changes are forwarded in each hall by its first gateway. One that had just restarted was chosen again as soon as it announced itself, but pushes only to the gateways that it knows. It asked for no list: a gateway lists others when it is sent a list, and a starting one had nobody to list. It learned them from lists of 24 in every fourth round of its neighbours, and at 327 gateways a round is due every 2.7 s.

Change: a gateway lists itself too, so that it asks from its first announcement on, and one that has no records yet gets all that are known in one answer. Older builds read both as before.

Ruled out: a forwarder that is silent or dead (firstInHall prefers those heard within a second, and the announcements that make up for it were in time); lost pushes (each passed over the same gateways).

Measured: TestStartedGatewayKnowsAllOthers, 60 gateways, 0.5 s after a start: 45 known before, 60 now. TestChangesReachAllWhileGatewaysRestart, 130 gateways, nine restarts of forwarders: a change had not reached 20 gateways 0.5 s later after one of the restarts before, 0 now.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -39,10 +39,12 @@
 	gatewaysPerInterval = 60
 	// These bound what a gateway sends, however many gateways there are: the number of
 	// gateways that it announces itself to, and of those that an announcement lists.
-	neighbours      = 8
-	maxKnownSent    = 24
-	localNeighbours = 6 // Neighbours that are in the same hall.
-	roundsPerKnown  = 4 // One round in this many lists other gateways.
+	neighbours   = 8
+	maxKnownSent = 24
+	// maxKnownToStarting bounds the list that a gateway gets that starts.
+	maxKnownToStarting = 4096
+	localNeighbours    = 6 // Neighbours that are in the same hall.
+	roundsPerKnown     = 4 // One round in this many lists other gateways.
 	// watchersPerHall is how many gateways of a hall may watch the platform: each one only
 	// while none that ranks before it does.
 	watchersPerHall = 3
@@ -104,7 +106,7 @@
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Announcement) {
 		g.handleAnnouncement(m, time.Time{})
 		eras, _ := g.capabilities.load(s.Conn())
-		_ = s.SendLast(ctx, g.announcement(m.From.Addr, len(m.Known) > 0, eras))
+		_ = s.SendLast(ctx, g.announcement(m.From.Addr, knownToAnswer(m), eras))
 	})
 	wire.On(hs, func(ctx context.Context, s *wire.Stream, m *Pull) {
 		_ = s.SendLast(ctx, g.answerPull(s.Conn(), m))
@@ -158,9 +160,21 @@
 	return now.Sub(m.lastHeard) < time.Duration(hops)*liveTimeout
 }
 
-// announcement returns the announcement for the gateway at an address, with a list of other
-// gateways if others is set. It includes the era if that gateway supports eras.
-func (g *Gossip) announcement(to string, others, eras bool) *Announcement {
+// knownToAnswer returns how many gateways the answer to an announcement lists. A gateway that
+// starts needs all of them: it may at once be the one that forwards changes in its hall.
+func knownToAnswer(a *Announcement) int {
+	switch {
+	case a.At == 0:
+		return maxKnownToStarting
+	case len(a.Known) > 0:
+		return maxKnownSent
+	}
+	return 0
+}
+
+// announcement returns the announcement for the gateway at an address, with a list of up to
+// maxKnown gateways. It includes the era if that gateway supports eras.
+func (g *Gossip) announcement(to string, maxKnown int, eras bool) *Announcement {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
@@ -173,11 +187,13 @@
 		a.withoutEra()
 	}
 	g.addSuspects(a, to, now)
-	if !others {
+	if maxKnown == 0 {
 		return a
 	}
+	// Listing itself makes a gateway that knows no other yet ask for the list.
+	a.Known = append(a.Known, KnownMember{g.Self, 0, a.Watching})
 	for _, m := range g.members { // In random order, so that each is listed in time.
-		if len(a.Known) == maxKnownSent {
+		if len(a.Known) >= maxKnown {
 			break
 		}
 		if g.isLive(m, now) {
@@ -282,7 +298,7 @@
 		firstRound.Wait()
 		close(g.joinAttempted)
 	}()
-	due := time.Now().Add(g.roundInterval())
+	due := time.Now().Add(g.nextRound())
 	for ctx.Err() == nil {
 		_, changed := g.Mirror.Watch()
 		suspects := g.urgentSuspects()
@@ -306,7 +322,7 @@
 			continue
 		}
 		g.round(ctx)
-		due = time.Now().Add(g.roundInterval())
+		due = time.Now().Add(g.nextRound())
 	}
 	return nil
 }
@@ -335,11 +351,16 @@
 	return nil
 }
 
-// roundInterval returns the time between two announcements without changes.
-func (g *Gossip) roundInterval() time.Duration {
+// nextRound returns the time until the next announcement without changes.
+func (g *Gossip) nextRound() time.Duration {
 	if g.Mirror.At() == 0 {
 		return minAnnounceInterval // Another gateway may have records by now.
 	}
+	return g.RoundInterval()
+}
+
+// RoundInterval returns the time between two announcements without changes.
+func (g *Gossip) RoundInterval() time.Duration {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return announceInterval * time.Duration(max(gatewaysPerInterval, len(g.members))) / gatewaysPerInterval
@@ -370,9 +391,12 @@
 			continue
 		}
 		m.announcing = true
-		others := others || m.lastHeard.IsZero()
+		maxKnown := 0
+		if others || m.lastHeard.IsZero() {
+			maxKnown = maxKnownSent
+		}
 		wg.Go(func() {
-			g.announceTo(ctx, addr, others)
+			g.announceTo(ctx, addr, maxKnown)
 			g.mu.Lock()
 			m.announcing = false
 			g.mu.Unlock()
@@ -381,7 +405,7 @@
 	return &wg
 }
 
-func (g *Gossip) announceTo(ctx context.Context, addr string, others bool) {
+func (g *Gossip) announceTo(ctx context.Context, addr string, maxKnown int) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	c, err := g.Pool.Get(ctx, addr)
@@ -390,7 +414,7 @@
 	}
 	eras := g.capabilities.query(ctx, c)
 	requestedAt := time.Now()
-	m, err := c.Call(ctx, g.announcement(addr, others, eras))
+	m, err := c.Call(ctx, g.announcement(addr, maxKnown, eras))
 	if a, ok := m.(*Announcement); ok && err == nil {
 		g.handleAnnouncement(a, requestedAt)
 	}
--- /dev/null
+++ b/internal/relay/started_test.go
@@ -0,0 +1,65 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/rendezvous"
+)
+
+// A gateway that starts may be the one that forwards changes in its hall, and must know all
+// gateways there.
+func TestStartedGatewayKnowsAllOthers(t *testing.T) {
+	const gateways = 60
+	known := 0
+	runCluster(t, 0, plainReplicas(1), func(_ *is.I, cl *testCluster) {
+		cl.startInThreeHalls(gateways)
+		time.Sleep(20 * time.Second)
+		cl.restart(40)
+		time.Sleep(500 * time.Millisecond)
+		known = len(cl.gateways[40].Status().Peers)
+	})
+	is.New(t).Equal(known, gateways)
+}
+
+// Changes reach every gateway within a bound that does not grow with their number, though the
+// gateways that forward them in their halls have just restarted.
+func TestChangesReachAllWhileGatewaysRestart(t *testing.T) {
+	const gateways, restarts, bound = 130, 9, 500 * time.Millisecond
+	var behind []int // How many gateways lack the change after each restart.
+	runCluster(t, 0, plainReplicas(1), func(_ *is.I, cl *testCluster) {
+		cl.startInThreeHalls(gateways)
+		time.Sleep(20 * time.Second)
+		for i := range restarts {
+			cl.restart(cl.forwarder(i % 3))
+			time.Sleep(400 * time.Millisecond)
+			cl.store.Put("servers/p0", cl.replicas[0].Record("ready"))
+			revision := cl.store.Revision()
+			time.Sleep(bound)
+			behind = append(behind, 0)
+			for _, g := range cl.gateways {
+				if g.Status().Revision < revision {
+					behind[i]++
+				}
+			}
+		}
+	})
+	is.New(t).Equal(behind, make([]int, restarts))
+}
+
+// forwarder returns the gateway that forwards changes in a hall, numbered from 0.
+func (cl *testCluster) forwarder(hall int) int {
+	var addrs []string
+	for i := hall; i < len(cl.gateways); i += 3 {
+		addrs = append(addrs, gatewayAddr(i))
+	}
+	first := rendezvous.First("watch", addrs)
+	for i := range cl.gateways {
+		if gatewayAddr(i) == first {
+			return i
+		}
+	}
+	return -1
+}
