route, relay, platform: allowed regions, drained halls and cold replicas

Cause: no code read regions_allowed, op/evacuate, cold_left_ms, cold_s or cold_per_s.

Change: - config.Residency is the one place that decides where a request may be served: the intersection of its route's and its organisation's regions. The choice of a replica asks it, which first sends, retries, second attempts and moved streams all pass; further attempts obey the newest configuration as well. Bodies go to replicas alone, no other gateway. Regions of halls are settings. - Drained halls are records like others, so they travel as configurations do. Their replicas get nothing, and a request that was chosen before is checked again before it is written; what runs there ends. A reopened hall counts as cold for the service's time until entries show more. After two refusals a request prefers replicas without permits. Where all halls that may serve a request are out, it is refused at once.

Ways weighed for cold replicas: a part for each gateway (39 gateways with one request each exceed 26 a second, and one gateway with all callers uses an nth); the agent as admission point (it is not asked by most gateways, and plain services have none); one limiter (taken; its cost is a message to a gateway).

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -70,6 +70,9 @@
 	Routing   *config.Routing // Derived from Config.
 	Upstreams map[string]fleet.Upstream
 	Targets   map[string]Target // By model.
+	// DrainedHalls are the halls that the operator has drained. Their upstreams get no further
+	// requests; their gateways go on.
+	DrainedHalls map[string]bool
 }
 
 // UpstreamsOf returns the upstreams of a service, in no order.
--- a/config/config.go
+++ b/config/config.go
@@ -64,6 +64,10 @@
 	Origin     string  `yaml:"-"`
 	OriginRate float64 `yaml:"-"`
 	MaxConns   int     `yaml:"-"` // Maximum number of connections to one replica.
+	// ColdRate is how many requests per second a replica bears from all gateways together while
+	// it is cold, for ColdFor after a start; 0 if it bears as many as ever.
+	ColdRate float64       `yaml:"-"`
+	ColdFor  time.Duration `yaml:"-"`
 }
 
 // Organisation is a customer with its share and limits.
@@ -74,6 +78,9 @@
 	APIKeys     []string `yaml:"-"`         // API keys that identify the organisation's requests.
 	Priority    int      `yaml:"-"`         // Priority; 0 is the most urgent. Overrides the route's if HasPriority is set.
 	HasPriority bool     `yaml:"-"`
+	// AllowedRegions are the regions where its requests may be served; empty for all. See
+	// Residency.
+	AllowedRegions []string `yaml:"-"`
 }
 
 // Limits bounds the queues, deadlines and retries of gateways.
--- a/config/route.go
+++ b/config/route.go
@@ -27,6 +27,8 @@
 	Services      map[string]int // Weights by service.
 	Public        bool           // Requests need no API key.
 	Resumable     bool           // An interrupted stream may be resumed on another upstream.
+	// AllowedRegions are the regions where requests may be served; empty for all. See Residency.
+	AllowedRegions []string
 }
 
 // Repeatable reports whether a request of the route may run more than once.
--- a/fault/fault.go
+++ b/fault/fault.go
@@ -35,9 +35,12 @@
 	NoService          Code = "no_such_service"
 	UnknownKey         Code = "unknown_key"
 	NoUpstream         Code = "no_upstream_ready"
-	UpstreamLeaving    Code = "upstream_leaving" // It announced that it is leaving, or was removed, before the request was sent.
-	UpstreamBackingOff Code = "upstream_resting" // It asked for backoff.
-	UpstreamLimited    Code = "upstream_limited" // No permit is left under the rate limit that it set.
+	UpstreamLeaving    Code = "upstream_leaving"  // It announced that it is leaving, or was removed, before the request was sent.
+	UpstreamBackingOff Code = "upstream_resting"  // It asked for backoff.
+	UpstreamCold       Code = "upstream_cold"     // No permit is left of what it bears while it is cold.
+	UpstreamLimited    Code = "upstream_limited"  // No permit is left under the rate limit that it set.
+	NoAllowedRegion    Code = "no_allowed_region" // No upstream is in a region where the request may be served.
+	HallsDrained       Code = "halls_drained"     // The operator has drained all halls that could serve the request.
 	QueueFull          Code = "queue_full"
 	RateLimited        Code = "rate_limited"
 	Draining           Code = "draining"
--- a/fleet/upstream.go
+++ b/fleet/upstream.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/poststand/poststand/mirror"
+import (
+	"time"
+
+	"github.com/poststand/poststand/mirror"
+)
 
 // Incarnation identifies one run of a replica. A restart begins another one, usually with another ID.
 // All state that is kept about a replica belongs to one incarnation.
@@ -31,6 +35,8 @@
 	Engine  bool   // It runs a model and therefore has weights.
 	Model   string // The model that it has loaded, or that its service runs; empty for none.
 	Version uint64 // Version of the loaded weights; 0 for none.
+	// ColdFor is how long it bears fewer requests, as its entry states it; 0 for not at all.
+	ColdFor time.Duration
 	// ListedAt is the position at which this process first received the last change of the entry.
 	ListedAt mirror.Position
 }
--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -40,9 +40,28 @@
 	Rank  int          // Priority of the request; 0 is the most urgent.
 }
 
-// Permit answers a PermitRequest.
+// ColdPermitRequest requests permission to send one request to a cold replica. It is answered by
+// a Permit. Builds that do not know it refuse it.
+type ColdPermitRequest struct {
+	ID        string // ID of the replica.
+	Born      int64  // Start of the incarnation; see fleet.Incarnation.
+	PerSecond float64
+	Rank      int // Priority of the request; 0 is the most urgent.
+}
+
+// Incarnation returns the incarnation of the replica that the request is for.
+func (r *ColdPermitRequest) Incarnation() fleet.Incarnation {
+	return fleet.Incarnation{ID: r.ID, Born: r.Born}
+}
+
+// Valid reports whether the message is plausible: its values are within bounds.
+func (r *ColdPermitRequest) Valid() bool {
+	return r.ID != "" && r.PerSecond > 0 && !math.IsInf(r.PerSecond, 1)
+}
+
+// Permit answers a PermitRequest or a ColdPermitRequest.
 type Permit struct {
-	Limit   ReplicaLimit  `msgpack:"Word"` // The limit as known to the limiter.
+	Limit   ReplicaLimit  `msgpack:"Word"` // The limit as known to the limiter; not set for a cold replica.
 	Granted bool          `msgpack:"Given"`
 	NextIn  time.Duration // Time until a permit may be available, if none is granted.
 	// NotLimiter reports that this gateway does not enforce the limit, as far as it can tell.
@@ -56,6 +75,19 @@
 
 // RequestPermit requests a permit from the gateway at an address.
 func (g *Gossip) RequestPermit(ctx context.Context, addr string, req *PermitRequest) (*Permit, error) {
+	p, err := g.callForPermit(ctx, addr, req)
+	if err == nil && !p.Limit.Valid() {
+		return nil, fault.New(fault.Garbage, "invalid limit in a permit")
+	}
+	return p, err
+}
+
+// RequestColdPermit requests a permit for a cold replica from the gateway at an address.
+func (g *Gossip) RequestColdPermit(ctx context.Context, addr string, req *ColdPermitRequest) (*Permit, error) {
+	return g.callForPermit(ctx, addr, req)
+}
+
+func (g *Gossip) callForPermit(ctx context.Context, addr string, req any) (*Permit, error) {
 	c, err := g.Pool.Get(ctx, addr)
 	if err != nil {
 		return nil, err
@@ -65,7 +97,7 @@
 		return nil, err
 	}
 	p, ok := m.(*Permit)
-	if !ok || p.NextIn < 0 || !p.Limit.Valid() {
+	if !ok || p.NextIn < 0 {
 		return nil, fault.New(fault.Garbage, "invalid answer to a permit request")
 	}
 	return p, nil
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -183,4 +183,5 @@
 	{Kind: 108, Message: &HeldKeys{}, ByName: true},
 	{Kind: 109, Message: &HeldRequest{}, ByName: true},
 	{Kind: 110, Message: &HeldRecords{}, ByName: true, Compress: true},
+	{Kind: 111, Message: &ColdPermitRequest{}, ByName: true},
 }
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -110,6 +110,7 @@
 		RelayReloadable: settings.RelayReloadable{
 			GracePeriod: 8 * time.Second, VersionWithin: 8 * time.Second, ApplyWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
+			Regions: map[string]string{"h1": "r1", "h2": "r2", "h3": "r3"},
 		},
 	}, relay.Options{
 		Headers: platform.HeaderNames, BuildCatalog: t.Catalog, KeepsHistory: platform.KeepsHistory, HoldPolicy: platform.HoldPolicy,
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -10,7 +10,6 @@
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/limit"
-	"github.com/poststand/poststand/rendezvous"
 	"github.com/poststand/poststand/route"
 	"github.com/poststand/poststand/wire"
 )
@@ -23,9 +22,11 @@
 const (
 	permitTimeout     = 80 * time.Millisecond  // A permit that arrives later is discarded.
 	permitTTL         = time.Second            // A permit must be used within this time.
+	coldPermitTTL     = 300 * time.Millisecond // The same for a cold replica, whose limit applies to each second.
 	limiterRetryDelay = 300 * time.Millisecond // Pause after a limiter did not respond.
 	limiterMovedDelay = 50 * time.Millisecond  // Pause after a permit was requested from a gateway that is not the limiter.
 	maxPermitRequests = 8                      // Maximum permit requests for one attempt of a request.
+	maxPermitWaits    = 2                      // After this many, replicas that need no permit are preferred.
 	limiterStateTTL   = time.Minute            // State that is not used for this long is deleted.
 )
 
@@ -33,37 +34,36 @@
 type limiterState struct {
 	incarnation fleet.Incarnation
 	permits     limit.Permits
-	lastAsked   time.Time // When a permit was last requested.
+	coldPermits limit.Permits // While the replica is cold.
+	lastAsked   time.Time     // When a permit was last requested.
 }
 
-// limiterKeyPrefix precedes the ID of a replica in the key that selects its limiter.
-const limiterKeyPrefix = "limit/"
+// limiterOf returns the limiter of a replica as of now.
+func (g *Relay) limiterOf(replica string) limiter {
+	g.updateMemberViews(time.Now())
+	return g.memberViews.current(replica)
+}
 
-// limiter is the gateway that grants permits for a replica, as far as this gateway can tell.
-type limiter struct {
-	addr        string
-	live, known int // Live gateways, and all that have been members recently.
+// settleTime returns how long it takes until all gateways that can reach each other agree on
+// which of them are live.
+func (g *Relay) settleTime() time.Duration {
+	const rounds = 6 // Each gateway lists those that it knows in every fourth.
+	return rounds * g.gossip.RoundInterval()
 }
 
-func (g *Relay) limiterOf(replica string) limiter {
+func (g *Relay) updateMemberViews(now time.Time) {
 	members := g.gossip.Live()
-	addrs := make([]string, len(members))
+	live := make([]string, len(members))
 	for i, m := range members {
-		addrs[i] = m.Addr
+		live[i] = m.Addr
 	}
-	return limiter{rendezvous.First(limiterKeyPrefix+replica, addrs), len(addrs), max(len(addrs), g.gossip.KnownCount())}
-}
-
-// share returns the part of a limit that the limiter grants. Gateways that no longer respond
-// may be on the other side of a partition with a limiter of their own.
-func (l limiter) share(perSecond float64) float64 {
-	return perSecond * float64(l.live) / float64(l.known)
+	g.memberViews.update(now, live, g.gossip.KnownCount(), g.settleTime())
 }
 
 // hasPermit reports whether a request may be sent to the chosen replica: either it has no
-// limit, or a permit was granted.
+// limit and is not cold, or permits were granted.
 func (g *Relay) hasPermit(ctx context.Context, rq *request, to *route.Choice) bool {
-	return !to.Limit.Named || g.obtainPermit(ctx, rq, to)
+	return (!to.Limit.Named || g.obtainPermit(ctx, rq, to)) && (to.ColdRate == 0 || g.obtainColdPermit(ctx, rq, to))
 }
 
 // obtainPermit requests a permit to send a request to the chosen replica and reports whether
@@ -71,35 +71,79 @@
 func (g *Relay) obtainPermit(ctx context.Context, rq *request, to *route.Choice) bool {
 	now := time.Now()
 	req := &peers.PermitRequest{Limit: newReplicaLimit(to.Incarnation, to.Limit, now), Rank: rq.rank}
+	p, lim := g.callLimiter(ctx, to, func(ctx context.Context, lim limiter) (*peers.Permit, error) {
+		if lim.addr == g.Settings.Listen {
+			return g.grantPermit(time.Now(), req, g.Settings.Box), nil
+		}
+		return g.gossip.RequestPermit(ctx, lim.addr, req)
+	})
+	if p == nil {
+		return false
+	}
+	g.mergeLimit(&p.Limit, now.Add(-p.Limit.AskedAge), lim.addr)
+	if !g.isGranted(p, rq, to) {
+		return false
+	}
+	g.table.RecordPermit(to.Reservation, now.Add(permitTTL))
+	return true
+}
+
+// obtainColdPermit does what obtainPermit does for a replica that is cold.
+func (g *Relay) obtainColdPermit(ctx context.Context, rq *request, to *route.Choice) bool {
+	now := time.Now()
+	req := &peers.ColdPermitRequest{ID: to.ID, Born: to.Born, PerSecond: to.ColdRate, Rank: rq.rank}
+	p, _ := g.callLimiter(ctx, to, func(ctx context.Context, lim limiter) (*peers.Permit, error) {
+		if lim.addr == g.Settings.Listen {
+			return g.grantColdPermit(time.Now(), req, g.Settings.Box), nil
+		}
+		return g.gossip.RequestColdPermit(ctx, lim.addr, req)
+	})
+	if p == nil || !g.isGranted(p, rq, to) {
+		return false
+	}
+	g.table.RecordColdPermit(to.Reservation, now.Add(coldPermitTTL))
+	return true
+}
+
+// callLimiter requests a permit for the chosen replica from its limiter, which may be this
+// gateway. It returns nil if there is no answer, or not from the limiter, and then records in the
+// table when to request one again.
+func (g *Relay) callLimiter(ctx context.Context, to *route.Choice, call func(ctx context.Context, lim limiter) (*peers.Permit, error)) (*peers.Permit, limiter) {
+	now := time.Now()
 	lim := g.limiterOf(to.ID)
 	if retryAt := g.limiterBackoffUntil(now, lim.addr); !retryAt.IsZero() {
 		g.table.RecordNoPermit(to.Reservation, 0, retryAt)
-		return false
+		return nil, lim
 	}
-	p, err := g.requestPermit(ctx, lim, req)
+	callCtx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	p, err := call(callCtx, lim)
 	switch {
 	case err != nil && ctx.Err() != nil:
-		return false // The caller has cancelled.
+		return nil, lim // The caller has cancelled.
 	case err != nil:
 		retryAt := time.Now().Add(limiterRetryDelay)
 		g.backOffLimiter(lim.addr, retryAt)
 		g.table.RecordNoPermit(to.Reservation, 0, retryAt)
 		g.Metrics.Event("permit_not_asked", string(fault.CodeOf(err)))
-		telemetry.Log("permit_not_asked", "id", to.ID, "limiter", lim.addr, "reason", fault.CodeOf(err), "limit", to.Limit, "gateways", lim.live, "known", lim.known)
-		return false
+		telemetry.Log("permit_not_asked", "id", to.ID, "limiter", lim.addr, "reason", fault.CodeOf(err), "limit", to.Limit, "cold_rate", to.ColdRate, "gateways", lim.live, "known", lim.known)
+		return nil, lim
 	case p.NotLimiter:
 		g.Metrics.Event("permit_not_kept", "")
 		g.table.RecordNoPermit(to.Reservation, 0, now.Add(limiterMovedDelay))
-		return false
+		return nil, lim
 	}
-	g.mergeLimit(&p.Limit, now.Add(-p.Limit.AskedAge), lim.addr)
+	return p, lim
+}
+
+// isGranted reports whether a permit was granted. If not, it records in the table when to request
+// one again.
+func (g *Relay) isGranted(p *peers.Permit, rq *request, to *route.Choice) bool {
 	if !p.Granted {
 		g.Metrics.Event("permit_refused", "")
 		g.table.RecordNoPermit(to.Reservation, rq.rank, time.Now().Add(p.NextIn))
-		return false
 	}
-	g.table.RecordPermit(to.Reservation, now.Add(permitTTL))
-	return true
+	return p.Granted
 }
 
 // limiterBackoffUntil returns until when no permits are requested from the limiter at an
@@ -121,16 +165,6 @@
 	g.limiterBackoff[addr] = until
 }
 
-// requestPermit requests a permit from the limiter, which may be this gateway.
-func (g *Relay) requestPermit(ctx context.Context, lim limiter, req *peers.PermitRequest) (*peers.Permit, error) {
-	if lim.addr == g.Settings.Listen {
-		return g.grantPermit(time.Now(), req, g.Settings.Box), nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
-	defer cancel()
-	return g.gossip.RequestPermit(ctx, lim.addr, req)
-}
-
 func (g *Relay) servePermitRequest(ctx context.Context, s *wire.Stream, m *peers.PermitRequest) {
 	if !m.Limit.Valid() {
 		_ = s.Fail(ctx, fault.New(fault.BadRequest, "invalid replica limit"))
@@ -139,11 +173,59 @@
 	_ = s.SendLast(ctx, g.grantPermit(time.Now(), m, s.Conn().Remote().Box))
 }
 
+func (g *Relay) serveColdPermitRequest(ctx context.Context, s *wire.Stream, m *peers.ColdPermitRequest) {
+	if !m.Valid() {
+		_ = s.Fail(ctx, fault.New(fault.BadRequest, "invalid request for a permit"))
+		return
+	}
+	_ = s.SendLast(ctx, g.grantColdPermit(time.Now(), m, s.Conn().Remote().Box))
+}
+
+// isLimiterOf reports whether this gateway grants the permits for a replica. If it does not, it
+// forgets what it granted.
+func (g *Relay) isLimiterOf(replica string) (limiter, bool) {
+	lim := g.limiterOf(replica)
+	if lim.addr == g.Settings.Listen && g.joinAttempted() {
+		return lim, true
+	}
+	g.deleteLimiterState(replica)
+	return lim, false
+}
+
+// isSettledLimiterOf reports whether this gateway has been the limiter of a replica for so long
+// that no other takes itself for it, and returns the least part of a limit that it had meanwhile.
+// Two that granted the whole limit at once, even for a second, would be too much for a cold
+// replica.
+func (g *Relay) isSettledLimiterOf(replica string) (limiter, bool) {
+	if lim, ok := g.isLimiterOf(replica); !ok {
+		return lim, false
+	}
+	return g.memberViews.settled(time.Now(), replica, g.settleTime())
+}
+
+// grantColdPermit handles a request for a permit for a cold replica as its limiter.
+func (g *Relay) grantColdPermit(now time.Time, m *peers.ColdPermitRequest, from string) *peers.Permit {
+	lim, ok := g.isSettledLimiterOf(m.ID)
+	if !ok {
+		return &peers.Permit{NotLimiter: true}
+	}
+	p := &peers.Permit{}
+	var next time.Time
+	p.Granted, next = g.issuePermit(now, m.Incarnation(), func(state *limiterState) (bool, time.Time) {
+		return state.coldPermits.Take(now, lim.share(m.PerSecond), m.Rank)
+	})
+	if !p.Granted {
+		p.NextIn = next.Sub(now)
+		return p
+	}
+	telemetry.Log("cold_permit_given", "id", m.ID, "to", from, "rank", m.Rank, "cold_rate", m.PerSecond, "part", lim.share(m.PerSecond), "gateways", lim.live, "known", lim.known)
+	return p
+}
+
 // grantPermit handles a permit request as the limiter of the replica.
 func (g *Relay) grantPermit(now time.Time, m *peers.PermitRequest, from string) *peers.Permit {
-	lim := g.limiterOf(m.Limit.ID)
-	if lim.addr != g.Settings.Listen || !g.joinAttempted() {
-		g.deleteLimiterState(m.Limit.ID)
+	lim, ok := g.isLimiterOf(m.Limit.ID)
+	if !ok {
 		return &peers.Permit{NotLimiter: true, Limit: m.Limit}
 	}
 	g.receiveLimit(&m.Limit, now, permitTimeout, from)
@@ -154,7 +236,9 @@
 		return p
 	}
 	var next time.Time
-	p.Granted, next = g.issuePermit(now, m.Limit.Incarnation(), lim.share(l.PerSecond), m.Rank)
+	p.Granted, next = g.issuePermit(now, m.Limit.Incarnation(), func(state *limiterState) (bool, time.Time) {
+		return state.permits.Take(now, lim.share(l.PerSecond), m.Rank)
+	})
 	if !p.Granted {
 		p.NextIn = next.Sub(now)
 		return p
@@ -175,8 +259,9 @@
 	}
 }
 
-// issuePermit takes a permit for a replica of which this gateway is the limiter.
-func (g *Relay) issuePermit(now time.Time, inc fleet.Incarnation, perSecond float64, rank int) (bool, time.Time) {
+// issuePermit takes a permit for a replica of which this gateway is the limiter. take is called
+// with the state of the replica's limits.
+func (g *Relay) issuePermit(now time.Time, inc fleet.Incarnation, take func(state *limiterState) (ok bool, next time.Time)) (bool, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	state := g.limiterStates[inc.ID]
@@ -185,7 +270,7 @@
 		g.limiterStates[inc.ID] = state
 	}
 	state.lastAsked = now
-	return state.permits.Take(now, perSecond, rank)
+	return take(state)
 }
 
 // deleteLimiterState deletes the state of a limit whose limiter is now another gateway. If
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -38,7 +38,9 @@
 func (g *Relay) choose(ctx context.Context, rq *request, exclude map[string]bool, arrivals int) (route.Choice, dispatch.Result, bool) {
 	for permitRequests := 0; ; permitRequests++ {
 		now := time.Now()
-		choice, err := g.table.Pick(now, rq.routeCriteria(g, exclude))
+		criteria := rq.routeCriteria(g, exclude)
+		criteria.AvoidPermits = permitRequests >= maxPermitWaits
+		choice, err := g.table.Pick(now, criteria)
 		rq.availability = choice.Availability
 		if err != nil {
 			return choice, g.noReplicaResult(now, rq, choice, err), false
@@ -91,7 +93,7 @@
 // reached reports whether an attempt with this result has reached its replica.
 func reached(res dispatch.Result) bool {
 	switch res.Reason {
-	case fault.Unreachable, fault.UpstreamLeaving, fault.UpstreamBackingOff, fault.UpstreamLimited:
+	case fault.Unreachable, fault.UpstreamLeaving, fault.HallsDrained, fault.UpstreamCold, fault.UpstreamBackingOff, fault.UpstreamLimited:
 		return false
 	}
 	return true
@@ -138,7 +140,7 @@
 		first = out.firstAt.Sub(rq.arrivedAt)
 	}
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
-		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","),
+		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,8 @@
 	// suspects holds requests during which replicas terminated.
 	suspects  quarantine.Table
 	endProbes endProbes
+	// memberViews are the recent views of which gateways are live.
+	memberViews memberViews
 	// limitQueue holds the replicas whose limits are to be sent to other gateways.
 	limitQueue notifyQueue[fleet.Incarnation]
 	// endQueue holds the terminations that are to be sent to other gateways.
@@ -124,6 +126,7 @@
 	wire.On(g.handlers, g.serveStatus)
 	wire.On(g.handlers, g.serveReports)
 	wire.On(g.handlers, g.servePermitRequest)
+	wire.On(g.handlers, g.serveColdPermitRequest)
 	wire.On(g.handlers, g.serveReplicaLimits)
 	wire.On(g.handlers, g.serveReplicaEnds)
 	g.options.Follower.Mirror = &g.mirror
@@ -211,6 +214,7 @@
 			c := g.options.BuildCatalog(rs, at)
 			c.DropReplaced()
 			g.catalog.Set(c)
+			g.table.SetDrainedHalls(now, c.DrainedHalls)
 			if c.Config != nil {
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
 					telemetry.Log("upstream_lapsed", "id", id, "used_for", delistGrace(g.bounds.Load()), "revision", c.Position)
@@ -247,8 +251,8 @@
 	}
 	for id, u := range c.Upstreams {
 		o, ok := old.Upstreams[id]
-		if !ok || o.Leaving != u.Leaving || o.Version != u.Version {
-			telemetry.Log("upstream", "id", id, "service", u.Service, "addr", u.Addr, "hall", u.Hall, "leaving", u.Leaving, "weights", u.Version, "revision", c.Position)
+		if !ok || o.Leaving != u.Leaving || o.ColdFor != u.ColdFor || o.Version != u.Version {
+			telemetry.Log("upstream", "id", id, "service", u.Service, "addr", u.Addr, "hall", u.Hall, "leaving", u.Leaving, "cold_for", u.ColdFor, "weights", u.Version, "revision", c.Position)
 		}
 	}
 	for id, u := range old.Upstreams {
@@ -256,6 +260,16 @@
 			telemetry.Log("upstream_gone", "id", id, "service", u.Service, "addr", u.Addr, "revision", c.Position)
 		}
 	}
+	for hall := range c.DrainedHalls {
+		if !old.DrainedHalls[hall] {
+			telemetry.Log("hall_drained", "hall", hall, "revision", c.Position)
+		}
+	}
+	for hall := range old.DrainedHalls {
+		if !c.DrainedHalls[hall] {
+			telemetry.Log("hall_reopened", "hall", hall, "revision", c.Position)
+		}
+	}
 	for model, target := range c.Targets {
 		if o := old.Targets[model]; o.Version != target.Version {
 			telemetry.Log("version_named", "model", model, "version", target.Version, "before", o.Version, "steps", len(target.Changes), "named_ago", versionAges(target, now), "revision", c.Position)
@@ -272,6 +286,7 @@
 		case now := <-t.C:
 			g.conns.sweep(now, func(inc fleet.Incarnation) bool { return g.table.InUse(inc, now) })
 			g.endProbes.sweep(now)
+			g.updateMemberViews(now)
 			g.sweepLimiters(now)
 		case <-ctx.Done():
 			return nil
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -68,12 +68,34 @@
 // routeCriteria returns the criteria for choosing a replica.
 func (rq *request) routeCriteria(g *Relay, exclude map[string]bool) route.Criteria {
 	return route.Criteria{
-		Service: rq.service, Workload: rq.workload, Version: rq.version, Exclude: exclude, Rank: rq.rank,
+		AllowsHall: rq.allowsHall(g),
+		Service:    rq.service, Workload: rq.workload, Version: rq.version, Exclude: exclude, Rank: rq.rank,
 		LatestStart:    func(v uint64) time.Time { return g.versionDeadline(rq, v) },
 		LatestDeadline: func(v uint64) time.Time { return g.queueDeadline(rq, v) },
 	}
 }
 
+// residency returns where the request may be served, by the configuration that routes it and by
+// the newest one: a restriction added since holds for further attempts.
+func (rq *request) residency(g *Relay) config.Residency {
+	p := rq.catalog.Config.Restrict(config.Residency{}, rq.routeName, rq.organisation)
+	if newest := g.catalog.Get(); newest.Version != rq.catalog.Version {
+		p = newest.Config.Restrict(p, rq.routeName, rq.organisation)
+	}
+	return p
+}
+
+// allowsHall returns a function that reports whether the request may be served in a hall, or nil
+// if it may be served anywhere.
+func (rq *request) allowsHall(g *Relay) func(hall string) bool {
+	p := rq.residency(g)
+	if !p.Restricted {
+		return nil
+	}
+	regions := g.bounds.Load().Regions
+	return func(hall string) bool { return p.Allows(regions[hall]) }
+}
+
 // parseWorkload returns the workload of a request, with the engine's usual values for what its
 // headers do not specify.
 func parseWorkload(names *Headers, h http.Header, e config.Engine) route.Workload {
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -39,6 +39,9 @@
 	// DrainWithin is the time from when the platform lists an upstream as leaving until
 	// no request may be sent to it. Zero, the default, means immediately.
 	DrainWithin time.Duration `yaml:"drain_within"`
+	// Regions maps halls to their regions. Requests that are restricted to regions are not sent
+	// to halls that are missing here.
+	Regions map[string]string `yaml:"regions"`
 	// RetryRatio, RetryWindow and RetrySlack are the retry budget of a service over all
 	// gateways: in any RetryWindow it allows RetryRatio of the service's requests plus
 	// RetrySlack.
--- a/route/declared.go
+++ b/route/declared.go
@@ -15,6 +15,9 @@
 	leavingSince time.Time // When the list or the replica first reported that it is leaving; zero if neither did.
 	backoffUntil time.Time // End of the backoff that the replica requested from this gateway; zero if none.
 	limit        Limit
+	// coldUntil is until when the replica bears fewer requests, since it has started or was unused;
+	// see config.Service.ColdRate.
+	coldUntil time.Time
 }
 
 // pastIncarnation is the declared state of an incarnation that is not in the list. It is kept
@@ -58,7 +61,7 @@
 
 // retain keeps the declared state of a replica that is no longer listed.
 func (t *Table) retain(now time.Time, r *Replica) {
-	if r.leavingSince.IsZero() && !r.backoffUntil.After(now) && !r.limit.Named {
+	if r.leavingSince.IsZero() && !r.backoffUntil.After(now) && !r.limit.Named && !r.coldUntil.After(now) {
 		return
 	}
 	t.updatePast(now, r.Incarnation, func(s *declaredState) { *s = r.declaredState })
@@ -185,10 +188,14 @@
 	switch {
 	case !r.leavingSince.IsZero(), t.replicas[r.ID] != r, !t.withinGrace(now, r):
 		return fault.UpstreamLeaving
+	case t.drainedHalls[r.Hall]:
+		return fault.HallsDrained
 	case r.backoffUntil.After(now):
 		return fault.UpstreamBackingOff
 	case r.limit.Named && !now.Before(res.permitUntil):
 		return fault.UpstreamLimited
+	case t.isCold(now, r) && !now.Before(res.coldPermitUntil):
+		return fault.UpstreamCold
 	}
 	return ""
 }
--- a/route/eligibility.go
+++ b/route/eligibility.go
@@ -26,10 +26,12 @@
 	rateLimited // Its rate limit leaves no permit.
 	excluded    // Excluded by the caller.
 	changing    // It is about to switch to another version.
+	notAllowed  // The request may not be served in its hall.
+	hallDrained // The operator has drained its hall.
 	numEligibilities
 )
 
-var eligibilityNames = [numEligibilities]string{"usable", "ejected", "full", "leaving", "gone", "unfit", "resting", "on_trial", "limited", "excluded", "changing"}
+var eligibilityNames = [numEligibilities]string{"usable", "ejected", "full", "leaving", "gone", "unfit", "resting", "on_trial", "limited", "excluded", "changing", "not_allowed", "hall_drained"}
 
 // Availability counts the replicas of a service by eligibility at the time of a choice.
 type Availability struct {
@@ -51,6 +53,17 @@
 // limit only if no other replica could accept requests before one that is backing off or
 // limited.
 func (a *Availability) failureCode() fault.Code {
+	total := 0
+	for _, n := range a.Count {
+		total += n
+	}
+	switch {
+	case total == 0:
+	case a.Count[notAllowed] == total:
+		return fault.NoAllowedRegion
+	case a.Count[notAllowed]+a.Count[hallDrained] == total:
+		return fault.HallsDrained
+	}
 	if a.BackAt.IsZero() || a.Count[excluded] > 0 || a.Count[changing] > 0 {
 		return fault.NoUpstream
 	}
@@ -74,6 +87,10 @@
 // eligibility returns whether r may be chosen for a request, or why not.
 func (t *Table) eligibility(now time.Time, r *Replica, crit Criteria) eligibility {
 	switch {
+	case crit.AllowsHall != nil && !crit.AllowsHall(r.Hall):
+		return notAllowed
+	case t.drainedHalls[r.Hall]:
+		return hallDrained
 	case !r.leavingSince.IsZero():
 		return leaving
 	case !t.withinGrace(now, r):
@@ -84,7 +101,7 @@
 		return backingOff
 	case r.needsProbe && now.Sub(r.probedAt) < probeTimeout:
 		return probing
-	case r.limit.Named && r.permits.availableAt(crit.Rank).After(now):
+	case t.needsPermit(now, r) && r.permits.availableAt(crit.Rank).After(now):
 		return rateLimited
 	case crit.Exclude[r.ID]:
 		return excluded
--- a/route/limit.go
+++ b/route/limit.go
@@ -87,6 +87,14 @@
 	res.permitUntil = until
 }
 
+// RecordColdPermit records that a request holds a permit for its reserved replica, which is cold,
+// until a time.
+func (t *Table) RecordColdPermit(res *Reservation, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	res.coldPermitUntil = until
+}
+
 // Limit returns the rate limit currently in force for an incarnation of a replica.
 func (t *Table) Limit(inc fleet.Incarnation) Limit {
 	t.mu.Lock()
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -12,6 +12,8 @@
 	// permitUntil is when the request's permit for a rate-limited replica expires; zero without
 	// a permit.
 	permitUntil time.Time
+	// coldPermitUntil is when its permit for a cold replica expires; zero without one.
+	coldPermitUntil time.Time
 }
 
 // RecordFirstEvent records that the first event of a request arrived, and the measured and
--- a/route/sync.go
+++ b/route/sync.go
@@ -5,6 +5,7 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Sync replaces the list of upstreams and the engine settings of services. It returns the IDs
@@ -17,8 +18,12 @@
 	t.byAddr = make(map[string]*Replica, len(ups))
 	t.services = map[string][]*Replica{}
 	t.engines = map[string]config.Engine{}
+	t.coldStarts = map[string]coldStart{}
 	for name, s := range services {
 		t.engines[name] = s.Engine
+		if s.ColdRate > 0 {
+			t.coldStarts[name] = coldStart{s.ColdRate, s.ColdFor}
+		}
 	}
 	for id, u := range ups {
 		r := t.replicaFor(now, old[id], u.Incarnation)
@@ -57,6 +62,9 @@
 	if u.Born == 0 {
 		u.Born = r.Born
 	}
+	if u.ColdFor != r.ColdFor {
+		r.coldUntil = times.Later(r.coldUntil, now.Add(u.ColdFor))
+	}
 	r.Upstream = u
 	if u.Leaving && r.leavingSince.IsZero() {
 		r.leavingSince = now
--- a/route/table.go
+++ b/route/table.go
@@ -92,6 +92,10 @@
 	engines  map[string]config.Engine
 	services map[string][]*Replica
 	past     map[fleet.Incarnation]pastIncarnation
+	// drainedHalls are the halls that the operator has drained: their replicas get no requests.
+	drainedHalls map[string]bool
+	// coldStarts holds the cold rate and time of each service whose replicas have them.
+	coldStarts map[string]coldStart
 }
 
 // Parameters of a Table.
@@ -142,6 +146,9 @@
 	Exclude        map[string]bool // Replica IDs.
 	ReportedOnly   bool            // Consider only replicas with a recent agent report.
 	Rank           int             // Urgency of the request; 0 is the most urgent.
+	AvoidPermits   bool            // Choose a replica that needs no permit, if there is one.
+	// AllowsHall reports whether the request may be served in a hall. Nil allows all halls.
+	AllowsHall func(hall string) bool
 }
 
 // Choice is the result of Pick.
@@ -154,6 +161,7 @@
 	Reservation  *Reservation
 	Deadline     time.Time    // Deadline to set for the request; zero for the caller's.
 	Limit        Limit        // Rate limit in force for the replica.
+	ColdRate     float64      // Rate limit of the replica while it is cold; 0 if it is not.
 	Availability Availability // Set even if no replica was chosen.
 }
 
@@ -166,6 +174,9 @@
 	if len(cs) == 0 {
 		return Choice{Availability: avail}, fault.New(avail.failureCode(), crit.Service)
 	}
+	if crit.AvoidPermits {
+		cs = t.withoutPermits(now, cs)
+	}
 	e := t.engines[crit.Service]
 	var best *Replica
 	var predicted, cost time.Duration // Of best; cost is predicted plus penalties.
@@ -178,7 +189,7 @@
 		if now.Before(r.slowLinkUntil) {
 			c += slowLinkCost
 		}
-		if r.limit.Named {
+		if t.needsPermit(now, r) {
 			c += permitCost
 		}
 		c += time.Duration(switchDelayCost * float64(r.switchDelay(now, e, crit.Workload)))
@@ -199,7 +210,7 @@
 	return Choice{
 		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now},
 		Upstream:    best.Upstream, Version: best.version(now), Predicted: predicted,
-		QueueWait: wait, ReportAge: best.reportAge(now), Deadline: deadline, Limit: best.limit, Availability: avail,
+		QueueWait: wait, ReportAge: best.reportAge(now), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
 	}, nil
 }
 
