relay, peers: a new limiter of a cold replica is confirmed by the one it takes over from

Cause: every replica is cold then and every gateway new, and a limiter gave no permits until six rounds of announcements after its start.

Change: it may begin sooner if the gateway that would be the limiter without it takes it for the limiter too; it is asked once. Two limiters at once would need two gateways of which neither knows the other and whose successors differ.

--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -59,6 +59,17 @@
 	return r.ID != "" && r.PerSecond > 0 && !math.IsInf(r.PerSecond, 1)
 }
 
+// LimiterQuery asks which gateway the receiver takes for the limiter of a replica. It is answered
+// by a LimiterAnswer.
+type LimiterQuery struct {
+	ID string // ID of the replica.
+}
+
+// LimiterAnswer answers a LimiterQuery.
+type LimiterAnswer struct {
+	Addr string // Address of the limiter.
+}
+
 // Permit answers a PermitRequest or a ColdPermitRequest.
 type Permit struct {
 	Limit   ReplicaLimit  `msgpack:"Word"` // The limit as known to the limiter; not set for a cold replica.
@@ -87,6 +98,24 @@
 	return g.callForPermit(ctx, addr, req)
 }
 
+// QueryLimiter returns the address of the gateway that the one at addr takes for the limiter of a
+// replica.
+func (g *Gossip) QueryLimiter(ctx context.Context, addr, replica string) (string, error) {
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return "", err
+	}
+	m, err := c.Call(ctx, &LimiterQuery{replica})
+	if err != nil {
+		return "", err
+	}
+	a, ok := m.(*LimiterAnswer)
+	if !ok {
+		return "", fault.New(fault.Garbage, "invalid answer to a limiter query")
+	}
+	return a.Addr, nil
+}
+
 func (g *Gossip) callForPermit(ctx context.Context, addr string, req any) (*Permit, error) {
 	c, err := g.Pool.Get(ctx, addr)
 	if err != nil {
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -184,4 +184,6 @@
 	{Kind: 109, Message: &HeldRequest{}, ByName: true},
 	{Kind: 110, Message: &HeldRecords{}, ByName: true, Compress: true},
 	{Kind: 111, Message: &ColdPermitRequest{}, ByName: true},
+	{Kind: 112, Message: &LimiterQuery{}, ByName: true},
+	{Kind: 113, Message: &LimiterAnswer{}, ByName: true},
 }
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -88,6 +88,33 @@
 	is.New(t).Equal(violations, []string{})
 }
 
+// After a restart of all gateways and replicas there are cold replicas alone, and nobody knows who
+// granted what. They are used within a second all the same.
+func TestColdReplicasAreUsedAfterARestartOfAll(t *testing.T) {
+	const gateways, lasts = 30, 5 * time.Second
+	rs, used, violations := engines(3, 3), 0, []string{}
+	runCluster(t, gateways, rs, func(_ *is.I, cl *testCluster) {
+		cl.store.Put("op/config", withColdStarts(2))
+		for i := range gateways {
+			cl.restart(i)
+		}
+		for _, r := range rs {
+			cl.store.Put("servers/"+r.ID, coldRecord(r, lasts))
+		}
+		began := time.Now()
+		cl.sendPeriodically("/s/", 8*time.Millisecond, 3*time.Second)
+		for _, r := range rs {
+			used += r.CountArrivals(began.Add(time.Second), began.Add(3*time.Second))
+			if v := r.ColdViolation(began, time.Now(), coldRate); v != "" {
+				violations = append(violations, v)
+			}
+		}
+	})
+	check := is.New(t)
+	check.Equal(violations, []string{})
+	check.True(float64(used) >= 0.8*3*coldRate*2)
+}
+
 // Gateways start, end and are cut off while a replica is cold and all others are busy.
 func TestColdReplicasAmongFaults(t *testing.T) {
 	const lasts, interval = 8 * time.Second, 8 * time.Millisecond
--- a/internal/relay/limiterview.go
+++ b/internal/relay/limiterview.go
@@ -30,6 +30,14 @@
 	known int
 }
 
+// second returns the gateway that would be the limiter of a replica without the one that is, or
+// the empty string if there is none.
+func (v *memberView) second(replica string) string {
+	first := rendezvous.First(limiterKeyPrefix+replica, v.live)
+	others := slices.DeleteFunc(slices.Clone(v.live), func(addr string) bool { return addr == first })
+	return rendezvous.First(limiterKeyPrefix+replica, others)
+}
+
 func (v *memberView) limiterOf(replica string) limiter {
 	return limiter{rendezvous.First(limiterKeyPrefix+replica, v.live), len(v.live), max(len(v.live), v.known)}
 }
@@ -63,23 +71,27 @@
 }
 
 // settled returns the limiter of a replica with the least part that any of the views allows it,
-// if all views since settleTime ago have the same limiter. A gateway that has just started has
-// none from then.
+// and whether all views since settleTime ago have the same limiter. A gateway that has just
+// started has none from then.
 func (m *memberViews) settled(now time.Time, replica string, settleTime time.Duration) (least limiter, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	least = m.views[0].limiterOf(replica)
-	if now.Sub(m.views[0].since) < settleTime {
-		return least, false
-	}
-	for i := range m.views[1:] {
-		lim := m.views[1+i].limiterOf(replica)
-		if lim.addr != least.addr {
-			return lim, false
-		}
+	ok = now.Sub(m.views[0].since) >= settleTime
+	least = m.views[len(m.views)-1].limiterOf(replica)
+	for i := range m.views {
+		lim := m.views[i].limiterOf(replica)
+		ok = ok && lim.addr == least.addr
 		if lim.share(1) < least.share(1) {
-			least = lim
+			least.live, least.known = lim.live, lim.known
 		}
 	}
-	return least, true
+	return least, ok
+}
+
+// second returns the gateway that would be the limiter of a replica by the current view if the
+// one that is were lost.
+func (m *memberViews) second(replica string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.views[len(m.views)-1].second(replica)
 }
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -35,7 +35,10 @@
 	incarnation fleet.Incarnation
 	permits     limit.Permits
 	coldPermits limit.Permits // While the replica is cold.
-	lastAsked   time.Time     // When a permit was last requested.
+	// confirmedBy is the gateway that has confirmed that this one is the limiter, and confirming
+	// the one that is being asked.
+	confirmedBy, confirming string
+	lastAsked               time.Time // When a permit was last requested.
 }
 
 // limiterOf returns the limiter of a replica as of now.
@@ -94,7 +97,7 @@
 	req := &peers.ColdPermitRequest{ID: to.ID, Born: to.Born, PerSecond: to.ColdRate, Rank: rq.rank}
 	p, _ := g.callLimiter(ctx, to, func(ctx context.Context, lim limiter) (*peers.Permit, error) {
 		if lim.addr == g.Settings.Listen {
-			return g.grantColdPermit(time.Now(), req, g.Settings.Box), nil
+			return g.grantColdPermit(ctx, req, g.Settings.Box), nil
 		}
 		return g.gossip.RequestColdPermit(ctx, lim.addr, req)
 	})
@@ -178,7 +181,7 @@
 		_ = s.Fail(ctx, fault.New(fault.BadRequest, "invalid request for a permit"))
 		return
 	}
-	_ = s.SendLast(ctx, g.grantColdPermit(time.Now(), m, s.Conn().Remote().Box))
+	_ = s.SendLast(ctx, g.grantColdPermit(ctx, m, s.Conn().Remote().Box))
 }
 
 // isLimiterOf reports whether this gateway grants the permits for a replica. If it does not, it
@@ -192,24 +195,59 @@
 	return lim, false
 }
 
-// isSettledLimiterOf reports whether this gateway has been the limiter of a replica for so long
-// that no other takes itself for it, and returns the least part of a limit that it had meanwhile.
-// Two that granted the whole limit at once, even for a second, would be too much for a cold
-// replica.
-func (g *Relay) isSettledLimiterOf(replica string) (limiter, bool) {
-	if lim, ok := g.isLimiterOf(replica); !ok {
+// isSettledLimiterOf reports whether this gateway is the limiter of a replica and no other takes
+// itself for it, and returns the least part of a limit that it had of late. Two that granted the
+// whole limit at once, even for a second, would be too much for a cold replica. It is so once all
+// gateways have had the time to agree, or if the one that would otherwise be the limiter confirms
+// it: after a restart of all gateways there are cold replicas alone.
+func (g *Relay) isSettledLimiterOf(ctx context.Context, inc fleet.Incarnation) (limiter, bool) {
+	lim, ok := g.isLimiterOf(inc.ID)
+	if !ok {
 		return lim, false
 	}
-	return g.memberViews.settled(time.Now(), replica, g.settleTime())
+	lim, settled := g.memberViews.settled(time.Now(), inc.ID, g.settleTime())
+	return lim, settled || g.confirmLimiter(ctx, inc)
+}
+
+// confirmLimiter reports whether the gateway that would be the limiter of a replica if this one
+// were lost takes this one for it. It is asked once.
+func (g *Relay) confirmLimiter(ctx context.Context, inc fleet.Incarnation) bool {
+	second := g.memberViews.second(inc.ID)
+	g.mu.Lock()
+	state := g.limiterStateOf(time.Now(), inc)
+	confirmed, asking := state.confirmedBy == second, state.confirming == second
+	if !confirmed && !asking {
+		state.confirming = second
+	}
+	g.mu.Unlock()
+	if confirmed || asking || second == "" {
+		return confirmed && second != ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	addr, err := g.gossip.QueryLimiter(ctx, second, inc.ID)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state.confirming = ""
+	if err != nil || addr != g.Settings.Listen {
+		return false
+	}
+	state.confirmedBy = second
+	return true
+}
+
+func (g *Relay) serveLimiterQuery(ctx context.Context, s *wire.Stream, m *peers.LimiterQuery) {
+	_ = s.SendLast(ctx, &peers.LimiterAnswer{Addr: g.limiterOf(m.ID).addr})
 }
 
 // grantColdPermit handles a request for a permit for a cold replica as its limiter.
-func (g *Relay) grantColdPermit(now time.Time, m *peers.ColdPermitRequest, from string) *peers.Permit {
-	lim, ok := g.isSettledLimiterOf(m.ID)
+func (g *Relay) grantColdPermit(ctx context.Context, m *peers.ColdPermitRequest, from string) *peers.Permit {
+	lim, ok := g.isSettledLimiterOf(ctx, m.Incarnation())
 	if !ok {
 		return &peers.Permit{NotLimiter: true}
 	}
 	p := &peers.Permit{}
+	now := time.Now()
 	var next time.Time
 	p.Granted, next = g.issuePermit(now, m.Incarnation(), func(state *limiterState) (bool, time.Time) {
 		return state.coldPermits.Take(now, lim.share(m.PerSecond), m.Rank)
@@ -264,13 +302,19 @@
 func (g *Relay) issuePermit(now time.Time, inc fleet.Incarnation, take func(state *limiterState) (ok bool, next time.Time)) (bool, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	return take(g.limiterStateOf(now, inc))
+}
+
+// limiterStateOf returns the state of a replica's limits, which is new if there was none. The
+// caller holds g.mu.
+func (g *Relay) limiterStateOf(now time.Time, inc fleet.Incarnation) *limiterState {
 	state := g.limiterStates[inc.ID]
 	if state == nil || state.incarnation.Before(inc) {
 		state = &limiterState{incarnation: inc}
 		g.limiterStates[inc.ID] = state
 	}
 	state.lastAsked = now
-	return take(state)
+	return state
 }
 
 // deleteLimiterState deletes the state of a limit whose limiter is now another gateway. If
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -127,6 +127,7 @@
 	wire.On(g.handlers, g.serveReports)
 	wire.On(g.handlers, g.servePermitRequest)
 	wire.On(g.handlers, g.serveColdPermitRequest)
+	wire.On(g.handlers, g.serveLimiterQuery)
 	wire.On(g.handlers, g.serveReplicaLimits)
 	wire.On(g.handlers, g.serveReplicaEnds)
 	g.options.Follower.Mirror = &g.mirror
