peers, relay: changes reach a hall though the gateway that forwards them there is lost

What callers saw: requests may reach a replica after its drain time, where the gateways of a hall hear late that it has disappeared (5.55 s of 5 s on a fleet of 587 boxes).

Causes, each shown by a test: - A push to another hall went to one gateway there. If that one had just ended or was silent, the hall heard of the change by announcements and checks, after 0.7 s or more. - A gateway that forwarded for the first time pushed nothing: it knew no position to push from, since only pushes recorded one. - A replica that disappears was used on for its drain time less 0.8 s, counted from when a gateway heard of it, though what no push brings is found by checks that are a sixth of the time to apply a configuration apart (0.83 s there).

Change: a push goes to two gateways of a hall; the second forwards it after 150 ms unless a gateway of its hall has. Positions are recorded with each change. The margin is the check interval and 0.4 s, at least 0.8 s as before.

Ruled out: forwarding by both (twice the traffic in each hall); counting the grace from the proven time of a change (after an outage of the store that time is before the outage, and replicas whose entries lapsed would be dropped at once).

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -34,6 +34,10 @@
 	// pushLookback is how far back a push reaches, so that the next push makes up for a lost
 	// one.
 	pushLookback = time.Second
+	// A push to another hall goes to forwardersPerHall gateways. The first forwards it at once,
+	// and another one only if no gateway of its hall has done so after standbyDelay.
+	forwardersPerHall = 2
+	standbyDelay      = 150 * time.Millisecond
 	// gatewaysPerInterval is the number of gateways up to which each announces itself at the
 	// full rate; beyond it, the interval grows in proportion.
 	gatewaysPerInterval = 60
@@ -73,13 +77,15 @@
 	// well. forwardAt is the newest position that a gateway of another hall sent to be forwarded
 	// in this hall. pushChanges has handled the changes up to handledAt.
 	pulledAt, forwardAt, handledAt mirror.Position
-	rounds                         int
-	pushMarks                      []pushMark // Recent pushes, the oldest first.
-	joinAttempted                  chan struct{}
-	initOnce                       sync.Once
-	manyGateways                   atomic.Bool // See ManyGateways; updated each round.
-	capabilities                   capabilityCache
-	requestingHeld                 atomic.Bool // A request for records held by another gateway is under way.
+	// hallPushAt is the newest position that a gateway of this hall pushed to this one.
+	hallPushAt     mirror.Position
+	rounds         int
+	pushMarks      []pushMark // Recent positions of the mirror, the oldest first.
+	joinAttempted  chan struct{}
+	initOnce       sync.Once
+	manyGateways   atomic.Bool // See ManyGateways; updated each round.
+	capabilities   capabilityCache
+	requestingHeld atomic.Bool // A request for records held by another gateway is under way.
 }
 
 type member struct {
@@ -114,8 +120,8 @@
 	wire.On(hs, g.serveCapabilities)
 	wire.On(hs, g.serveHeldKeys)
 	wire.On(hs, g.serveHeldRequest)
-	wire.On(hs, func(_ context.Context, _ *wire.Stream, m *Records) {
-		g.handlePush(m)
+	wire.On(hs, func(_ context.Context, s *wire.Stream, m *Records) {
+		g.handlePush(m, s.Conn().Remote().Hall)
 	})
 }
 
@@ -190,8 +196,6 @@
 	if maxKnown == 0 {
 		return a
 	}
-	// Listing itself makes a gateway that knows no other yet ask for the list.
-	a.Known = append(a.Known, KnownMember{g.Self, 0, a.Watching})
 	for _, m := range g.members { // In random order, so that each is listed in time.
 		if len(a.Known) >= maxKnown {
 			break
@@ -200,6 +204,9 @@
 			a.Known = append(a.Known, KnownMember{m.Member, now.Sub(m.lastHeard), m.watching})
 		}
 	}
+	if len(a.Known) == 0 { // Only an announcement with a list is answered by one.
+		a.Known = append(a.Known, KnownMember{g.Self, 0, a.Watching})
+	}
 	return a
 }
 
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -192,17 +193,19 @@
 	return out
 }
 
-// firstInHall returns the first gateway of another hall, preferring those seen recently. The
-// caller holds g.mu.
-func (g *Gossip) firstInHall(hall string, now time.Time) (string, bool) {
+// forwarders returns the gateways of another hall that a push to it goes to: the first ones of the
+// hall, preferring those seen recently. The caller holds g.mu.
+func (g *Gossip) forwarders(hall string, now time.Time) []string {
 	order := g.watchOrder(hall, now)
-	for _, addr := range order {
-		if now.Sub(g.members[addr].lastHeard) < watchTimeout {
-			return addr, true
-		}
-	}
-	if len(order) == 0 {
-		return "", false
+	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(g.silentWatch(a, now), g.silentWatch(b, now)) })
+	return order[:min(forwardersPerHall, len(order))]
+}
+
+// silentWatch returns 1 if a gateway has not been seen recently, and 0 otherwise. The caller holds
+// g.mu.
+func (g *Gossip) silentWatch(addr string, now time.Time) int {
+	if now.Sub(g.members[addr].lastHeard) < watchTimeout {
+		return 0
 	}
-	return order[0], true
+	return 1
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -135,7 +135,7 @@
 	g.options.Follower.Standby = g.gossip.Standby
 	g.options.Follower.ReadDelay = g.gossip.ReadDelay
 	g.options.Follower.MaxAssumedAge = peers.MaxAssumedAgeFor(s.VersionWithin)
-	g.options.Follower.CheckInterval = s.ApplyWithin / checksPerApply
+	g.options.Follower.CheckInterval = checkIntervalFor(&s.RelayReloadable)
 	g.options.Follower.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
 	return g, nil
 }
@@ -145,12 +145,16 @@
 // still be read and reach all gateways within that time.
 const checksPerApply = 6
 
-// delistMargin is subtracted from the drain time of a leaving replica to give the time for
-// which a replica that has disappeared from the list may still be used.
-const delistMargin = 800 * time.Millisecond
+func checkIntervalFor(b *settings.RelayReloadable) time.Duration {
+	return b.ApplyWithin / checksPerApply
+}
 
+// delistGrace returns how long a replica that has disappeared from the list may still be used: the
+// drain time of a leaving replica, counted from when the change is received. A change that no
+// push brought is received after a check of the store at the latest.
 func delistGrace(b *settings.RelayReloadable) time.Duration {
-	return max(0, b.DrainWithin-delistMargin)
+	const minMargin, passOn = 800 * time.Millisecond, 400 * time.Millisecond
+	return max(0, b.DrainWithin-max(minMargin, checkIntervalFor(b)+passOn))
 }
 
 // startWait is how long a gateway that has just started waits for its peers before it reads
