--- a/config/residency.go
+++ b/config/residency.go
@@ -12,15 +12,15 @@
 	Regions    []string // Empty unless Restricted; if it is empty then, no region is allowed.
 }
 
-// Within returns p restricted to regions as well. An empty list is no restriction.
-func (p Residency) Within(regions []string) Residency {
+// Within returns r restricted to regions as well. An empty list is no restriction.
+func (r Residency) Within(regions []string) Residency {
 	if len(regions) == 0 {
-		return p
+		return r
 	}
 	var allowed []string
-	for _, r := range regions {
-		if r != "" && p.Allows(r) {
-			allowed = append(allowed, r)
+	for _, region := range regions {
+		if region != "" && r.Allows(region) {
+			allowed = append(allowed, region)
 		}
 	}
 	return Residency{Restricted: true, Regions: allowed}
@@ -28,23 +28,23 @@
 
 // Allows reports whether a request may be served in a region. A hall whose region is not known
 // has the empty one, which no restriction allows.
-func (p Residency) Allows(region string) bool {
-	return !p.Restricted || region != "" && slices.Contains(p.Regions, region)
+func (r Residency) Allows(region string) bool {
+	return !r.Restricted || region != "" && slices.Contains(r.Regions, region)
 }
 
 // String lists the allowed regions, or returns "any" or "none".
-func (p Residency) String() string {
+func (r Residency) String() string {
 	switch {
-	case !p.Restricted:
+	case !r.Restricted:
 		return "any"
-	case len(p.Regions) == 0:
+	case len(r.Regions) == 0:
 		return "none"
 	}
-	return strings.Join(p.Regions, ",")
+	return strings.Join(r.Regions, ",")
 }
 
-// Restrict returns p restricted to where requests of a route and an organisation may be served.
+// Restrict returns r restricted to where requests of a route and an organisation may be served.
 // Either may be unknown to this configuration, and then restricts nothing.
-func (c *Config) Restrict(p Residency, route, organisation string) Residency {
-	return p.Within(c.Routes[route].AllowedRegions).Within(c.Organisations[organisation].AllowedRegions)
+func (c *Config) Restrict(r Residency, route, organisation string) Residency {
+	return r.Within(c.Routes[route].AllowedRegions).Within(c.Organisations[organisation].AllowedRegions)
 }
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -1,7 +1,6 @@
 package peers
 
 import (
-	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -196,16 +195,14 @@
 // forwarders returns the gateways of another hall that a push to it goes to: the first ones of the
 // hall, preferring those seen recently. The caller holds g.mu.
 func (g *Gossip) forwarders(hall string, now time.Time) []string {
-	order := g.watchOrder(hall, now)
-	slices.SortStableFunc(order, func(a, b string) int { return cmp.Compare(g.silentWatch(a, now), g.silentWatch(b, now)) })
-	return order[:min(forwardersPerHall, len(order))]
-}
-
-// silentWatch returns 1 if a gateway has not been seen recently, and 0 otherwise. The caller holds
-// g.mu.
-func (g *Gossip) silentWatch(addr string, now time.Time) int {
-	if now.Sub(g.members[addr].lastHeard) < watchTimeout {
-		return 0
+	var recent, silent []string
+	for _, addr := range g.watchOrder(hall, now) {
+		if now.Sub(g.members[addr].lastHeard) < watchTimeout {
+			recent = append(recent, addr)
+		} else {
+			silent = append(silent, addr)
+		}
 	}
-	return 1
+	out := append(recent, silent...)
+	return out[:min(forwardersPerHall, len(out))]
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -78,22 +78,22 @@
 // residency returns where the request may be served, by the configuration that routes it and by
 // the newest one: a restriction added since holds for further attempts.
 func (rq *request) residency(g *Relay) config.Residency {
-	p := rq.catalog.Config.Restrict(config.Residency{}, rq.routeName, rq.organisation)
+	r := rq.catalog.Config.Restrict(config.Residency{}, rq.routeName, rq.organisation)
 	if newest := g.catalog.Get(); newest.Version != rq.catalog.Version {
-		p = newest.Config.Restrict(p, rq.routeName, rq.organisation)
+		r = newest.Config.Restrict(r, rq.routeName, rq.organisation)
 	}
-	return p
+	return r
 }
 
 // allowsHall returns a function that reports whether the request may be served in a hall, or nil
 // if it may be served anywhere.
 func (rq *request) allowsHall(g *Relay) func(hall string) bool {
-	p := rq.residency(g)
-	if !p.Restricted {
+	r := rq.residency(g)
+	if !r.Restricted {
 		return nil
 	}
 	regions := g.bounds.Load().Regions
-	return func(hall string) bool { return p.Allows(regions[hall]) }
+	return func(hall string) bool { return r.Allows(regions[hall]) }
 }
 
 // parseWorkload returns the workload of a request, with the engine's usual values for what its
