relay: a caller that reads slowly does not hold up its replica

Cause: events were written to the caller by the goroutine that takes them from the replica, so that the replica was read no faster than the caller, for up to 10 s a write.

Change: beyond its first 8 KB a stream goes through a callerBuffer, bounded for one answer (256 KB) and for all (24 MB). What passes a bound ends with caller_too_slow in the line answer_broken. Streams below 8 KB are written as before.

Ruled out: a goroutine for each stream (a wake-up for each event).

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -24,6 +24,7 @@
 	AcceptFailed   Code = "accept_failed"            // A connection could not be accepted, for lack of descriptors or memory.
 	Unsupported    Code = "unsupported"              // There is no handler for this message.
 	Unreachable    Code = "unreachable"              // Dialling failed.
+	CallerTooSlow  Code = "caller_too_slow"          // What is held for callers that do not read exceeds its bound.
 	Cancelled      Code = "cancelled"                // The caller cancelled the request.
 	Internal       Code = "internal"                 // An invariant was violated.
 	BadRequest     Code = "bad_request"              // The request of a caller is malformed.
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -16,6 +16,8 @@
 	firstAt    time.Time
 	lastAt     time.Time     // When the last event was sent to the caller; zero before.
 	longestGap time.Duration // Longest gap between two events.
+	sentBytes  int           // Of a stream, passed on so far.
+	buffer     *callerBuffer // Set once a stream is longer than directBytes.
 
 	// The failure response of a replica, kept in case no other attempt does better.
 	failureHeader http.Header
@@ -88,8 +90,20 @@
 		o.longestGap = max(o.longestGap, now.Sub(o.lastAt))
 	}
 	o.lastAt = now
+	o.sentBytes += len(b)
+	if o.buffer == nil && o.sentBytes <= directBytes {
+		return o.flush(b)
+	}
+	if o.buffer == nil {
+		o.buffer = newCallerBuffer(&o.relay.heldForCallers, o.flush)
+	}
+	return o.buffer.add(b)
+}
+
+// flush writes events to the caller and waits until the kernel has taken them.
+func (o *answer) flush(b []byte) error {
 	rc := http.NewResponseController(o.w)
-	_ = rc.SetWriteDeadline(now.Add(callerWriteTimeout))
+	_ = rc.SetWriteDeadline(time.Now().Add(callerWriteTimeout))
 	if _, err := o.w.Write(b); err != nil {
 		return err
 	}
@@ -101,5 +115,13 @@
 	if !o.started {
 		o.writeHead(resp.StatusCode, resp.Header, -1)
 	}
-	return nil
+	return o.closeBuffer()
+}
+
+// closeBuffer waits until the caller has what is held for it, or does not read it.
+func (o *answer) closeBuffer() error {
+	if o.buffer == nil {
+		return nil
+	}
+	return o.buffer.close()
 }
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -33,6 +33,7 @@
 	defer g.logPanic(rq.id)
 	out := &answer{relay: g, w: w, rq: rq}
 	res := g.process(r.Context(), rq, out)
+	_ = out.closeBuffer() // The response ends with this call, also where the answer is cut.
 	g.Metrics.FullAnswer(time.Since(began).Seconds())
 	g.Metrics.Outcome(res.Outcome.String(), res.Reason)
 	g.logRequest(rq, out, res)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,8 +66,9 @@
 	timeouts   callerTimeouts
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
-	suspects  quarantine.Table
-	endProbes endProbes
+	suspects       quarantine.Table
+	endProbes      endProbes
+	heldForCallers atomic.Int64 // Bytes in all callerBuffers.
 	// memberViews are the recent views of which gateways are live.
 	memberViews memberViews
 	// limitQueue holds the replicas whose limits are to be sent to other gateways.
