peers, scripts, relay: the whole list is asked for once; guards that stayed green

Four of 13 stayed green first: - newest_residency_binds, reopened_hall_is_cold: the tests did not reach what they are for (one replica was left either way; the replica of the other hall was never the nearest).

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -167,10 +167,11 @@
 }
 
 // knownToAnswer returns how many gateways the answer to an announcement lists. A gateway that
-// starts needs all of them: it may at once be the one that forwards changes in its hall.
+// starts, and so lists only itself, needs all of them: it may at once be the one that forwards
+// changes in its hall.
 func knownToAnswer(a *Announcement) int {
 	switch {
-	case a.At == 0:
+	case len(a.Known) == 1 && a.Known[0].Addr == a.From.Addr:
 		return maxKnownToStarting
 	case len(a.Known) > 0:
 		return maxKnownSent
@@ -204,7 +205,7 @@
 			a.Known = append(a.Known, KnownMember{m.Member, now.Sub(m.lastHeard), m.watching})
 		}
 	}
-	if len(a.Known) == 0 { // Only an announcement with a list is answered by one.
+	if len(a.Known) == 0 { // See knownToAnswer.
 		a.Known = append(a.Known, KnownMember{g.Self, 0, a.Watching})
 	}
 	return a
--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -73,20 +73,28 @@
 // The replicas of a hall that is reopened may be cold before their entries show it.
 func TestReopenedHallIsNotRushed(t *testing.T) {
 	const interval = 2 * time.Millisecond
-	rs, violations := engines(3, 3), []string{}
+	rs, used, violations := engines(3, 3), 0, []string{}
 	rs[0].Hall = "h2"
-	runCluster(t, 15, rs, func(_ *is.I, cl *testCluster) {
+	runCluster(t, 0, rs, func(_ *is.I, cl *testCluster) {
+		cl.hallCount = 2
+		for i := range 15 {
+			cl.addGateway(i, cl.store)
+		}
+		time.Sleep(5 * time.Second)
 		cl.store.Put("op/config", withColdStarts(2))
 		cl.store.Put("op/evacuate/h2", platformtest.Body{})
 		cl.sendPeriodically("/s/", interval, 2*time.Second)
 		cl.store.Delete("op/evacuate/h2")
 		from := time.Now()
 		cl.sendPeriodically("/s/", interval, coldFor)
+		used = rs[0].CountArrivals(from, time.Now())
 		if v := rs[0].ColdViolation(from, time.Now(), coldRate); v != "" {
 			violations = append(violations, v)
 		}
 	})
-	is.New(t).Equal(violations, []string{})
+	check := is.New(t)
+	check.Equal(violations, []string{})
+	check.True(float64(used) >= 0.6*coldRate*coldFor.Seconds())
 }
 
 // After a restart of all gateways and replicas there are cold replicas alone, and nobody knows who
--- a/internal/relay/residency_test.go
+++ b/internal/relay/residency_test.go
@@ -134,13 +134,13 @@
 	}
 	before, after := 0, 0
 	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
-		cl.store.Put("op/config", restricted(2, []string{"r1"}, nil))
+		cl.store.Put("op/config", restricted(2, []string{"r1", "r2"}, nil))
 		time.Sleep(time.Second)
 		done := make(chan reply)
 		go func() { done <- cl.send(0, http.MethodGet, "/safe/", nil) }()
 		time.Sleep(300 * time.Millisecond)
-		before = arrivalsByHall(rs)["h1"]
-		cl.store.Put("op/config", restricted(3, []string{"r2"}, nil))
+		before = len(arrivalsByHall(rs))
+		cl.store.Put("op/config", restricted(3, []string{"r3"}, nil))
 		<-done
 		after = len(arrivalsByHall(rs))
 	})
