--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/internal/drain"
@@ -32,6 +33,7 @@
 	arrivedAt        time.Time
 	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
 	retried          bool      // The caller has most likely been refused before.
+	attempt          admission.Attempt
 	workload         route.Workload
 	lastEventID      string             // ID of the last stream event sent to the caller.
 	version          uint64             // Version of the first part of the answer; all further parts must match it.
