causes: a command that counts unserved and late requests by cause

Operators could follow one request through the logs, but not see what the requests that were refused, failed or late had in common, nor how far predictions were off.

poststand causes reads gateways' logs, joins the attempts of callers that came back by their key, and counts requests by outcome, route, rank, organisation, hall, attempt and cause; it compares first events with their predictions. The request line gains rank, hall and target_ms; lines without them are read as well.

--- a/cmd/poststand/cmd/explain.go
+++ b/cmd/poststand/cmd/explain.go
@@ -1,10 +1,7 @@
 package cmd
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"regexp"
 	"slices"
 	"strings"
 
@@ -24,11 +21,11 @@
 			var all []logLine
 			unparsed := 0
 			for _, file := range args[1:] {
-				lines, n, err := readLog(file)
+				_, n, err := scanLog(file, func(string) bool { return true }, func(l logLine) { all = append(all, l) })
 				if err != nil {
 					return err
 				}
-				all, unparsed = append(all, lines...), unparsed+n
+				unparsed += n
 			}
 			found := relatedLines(all, args[0])
 			for _, l := range found {
@@ -43,47 +40,6 @@
 	}
 }
 
-// logLine is one parsed line of a process's log.
-type logLine struct {
-	timestamp string // Day and time in klog's format, which sorts as text within a year.
-	fields    map[string]string
-	text      string
-}
-
-var (
-	linePattern  = regexp.MustCompile(`^.*?[IWE](\d{4} \d\d:\d\d:\d\d\.\d+) +\d+ \S+\] "([^"]+)"(.*)$`)
-	fieldPattern = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S*)`)
-)
-
-const maxLineBytes = 1 << 20
-
-// readLog parses a log file and counts the lines that are not log lines of a process.
-func readLog(path string) (lines []logLine, unparsed int, err error) {
-	f, err := os.Open(path)
-	if err != nil {
-		return nil, 0, fault.Wrap(fault.BadRequest, err, path)
-	}
-	defer func() { _ = f.Close() }()
-	sc := bufio.NewScanner(f)
-	sc.Buffer(nil, maxLineBytes)
-	for sc.Scan() {
-		m := linePattern.FindStringSubmatch(sc.Text())
-		if m == nil {
-			unparsed++
-			continue
-		}
-		l := logLine{timestamp: m[1], fields: map[string]string{}, text: sc.Text()}
-		for _, kv := range fieldPattern.FindAllStringSubmatch(m[3], -1) {
-			l.fields[kv[1]] = strings.Trim(kv[2], `"`)
-		}
-		lines = append(lines, l)
-	}
-	if err := sc.Err(); err != nil {
-		return nil, 0, fault.Wrap(fault.Garbage, err, path)
-	}
-	return lines, unparsed, nil
-}
-
 // relatedLines returns the lines about a request and about the replicas that it was sent
 // to, ordered by time. It is pure.
 func relatedLines(all []logLine, id string) []logLine {
--- a/cmd/poststand/cmd/root.go
+++ b/cmd/poststand/cmd/root.go
@@ -41,7 +41,7 @@
 	_ = logs.Set("logtostderr", "false")
 	_ = logs.Set("alsologtostderr", "false")
 	_ = logs.Set("stderrthreshold", "FATAL")
-	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), explainCommand(), versionCommand())
+	root.AddCommand(gatewayCommand(), agentCommand(), relayCommand(), stagerCommand(), checkCommand(), planCommand(), statusCommand(), explainCommand(), causesCommand(), versionCommand())
 	return root
 }
 
--- /dev/null
+++ b/internal/causes/prediction.go
@@ -0,0 +1,138 @@
+package causes
+
+import (
+	"math"
+	"strconv"
+)
+
+// Lower bounds of the ranges by which predictions are counted, in milliseconds. A report's age
+// of -1 means that there was no report.
+var (
+	predictedBounds = [...]int32{0, 50, 100, 150, 200, 250, 300}
+	ageBounds       = [...]int32{-1, 0, 50, 200, 400, 600}
+)
+
+// laterThan is how much later than predicted an answer counts as mispredicted.
+const laterThan = 200 // ms
+
+// maxFirst bounds the first events that are told apart.
+const maxFirst = 10_000 // ms
+
+// predicted is what a line tells of the prediction for its request.
+type predicted struct {
+	engine bool
+	first  int32 // ms
+	age    int32 // ms; -1 without a report.
+}
+
+// predictedOf reads the prediction of an event.
+func predictedOf(e Event) (predicted, error) {
+	r := fieldReader{fields: e.Fields}
+	p := predicted{
+		engine: r.millis("prompt", 0) > 0 && e.Fields["predicted_ms"] != "",
+		first:  r.millis("predicted_ms", 0), age: max(-1, r.millis("report_age_ms", -1)),
+	}
+	return p, r.err
+}
+
+// prediction counts the answers that were predicted within one range.
+type prediction struct {
+	count, overTarget int
+	firsts            []int32 // Count by milliseconds until the first event.
+}
+
+// ageError counts the errors of predictions by reports of one range of ages.
+type ageError struct {
+	count, later int
+	sum          int64 // Of absolute errors, ms.
+}
+
+// addPrediction adds an answered attempt.
+func (a *Analysis) addPrediction(p predicted, t attempt) {
+	b := &a.predictions[rangeOf(predictedBounds[:], p.first)]
+	if b.firsts == nil {
+		b.firsts = make([]int32, maxFirst+1)
+	}
+	b.count++
+	b.firsts[min(maxFirst, t.first)]++
+	if t.target > 0 && t.first > t.target {
+		b.overTarget++
+	}
+	e := &a.reportAges[rangeOf(ageBounds[:], p.age)]
+	diff := int64(t.first) - int64(t.waited) - int64(p.first)
+	e.count++
+	e.sum += max(diff, -diff)
+	if diff > laterThan {
+		e.later++
+	}
+}
+
+// rangeOf returns the index of the last bound that is not above n, or 0.
+func rangeOf(bounds []int32, n int32) int {
+	i := 0
+	for i+1 < len(bounds) && bounds[i+1] <= n {
+		i++
+	}
+	return i
+}
+
+// rangeName returns the name of a range.
+func rangeName(bounds []int32, i int) string {
+	from := strconv.Itoa(int(bounds[i]))
+	switch {
+	case bounds[i] < 0:
+		return "none"
+	case i+1 == len(bounds):
+		return from + "+"
+	}
+	return from + "-" + strconv.Itoa(int(bounds[i+1]-1))
+}
+
+// PredictionRow describes the answers whose first event was predicted within one range.
+type PredictionRow struct {
+	Range      string // Milliseconds.
+	Requests   int
+	P50, P90   int     // Milliseconds until the first event.
+	OverTarget float64 // Share.
+}
+
+// ReportAgeRow describes the answers whose replica was chosen by reports of one range of ages.
+type ReportAgeRow struct {
+	Range     string // Milliseconds.
+	Requests  int
+	MeanError float64 // Mean absolute error of the prediction, in milliseconds.
+	Later     float64 // Share that came over 200 ms later than predicted.
+}
+
+func (a *Analysis) predictionRows() []PredictionRow {
+	var out []PredictionRow
+	for i := range a.predictions {
+		b := &a.predictions[i]
+		out = append(out, PredictionRow{
+			Range: rangeName(predictedBounds[:], i), Requests: b.count, P50: b.percentile(0.5), P90: b.percentile(0.9),
+			OverTarget: float64(b.overTarget) / float64(max(1, b.count)),
+		})
+	}
+	return out
+}
+
+func (a *Analysis) reportAgeRows() []ReportAgeRow {
+	var out []ReportAgeRow
+	for i, e := range a.reportAges {
+		n := float64(max(1, e.count))
+		out = append(out, ReportAgeRow{Range: rangeName(ageBounds[:], i), Requests: e.count, MeanError: float64(e.sum) / n, Later: float64(e.later) / n})
+	}
+	return out
+}
+
+// percentile returns the smallest time until the first event that a share of the answers does
+// not exceed.
+func (b *prediction) percentile(share float64) int {
+	need := int(math.Ceil(share * float64(b.count)))
+	for ms, n := range b.firsts {
+		if need -= int(n); need <= 0 {
+			return ms
+		}
+	}
+	return 0
+}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -140,6 +140,7 @@
 		first = out.firstAt.Sub(rq.arrivedAt)
 	}
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
+		"rank", rq.rank, "hall", g.Settings.Hall, "target_ms", rq.route.TargetLatency.Milliseconds(),
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
 		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
