causes: rows for all answers; the parser of log lines moves to telemetry

The comparison of predictions had no total over its ranges. The load test reads request lines too, so the parser is no longer part of the command.

--- a/cmd/poststand/cmd/causes.go
+++ b/cmd/poststand/cmd/causes.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/causes"
+	"github.com/poststand/poststand/internal/telemetry"
 )
 
 func causesCommand() *cobra.Command {
@@ -35,16 +36,20 @@
 	a := causes.Analysis{DefaultTarget: target}
 	lines, unparsed, unreadable, requests := 0, 0, 0, 0
 	for _, file := range files {
-		n, u, err := scanLog(file, causes.Wants, func(l logLine) {
+		n, err := scanLog(file, func(l telemetry.Line) {
+			lines++
+			if !causes.Wants(l.Event) {
+				return
+			}
 			requests++
-			if err := a.Add(causes.Event{Name: l.event, Timestamp: l.timestamp, Fields: l.fields}); err != nil {
+			if err := a.Add(causes.Event{Name: l.Event, Timestamp: l.Timestamp, Fields: l.Fields()}); err != nil {
 				unreadable++
 			}
 		})
 		if err != nil {
 			return err
 		}
-		lines, unparsed = lines+n, unparsed+u
+		unparsed += n
 	}
 	if requests == unreadable {
 		return fault.New(fault.NotHeld, "no line of a request")
--- a/cmd/poststand/cmd/explain.go
+++ b/cmd/poststand/cmd/explain.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/telemetry"
 )
 
 func explainCommand() *cobra.Command {
@@ -21,7 +22,9 @@
 			var all []logLine
 			unparsed := 0
 			for _, file := range args[1:] {
-				_, n, err := scanLog(file, func(string) bool { return true }, func(l logLine) { all = append(all, l) })
+				n, err := scanLog(file, func(l telemetry.Line) {
+					all = append(all, logLine{timestamp: l.Timestamp, fields: l.Fields(), text: l.Text})
+				})
 				if err != nil {
 					return err
 				}
@@ -40,6 +43,13 @@
 	}
 }
 
+// logLine is one line of a process's log.
+type logLine struct {
+	timestamp string
+	fields    map[string]string
+	text      string
+}
+
 // relatedLines returns the lines about a request and about the replicas that it was sent
 // to, ordered by time. It is pure.
 func relatedLines(all []logLine, id string) []logLine {
--- a/internal/causes/analysis.go
+++ b/internal/causes/analysis.go
@@ -20,10 +20,12 @@
 type Analysis struct {
 	DefaultTarget time.Duration // Latency target of lines that have none.
 
-	names       names
-	attempts    []attempt
-	predictions [len(predictedBounds)]prediction
-	reportAges  [len(ageBounds)]ageError
+	names          names
+	attempts       []attempt
+	predictions    [len(predictedBounds)]prediction
+	allPredictions prediction
+	reportAges     [len(ageBounds)]ageError
+	allReportAges  ageError
 }
 
 // Wants reports whether events of this name are analysed.
@@ -74,10 +76,10 @@
 // Report is the result of an analysis.
 type Report struct {
 	Totals      []Total
-	Counts      []Count // By each property of Cause alone, the most frequent first.
-	Causes      []Cause // The most frequent first.
-	Predictions []PredictionRow
-	ReportAges  []ReportAgeRow
+	Counts      []Count         // By each property of Cause alone, the most frequent first.
+	Causes      []Cause         // The most frequent first.
+	Predictions []PredictionRow // By range, then all.
+	ReportAges  []ReportAgeRow  // By range, then all.
 }
 
 // Report returns the result for all events that have been added.
--- a/internal/causes/causes_test.go
+++ b/internal/causes/causes_test.go
@@ -171,6 +171,12 @@
 	if got, want := r.ReportAges[0], (causes.ReportAgeRow{Range: "none", Requests: 1, MeanError: 330}); got != want {
 		t.Errorf("no report: %+v, want %+v", got, want)
 	}
+	if got, want := r.ReportAges[6], (causes.ReportAgeRow{Range: "all", Requests: 11, MeanError: (10*500 + 330) / 11.0, Later: 8.0 / 11}); got != want {
+		t.Errorf("all reports: %+v, want %+v", got, want)
+	}
+	if got := r.Predictions[7]; got.Range != "all" || got.Requests != 11 || got.OverTarget != 6.0/11 {
+		t.Errorf("all predictions: %+v", got)
+	}
 }
 
 // A line that cannot be read must be told from the others and change nothing.
--- a/internal/causes/prediction.go
+++ b/internal/causes/prediction.go
@@ -18,6 +18,9 @@
 // maxFirst bounds the first events that are told apart.
 const maxFirst = 10_000 // ms
 
+// allRanges is the name of the row, the last one, that counts all answers.
+const allRanges = "all"
+
 // predicted is what a line tells of the prediction for its request.
 type predicted struct {
 	engine bool
@@ -49,20 +52,29 @@
 
 // addPrediction adds an answered attempt.
 func (a *Analysis) addPrediction(p predicted, t attempt) {
-	b := &a.predictions[rangeOf(predictedBounds[:], p.first)]
-	if b.firsts == nil {
-		b.firsts = make([]int32, maxFirst+1)
+	a.predictions[rangeOf(predictedBounds[:], p.first)].add(t)
+	a.allPredictions.add(t)
+	late := int64(t.first) - int64(t.waited) - int64(p.first)
+	a.reportAges[rangeOf(ageBounds[:], p.age)].add(late)
+	a.allReportAges.add(late)
+}
+
+func (p *prediction) add(t attempt) {
+	if p.firsts == nil {
+		p.firsts = make([]int32, maxFirst+1)
 	}
-	b.count++
-	b.firsts[min(maxFirst, t.first)]++
+	p.count++
+	p.firsts[min(maxFirst, t.first)]++
 	if t.target > 0 && t.first > t.target {
-		b.overTarget++
+		p.overTarget++
 	}
-	e := &a.reportAges[rangeOf(ageBounds[:], p.age)]
-	diff := int64(t.first) - int64(t.waited) - int64(p.first)
+}
+
+// add adds an answer by how many milliseconds later than predicted it came.
+func (e *ageError) add(late int64) {
 	e.count++
-	e.sum += max(diff, -diff)
-	if diff > laterThan {
+	e.sum += max(late, -late)
+	if late > laterThan {
 		e.later++
 	}
 }
@@ -107,29 +119,35 @@
 func (a *Analysis) predictionRows() []PredictionRow {
 	var out []PredictionRow
 	for i := range a.predictions {
-		b := &a.predictions[i]
-		out = append(out, PredictionRow{
-			Range: rangeName(predictedBounds[:], i), Requests: b.count, P50: b.percentile(0.5), P90: b.percentile(0.9),
-			OverTarget: float64(b.overTarget) / float64(max(1, b.count)),
-		})
+		out = append(out, a.predictions[i].row(rangeName(predictedBounds[:], i)))
+	}
+	return append(out, a.allPredictions.row(allRanges))
+}
+
+func (p *prediction) row(name string) PredictionRow {
+	return PredictionRow{
+		Range: name, Requests: p.count, P50: p.percentile(0.5), P90: p.percentile(0.9), OverTarget: float64(p.overTarget) / float64(max(1, p.count)),
 	}
-	return out
 }
 
 func (a *Analysis) reportAgeRows() []ReportAgeRow {
 	var out []ReportAgeRow
-	for i, e := range a.reportAges {
-		n := float64(max(1, e.count))
-		out = append(out, ReportAgeRow{Range: rangeName(ageBounds[:], i), Requests: e.count, MeanError: float64(e.sum) / n, Later: float64(e.later) / n})
+	for i := range a.reportAges {
+		out = append(out, a.reportAges[i].row(rangeName(ageBounds[:], i)))
 	}
-	return out
+	return append(out, a.allReportAges.row(allRanges))
+}
+
+func (e *ageError) row(name string) ReportAgeRow {
+	n := float64(max(1, e.count))
+	return ReportAgeRow{Range: name, Requests: e.count, MeanError: float64(e.sum) / n, Later: float64(e.later) / n}
 }
 
 // percentile returns the smallest time until the first event that a share of the answers does
 // not exceed.
-func (b *prediction) percentile(share float64) int {
-	need := int(math.Ceil(share * float64(b.count)))
-	for ms, n := range b.firsts {
+func (p *prediction) percentile(share float64) int {
+	need := int(math.Ceil(share * float64(p.count)))
+	for ms, n := range p.firsts {
 		if need -= int(n); need <= 0 {
 			return ms
 		}
