--- /dev/null
+++ b/internal/relay/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package relay_test
+
+const raceDetector = false
