admission: the queue of the gateway moves here, its fair-share order is a type

limit.Queue was the only part of package limit that decides which request is next. The order between organisations, by virtual finish time, is now admission.FairOrder, so that a second list of waiting requests can use it. The queue's behaviour and tests are unchanged.

--- a/admission/doc.go
+++ b/admission/doc.go
@@ -2,5 +2,12 @@
 // sent to a replica at once, which wait at the gateway, and which are refused and when their
 // callers should retry.
 //
-// The package does no I/O, and the current time is passed to its functions.
+// A Queue runs a bounded number of requests at once and lets a bounded number wait. The next
+// request to run is chosen first between organisations, by weighted fair queueing, and then
+// within one by priority, so that a burst of one organisation cannot starve another whatever
+// priorities it claims. When the queue is full, the organisation that exceeds its share the most
+// loses a waiting request. Refusals are immediate and state when to retry.
+//
+// The package does no I/O. The current time is passed to its functions, except to those of a
+// Queue, which wait.
 package admission
--- a/limit/queue.go
+++ b/admission/queue.go
@@ -1,4 +1,4 @@
-package limit
+package admission
 
 import (
 	"context"
@@ -25,7 +25,7 @@
 	mu      sync.Mutex
 	running int
 	waiting int
-	virtual float64 // Virtual time of fair queueing; never decreases.
+	order   FairOrder
 	orgs    map[string]*orgQueue
 	lastSeq uint64
 }
@@ -33,7 +33,6 @@
 // orgQueue is the part of the queue of one organisation.
 type orgQueue struct {
 	weight      float64
-	lastFinish  float64 // Virtual finish time of its last admitted request.
 	waiters     []*waiter
 	running     int
 	lastRequest time.Time // When its last request arrived.
@@ -162,15 +161,14 @@
 			if len(oq.waiters) == 0 || !q.mayRun(oq) {
 				continue
 			}
-			if f := oq.nextFinish(q.virtual); f < nextFinish || f == nextFinish && org < name {
+			if f := q.order.Finish(org, oq.weight, 1); f < nextFinish || f == nextFinish && org < name {
 				next, nextFinish, name = oq, f, org
 			}
 		}
 		if next == nil {
 			return
 		}
-		q.virtual = max(q.virtual, nextFinish-1/next.weight)
-		next.lastFinish = nextFinish
+		q.order.Start(name, next.weight, 1)
 		next.remove(next.nextWaiter()).ready <- nil
 		q.waiting--
 		q.running++
@@ -178,10 +176,6 @@
 	}
 }
 
-func (oq *orgQueue) nextFinish(virtual float64) float64 {
-	return max(virtual, oq.lastFinish) + 1/oq.weight
-}
-
 // nextWaiter returns the index of the most urgent waiter, the oldest among equals.
 func (oq *orgQueue) nextWaiter() int {
 	best := 0
@@ -201,6 +195,7 @@
 	for org, oq := range q.orgs {
 		if len(oq.waiters) == 0 && oq.running == 0 && now.Sub(oq.lastRequest) > idle {
 			delete(q.orgs, org)
+			q.order.Forget(org)
 		}
 	}
 }
@@ -233,7 +228,7 @@
 	q.running--
 	q.orgs[organisation].running--
 	if q.running < 0 {
-		panic("limit: released more than was admitted")
+		panic("admission: released more than was admitted")
 	}
 	q.admit()
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/drain"
@@ -44,8 +45,8 @@
 	inFlight    drain.InFlight // From callers and from gateways of other halls.
 
 	mu     sync.Mutex
-	queues map[string]*limit.Queue // By service; the configuration bounds their number.
-	rates  map[string]*limit.Rate  // By organisation; the configuration bounds their number.
+	queues map[string]*admission.Queue // By service; the configuration bounds their number.
+	rates  map[string]*limit.Rate      // By organisation; the configuration bounds their number.
 }
 
 // pingInterval returns the time between pings on an idle connection. It is short,
@@ -73,7 +74,7 @@
 	}
 	g := &Gateway{
 		Settings: s, Metrics: m, incarnation: rand.Uint64() | 1, holder: &view.Holder{},
-		queues: map[string]*limit.Queue{}, rates: map[string]*limit.Rate{},
+		queues: map[string]*admission.Queue{}, rates: map[string]*limit.Rate{},
 	}
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.pool = &wire.Pool{Local: g.hello(), Codec: Codec, Options: g.options(), Lifetime: g.lifetime}
@@ -212,12 +213,12 @@
 }
 
 // queue returns the queue of a service, and creates it if necessary.
-func (g *Gateway) queue(service string) *limit.Queue {
+func (g *Gateway) queue(service string) *admission.Queue {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	q, ok := g.queues[service]
 	if !ok {
-		q = &limit.Queue{
+		q = &admission.Queue{
 			MaxRunning: func() int { return g.capacity(service) },
 			MaxWaiting: func() int { return g.holder.Get().Config.Limits.Queue },
 		}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
@@ -44,7 +45,7 @@
 	}
 	defer r.Release()
 	g.budget.RecordRequest(time.Now(), rq.view.Config.Limits.RetryPercent)
-	release, err := g.queue(rq.d.Service).Acquire(ctx, limit.Request{
+	release, err := g.queue(rq.d.Service).Acquire(ctx, admission.Request{
 		Organisation: rq.d.Organisation, Weight: org.Weight, Priority: rq.d.Priority, Deadline: rq.d.Deadline,
 	})
 	if err != nil {
