admission: the allowed wait follows rank, attempt and share, from one time for the service

Callers of a less urgent route with a longer latency target could queue longer than urgent ones, and two thirds of first attempts counted as retries by the time that they had left. The allowed wait is now a share of the shortest latency target of the routes to a service: 0.55 for its most urgent rank, and 0.7 of the value before for each further one. Retries on time have the wait of the next more urgent rank, early ones 0.7 of theirs, as has an organisation over its fair share while requests are refused. A request that cannot be answered before its deadline is refused.

--- /dev/null
+++ b/admission/decide.go
@@ -0,0 +1,171 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// Allowed predicted waits, as fractions of the service's latency target. A request is sent only
+// if the wait predicted for it is within its share, so that most answers are in time.
+const (
+	mostUrgentShare  = 0.55 // For the most urgent rank.
+	returnedShare    = 0.75 // For a retry on time of the most urgent rank: it has been refused room before.
+	lessUrgentFactor = 0.7  // For each further rank.
+	earlyFactor      = 0.7  // For a retry earlier than told, so that such retries do not displace first attempts.
+	overShareFactor  = 0.7  // For an organisation over its fair share, while requests are refused.
+)
+
+// waitingShare is the part of the latency target for which a request waits at the gateway at
+// most, so that a refused caller has time left for a retry.
+const waitingShare = 0.25
+
+// Route is what is considered of a route to a service.
+type Route struct {
+	Rank   int // 0 is the most urgent.
+	Target time.Duration
+}
+
+// Service holds what the allowed waits of requests to a service are derived from. With the zero
+// value, every request is sent.
+type Service struct {
+	Target time.Duration // The shortest latency target of the routes to it; 0 if none has one.
+	Ranks  []int         // The ranks of these routes, in ascending order, without duplicates.
+}
+
+// NewService returns the service that the routes lead to. Negative ranks and targets that are
+// not positive are ignored.
+func NewService(routes []Route) Service {
+	var s Service
+	for _, r := range routes {
+		if r.Target > 0 && (s.Target == 0 || r.Target < s.Target) {
+			s.Target = r.Target
+		}
+		if r.Rank >= 0 {
+			s.Ranks = append(s.Ranks, r.Rank)
+		}
+	}
+	slices.Sort(s.Ranks)
+	s.Ranks = slices.Compact(s.Ranks)
+	return s
+}
+
+// Level returns how many ranks of the service are more urgent than a rank.
+func (s *Service) Level(rank int) int {
+	n, _ := slices.BinarySearch(s.Ranks, rank)
+	return n
+}
+
+// Demand is a request to be decided on.
+type Demand struct {
+	Rank      int
+	Attempt   Attempt
+	Target    time.Duration // Of its route; the service's if it is not positive.
+	ArrivedAt time.Time
+	Deadline  time.Time // Zero for none.
+	OverShare bool      // Its organisation is over its fair share, and requests are being refused.
+	Cut       bool      // Its rank is refused, since more urgent ones lack room in the hall.
+	// Starved exempts it from the cut and from the shorter waits of its rank and organisation.
+	Starved bool
+}
+
+// AllowedWait returns the longest predicted wait with which the request is sent.
+func (s *Service) AllowedWait(d *Demand) time.Duration {
+	level := s.Level(d.Rank)
+	if d.Starved {
+		level = 0
+	}
+	share := mostUrgentShare
+	switch {
+	case d.Attempt == RetriedOnTime && level == 0:
+		share = returnedShare
+	case d.Attempt == RetriedOnTime:
+		level--
+	case d.Attempt == RetriedEarly:
+		share *= earlyFactor
+	}
+	for range level {
+		share *= lessUrgentFactor
+	}
+	if d.OverShare && !d.Starved {
+		share *= overShareFactor
+	}
+	return time.Duration(share * float64(s.Target))
+}
+
+// Prediction is what is predicted of a request at the best replica.
+type Prediction struct {
+	Wait       time.Duration // Until the replica starts on it.
+	FirstEvent time.Duration // Until its first event, including Wait.
+}
+
+// Verdict is what is done with a request.
+type Verdict int
+
+const (
+	Send Verdict = iota
+	Wait
+	Refuse
+)
+
+// Cause is what decided on a request.
+type Cause string
+
+const (
+	NotLimited       Cause = ""             // The service has no latency target, or no engine.
+	Room             Cause = "room"         // The predicted wait is within the allowed one.
+	LongWait         Cause = "long_wait"    // It is longer.
+	CutRank          Cause = "cut_rank"     // More urgent requests lack room in the hall.
+	DeadlineTooClose Cause = "deadline"     // The answer is predicted after the deadline.
+	WaitingFull      Cause = "waiting_full" // Too many requests wait at the gateway.
+)
+
+// Decision is the result of Decide.
+type Decision struct {
+	Verdict Verdict
+	Cause   Cause
+	Until   time.Time // How long the request may wait, if the verdict is Wait.
+	// LacksRoom reports that the wait is too long for any request of its rank: its own allowed
+	// wait is not a reduced one.
+	LacksRoom bool
+}
+
+// Decide returns what to do with a request.
+func (s *Service) Decide(now time.Time, d *Demand, p Prediction) Decision {
+	switch {
+	case s.Target <= 0:
+		return Decision{Verdict: Send}
+	case !d.Deadline.IsZero() && now.Add(p.FirstEvent).After(d.Deadline):
+		return Decision{Verdict: Refuse, Cause: DeadlineTooClose}
+	case d.Cut && !d.Starved:
+		return Decision{Verdict: Refuse, Cause: CutRank}
+	case p.Wait <= s.AllowedWait(d):
+		return Decision{Verdict: Send, Cause: Room}
+	}
+	out := Decision{
+		Verdict: Wait, Cause: LongWait, Until: s.waitsUntil(d, p),
+		LacksRoom: d.Attempt != RetriedEarly && (!d.OverShare || d.Starved),
+	}
+	if !now.Before(out.Until) {
+		out.Verdict, out.Until = Refuse, time.Time{}
+	}
+	return out
+}
+
+// LatestWait returns until when a request may wait at the gateway, whatever is predicted for it.
+func (s *Service) LatestWait(arrivedAt time.Time) time.Time {
+	return arrivedAt.Add(time.Duration(waitingShare * float64(s.Target)))
+}
+
+// waitsUntil returns until when the request may wait: its answer could still be in time if a
+// replica started on it then.
+func (s *Service) waitsUntil(d *Demand, p Prediction) time.Time {
+	target := d.Target
+	if target <= 0 {
+		target = s.Target
+	}
+	inTime := d.ArrivedAt.Add(target - max(0, p.FirstEvent-max(0, p.Wait)))
+	if latest := s.LatestWait(d.ArrivedAt); latest.Before(inTime) {
+		return latest
+	}
+	return inTime
+}
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -78,7 +78,7 @@
 		if !now.Before(d.rq.deadline) {
 			return d.results.Add(notRun(fault.PastDeadline))
 		}
-		choice, res, ok := d.relay.choose(d.ctx, d.rq, d.exclude, d.arrivals)
+		choice, res, ok := d.relay.admit(d)
 		if !ok {
 			if d.rq.attempts == 0 {
 				return d.results.Add(res)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -46,11 +46,9 @@
 			return choice, g.noReplicaResult(now, rq, choice, err), false
 		}
 		rq.recordChoice(g, now, choice)
-		if arrivals == 0 && !admits(rq, choice) {
+		if arrivals == 0 && !g.admits(now, rq, choice) {
 			g.table.Done(now, choice.Reservation, route.RequestResult{})
-			res := notRun(fault.QueueFull)
-			res.RetryAt = g.retryTime(now, rq, choice.QueueWait)
-			return choice, res, false
+			return choice, notRun(fault.QueueFull), false
 		}
 		if !g.hasPermit(ctx, rq, &choice) {
 			g.table.Done(time.Now(), choice.Reservation, route.RequestResult{})
@@ -142,6 +140,7 @@
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
+		"rank", rq.rank, "target_ms", rq.route.TargetLatency.Milliseconds(), "admission", rq.admission.decision.Cause,
 		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -64,6 +64,7 @@
 	startDelay time.Duration
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	timeouts   callerTimeouts
+	admissions admissions
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,6 +34,7 @@
 	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
 	retried          bool      // The caller has most likely been refused before.
 	attempt          admission.Attempt
+	admission        admissionRecord
 	workload         route.Workload
 	lastEventID      string             // ID of the last stream event sent to the caller.
 	version          uint64             // Version of the first part of the answer; all further parts must match it.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"sync"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +32,7 @@
 	outcomes         metric.Int64Counter
 	events           metric.Int64Counter
 	bytes            metric.Int64Counter
+	notAdmitted      metric.Int64Counter
 	byteAttributes   sync.Map // Attribute sets of the bytes counter, by purpose.
 	firstDataSeconds metric.Float64Histogram
 	answerSeconds    metric.Float64Histogram
@@ -71,6 +73,7 @@
 	m.outcomes = counter("poststand_outcomes", "Requests by the outcome that callers were told.")
 	m.events = counter("poststand_events", "Other events, by name and reason.")
 	m.bytes = counter("poststand_bytes", "Bytes moved, by what they were for.")
+	m.notAdmitted = counter("poststand_not_admitted", "Requests not admitted, by cause and rank.")
 	m.firstDataSeconds = seconds("poststand_first_data_seconds", "Until the first part of an answer.")
 	m.answerSeconds = seconds("poststand_answer_seconds", "Until the end of an answer.")
 	return lastErr
@@ -89,6 +92,12 @@
 	m.refusals.Add(context.Background(), 1, withAttributes("reason", string(reason)))
 }
 
+// NotAdmitted counts a request that admission refused. Cause must be one of few values.
+func (m *Metrics) NotAdmitted(cause string, rank int) {
+	const maxRank = 9 // Larger ranks are counted together.
+	m.notAdmitted.Add(context.Background(), 1, withAttributes("cause", cause, "rank", strconv.Itoa(max(0, min(maxRank, rank)))))
+}
+
 // Retried counts a retry, by the reason why the previous attempt failed.
 func (m *Metrics) Retried(reason fault.Code) {
 	m.retries.Add(context.Background(), 1, withAttributes("reason", string(reason)))
