admission: the list of waiting requests; organisations are ordered by start times

With finish times that move with the virtual time, an organisation of weight 1 got nothing beside one of weight 3 that always had requests, and large requests nothing beside small ones: the tag of the one that waits moved on with each start of the other. Virtual start times do not; with equal weights and unit work, as in Queue by default, the order is the same.

--- a/admission/queue.go
+++ b/admission/queue.go
@@ -150,19 +150,19 @@
 	return q.running < max(1, slots-reserved)
 }
 
-// admit starts waiting requests while there are free slots, in the order of the virtual finish
+// admit starts waiting requests while there are free slots, in the order of the virtual start
 // times of organisations, and within an organisation by priority and then age.
 func (q *Queue) admit() {
 	for q.waiting > 0 {
 		var next *orgQueue
-		nextFinish := math.Inf(1)
+		nextStart := math.Inf(1)
 		name := ""
 		for org, oq := range q.orgs {
 			if len(oq.waiters) == 0 || !q.mayRun(oq) {
 				continue
 			}
-			if f := q.order.Finish(org, oq.weight, 1); f < nextFinish || f == nextFinish && org < name {
-				next, nextFinish, name = oq, f, org
+			if at := q.order.Next(org); at < nextStart || at == nextStart && org < name {
+				next, nextStart, name = oq, at, org
 			}
 		}
 		if next == nil {
--- /dev/null
+++ b/admission/waiting.go
@@ -0,0 +1,151 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bounds of the requests that wait at a gateway.
+const (
+	maxWaiting      = 256
+	maxWaitingBytes = 4 << 20 // Of bodies.
+)
+
+// Waiting is a request that waits at the gateway for room at a replica.
+type Waiting struct {
+	Service      string
+	Level        int  // Number of more urgent ranks of the service; see Service.Level.
+	Returned     bool // Retried on time.
+	Organisation string
+	Weight       int // Fair-share weight of the organisation; at least 1.
+	Work         int // Prompt and expected answer tokens.
+	Deadline     time.Time
+	Bytes        int // Size of the body.
+
+	seq uint64
+}
+
+// compareUrgency returns a negative number if w goes before o whatever their organisations.
+func (w *Waiting) compareUrgency(o *Waiting) int {
+	if c := cmp.Compare(w.Level, o.Level); c != 0 || w.Returned == o.Returned {
+		return c
+	}
+	if w.Returned {
+		return -1
+	}
+	return 1
+}
+
+// compareInOrganisation returns a negative number if w goes before o of the same urgency and
+// organisation.
+func (w *Waiting) compareInOrganisation(o *Waiting) int {
+	return cmp.Or(w.Deadline.Compare(o.Deadline), cmp.Compare(w.seq, o.seq))
+}
+
+// WaitingList holds the requests that wait at a gateway. Those for one service are ordered by
+// level, retries on time first within one, then by the fair share of their organisations, then
+// by deadline. The zero value is an empty list. It is not safe for concurrent use.
+type WaitingList struct {
+	waiting []*Waiting // Of all services, in order of arrival.
+	bytes   int
+	orders  map[string]*FairOrder // Keyed by service.
+	lastSeq uint64
+}
+
+// Add adds a request, and returns those that are removed because the list exceeds its bounds,
+// which may include w: the newest ones of the least urgent level.
+func (l *WaitingList) Add(w *Waiting) (removed []*Waiting) {
+	if w.Bytes > maxWaitingBytes {
+		return []*Waiting{w}
+	}
+	l.lastSeq++
+	w.seq = l.lastSeq
+	l.waiting = append(l.waiting, w)
+	l.bytes += w.Bytes
+	for len(l.waiting) > maxWaiting || l.bytes > maxWaitingBytes {
+		last := slices.MaxFunc(l.waiting, func(a, b *Waiting) int {
+			return cmp.Or(cmp.Compare(a.Level, b.Level), cmp.Compare(a.seq, b.seq))
+		})
+		l.Remove(last)
+		removed = append(removed, last)
+	}
+	return removed
+}
+
+// Remove removes a request, if it is in the list.
+func (l *WaitingList) Remove(w *Waiting) {
+	if i := slices.Index(l.waiting, w); i >= 0 {
+		l.waiting = slices.Delete(l.waiting, i, i+1)
+		l.bytes -= w.Bytes
+	}
+}
+
+// Len returns the number of waiting requests.
+func (l *WaitingList) Len() int { return len(l.waiting) }
+
+// Waits reports whether any request for a service waits.
+func (l *WaitingList) Waits(service string) bool {
+	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Service == service })
+}
+
+// MustWait reports whether a request that arrives must join the list without a try: others of at
+// least its urgency wait for the same service.
+func (l *WaitingList) MustWait(w *Waiting) bool {
+	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Service == w.Service && o.compareUrgency(w) <= 0 })
+}
+
+// First returns the request for a service that is to be tried next, except those that skip
+// reports; nil if there is none.
+func (l *WaitingList) First(service string, skip func(*Waiting) bool) *Waiting {
+	next := map[string]*Waiting{} // The next request of each organisation, all of the same urgency.
+	var most *Waiting
+	for _, w := range l.waiting {
+		if w.Service != service || skip(w) {
+			continue
+		}
+		if most == nil || w.compareUrgency(most) < 0 {
+			clear(next)
+			most = w
+		}
+		if w.compareUrgency(most) > 0 {
+			continue
+		}
+		if o := next[w.Organisation]; o == nil || w.compareInOrganisation(o) < 0 {
+			next[w.Organisation] = w
+		}
+	}
+	var first *Waiting
+	for _, w := range next {
+		if first == nil || l.compareShare(w, first) < 0 {
+			first = w
+		}
+	}
+	return first
+}
+
+// compareShare compares requests of different organisations by their fair shares.
+func (l *WaitingList) compareShare(a, b *Waiting) int {
+	o := l.order(a.Service)
+	return cmp.Or(
+		cmp.Compare(o.Next(a.Organisation), o.Next(b.Organisation)),
+		a.compareInOrganisation(b),
+	)
+}
+
+// Start records that a request was sent, whether it waited or not.
+func (l *WaitingList) Start(w *Waiting) {
+	l.order(w.Service).Start(w.Organisation, float64(max(1, w.Weight)), float64(max(1, w.Work)))
+}
+
+func (l *WaitingList) order(service string) *FairOrder {
+	o, ok := l.orders[service]
+	if !ok {
+		if l.orders == nil {
+			l.orders = map[string]*FairOrder{}
+		}
+		o = &FairOrder{}
+		l.orders[service] = o
+	}
+	return o
+}
