relay: a request without room waits at the gateway before it is refused

Callers whose predicted wait was too long were refused at once and came back, although room is free again after some milliseconds. Such a request now waits for a quarter of the latency target at most, and is tried again when a request of the gateway ends and every 20 ms, in the order of rank, retries on time, fair share and deadline. At most 256 requests with 4 MB of bodies wait. A gateway that drains refuses them as not run. Services without an engine have no such wait.

The request line has rank, target_ms, waited_ms and admission; poststand_waiting and poststand_not_admitted count waiting requests, and refusals by cause and rank.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -8,6 +8,7 @@
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/route"
 )
 
@@ -28,6 +29,7 @@
 // admissionRecord is what was decided on a request, for the log.
 type admissionRecord struct {
 	decision admission.Decision // The last one; zero if none was made.
+	waited   time.Duration      // Time for which the request waited at the gateway.
 }
 
 // service returns the admission parameters of a service. Services without an engine, and those
@@ -85,13 +87,13 @@
 	return d
 }
 
-// record counts a request that was sent, or refused for lack of room.
+// record counts a request that was sent, or refused for lack of room or time.
 func (a *admissions) record(now time.Time, rq *request, sent bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	s, p := a.state(rq.service), rq.profile()
 	s.shares.Record(now, &p, sent)
-	if !sent {
+	if !sent && rq.admission.decision.Cause != admission.DeadlineTooClose {
 		s.pressure.RecordRefusal(now)
 	}
 }
@@ -114,36 +116,58 @@
 	return rq.admission.decision.Verdict == admission.Send
 }
 
-// admissionRefusal returns the result of a request that is refused for lack of room or time.
-func (g *Relay) admissionRefusal(now time.Time, rq *request, queueWait time.Duration) dispatch.Result {
-	res := notRun(fault.QueueFull)
-	if rq.admission.decision.Cause == admission.DeadlineTooClose {
-		res.Reason = fault.PastDeadline
-	}
-	res.RetryAt = g.retryTime(now, rq, queueWait)
-	return res
-}
-
 // admit chooses a replica for the next attempt, like choose. A request that has reached no
-// replica yet is sent only if it is admitted.
+// replica yet is sent only if it is admitted, and may wait until it is.
 func (g *Relay) admit(d *delivery) (route.Choice, dispatch.Result, bool) {
 	rq := d.rq
 	choose := func() (route.Choice, dispatch.Result, bool) {
 		rq.admission.decision = admission.Decision{}
 		return g.choose(d.ctx, rq, d.exclude, d.arrivals)
 	}
-	if s := g.admissions.service(rq.catalog.Config, rq.service); d.arrivals > 0 || s.Target <= 0 {
+	s := g.admissions.service(rq.catalog.Config, rq.service)
+	if d.arrivals > 0 || s.Target <= 0 {
 		return choose()
 	}
-	choice, res, ok := choose()
-	refused := rq.admission.decision.Verdict != admission.Send
-	if ok || refused {
-		now := time.Now()
-		g.admissions.record(now, rq, ok)
-		if refused {
-			res = g.admissionRefusal(now, rq, choice.QueueWait)
-			g.Metrics.NotAdmitted(string(rq.admission.decision.Cause), rq.rank)
-		}
+	now := time.Now()
+	demand := g.admissions.demand(now, rq)
+	w, until := rq.waiting(&s, demand.Starved), times.Earlier(s.LatestWait(rq.arrivedAt), rq.deadline)
+	mustWait := g.waiting.mustWait(&w)
+	var choice route.Choice
+	var res dispatch.Result
+	var ok bool
+	if mustWait {
+		rq.admission.decision = s.Decide(now, demand, admission.Prediction{})
+		mustWait = rq.admission.decision.Verdict == admission.Send // It is not refused whatever the wait.
+	} else if choice, res, ok = choose(); rq.admission.decision.Verdict == admission.Wait {
+		mustWait, until = true, rq.admission.decision.Until
+	}
+	if mustWait {
+		choice, res, ok = g.wait(d.ctx, rq, newWaiter(w), until, choose)
+	}
+	if ok {
+		g.waiting.recordStart(&w)
 	}
-	return choice, res, ok
+	return choice, g.recordAdmission(rq, res, ok), ok
+}
+
+// recordAdmission counts a request that was sent, or refused for lack of room or time, and
+// returns its result. A request whose outcome has another reason is not counted.
+func (g *Relay) recordAdmission(rq *request, res dispatch.Result, sent bool) dispatch.Result {
+	now, d := time.Now(), &rq.admission.decision
+	if !sent && d.Verdict != admission.Refuse {
+		return res
+	}
+	if rq.attempts == 0 {
+		g.admissions.record(now, rq, sent)
+	}
+	if sent {
+		return res
+	}
+	g.Metrics.NotAdmitted(string(d.Cause), rq.rank)
+	res = notRun(fault.QueueFull)
+	if d.Cause == admission.DeadlineTooClose {
+		res.Reason = fault.PastDeadline
+	}
+	res.RetryAt = g.retryTime(now, rq, rq.queueWait)
+	return res
 }
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -74,6 +74,7 @@
 	telemetry.Log("drain_started", "box", g.Settings.Box, "reason", kernel.Failure(stop))
 	noticedBy, end := began.Add(balancerNotice), began.Add(g.bounds.Load().GracePeriod-exitMargin)
 	g.stopping.Store(&drainTimes{streamsUntil: began.Add(streamCutoff), answersUntil: end.Add(-answerMargin)})
+	g.waiting.close()
 	conns.CloseIdle(false)
 	for ; lifetime.Err() == nil && time.Now().Before(noticedBy); kernel.Sleep(lifetime, drain.PollInterval) {
 		conns.CloseIdle(false)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -21,6 +21,7 @@
 		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: rq.quarantineStatus.Until}
 	}
 	g.retryWindow(rq.service).RecordRequest(rq.arrivedAt)
+	defer g.waiting.requestEnded(rq)
 	d := newDelivery(g, ctx, rq, out)
 	defer d.close()
 	last := d.run()
@@ -140,7 +141,7 @@
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
-		"rank", rq.rank, "target_ms", rq.route.TargetLatency.Milliseconds(), "admission", rq.admission.decision.Cause,
+		"rank", rq.rank, "target_ms", rq.route.TargetLatency.Milliseconds(), "waited_ms", rq.admission.waited.Milliseconds(), "admission", rq.admission.decision.Cause,
 		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,6 +65,7 @@
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	timeouts   callerTimeouts
 	admissions admissions
+	waiting    waitingRoom
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
@@ -139,7 +140,7 @@
 	g.options.Follower.MaxAssumedAge = peers.MaxAssumedAgeFor(s.VersionWithin)
 	g.options.Follower.CheckInterval = checkIntervalFor(&s.RelayReloadable)
 	g.options.Follower.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
-	return g, nil
+	return g, m.Gauge("poststand_waiting", "Requests that wait at this gateway for room at a replica.", func() float64 { return float64(g.waiting.len()) })
 }
 
 // checksPerApply is how often a gateway that watches the platform reads the store's newest
--- /dev/null
+++ b/internal/relay/wait.go
@@ -0,0 +1,294 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/admission"
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/times"
+	"github.com/poststand/poststand/route"
+)
+
+// Times and limits of the tries of waiting requests.
+const (
+	waitingTryInterval = 20 * time.Millisecond
+	// maxFailedTries is how many waiting requests are tried in vain before the others wait for the
+	// next occasion. It is more than one since the first in order may have a lower allowed wait
+	// than the next.
+	maxFailedTries = 2
+)
+
+// waitingRoom holds the requests that wait at this gateway for room at a replica. The zero value
+// is empty and open.
+type waitingRoom struct {
+	mu      sync.Mutex
+	list    admission.WaitingList
+	waiters map[*admission.Waiting]*waiter
+	lines   map[string]*line // Those with waiting requests, keyed by service.
+	closed  chan struct{}    // Closed when the gateway drains; nil before first use.
+}
+
+// line gives the waiting requests of one service their turns.
+type line struct {
+	ended     chan struct{} // Capacity 1; receives when a request for the service ends.
+	round     int           // Number of the current pass over the waiting requests.
+	queueWait time.Duration // Predicted at the last try.
+}
+
+// waiter is a waiting request. Its own goroutine makes the tries.
+type waiter struct {
+	admission.Waiting
+	turn    chan struct{} // Capacity 1; receives when the request is to be tried.
+	tried   chan bool     // Capacity 1; receives whether it was sent.
+	left    chan struct{} // Closed when the request no longer waits.
+	removed chan struct{} // Closed when it is removed because too many wait.
+	// trying and round are guarded by waitingRoom.mu: whether a try is in progress, and the
+	// line's round in which it was last tried.
+	trying bool
+	round  int
+}
+
+func newWaiter(w admission.Waiting) *waiter {
+	return &waiter{
+		Waiting: w, turn: make(chan struct{}, 1), tried: make(chan bool, 1), left: make(chan struct{}), removed: make(chan struct{}),
+	}
+}
+
+// waiting returns how the request is ordered among those that wait.
+func (rq *request) waiting(s *admission.Service, starved bool) admission.Waiting {
+	p := rq.profile()
+	w := admission.Waiting{
+		Service: rq.service, Level: s.Level(rq.rank), Returned: rq.attempt == admission.RetriedOnTime, Organisation: rq.organisation,
+		Weight: p.Weight, Work: p.Work, Deadline: rq.deadline, Bytes: len(rq.body),
+	}
+	if starved {
+		w.Level = 0
+	}
+	return w
+}
+
+// closing returns a channel that is closed when the gateway drains. The caller holds r.mu.
+func (r *waitingRoom) closing() chan struct{} {
+	if r.closed == nil {
+		r.closed = make(chan struct{})
+	}
+	return r.closed
+}
+
+// close refuses all requests that wait, and those that would.
+func (r *waitingRoom) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := r.closing()
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+// mustWait reports whether a request may not be tried before others that wait.
+func (r *waitingRoom) mustWait(w *admission.Waiting) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.MustWait(w)
+}
+
+// add adds a request, and starts a line for its service if there is none. The second result is
+// closed when the gateway drains. If too many requests wait, one of them, perhaps the new one, is
+// notified by its channel removed.
+func (r *waitingRoom) add(w *waiter) (newLine *line, closed <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.waiters == nil {
+		r.waiters, r.lines = map[*admission.Waiting]*waiter{}, map[string]*line{}
+	}
+	r.waiters[&w.Waiting] = w
+	for _, removed := range r.list.Add(&w.Waiting) {
+		close(r.waiters[removed].removed)
+	}
+	if r.lines[w.Service] == nil && r.list.Waits(w.Service) {
+		newLine = &line{ended: make(chan struct{}, 1)}
+		r.lines[w.Service] = newLine
+	}
+	return newLine, r.closing()
+}
+
+// remove removes a request that no longer waits, and returns the wait predicted at the last try
+// of its line.
+func (r *waitingRoom) remove(w *waiter) (queueWait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list.Remove(&w.Waiting)
+	delete(r.waiters, &w.Waiting)
+	close(w.left)
+	if l := r.lines[w.Service]; l != nil {
+		queueWait = l.queueWait
+	}
+	return queueWait
+}
+
+// recordStart records that a request was sent.
+func (r *waitingRoom) recordStart(w *admission.Waiting) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list.Start(w)
+}
+
+// recordTry records the end of a try.
+func (r *waitingRoom) recordTry(w *waiter, sent bool, queueWait time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	w.trying = false
+	if l := r.lines[w.Service]; l != nil {
+		l.queueWait = queueWait
+	}
+	select {
+	case w.tried <- sent:
+	default:
+	}
+}
+
+// len returns the number of waiting requests.
+func (r *waitingRoom) len() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.list.Len()
+}
+
+// requestEnded notes that a request has ended. If it was sent, that may have made room.
+func (r *waitingRoom) requestEnded(rq *request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if l := r.lines[rq.service]; l != nil && rq.attempts > 0 {
+		select {
+		case l.ended <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// next returns the request that is to be tried next in the current round; nil if there is none.
+func (r *waitingRoom) next(service string, l *line) *waiter {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	first := r.list.First(service, func(o *admission.Waiting) bool {
+		w := r.waiters[o]
+		return w.trying || w.round == l.round
+	})
+	if first == nil {
+		return nil
+	}
+	w := r.waiters[first]
+	w.trying, w.round = true, l.round
+	select {
+	case <-w.tried: // Of a try that had taken too long.
+	default:
+	}
+	w.turn <- struct{}{}
+	return w
+}
+
+// endLine ends a line if no request of its service waits.
+func (r *waitingRoom) endLine(service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.list.Waits(service) {
+		return false
+	}
+	delete(r.lines, service)
+	return true
+}
+
+// run gives the waiting requests of a service their turns until none is left.
+func (r *waitingRoom) run(service string, l *line) {
+	t := time.NewTicker(waitingTryInterval)
+	defer t.Stop()
+	for !r.endLine(service) {
+		select {
+		case <-t.C:
+		case <-l.ended:
+		}
+		r.tryInOrder(service, l)
+	}
+}
+
+// tryInOrder lets waiting requests be tried one after the other, for as long as they are sent. A
+// try that takes long, such as one that waits for a permit, does not hold up the others.
+func (r *waitingRoom) tryInOrder(service string, l *line) {
+	l.round++
+	timeout := time.NewTimer(waitingTryInterval)
+	defer timeout.Stop()
+	for failed := 0; failed < maxFailedTries; {
+		w := r.next(service, l)
+		if w == nil {
+			return
+		}
+		timeout.Reset(waitingTryInterval)
+		select {
+		case sent := <-w.tried:
+			if !sent {
+				failed++
+			}
+		case <-w.left:
+		case <-timeout.C:
+			failed++
+		}
+	}
+}
+
+// wait tries a request again, in order with the others that wait, until it is sent or refused,
+// and until the given time at most.
+func (g *Relay) wait(ctx context.Context, rq *request, w *waiter, until time.Time, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
+	began := time.Now()
+	newLine, closed := g.waiting.add(w)
+	if newLine != nil {
+		go g.waiting.run(w.Service, newLine)
+	}
+	choice, res, ok := g.waitForTurns(ctx, rq, w, until, closed, choose)
+	rq.queueWait = max(rq.queueWait, g.waiting.remove(w))
+	rq.admission.waited += time.Since(began)
+	result := "refused"
+	if ok {
+		result = "sent"
+	}
+	g.Metrics.Event("request_waited", result)
+	return choice, res, ok
+}
+
+// chooseFunc chooses a replica for a request.
+type chooseFunc func() (route.Choice, dispatch.Result, bool)
+
+func (g *Relay) waitForTurns(ctx context.Context, rq *request, w *waiter, until time.Time, closed <-chan struct{}, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	end := func(v admission.Verdict, cause admission.Cause, res dispatch.Result) (route.Choice, dispatch.Result, bool) {
+		rq.admission.decision.Verdict, rq.admission.decision.Cause = v, cause
+		return route.Choice{}, res, false
+	}
+	for {
+		select {
+		case <-w.turn:
+			choice, res, ok := choose()
+			g.waiting.recordTry(w, ok, rq.queueWait)
+			if rq.admission.decision.Verdict != admission.Wait {
+				return choice, res, ok
+			}
+			until = times.Earlier(until, rq.admission.decision.Until)
+			timer.Reset(time.Until(until))
+		case <-timer.C:
+			return end(admission.Refuse, admission.LongWait, notRun(fault.QueueFull))
+		case <-w.removed:
+			return end(admission.Refuse, admission.WaitingFull, notRun(fault.QueueFull))
+		case <-closed:
+			res := notRun(fault.Draining)
+			res.RetryAt = time.Now().Add(drainRetryDelay())
+			return end(admission.Wait, admission.LongWait, res)
+		case <-ctx.Done():
+			return end(admission.Wait, admission.LongWait, notRun(fault.Cancelled))
+		}
+	}
+}
