relay: gateways of a hall tell each other which ranks they refuse for lack of room

Each gateway decided by its own view, so that one refused urgent requests while another of its hall still sent less urgent ones, and an organisation's share was that of one gateway. While nothing is refused, nothing is collected or sent.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -9,7 +9,7 @@
 // if the wait predicted for it is within its share, so that most answers are in time.
 const (
 	mostUrgentShare  = 0.55 // For the most urgent rank.
-	returnedShare    = 0.75 // For a retry on time of the most urgent rank: it has been refused room before.
+	precedenceShare  = 0.75 // For those that go before the most urgent rank: its retries on time, and starved requests.
 	lessUrgentFactor = 0.7  // For each further rank.
 	earlyFactor      = 0.7  // For a retry earlier than told, so that such retries do not displace first attempts.
 	overShareFactor  = 0.7  // For an organisation over its fair share, while requests are refused.
@@ -64,23 +64,22 @@
 	Deadline  time.Time // Zero for none.
 	OverShare bool      // Its organisation is over its fair share, and requests are being refused.
 	Cut       bool      // Its rank is refused, since more urgent ones lack room in the hall.
-	// Starved exempts it from the cut and from the shorter waits of its rank and organisation.
+	// Starved reports that its organisation, rank or size is denied its part; see Shares.Starved.
+	// It goes before the most urgent rank: with the same chance as each of that rank, few requests
+	// would get nothing beside many.
 	Starved bool
 }
 
 // AllowedWait returns the longest predicted wait with which the request is sent.
 func (s *Service) AllowedWait(d *Demand) time.Duration {
-	level := s.Level(d.Rank)
-	if d.Starved {
-		level = 0
-	}
-	share := mostUrgentShare
-	switch {
-	case d.Attempt == RetriedOnTime && level == 0:
-		share = returnedShare
-	case d.Attempt == RetriedOnTime:
+	share, level := mostUrgentShare, s.Level(d.Rank)
+	switch onTime := d.Attempt == RetriedOnTime; {
+	case d.Starved, onTime && level == 0:
+		share, level = precedenceShare, 0
+	case onTime:
 		level--
-	case d.Attempt == RetriedEarly:
+	}
+	if d.Attempt == RetriedEarly {
 		share *= earlyFactor
 	}
 	for range level {
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -158,3 +158,28 @@
 	is.True(sent[2] > asked*95/100)
 	is.True(sent[0] > 2400) // It has what the others leave.
 }
+
+// A rank or organisation that asks for little beside three times the capacity of more urgent
+// requests gets a quarter of the mean share, or what it asks for if that is less.
+func TestNothingIsStarved(t *testing.T) {
+	const capacity, ticks = 20, 400
+	cases := []struct {
+		name     string
+		profiles []Profile
+		asked    []int // In each tick.
+		min      float64
+	}{
+		{"less urgent rank", []Profile{{Rank: 0, Work: 1}, {Rank: 2, Work: 1}}, []int{60, 3}, capacity / 2 * 0.25},
+		{"rank that asks for less than its part", []Profile{{Rank: 0, Work: 1}, {Rank: 2, Work: 1}}, []int{60, 1}, 1},
+		{"small organisation", []Profile{{Organisation: "a", Work: 1}, {Organisation: "b", Work: 1}}, []int{60, 3}, capacity / 2 * 0.25},
+		{"large requests", []Profile{{Work: 10}, {Work: 1000}}, []int{60, 3}, capacity / 2 * 0.25},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := NewService([]Route{{0, target}, {2, target}})
+			sent := simulate(s, tc.profiles, tc.asked, capacity)
+			t.Log(sent)
+			is.New(t).True(float64(sent[1]) > 0.95*tc.min*ticks)
+		})
+	}
+}
--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -16,7 +16,7 @@
 type Waiting struct {
 	Service      string
 	Level        int  // Number of more urgent ranks of the service; see Service.Level.
-	Returned     bool // Retried on time.
+	First        bool // It goes before the others of its level: a retry on time.
 	Organisation string
 	Weight       int // Fair-share weight of the organisation; at least 1.
 	Work         int // Prompt and expected answer tokens.
@@ -28,10 +28,10 @@
 
 // compareUrgency returns a negative number if w goes before o whatever their organisations.
 func (w *Waiting) compareUrgency(o *Waiting) int {
-	if c := cmp.Compare(w.Level, o.Level); c != 0 || w.Returned == o.Returned {
+	if c := cmp.Compare(w.Level, o.Level); c != 0 || w.First == o.First {
 		return c
 	}
-	if w.Returned {
+	if w.First {
 		return -1
 	}
 	return 1
@@ -44,7 +44,7 @@
 }
 
 // WaitingList holds the requests that wait at a gateway. Those for one service are ordered by
-// level, retries on time first within one, then by the fair share of their organisations, then
+// level, those marked First before the others of one, then by the fair share of their organisations, then
 // by deadline. The zero value is an empty list. It is not safe for concurrent use.
 type WaitingList struct {
 	waiting []*Waiting // Of all services, in order of arrival.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -18,12 +18,14 @@
 	cfg      *config.Config               // Configuration that services was built from.
 	services map[string]admission.Service // Those with an engine, keyed by name.
 	states   map[string]*admissionState   // Keyed by service; bounded by the configuration.
+	refused  chan struct{}                // Capacity 1; receives when a request is refused.
 }
 
 // admissionState is the recent demand for a service.
 type admissionState struct {
 	shares   admission.Shares
 	pressure admission.Pressure
+	unsent   unsentState // Collected while this gateway refuses requests.
 }
 
 // admissionRecord is what was decided on a request, for the log.
@@ -82,7 +84,7 @@
 		Starved: s.shares.Starved(now, &p),
 	}
 	if s.pressure.Refusing(now) {
-		d.OverShare = s.shares.OverShare(now, rq.organisation)
+		d.OverShare, d.Cut = s.shares.OverShare(now, rq.organisation), s.pressure.Cuts(now, rq.rank)
 	}
 	return d
 }
@@ -95,6 +97,13 @@
 	s.shares.Record(now, &p, sent)
 	if !sent && rq.admission.decision.Cause != admission.DeadlineTooClose {
 		s.pressure.RecordRefusal(now)
+		select {
+		case a.refused <- struct{}{}:
+		default:
+		}
+	}
+	if s.pressure.RefusedHere(now) {
+		s.unsent.add(rq, sent)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -99,7 +99,7 @@
 	g := &Relay{
 		Settings: s, Metrics: m, options: o, startedAt: time.Now(), startDelay: startWait.Draw(), retryWindows: map[string]*limit.RetryWindow{}, limiterStates: map[string]*limiterState{}, limiterBackoff: map[string]time.Time{},
 		table: route.Table{Hall: s.Hall, DelistGrace: delistGrace(&s.RelayReloadable)}, conns: connPool{Dial: o.Dial},
-		endProbes: endProbes{Dial: o.Dial},
+		endProbes: endProbes{Dial: o.Dial}, admissions: admissions{refused: make(chan struct{}, 1)},
 	}
 	g.headers = &g.options.Headers
 	g.bounds.Store(&s.RelayReloadable)
@@ -133,6 +133,7 @@
 	wire.On(g.handlers, g.serveLimiterQuery)
 	wire.On(g.handlers, g.serveReplicaLimits)
 	wire.On(g.handlers, g.serveReplicaEnds)
+	wire.On(g.handlers, g.serveAdmissionState)
 	g.options.Follower.Mirror = &g.mirror
 	g.options.Follower.Needed = g.shouldWatch
 	g.options.Follower.Standby = g.gossip.Standby
@@ -209,6 +210,7 @@
 	k.AddTask(g.forwardReports)
 	k.AddTask(g.notifyLimits)
 	k.AddTask(g.notifyEnds)
+	k.AddTask(g.announceAdmission)
 	k.AddTask(g.sweep)
 }
 
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -61,11 +61,11 @@
 func (rq *request) waiting(s *admission.Service, starved bool) admission.Waiting {
 	p := rq.profile()
 	w := admission.Waiting{
-		Service: rq.service, Level: s.Level(rq.rank), Returned: rq.attempt == admission.RetriedOnTime, Organisation: rq.organisation,
+		Service: rq.service, Level: s.Level(rq.rank), First: rq.attempt == admission.RetriedOnTime, Organisation: rq.organisation,
 		Weight: p.Weight, Work: p.Work, Deadline: rq.deadline, Bytes: len(rq.body),
 	}
 	if starved {
-		w.Level = 0
+		w.Level, w.First = 0, true // It goes before the most urgent rank.
 	}
 	return w
 }
