relay: callers that were refused before are recognised by their requests' keys

A request counted as a retry if its caller had less time left than callers of its route start with. Callers start with different timeouts, so two thirds of first attempts counted as retries and had the lower threshold. Times travel as durations.

TestAdmits rested on the boolean of the guess; it has the same cases by attempt, and one more.

--- a/admission/expected.go
+++ b/admission/expected.go
@@ -76,14 +76,6 @@
 	return RetriedOnTime
 }
 
-// Count returns the number of retries that are expected.
-func (r *Returns) Count(now time.Time) int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.expire(now)
-	return len(r.expected)
-}
-
 // due reports whether a retry at a time counts as on time.
 func (e *ExpectedReturn) due(now time.Time) bool {
 	return !now.Before(e.NotBefore.Add(-earlyTolerance))
--- a/admission/expected_test.go
+++ b/admission/expected_test.go
@@ -98,9 +98,10 @@
 	for i := range MaxExpected + surplus {
 		r.Learn(testStart, ExpectedReturn{Key: key(i), NotBefore: testStart.Add(time.Second + time.Duration(i)*time.Microsecond)})
 	}
-	is.Equal(r.Count(testStart), MaxExpected)
+	is.Equal(len(r.expected), MaxExpected)
 	is.Equal(r.Arrive(after(1500), key(surplus-1)), FirstAttempt)
 	is.Equal(r.Arrive(after(1500), key(surplus)), RetriedOnTime)
-	is.Equal(r.Count(after(1500)), MaxExpected-1)
-	is.Equal(r.Count(after(5000)), 0)
+	is.Equal(len(r.expected), MaxExpected-1)
+	is.Equal(r.Arrive(after(5000), key(surplus+1)), FirstAttempt)
+	is.Equal(len(r.expected), 0)
 }
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -186,4 +186,5 @@
 	{Kind: 111, Message: &ColdPermitRequest{}, ByName: true},
 	{Kind: 112, Message: &LimiterQuery{}, ByName: true},
 	{Kind: 113, Message: &LimiterAnswer{}, ByName: true},
+	{Kind: 116, Message: &ExpectedReturns{}, ByName: true},
 }
--- a/internal/peers/message_test.go
+++ b/internal/peers/message_test.go
@@ -9,6 +9,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/poststand/poststand/mirror"
+	"github.com/poststand/poststand/quarantine"
 )
 
 // These structs have the field names that are sent. Some fields of the messages themselves have
@@ -24,7 +25,13 @@
 		NextIn     time.Duration
 		NotLimiter bool
 	}
-	sentLimits  struct{ Words []ReplicaLimit }
+	sentLimits struct{ Words []ReplicaLimit }
+	sentReturn struct {
+		Key  quarantine.Key
+		In   time.Duration
+		Rank int
+	}
+	sentReturns struct{ Returns []sentReturn }
 	sentRecords struct {
 		Delta     mirror.Delta
 		Ages      []time.Duration
@@ -50,6 +57,11 @@
 		{"permit request", &sentPermitRequest{limit, 2}, &PermitRequest{limit, 2}},
 		{"permit", &sentPermit{limit, true, 4, true}, &Permit{limit, true, 4, true}},
 		{"limits", &sentLimits{[]ReplicaLimit{limit}}, &ReplicaLimits{[]ReplicaLimit{limit}}},
+		{
+			"expected returns",
+			&sentReturns{[]sentReturn{{quarantine.Key{1, 2}, 3, 4}}},
+			&ExpectedReturns{[]ExpectedReturn{{quarantine.Key{1, 2}, 3, 4}}},
+		},
 		{
 			"held records",
 			&sentHeldRecords{sentRecords{delta, ages, histories, true}, []time.Duration{9}},
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/route"
 )
 
@@ -23,7 +24,7 @@
 		return true
 	}
 	share := firstTryShare
-	if rq.retried {
+	if rq.attempt != admission.FirstAttempt {
 		share = retryTryShare
 	}
 	return c.QueueWait <= time.Duration(share*float64(rq.route.TargetLatency))
--- a/internal/relay/admit_test.go
+++ b/internal/relay/admit_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/route"
@@ -19,20 +20,21 @@
 	cases := []struct {
 		name    string
 		aim     time.Duration
-		retried bool
+		attempt admission.Attempt
 		to      route.Choice
 		want    bool
 	}{
-		{"new request, short wait", aim, false, route.Choice{Upstream: engine, QueueWait: 200 * time.Millisecond}, true},
-		{"new request, wait too long", aim, false, route.Choice{Upstream: engine, QueueWait: 300 * time.Millisecond}, false},
-		{"retry, short wait", aim, true, route.Choice{Upstream: engine, QueueWait: 150 * time.Millisecond}, true},
-		{"retry, wait allowed only for a new request", aim, true, route.Choice{Upstream: engine, QueueWait: 200 * time.Millisecond}, false},
-		{"plain service", aim, true, route.Choice{QueueWait: time.Second}, true},
-		{"route without a latency target", 0, true, route.Choice{Upstream: engine, QueueWait: time.Second}, true},
+		{"new request, short wait", aim, admission.FirstAttempt, route.Choice{Upstream: engine, QueueWait: 200 * time.Millisecond}, true},
+		{"new request, wait too long", aim, admission.FirstAttempt, route.Choice{Upstream: engine, QueueWait: 300 * time.Millisecond}, false},
+		{"retry, short wait", aim, admission.RetriedOnTime, route.Choice{Upstream: engine, QueueWait: 150 * time.Millisecond}, true},
+		{"retry, wait allowed only for a new request", aim, admission.RetriedOnTime, route.Choice{Upstream: engine, QueueWait: 200 * time.Millisecond}, false},
+		{"early retry, wait allowed only for a new request", aim, admission.RetriedEarly, route.Choice{Upstream: engine, QueueWait: 200 * time.Millisecond}, false},
+		{"plain service", aim, admission.RetriedOnTime, route.Choice{QueueWait: time.Second}, true},
+		{"route without a latency target", 0, admission.RetriedOnTime, route.Choice{Upstream: engine, QueueWait: time.Second}, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			rq := &request{route: &config.Route{TargetLatency: tc.aim}, retried: tc.retried}
+			rq := &request{route: &config.Route{TargetLatency: tc.aim}, attempt: tc.attempt}
 			is.New(t).Equal(admits(rq, tc.to), tc.want)
 		})
 	}
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -78,7 +78,6 @@
 			return rq, fault.New(fault.BadRequest, names.Deadline)
 		}
 		left := time.Duration(n * float64(time.Millisecond))
-		rq.retried = g.timeouts.isRetry(rq.routeName, left)
 		timeout = min(timeout, left)
 	}
 	rq.deadline = now.Add(timeout)
@@ -89,6 +88,7 @@
 		return rq, err
 	}
 	rq.key = rq.quarantineKey()
+	rq.attempt = g.recogniseRetry(now, rq.key)
 	return rq, nil
 }
 
@@ -200,6 +200,7 @@
 		if res.RetryAt.IsZero() {
 			res.RetryAt = g.retryTime(time.Now(), rq, 0)
 		}
+		g.expectRetry(time.Now(), rq, res.RetryAt)
 		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(res.RetryAt).Seconds()), 'f', 2, 64))
 	}
 	if err != nil {
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -52,6 +52,15 @@
 // notifyPeers calls send with the pending keys whenever there are any, until ctx ends. send
 // returns the number of gateways that it notified.
 func notifyPeers[K comparable](ctx context.Context, n *notifyQueue[K], send func(ctx context.Context, pending map[K]bool, now time.Time) int) error {
+	return notifyBatches(ctx, n, func(ctx context.Context, pending map[K]bool, now time.Time) time.Duration {
+		receivers := send(ctx, pending, now)
+		return notifyInterval * time.Duration(max(notifyIntervalPeers, receivers)) / notifyIntervalPeers
+	})
+}
+
+// notifyBatches calls send with the pending keys whenever there are any, until ctx ends. send
+// returns how long keys are collected until the next call.
+func notifyBatches[K comparable](ctx context.Context, n *notifyQueue[K], send func(ctx context.Context, pending map[K]bool, now time.Time) time.Duration) error {
 	for ctx.Err() == nil {
 		pending, added := n.take()
 		if len(pending) == 0 {
@@ -61,8 +70,7 @@
 			}
 			continue
 		}
-		receivers := send(ctx, pending, time.Now())
-		kernel.Sleep(ctx, notifyInterval*time.Duration(max(notifyIntervalPeers, receivers))/notifyIntervalPeers)
+		kernel.Sleep(ctx, send(ctx, pending, time.Now()))
 	}
 	return nil
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -142,6 +142,6 @@
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
-		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"client_retry", rq.attempt, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
@@ -63,7 +64,6 @@
 	startedAt  time.Time
 	startDelay time.Duration
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
-	timeouts   callerTimeouts
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
@@ -75,7 +75,11 @@
 	limitQueue notifyQueue[fleet.Incarnation]
 	// endQueue holds the terminations that are to be sent to other gateways.
 	endQueue notifyQueue[replicaEnd]
-	bounds   atomic.Pointer[settings.RelayReloadable]
+	// returns holds the retries that callers refused in this hall were told to make.
+	returns admission.Returns
+	// returnQueue holds those that are to be sent to other gateways.
+	returnQueue notifyQueue[admission.ExpectedReturn]
+	bounds      atomic.Pointer[settings.RelayReloadable]
 
 	mu            sync.Mutex
 	retryWindows  map[string]*limit.RetryWindow // Keyed by service; bounded by the configuration.
@@ -131,6 +135,7 @@
 	wire.On(g.handlers, g.serveLimiterQuery)
 	wire.On(g.handlers, g.serveReplicaLimits)
 	wire.On(g.handlers, g.serveReplicaEnds)
+	wire.On(g.handlers, g.serveExpectedReturns)
 	g.options.Follower.Mirror = &g.mirror
 	g.options.Follower.Needed = g.shouldWatch
 	g.options.Follower.Standby = g.gossip.Standby
@@ -207,6 +212,7 @@
 	k.AddTask(g.forwardReports)
 	k.AddTask(g.notifyLimits)
 	k.AddTask(g.notifyEnds)
+	k.AddTask(g.notifyReturns)
 	k.AddTask(g.sweep)
 }
 
@@ -225,9 +231,6 @@
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
 					telemetry.Log("upstream_lapsed", "id", id, "used_for", delistGrace(g.bounds.Load()), "revision", c.Position)
 				}
-				if c.Version != old.Version {
-					g.timeouts.prune(c.Config.Routes)
-				}
 			}
 			logChanges(old, c, now)
 		}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -32,7 +32,6 @@
 	rank             int
 	arrivedAt        time.Time
 	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
-	retried          bool      // The caller has most likely been refused before.
 	attempt          admission.Attempt
 	workload         route.Workload
 	lastEventID      string             // ID of the last stream event sent to the caller.
--- a/internal/relay/retrytime.go
+++ b/internal/relay/retrytime.go
@@ -2,45 +2,11 @@
 
 import (
 	"math/rand/v2"
-	"sync"
 	"time"
 
-	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/internal/times"
 )
 
-// callerTimeouts records the longest timeout that callers of each route have sent.
-type callerTimeouts struct {
-	mu      sync.Mutex
-	longest map[string]time.Duration // Keyed by route; bounded by the configuration.
-}
-
-// isRetry reports whether a caller has less time left than callers of its route start with,
-// which means that it has most likely been refused before.
-func (t *callerTimeouts) isRetry(routeName string, left time.Duration) bool {
-	const fullShare = 0.96
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.longest == nil {
-		t.longest = map[string]time.Duration{}
-	}
-	if left > t.longest[routeName] {
-		t.longest[routeName] = left
-	}
-	return float64(left) < fullShare*float64(t.longest[routeName])
-}
-
-// prune removes routes that are no longer configured.
-func (t *callerTimeouts) prune(routes map[string]config.Route) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for name := range t.longest {
-		if _, ok := routes[name]; !ok {
-			delete(t.longest, name)
-		}
-	}
-}
-
 // retryAfterBackoff returns when a caller should retry after all replicas that could run its
 // request have requested a backoff until the given time. Retries are spread out from
 // then on, so that the replicas do not receive all callers at once.
