relay: refused callers are told when there is room for them

Retry-After was the predicted wait at one replica with jitter, whatever other callers had been told. Callers that are refused for lack of room now get a time with a reserved place, no earlier than the predicted wait and than 350 ms, or a time past their deadline if there is none by a third of the time that they have left. That is decided where the request's result is final, so that a request that is tried again reserves once. A caller that is refused again uses up no place.

The log line has retries_before, and poststand_events{event="expected_retry"} the reason no_room.

--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -39,6 +39,7 @@
 	g.logRequest(rq, out, res)
 	g.logBroken(rq, out, res)
 	if res.Outcome == dispatch.Done {
+		g.recordCompletion(rq, res)
 		return
 	}
 	if out.started {
@@ -198,7 +199,7 @@
 	}
 	if status == http.StatusServiceUnavailable {
 		if res.RetryAt.IsZero() {
-			res.RetryAt = g.retryTime(time.Now(), rq, 0)
+			res.RetryAt = g.retryTime(time.Now(), rq, res.Reason)
 		}
 		g.expectRetry(time.Now(), rq, res.RetryAt)
 		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(res.RetryAt).Seconds()), 'f', 2, 64))
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -25,7 +25,7 @@
 	defer d.close()
 	last := d.run()
 	if last.Outcome == dispatch.NotRun && last.RetryAt.IsZero() {
-		last.RetryAt = g.retryTime(time.Now(), rq, 0)
+		last.RetryAt = g.retryTime(time.Now(), rq, last.Reason)
 	}
 	if last.Outcome != dispatch.Done && !out.started && ctx.Err() == nil && out.writeFailure() {
 		return dispatch.Result{Outcome: dispatch.Done, Reason: fault.UpstreamFailed}
@@ -48,9 +48,7 @@
 		rq.recordChoice(g, now, choice)
 		if arrivals == 0 && !admits(rq, choice) {
 			g.table.Done(now, choice.Reservation, route.RequestResult{})
-			res := notRun(fault.QueueFull)
-			res.RetryAt = g.retryTime(now, rq, choice.QueueWait)
-			return choice, res, false
+			return choice, notRun(fault.QueueFull), false
 		}
 		if !g.hasPermit(ctx, rq, &choice) {
 			g.table.Done(time.Now(), choice.Reservation, route.RequestResult{})
@@ -74,7 +72,7 @@
 func (g *Relay) noReplicaResult(now time.Time, rq *request, choice route.Choice, err error) dispatch.Result {
 	rq.replicaVersions = fmt.Sprint(g.table.CountByVersion(now, rq.service))
 	res := notRun(fault.CodeOf(err))
-	res.RetryAt = g.retryTime(now, rq, 0)
+	res.RetryAt = g.retryTime(now, rq, res.Reason)
 	if res.Reason == fault.UpstreamBackingOff || res.Reason == fault.UpstreamLimited {
 		res.RetryAt = retryAfterBackoff(now, choice.Availability.BackAt)
 	}
@@ -142,6 +140,6 @@
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
-		"client_retry", rq.attempt, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"client_retry", rq.attempt, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "retries_before", rq.retriesBefore, "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,7 @@
 	returns admission.Returns
 	// returnQueue holds those that are to be sent to other gateways.
 	returnQueue notifyQueue[admission.ExpectedReturn]
+	retryTimes  admission.RetryTimes
 	bounds      atomic.Pointer[settings.RelayReloadable]
 
 	mu            sync.Mutex
@@ -228,6 +229,7 @@
 			g.catalog.Set(c)
 			g.table.SetDrainedHalls(now, c.DrainedHalls)
 			if c.Config != nil {
+				g.retryTimes.Keep(func(service string) bool { _, ok := c.Config.Services[service]; return ok })
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
 					telemetry.Log("upstream_lapsed", "id", id, "used_for", delistGrace(g.bounds.Load()), "revision", c.Position)
 				}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -33,6 +33,7 @@
 	arrivedAt        time.Time
 	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
 	attempt          admission.Attempt
+	retriesBefore    int // Retries expected before the one that the caller was told to make.
 	workload         route.Workload
 	lastEventID      string             // ID of the last stream event sent to the caller.
 	version          uint64             // Version of the first part of the answer; all further parts must match it.
--- a/internal/relay/retrytime.go
+++ b/internal/relay/retrytime.go
@@ -4,25 +4,70 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/poststand/poststand/admission"
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/times"
 )
 
+// minRetryDelay is the shortest time after which refused callers should retry.
+const minRetryDelay = 350 * time.Millisecond
+
 // retryAfterBackoff returns when a caller should retry after all replicas that could run its
 // request have requested a backoff until the given time. Retries are spread out from
 // then on, so that the replicas do not receive all callers at once.
 func retryAfterBackoff(now, until time.Time) time.Time {
-	const minDelay, maxSpread = 350 * time.Millisecond, 1500 * time.Millisecond
-	spread := max(minDelay, min(maxSpread, until.Sub(now)/2))
-	return times.Later(until, now.Add(minDelay)).Add(rand.N(spread))
+	const maxSpread = 1500 * time.Millisecond
+	spread := max(minRetryDelay, min(maxSpread, until.Sub(now)/2))
+	return times.Later(until, now.Add(minRetryDelay)).Add(rand.N(spread))
 }
 
-// retryTime returns when a refused caller should retry: once the predicted queue ahead of it
-// is done, or, if no replica is usable, after a fixed wait. Jitter is added to both.
-func (g *Relay) retryTime(now time.Time, rq *request, queueWait time.Duration) time.Time {
-	const minDelay, maxDelay, defaultDelay = 350 * time.Millisecond, 1500 * time.Millisecond, 1400 * time.Millisecond
-	delay := defaultDelay
-	if queueWait > 0 {
-		delay = max(minDelay, min(maxDelay, queueWait))
+// retryTime returns when the caller of a request that is refused for a reason should retry: when
+// there is room, or, if no replica is usable, after a fixed time with jitter.
+func (g *Relay) retryTime(now time.Time, rq *request, reason fault.Code) time.Time {
+	const delay = 1400 * time.Millisecond
+	if reason == fault.QueueFull {
+		return g.reserveRetry(now, rq)
 	}
 	return now.Add(delay + rand.N(delay/2+1))
 }
+
+// reserveRetry returns when the caller of a request that is refused for lack of room should retry.
+// That is no earlier than the queue at the replica chosen last is predicted to be done. If there is
+// no room by the time that the caller waits at most, it is a time past its deadline, so that it
+// does not retry only to be refused again.
+func (g *Relay) reserveRetry(now time.Time, rq *request) time.Time {
+	// Callers wait for a third of the time that they have left. Retry-After is rounded, and
+	// the refusal takes some time to arrive.
+	const maxWaitShare, margin = 3, 20 * time.Millisecond
+	t := g.retryTimes.Reserve(now, admission.RetryRequest{
+		Service: rq.service, Step: moreUrgentRanks(rq.catalog.Config, rq.service, rq.rank),
+		Earliest: now.Add(max(minRetryDelay, rq.queueWait)), Latest: now.Add(rq.deadline.Sub(now)/maxWaitShare - margin),
+		NoPlace: rq.attempt != admission.FirstAttempt,
+	})
+	rq.retriesBefore = t.Before
+	if t.At.IsZero() {
+		g.countExpectedRetry("no_room")
+		return rq.deadline.Add(minRetryDelay)
+	}
+	return t.At
+}
+
+// recordCompletion records a request that was answered, as a measure of the room for others.
+func (g *Relay) recordCompletion(rq *request, res dispatch.Result) {
+	if res.Reason == "" {
+		g.retryTimes.Complete(time.Now(), rq.service)
+	}
+}
+
+// moreUrgentRanks returns how many ranks of the routes to a service are more urgent than a rank.
+func moreUrgentRanks(c *config.Config, service string, rank int) int {
+	ranks := map[int]bool{}
+	for _, r := range c.Routes {
+		if _, ok := r.Services[service]; ok && r.Priority < rank {
+			ranks[r.Priority] = true
+		}
+	}
+	return len(ranks)
+}
--- a/internal/relay/returns_test.go
+++ b/internal/relay/returns_test.go
@@ -237,3 +237,74 @@
 	_, err = c.Open(ctx, m)
 	is.NoErr(err)
 }
+
+// Callers that are refused together must not come back together, and no more of them than there
+// will be room for: half of what their gateway completed lately. All others are told a time past
+// their deadline, since a caller that is refused again is lost.
+func TestRefusedCallersAreToldWhenThereIsRoom(t *testing.T) {
+	const (
+		callers  = 60
+		interval = 50 * time.Millisecond // Between two requests, so that 20 a second are completed.
+		seconds  = 2.0 - 0.35            // From the shortest wait to a third of the callers' time.
+	)
+	runCluster(t, 2, engines(2, 2), func(is *is.I, cl *testCluster) {
+		var queued atomic.Int64
+		cl.reportQueues(&queued)
+		is.Equal(cl.sendPeriodically("/s/", interval, 3*time.Second), map[int]int{http.StatusOK: 60})
+		queued.Store(8) // The predicted wait is longer than the target, and shorter than a second.
+		time.Sleep(300 * time.Millisecond)
+		byTime, returning, firstReturn := map[time.Duration]int{}, 0, time.Duration(0)
+		for i := range callers {
+			got := cl.send(0, "POST", fmt.Sprintf("/s/%d", i), nil)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			told := time.Duration(got.retryAfter(cl.t) * float64(time.Second))
+			if told > 6*time.Second {
+				continue
+			}
+			is.True(told >= 350*time.Millisecond && told <= 2*time.Second)
+			byTime[told.Truncate(interval)]++
+			returning++
+			if firstReturn == 0 {
+				firstReturn = told
+			}
+		}
+		// Two gateways completed 20 a second together, and the one that refuses a half of that.
+		is.True(returning >= 4 && float64(returning) <= seconds*20/2/2+3)
+		for _, n := range byTime {
+			is.True(n <= 1)
+		}
+		is.Equal(cl.expectedRetries(0, "told"), returning)
+		is.Equal(cl.expectedRetries(0, "no_room"), callers-returning)
+		queued.Store(0)
+		time.Sleep(firstReturn)
+		is.Equal(cl.send(1, "POST", "/s/0", nil).status, http.StatusOK)
+		is.Equal(cl.expectedRetries(1, "on_time"), 1)
+	})
+}
+
+// Until a gateway knows what its part of a service completes, refused callers must not be turned
+// away: they are spread over a fixed time.
+func TestRefusedCallersAreSpreadAfterAStart(t *testing.T) {
+	const callers = 60
+	runCluster(t, 1, engines(2, 2), func(is *is.I, cl *testCluster) {
+		var queued atomic.Int64
+		cl.reportQueues(&queued)
+		queued.Store(8)
+		time.Sleep(300 * time.Millisecond)
+		earlier := 0
+		for i := range callers {
+			got := cl.send(0, "POST", fmt.Sprintf("/s/%d", i), nil)
+			is.Equal(got.status, http.StatusServiceUnavailable)
+			told := got.retryAfter(cl.t)
+			is.True(told >= 0.35 && told <= 2)
+			if told < 1 {
+				earlier++
+			}
+		}
+		is.True(earlier >= 10 && earlier <= 50)
+		// A third of its time is less than the shortest wait.
+		got := cl.send(0, "POST", "/s/", map[string]string{"X-Deadline-Ms": "1000"})
+		is.Equal(got.status, http.StatusServiceUnavailable)
+		is.True(got.retryAfter(cl.t) > 1)
+	})
+}
