--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -131,3 +131,27 @@
 		is.Equal(d.Until, start.Add(100*ms))
 	}
 }
+
+// What a rank may use depends on how many ranks of the same service are more urgent, not on its
+// number: a service with one rank has all room for it.
+func TestLevel(t *testing.T) {
+	llm := NewService([]Route{{Rank: 1}, {Rank: 1}, {Rank: 7}, {Rank: 4}})
+	batch := NewService([]Route{{Rank: 7}})
+	for _, tc := range []struct {
+		name    string
+		service Service
+		rank    int
+		want    int
+	}{
+		{"most urgent", llm, 1, 0},
+		{"next", llm, 4, 1},
+		{"least urgent", llm, 7, 2},
+		{"the only rank of a service", batch, 7, 0},
+		{"rank of an organisation, more urgent than all", llm, 0, 0},
+		{"rank of an organisation, in between", llm, 5, 2},
+		{"rank of an organisation, less urgent than all", llm, 9, 3},
+		{"service without routes", Service{}, 5, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) { is.New(t).Equal(tc.service.Level(tc.rank), tc.want) })
+	}
+}
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -41,8 +41,8 @@
 
 type usage struct {
 	weight   float64
-	asked    window
-	got      window
+	asked    slidingSum
+	got      slidingSum
 	lastStep int64 // Step of the newest count.
 }
 
@@ -52,15 +52,15 @@
 	stepLength  = 200 * time.Millisecond
 )
 
-// window is a sum over the last windowSteps steps.
-type window struct {
+// slidingSum is a sum over the last windowSteps steps.
+type slidingSum struct {
 	counts [windowSteps]float64
 	step   int64 // Step of the newest count.
 }
 
-func (w *window) advance(step int64) {
+func (w *slidingSum) advance(step int64) {
 	if step-w.step >= windowSteps {
-		*w = window{step: step}
+		*w = slidingSum{step: step}
 	}
 	for w.step < step {
 		w.step++
@@ -68,12 +68,12 @@
 	}
 }
 
-func (w *window) add(step int64, n float64) {
+func (w *slidingSum) add(step int64, n float64) {
 	w.advance(step)
 	w.counts[w.step%windowSteps] += n
 }
 
-func (w *window) sum(step int64) float64 {
+func (w *slidingSum) sum(step int64) float64 {
 	w.advance(step)
 	total := 0.0
 	for _, n := range w.counts {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -61,6 +61,12 @@
 	return out
 }
 
+// level returns how many ranks of the request's service are more urgent than its own.
+func (a *admissions) level(rq *request) int {
+	s := a.service(rq.catalog.Config, rq.service)
+	return s.Level(rq.rank)
+}
+
 // state returns the state of a service. The caller holds a.mu.
 func (a *admissions) state(service string) *admissionState {
 	s, ok := a.states[service]
@@ -177,6 +183,5 @@
 	if d.Cause == admission.DeadlineTooClose {
 		res.Reason = fault.PastDeadline
 	}
-	res.RetryAt = g.retryTime(now, rq, rq.queueWait)
 	return res
 }
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -26,7 +26,7 @@
 	defer d.close()
 	last := d.run()
 	if last.Outcome == dispatch.NotRun && last.RetryAt.IsZero() {
-		last.RetryAt = g.retryTime(time.Now(), rq, 0)
+		last.RetryAt = g.retryTime(time.Now(), rq, last.Reason)
 	}
 	if last.Outcome != dispatch.Done && !out.started && ctx.Err() == nil && out.writeFailure() {
 		return dispatch.Result{Outcome: dispatch.Done, Reason: fault.UpstreamFailed}
@@ -73,7 +73,7 @@
 func (g *Relay) noReplicaResult(now time.Time, rq *request, choice route.Choice, err error) dispatch.Result {
 	rq.replicaVersions = fmt.Sprint(g.table.CountByVersion(now, rq.service))
 	res := notRun(fault.CodeOf(err))
-	res.RetryAt = g.retryTime(now, rq, 0)
+	res.RetryAt = g.retryTime(now, rq, res.Reason)
 	if res.Reason == fault.UpstreamBackingOff || res.Reason == fault.UpstreamLimited {
 		res.RetryAt = retryAfterBackoff(now, choice.Availability.BackAt)
 	}
@@ -139,10 +139,9 @@
 		first = out.firstAt.Sub(rq.arrivedAt)
 	}
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
-		"rank", rq.rank, "hall", g.Settings.Hall, "target_ms", rq.route.TargetLatency.Milliseconds(),
+		"rank", rq.rank, "hall", g.Settings.Hall, "target_ms", rq.route.TargetLatency.Milliseconds(), "waited_ms", rq.admission.waited.Milliseconds(), "admission", rq.admission.decision.Cause,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
-		"rank", rq.rank, "target_ms", rq.route.TargetLatency.Milliseconds(), "waited_ms", rq.admission.waited.Milliseconds(), "admission", rq.admission.decision.Cause,
-		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
+		"client_retry", rq.attempt, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "retries_before", rq.retriesBefore, "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -32,9 +32,9 @@
 	rank             int
 	arrivedAt        time.Time
 	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
-	retried          bool      // The caller has most likely been refused before.
 	attempt          admission.Attempt
 	admission        admissionRecord
+	retriesBefore    int // Retries expected before the one that the caller was told to make.
 	workload         route.Workload
 	lastEventID      string             // ID of the last stream event sent to the caller.
 	version          uint64             // Version of the first part of the answer; all further parts must match it.
