peers, stager: agents answer queries for the load of their replicas

A gateway learns load from reports that are up to 0.9 s old, while a replica's pace changes several times a second. Kind 114 LoadQuery asks an agent for its replica's load at that moment, and kind 115 LoadAnswer returns it, both encoded by field name. Queries that arrive while a report of the replica is being requested share it, and a report up to 10 ms old is reused. A replica that asked its agent for a backoff is sent nothing, and the answer says that it was not reached. Connections that gateways open to an agent are pinged every 15 s.

--- /dev/null
+++ b/internal/peers/load.go
@@ -0,0 +1,59 @@
+package peers
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/wire"
+)
+
+// LoadPingInterval is the interval of pings on connections on which gateways query the load of
+// replicas. They are many and often idle, and a query to an agent that was lost ends by its own
+// timeout.
+const LoadPingInterval = 15 * time.Second
+
+// LoadQuery asks an agent for the current load of its replica. It is answered by a LoadAnswer.
+// Builds that do not know it refuse it.
+type LoadQuery struct {
+	Addr string // Address of the replica.
+}
+
+// LoadAnswer answers a LoadQuery. Its fields have the same meaning as those of a Report.
+type LoadAnswer struct {
+	Version         uint64
+	Changing        bool
+	ChangeIn        time.Duration
+	Queued          int
+	Running         int
+	Pace            float64
+	FetchingWeights bool
+	SlowLink        bool
+	Reached         bool // The replica answered its agent.
+}
+
+// maxReportedLoad bounds the numbers of requests in a LoadAnswer, and maxPace the pace.
+const (
+	maxReportedLoad = 1 << 20
+	maxPace         = 1000
+)
+
+// Valid reports whether the message is plausible: its values are within bounds.
+func (a *LoadAnswer) Valid() bool {
+	return a.Queued >= 0 && a.Queued <= maxReportedLoad && a.Running >= 0 && a.Running <= maxReportedLoad &&
+		!math.IsNaN(a.Pace) && a.Pace >= 0 && a.Pace <= maxPace && a.ChangeIn >= 0
+}
+
+// QueryLoad requests the load of the replica at an address from its agent.
+func QueryLoad(ctx context.Context, c *wire.Conn, replica string) (*LoadAnswer, error) {
+	m, err := c.Call(ctx, &LoadQuery{replica})
+	if err != nil {
+		return nil, err
+	}
+	a, ok := m.(*LoadAnswer)
+	if !ok || !a.Valid() {
+		return nil, fault.New(fault.Garbage, "invalid answer to a load query")
+	}
+	return a, nil
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -186,4 +186,6 @@
 	{Kind: 111, Message: &ColdPermitRequest{}, ByName: true},
 	{Kind: 112, Message: &LimiterQuery{}, ByName: true},
 	{Kind: 113, Message: &LimiterAnswer{}, ByName: true},
+	{Kind: 114, Message: &LoadQuery{}, ByName: true},
+	{Kind: 115, Message: &LoadAnswer{}, ByName: true},
 }
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -76,6 +76,7 @@
 	// quarantined holds the quarantined requests that the last gateway sent; nil before.
 	quarantined atomic.Pointer[quarantine.Table]
 	backoff     backoff
+	freshReport sharedReport
 }
 
 // New returns a stager that is ready to run.
@@ -102,6 +103,7 @@
 	}
 	st.linkLimiter = rate.NewLimiter(rate.Limit(linkShare*st.linkRate()), sendPart)
 	st.exchange.Serve(st.handlers)
+	wire.On(st.handlers, st.serveLoadQuery)
 	st.options.Platform.Mirror = &st.mirror
 	st.options.Platform.Needed = st.assignments.isolated
 	st.options.Platform.MaxAssumedAge = peers.MaxAssumedAgeFor(s.VersionWithin)
@@ -232,9 +234,12 @@
 	k.AddTask(s.sendStatuses)
 }
 
-// Server returns the server for connections of other agents.
+// Server returns the server for connections of other agents, and of gateways that query the load
+// of the replica.
 func (s *Stager) Server() *wire.Server {
-	return &wire.Server{Local: s.pool.Local, Codec: Codec, Handlers: s.handlers, Options: s.pool.Options}
+	options := s.pool.Options
+	options.PingIntervalFor = s.servedPingInterval
+	return &wire.Server{Local: s.pool.Local, Codec: Codec, Handlers: s.handlers, Options: options}
 }
 
 // Run runs the stager until ctx ends.
