--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -20,9 +21,12 @@
 
 // Relay holds the settings of a gateway that sends requests directly to upstreams.
 type Relay struct {
-	DirectCommon    `yaml:",inline"`
-	HTTP            string `yaml:"http"`  // IP and port for callers.
-	Ready           string `yaml:"ready"` // IP and port of the load balancer's readiness check.
+	DirectCommon `yaml:",inline"`
+	HTTP         string `yaml:"http"`  // IP and port for callers.
+	Ready        string `yaml:"ready"` // IP and port of the load balancer's readiness check.
+	// AgentPort is the port of the agents' listen addresses, at the IPs of their replicas. Without
+	// it agents are not queried for the load of their replicas.
+	AgentPort       int `yaml:"agent_port"`
 	RelayReloadable `yaml:",inline"`
 }
 
@@ -70,6 +74,7 @@
 const (
 	defaultStagerMemory = 64 << 20
 	defaultApplyWithin  = 2 * time.Second
+	maxPort             = 1<<16 - 1
 )
 
 // LoadRelay reads the settings of a gateway, or returns every problem in them.
@@ -83,6 +88,9 @@
 	checkDirectCommon(d, &r.DirectCommon)
 	checkAddr(d, "http", r.HTTP)
 	checkAddr(d, "ready", r.Ready)
+	if r.AgentPort < 0 || r.AgentPort > maxPort {
+		d.Report("agent_port", fmt.Sprintf("want a port from 1 to %d, or none, not %d", maxPort, r.AgentPort))
+	}
 	for key, v := range map[string]time.Duration{
 		"grace_for": r.GracePeriod, "version_within": r.VersionWithin, "retry_window": r.RetryWindow,
 		"apply_within": r.ApplyWithin,
@@ -135,7 +143,7 @@
 // CanReload reports whether r and other differ at most in the settings that may change while
 // the process runs.
 func (r *Relay) CanReload(other *Relay) bool {
-	return r.DirectCommon.equal(&other.DirectCommon) && r.HTTP == other.HTTP && r.Ready == other.Ready
+	return r.DirectCommon.equal(&other.DirectCommon) && r.HTTP == other.HTTP && r.Ready == other.Ready && r.AgentPort == other.AgentPort
 }
 
 // CanReload reports whether s and other differ at most in the settings that may change while
