route: choices by load that was just read, and other halls by uncertainty

Predictions by answers have a correction ratio of their own: reports tell of a slowdown late, so their ratio includes it, and an answer that tells of the same slowdown would count it twice.

If all replicas drawn have too long a wait for the request to be sent, any other with a shorter one is chosen, so that a full hall sends requests elsewhere before it refuses them.

--- a/route/declared.go
+++ b/route/declared.go
@@ -46,7 +46,7 @@
 	if r != nil && (r.Matches(inc) || inc.Before(r.Incarnation)) {
 		return r
 	}
-	r = &Replica{latencyRatio: 1}
+	r = &Replica{latencyRatio: 1, freshRatio: 1}
 	for o, p := range t.past {
 		if o.Matches(inc) {
 			r.declaredState = p.declaredState
--- a/route/predict.go
+++ b/route/predict.go
@@ -48,7 +48,7 @@
 // While requests wait for a first event, it is at least the time for which the replica has
 // produced none.
 func (r *Replica) expectedLatency(now time.Time, e config.Engine, w Workload) time.Duration {
-	d := time.Duration(float64(r.predictLatency(now, e, w)) * r.latencyRatio)
+	d := time.Duration(float64(r.predictLatency(now, e, w)) * *r.ratio(r.isFresh(now)))
 	if r.prefilling > 0 {
 		d = max(d, now.Sub(r.waitingSince))
 	}
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -8,7 +8,9 @@
 	workload      Workload
 	pickedAt      time.Time // When the replica was chosen.
 	gotFirstEvent bool
-	failed        bool // A failure of the request has been counted.
+	failed        bool    // A failure of the request has been counted.
+	fresh         bool    // The prediction rests on a load that was read right before.
+	slowdown      float64 // The replica's reported slowdown that the prediction includes; at least 1.
 	// permitUntil is when the request's permit for a rate-limited replica expires; zero without
 	// a permit.
 	permitUntil time.Time
@@ -30,19 +32,38 @@
 	r.decoding++
 	r.failures, r.ejections = 0, 0
 	if predicted > 0 {
-		r.recordLatencyRatio(float64(took) / float64(predicted) * r.latencyRatio)
+		r.recordLatencyRatio(res, float64(took)/float64(predicted)**r.ratio(res.fresh))
 	}
 }
 
+// ratio returns the smoothed ratio that corrects predictions by a load that was read right before,
+// or by reports. Reports tell of a slowdown late, so the ratio of the latter includes slowdowns. If
+// it also corrected predictions by a current slowdown, that would count twice.
+func (r *Replica) ratio(fresh bool) *float64 {
+	if fresh {
+		return &r.freshRatio
+	}
+	return &r.latencyRatio
+}
+
+// slowdown returns the reported slowdown that predictions include.
+func (r *Replica) slowdown() float64 { return max(1, r.Report.Slowdown) }
+
 // recordLatencyRatio adds a sample of the measured over the predicted latency to the smoothed
-// ratio. Increases have a greater weight than decreases.
-func (r *Replica) recordLatencyRatio(ratio float64) {
-	ratio = min(maxLatencyRatio, max(1/maxLatencyRatio, ratio))
+// ratio. Increases have a greater weight than decreases, except for predictions by a current load.
+// Of these, a sample is reduced by a slowdown that was reported since, as later predictions include
+// it.
+func (r *Replica) recordLatencyRatio(res *Reservation, sample float64) {
+	smoothed := r.ratio(res.fresh)
 	weight := ratioWeight
-	if ratio > r.latencyRatio {
+	switch {
+	case res.fresh:
+		sample /= max(1, r.slowdown()/res.slowdown)
+	case sample > *smoothed:
 		weight = ratioWeightUp
 	}
-	r.latencyRatio += weight * (ratio - r.latencyRatio)
+	sample = min(maxLatencyRatio, max(1/maxLatencyRatio, sample))
+	*smoothed += weight * (sample - *smoothed)
 }
 
 // RequestResult is how a request at a replica ended.
@@ -99,7 +120,7 @@
 	}
 	res.failed = true
 	if !res.gotFirstEvent {
-		r.recordLatencyRatio(2 * r.latencyRatio)
+		r.recordLatencyRatio(res, 2**r.ratio(res.fresh))
 	}
 	r.failures++
 	if r.failures >= replicaEjectAfter {
--- a/route/sync.go
+++ b/route/sync.go
@@ -19,6 +19,7 @@
 	t.services = map[string][]*Replica{}
 	t.engines = map[string]config.Engine{}
 	t.coldStarts = map[string]coldStart{}
+	t.subsets = nil
 	for name, s := range services {
 		t.engines[name] = s.Engine
 		if s.ColdRate > 0 {
@@ -106,25 +107,38 @@
 }
 
 // UpdateReport stores an agent's report of the replica at an address, unless a newer one is
-// already stored: reports arrive by several paths.
+// already stored: reports arrive by several paths. Shortly after an answer to a load query, the load
+// in a report is older than the answer and is not stored.
 func (t *Table) UpdateReport(addr string, rep AgentReport) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.byAddr[addr]; r != nil && !rep.ReceivedAt.Before(r.Report.ReceivedAt) {
-		if rep.accepting() && !r.Report.accepting() {
-			r.availableSince = rep.ReceivedAt
-		}
-		if rep.SlowLink {
-			r.slowLinkUntil = rep.ReceivedAt.Add(slowLinkFor)
-		}
-		r.Report = rep
-		switch {
-		case !rep.Changing:
-			r.changingSince = time.Time{}
-		case r.changingSince.IsZero():
-			r.changingSince = rep.ReceivedAt
-		}
-		r.ownAtReport = r.prefilling + r.decoding
+	r := t.byAddr[addr]
+	if r == nil || rep.ReceivedAt.Before(r.Report.ReceivedAt) {
+		return
+	}
+	if !r.loadReadAt.IsZero() && rep.ReceivedAt.Sub(r.loadReadAt) < agentSampleInterval {
+		rep.Queued, rep.Running, rep.Slowdown = r.Report.Queued, r.Report.Running, r.Report.Slowdown
+		r.update(rep)
+		return
+	}
+	r.update(rep)
+	r.ownAtReport = r.prefilling + r.decoding
+}
+
+// update stores a report.
+func (r *Replica) update(rep AgentReport) {
+	if rep.accepting() && !r.Report.accepting() {
+		r.availableSince = rep.ReceivedAt
+	}
+	if rep.SlowLink {
+		r.slowLinkUntil = rep.ReceivedAt.Add(slowLinkFor)
+	}
+	r.Report = rep
+	switch {
+	case !rep.Changing:
+		r.changingSince = time.Time{}
+	case r.changingSince.IsZero():
+		r.changingSince = rep.ReceivedAt
 	}
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -68,18 +68,24 @@
 	notHeldAt      time.Time // When it last refused a request because it does not hold what it was expected to.
 	servedVersion  uint64    // Version of its last answer that stated one; 0 if there is none.
 	latencyRatio   float64   // Smoothed ratio of the measured to the predicted time to the first event.
+	freshRatio     float64   // The same for predictions by a load that was read right before.
 	waitingSince   time.Time // While requests wait for a first event: the last first event, or when the first of them was sent.
 	typicalLatency time.Duration
 	needsProbe     bool        // It requested a backoff and has answered nothing sent since the backoff ended.
 	probedAt       time.Time   // When a request was last sent while needsProbe is set.
 	sent           recentSends // Requests that this gateway sent there recently.
 	permits        permitState
+
+	loadReadAt      time.Time // When its agent last answered a load query.
+	noQueryUntil    time.Time // Its agent did not answer and is not queried until then.
+	reportOnlyUntil time.Time // Its agent does not know load queries and is not queried until then.
 }
 
 // Table is a gateway's table of replicas. The zero value is an empty table. Its methods are
 // safe for concurrent use.
 type Table struct {
-	Hall string // The gateway's hall.
+	Hall    string // The gateway's hall.
+	Gateway string // Name of the gateway, which determines the replicas that it reads the load of.
 	// DelistGrace is how long a replica that disappears from the list without leaving is still
 	// used while it is active: list entries may expire while the platform is unavailable, and
 	// reappear when it is available again. It is well within the time for which a leaving
@@ -96,6 +102,7 @@
 	drainedHalls map[string]bool
 	// coldStarts holds the cold rate and time of each service whose replicas have them.
 	coldStarts map[string]coldStart
+	subsets    map[string]subset // By service, as far as needed since the last change of the list.
 }
 
 // Parameters of a Table.
@@ -149,6 +156,13 @@
 	AvoidPermits   bool            // Choose a replica that needs no permit, if there is one.
 	// AllowsHall reports whether the request may be served in a hall. Nil allows all halls.
 	AllowsHall func(hall string) bool
+	// Draw restricts the choice among replicas of the gateway's own hall to those that were drawn
+	// and whose load is known. Nil, or a draw without any answer, does not restrict it.
+	Draw *Draw
+	// MaxWait is the longest wait for which the request is sent; zero for no limit. If all sampled
+	// replicas have a longer one, any other replica with a shorter one is chosen. It applies only
+	// with an answer to Draw.
+	MaxWait time.Duration
 }
 
 // Choice is the result of Pick.
@@ -157,7 +171,8 @@
 	Version      uint64        // The version that the replica is believed to hold.
 	Predicted    time.Duration // Predicted time to the first event, or to the answer of a plain service.
 	QueueWait    time.Duration // The part of Predicted before the replica starts on the request.
-	ReportAge    time.Duration // Age of the agent's report of the replica; negative if there is none.
+	ReportAge    time.Duration // Age of the agent's report of the replica, or of its answer to a query; negative if there is none.
+	Fresh        bool          // The choice rests on an answer to a query.
 	Reservation  *Reservation
 	Deadline     time.Time    // Deadline to set for the request; zero for the caller's.
 	Limit        Limit        // Rate limit in force for the replica.
@@ -178,26 +193,13 @@
 		cs = t.withoutPermits(now, cs)
 	}
 	e := t.engines[crit.Service]
-	var best *Replica
-	var predicted, cost time.Duration // Of best; cost is predicted plus penalties.
-	for _, r := range t.sample(now, cs) {
-		p := r.expectedLatency(now, e, crit.Workload)
-		c := p
-		if r.Hall != t.Hall {
-			c += otherHallCost
-		}
-		if now.Before(r.slowLinkUntil) {
-			c += slowLinkCost
-		}
-		if t.needsPermit(now, r) {
-			c += permitCost
-		}
-		c += time.Duration(switchDelayCost * float64(r.switchDelay(now, e, crit.Workload)))
-		if best == nil || c < cost {
-			best, predicted, cost = r, p, c
+	chosen := t.best(now, e, crit, t.sample(now, cs, crit.Draw))
+	if crit.isTooLong(chosen.wait) {
+		if spill := t.withRoom(now, e, crit, cs); len(spill) > 0 {
+			chosen = t.best(now, e, crit, spill)
 		}
 	}
-	wait := best.expectedLatency(now, e, Workload{})
+	best := chosen.replica
 	if best.prefilling == 0 {
 		best.waitingSince = now
 	}
@@ -208,19 +210,45 @@
 	best.prefilling++
 	best.prefillTokens += crit.Workload.PromptTokens
 	return Choice{
-		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now},
-		Upstream:    best.Upstream, Version: best.version(now), Predicted: predicted,
-		QueueWait: wait, ReportAge: best.reportAge(now), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
+		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now, fresh: best.isFresh(now), slowdown: best.slowdown()},
+		Upstream:    best.Upstream, Version: best.version(now), Predicted: chosen.predicted,
+		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: best.isFresh(now), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
 	}, nil
 }
 
-// sample draws the candidates for one choice at random, some of this hall, if there are any,
-// and some of others. If all gateways chose the best replica from the same stale reports, they
+// sample returns the candidates for one choice: those of a draw whose load is known, if there are
+// any, and others at random.
+func (t *Table) sample(now time.Time, cs []*Replica, d *Draw) []*Replica {
+	if !d.hasAnswer() {
+		return t.sampleByReports(now, cs)
+	}
+	drawn, rest := d.split(t.Hall, cs)
+	if len(drawn) == 0 && len(rest) == 0 {
+		return t.sampleByReports(now, cs)
+	}
+	if len(drawn) == 0 {
+		return t.sampleByReports(now, rest)
+	}
+	sampled, _ := t.drawByReports(now, rest)
+	return append(drawn, sampled...)
+}
+
+// sampleByReports draws candidates at random, some of this hall, if there are any, and some of
+// others. If all gateways chose the best replica from the same stale reports, they
 // would overload it. A replica that has just become available looks best to all gateways until
 // agents report the requests it was sent, so it is drawn less often at first.
-func (t *Table) sample(now time.Time, cs []*Replica) []*Replica {
+func (t *Table) sampleByReports(now time.Time, cs []*Replica) []*Replica {
+	out, skipped := t.drawByReports(now, cs)
+	if len(out) == 0 {
+		return skipped[:min(sampledInHall+sampledElsewhere, len(skipped))]
+	}
+	return out
+}
+
+// drawByReports is sampleByReports, but it also returns the replicas that were skipped because they
+// have just become available.
+func (t *Table) drawByReports(now time.Time, cs []*Replica) (out, skipped []*Replica) {
 	here, there := sampledInHall, sampledElsewhere
-	var out, skipped []*Replica
 	for _, i := range rand.Perm(len(cs)) {
 		r := cs[i]
 		left := &there
@@ -236,10 +264,7 @@
 			out = append(out, r)
 		}
 	}
-	if len(out) == 0 {
-		return skipped[:min(sampledInHall+sampledElsewhere, len(skipped))]
-	}
-	return out
+	return out, skipped
 }
 
 // rampUp returns the probability with which the replica is drawn as a candidate. It grows from
