relay: agents are queried for load right before a choice

Requests predicted at 75 ms and at 275 ms had the same outcome, since reports are 0.2 to 0.9 s old where there are many gateways. With more than 12 live gateways and agent_port set, a gateway queries the agents of up to three replicas of its hall and waits at most 15 ms. An agent that does not answer is not queried for 300 ms, and one that refuses the query as unsupported not for 10 s; its replica is chosen by reports. If none answers, the choice is made as before. Connections are closed after 30 s without a query. Metrics count queries, failures and the error of predictions, and the request log line gains load_queried.

--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -25,6 +25,9 @@
 	// whose connection is closed then is lost, so they are longer than callers wait.
 	replicaAckTimeout      = 30 * time.Second
 	replicaKeepAliveProbes = 30
+	// idleKeepAliveInterval is that of connections that are many and mostly idle, and on which a
+	// dead path is noticed by the timeouts of what is sent.
+	idleKeepAliveInterval = 15 * time.Second
 	// startupDialTimeout bounds each dial of a starting process. A peer that is not up yet,
 	// or that many processes dial at once, may accept a moment later, but the kernel would
 	// resend the SYN only after a second.
@@ -54,7 +57,7 @@
 
 // DialContext connects to another process or the platform.
 func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
-	return dial(ctx, network, addr, ackTimeout, keepAliveProbes)
+	return dial(ctx, network, addr, ackTimeout, keepAliveInterval, keepAliveProbes)
 }
 
 // Dial is DialContext with network "tcp".
@@ -62,12 +65,17 @@
 
 // DialReplica connects to a replica, to send requests of callers.
 func DialReplica(ctx context.Context, addr string) (net.Conn, error) {
-	return dial(ctx, "tcp", addr, replicaAckTimeout, replicaKeepAliveProbes)
+	return dial(ctx, "tcp", addr, replicaAckTimeout, keepAliveInterval, replicaKeepAliveProbes)
 }
 
-func dial(ctx context.Context, network, addr string, ackTimeout time.Duration, probes int) (net.Conn, error) {
+// DialIdle connects to a process to which little is sent.
+func DialIdle(ctx context.Context, addr string) (net.Conn, error) {
+	return dial(ctx, "tcp", addr, ackTimeout, idleKeepAliveInterval, keepAliveProbes)
+}
+
+func dial(ctx context.Context, network, addr string, ackTimeout, keepAlive time.Duration, probes int) (net.Conn, error) {
 	d := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: probes,
+		Enable: true, Idle: keepAlive, Interval: keepAlive, Count: probes,
 	}, Control: func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, ackTimeout) }}
 	return d.DialContext(ctx, network, addr)
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -19,12 +19,16 @@
 // admits reports whether the predicted queue wait at the chosen replica is short enough to
 // send the request.
 func admits(rq *request, c route.Choice) bool {
-	if !c.Engine || rq.route.TargetLatency <= 0 {
-		return true
-	}
+	limit := maxQueueWait(rq)
+	return !c.Engine || limit == 0 || c.QueueWait <= limit
+}
+
+// maxQueueWait returns the longest predicted queue wait for which the request is sent to a replica
+// of a model; zero for no limit.
+func maxQueueWait(rq *request) time.Duration {
 	share := firstTryShare
 	if rq.retried {
 		share = retryTryShare
 	}
-	return c.QueueWait <= time.Duration(share*float64(rq.route.TargetLatency))
+	return max(0, time.Duration(share*float64(rq.route.TargetLatency)))
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -372,5 +372,6 @@
 		took := time.Since(a.startedAt)
 		a.relay.table.RecordFirstEvent(time.Now(), a.to.Reservation, took, a.to.Predicted)
 		a.relay.Metrics.FirstData(took.Seconds())
+		a.relay.recordPrediction(a.to, took)
 	}
 }
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -46,6 +46,7 @@
 	mu              sync.Mutex      // Guards replicas in tests that start some of them later.
 	hallCount       int             // Gateways are assigned to this number of halls in turn; one by default.
 	onDial          func(to string) // If set, called before a gateway connects.
+	agentPort       int             // Port of the agents that gateways query for load; none if 0.
 	join            []string        // Addresses through which gateways join; the first gateway by default.
 	soleStoreClient atomic.Int64    // If positive, only gateway soleStoreClient-1 can reach the store of storeFor.
 }
@@ -107,6 +108,7 @@
 		DirectCommon: settings.DirectCommon{
 			Cluster: "c", Box: addr, Hall: cl.hallOf(i), Listen: addr, Store: "store:1", Join: join,
 		},
+		AgentPort: cl.agentPort,
 		RelayReloadable: settings.RelayReloadable{
 			GracePeriod: 8 * time.Second, VersionWithin: 8 * time.Second, ApplyWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
--- a/internal/relay/permit.go
+++ b/internal/relay/permit.go
@@ -61,6 +61,7 @@
 		live[i] = m.Addr
 	}
 	g.memberViews.update(now, live, g.gossip.KnownCount(), g.settleTime())
+	g.loads.setGateways(members, g.Settings.Hall)
 }
 
 // hasPermit reports whether a request may be sent to the chosen replica: either it has no
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -37,9 +37,13 @@
 // there is none. A replica with a limit is skipped if no permit is granted.
 func (g *Relay) choose(ctx context.Context, rq *request, exclude map[string]bool, arrivals int) (route.Choice, dispatch.Result, bool) {
 	for permitRequests := 0; ; permitRequests++ {
-		now := time.Now()
 		criteria := rq.routeCriteria(g, exclude)
 		criteria.AvoidPermits = permitRequests >= maxPermitWaits
+		if arrivals == 0 {
+			criteria.MaxWait = maxQueueWait(rq)
+		}
+		criteria.Draw = g.readLoads(ctx, rq, criteria)
+		now := time.Now()
 		choice, err := g.table.Pick(now, criteria)
 		rq.availability = choice.Availability
 		if err != nil {
@@ -83,7 +87,7 @@
 
 // recordChoice records for the log what is known of the chosen replica.
 func (rq *request) recordChoice(g *Relay, now time.Time, c route.Choice) {
-	rq.predicted, rq.queueWait, rq.reportAge = c.Predicted, c.QueueWait, c.ReportAge
+	rq.predicted, rq.queueWait, rq.reportAge, rq.freshLoad = c.Predicted, c.QueueWait, c.ReportAge, c.Fresh
 	rq.heldVersion, rq.versionTimeLeft, rq.listedAt = c.Version, 0, c.ListedAt
 	if deadline := g.versionDeadline(rq, c.Version); c.Engine && !deadline.IsZero() {
 		rq.versionTimeLeft = deadline.Sub(now)
@@ -141,7 +145,7 @@
 	}
 	telemetry.Log("request", "id", rq.id, "key", rq.key, "route", rq.routeName, "service", rq.service, "organisation", rq.organisation,
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
-		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(),
+		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(), "load_queried", rq.freshLoad,
 		"client_retry", rq.retried, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
 		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,7 @@
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
 	endProbes      endProbes
+	loads          loadReader
 	heldForCallers atomic.Int64 // Bytes in all callerBuffers.
 	// memberViews are the recent views of which gateways are live.
 	memberViews memberViews
@@ -96,7 +97,7 @@
 	}
 	g := &Relay{
 		Settings: s, Metrics: m, options: o, startedAt: time.Now(), startDelay: startWait.Draw(), retryWindows: map[string]*limit.RetryWindow{}, limiterStates: map[string]*limiterState{}, limiterBackoff: map[string]time.Time{},
-		table: route.Table{Hall: s.Hall, DelistGrace: delistGrace(&s.RelayReloadable)}, conns: connPool{Dial: o.Dial},
+		table: route.Table{Hall: s.Hall, Gateway: s.Listen, DelistGrace: delistGrace(&s.RelayReloadable)}, conns: connPool{Dial: o.Dial},
 		endProbes: endProbes{Dial: o.Dial},
 	}
 	g.headers = &g.options.Headers
@@ -118,6 +119,7 @@
 			},
 		},
 	}
+	g.loads.pool = g.newLoadPool()
 	g.gossip = &peers.Gossip{
 		Self: peers.Member{Name: s.Box, Addr: s.Listen, Hall: s.Hall}, Pool: g.pool, Mirror: &g.mirror, Join: s.Join,
 		Follower: g.options.Follower, Suspects: &g.suspects,
@@ -294,6 +296,7 @@
 			g.endProbes.sweep(now)
 			g.updateMemberViews(now)
 			g.sweepLimiters(now)
+			g.loads.sweep(now)
 		case <-ctx.Done():
 			return nil
 		}
@@ -332,7 +335,7 @@
 // the old settings stay in force.
 func (g *Relay) Reload(s *settings.Relay) error {
 	if !g.Settings.CanReload(s) {
-		return fault.New(fault.BadConfig, "cluster, box, hall, store, join list and listen addresses can be changed only by a restart")
+		return fault.New(fault.BadConfig, "cluster, box, hall, store, join list, agent port and listen addresses can be changed only by a restart")
 	}
 	g.bounds.Store(&s.RelayReloadable)
 	g.table.SetDelistGrace(delistGrace(&s.RelayReloadable))
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -41,6 +41,7 @@
 	predicted        time.Duration      // Time until the first event, at the replica chosen last.
 	queueWait        time.Duration      // Part of predicted before the replica starts on the request.
 	reportAge        time.Duration      // Age of the agent's report about that replica; -1 ms if there is none.
+	freshLoad        bool               // The replica's load was queried right before it was chosen.
 	replicaVersions  string             // Versions that replicas hold, if none could be chosen.
 	heldVersion      uint64             // Version that the replica chosen last is believed to hold.
 	versionTimeLeft  time.Duration      // Time left to start requests on that version when it was chosen; zero if unlimited.
--- a/internal/telemetry/telemetry.go
+++ b/internal/telemetry/telemetry.go
@@ -34,6 +34,7 @@
 	byteAttributes   sync.Map // Attribute sets of the bytes counter, by purpose.
 	firstDataSeconds metric.Float64Histogram
 	answerSeconds    metric.Float64Histogram
+	predictionError  metric.Float64Histogram
 }
 
 // New creates the instruments of a process.
@@ -59,8 +60,9 @@
 		}
 		return c
 	}
-	seconds := func(name, description string) metric.Float64Histogram {
-		h, err := m.meter.Float64Histogram(name, metric.WithDescription(description), metric.WithUnit("s"))
+	seconds := func(name, description string, options ...metric.Float64HistogramOption) metric.Float64Histogram {
+		options = append(options, metric.WithDescription(description), metric.WithUnit("s"))
+		h, err := m.meter.Float64Histogram(name, options...)
 		if err != nil {
 			lastErr = fault.Wrap(fault.Internal, err, name)
 		}
@@ -73,6 +75,8 @@
 	m.bytes = counter("poststand_bytes", "Bytes moved, by what they were for.")
 	m.firstDataSeconds = seconds("poststand_first_data_seconds", "Until the first part of an answer.")
 	m.answerSeconds = seconds("poststand_answer_seconds", "Until the end of an answer.")
+	m.predictionError = seconds("poststand_prediction_error_seconds", "Difference of the measured from the predicted time to the first part of an answer, by what the prediction rested on.",
+		metric.WithExplicitBucketBoundaries(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2))
 	return lastErr
 }
 
@@ -126,6 +130,16 @@
 // FullAnswer records the seconds until the end of an answer.
 func (m *Metrics) FullAnswer(seconds float64) { m.answerSeconds.Record(context.Background(), seconds) }
 
+// PredictionError records by how many seconds the first part of an answer was later than predicted,
+// or earlier if negative. Basis must be one of few values.
+func (m *Metrics) PredictionError(basis string, seconds float64) {
+	side := "late"
+	if seconds < 0 {
+		side, seconds = "early", -seconds
+	}
+	m.predictionError.Record(context.Background(), seconds, withAttributes("basis", basis, "side", side))
+}
+
 // Gauge registers a gauge whose value is read when the metrics are collected.
 func (m *Metrics) Gauge(name, description string, read func() float64) error {
 	_, err := m.meter.Float64ObservableGauge(name, metric.WithDescription(description),
