relay: a full hall uses others until it has room, tested; small buffers for load queries

Answers that arrived while the gateway itself was held up are still used. Connections for load queries have buffers of 1 KiB and one message a stream instead of 512: each query had allocated 20 KB.

--- a/internal/relay/loadquery.go
+++ b/internal/relay/loadquery.go
@@ -25,6 +25,7 @@
 	loadRetryDelay       = 300 * time.Millisecond // Pause after an agent did not answer.
 	loadUnsupportedDelay = 10 * time.Second       // Pause after an agent refused a query as unsupported.
 	loadConnIdle         = 30 * time.Second       // Connections without a query for longer are closed.
+	loadConnBuffer       = 1 << 10                // Bytes of the buffers of a connection.
 )
 
 // loadReader holds the connections to agents for load queries, and the number of gateways.
@@ -45,6 +46,7 @@
 	}
 	options := g.pool.Options
 	options.PingIntervalFor = func(wire.Hello) time.Duration { return peers.LoadPingInterval }
+	options.BufferSize, options.StreamBuffer = loadConnBuffer, 1 // A query has one short answer.
 	return &wire.Pool{
 		Local: g.pool.Local, Codec: Codec, Handlers: &wire.Handlers{}, Lifetime: g.ctx, Options: options, RedialDelay: loadRetryDelay,
 		Dial: link.Dialer{Starting: g.mirrorEmpty, Connect: dial}.Dial,
@@ -106,29 +108,44 @@
 	queryCtx, cancel := context.WithTimeout(ctx, loadQueryTimeout)
 	defer cancel()
 	results := make(chan loadResult, len(d.Queries))
-	pending := map[string]route.LoadQuery{}
 	for _, q := range d.Queries {
-		pending[q.ID] = q
 		go func() {
 			a, err := g.queryLoad(queryCtx, q.Addr)
 			results <- loadResult{q, a, err}
 		}()
 	}
-	for len(pending) > 0 {
-		select {
-		case r := <-results:
-			delete(pending, r.query.ID)
-			g.recordLoad(ctx, d, r)
-		case <-queryCtx.Done():
-			for _, q := range pending {
-				g.recordLoad(ctx, d, loadResult{query: q, err: fault.New(fault.Timeout, "load query")})
-			}
-			return d
+	answered := map[string]bool{}
+	for len(answered) < len(d.Queries) {
+		r, ok := nextResult(queryCtx, results)
+		if !ok {
+			break
+		}
+		answered[r.query.ID] = true
+		g.recordLoad(ctx, d, r)
+	}
+	for _, q := range d.Queries {
+		if !answered[q.ID] {
+			g.recordLoad(ctx, d, loadResult{query: q, err: fault.New(fault.Timeout, "load query")})
 		}
 	}
 	return d
 }
 
+// nextResult returns the next result of a query, or false if there is none when ctx has ended.
+func nextResult(ctx context.Context, results <-chan loadResult) (loadResult, bool) {
+	select {
+	case r := <-results:
+		return r, true
+	case <-ctx.Done():
+	}
+	select {
+	case r := <-results:
+		return r, true
+	default:
+		return loadResult{}, false
+	}
+}
+
 // queryLoad queries the agent of the replica at an address.
 func (g *Relay) queryLoad(ctx context.Context, replica string) (*peers.LoadAnswer, error) {
 	host, _, err := net.SplitHostPort(replica)
--- a/internal/relay/loadquery_test.go
+++ b/internal/relay/loadquery_test.go
@@ -32,6 +32,13 @@
 	dials   int
 }
 
+// setAnswer changes the answer.
+func (a *loadAgent) setAnswer(answer peers.LoadAnswer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answer = answer
+}
+
 // counts returns how many queries arrived, and how many connections gateways opened.
 func (a *loadAgent) counts() (queries, dials int) {
 	a.mu.Lock()
@@ -58,9 +65,10 @@
 			wire.On(hs, func(ctx context.Context, s *wire.Stream, _ *peers.LoadQuery) {
 				a.mu.Lock()
 				a.queries++
+				answer := a.answer
 				a.mu.Unlock()
 				time.Sleep(a.delay)
-				_ = s.SendLast(ctx, &a.answer)
+				_ = s.SendLast(ctx, &answer)
 			})
 		}
 		srv := &wire.Server{Local: wire.Hello{Cluster: "c", Box: addr, Hall: "h1", Role: "agent", Incarnation: 7}, Codec: relay.Codec, Handlers: hs}
@@ -207,6 +215,37 @@
 	})
 }
 
+// While its own replicas are full a hall must send requests to others rather than refuse them, and
+// to its own again when they have room: neither needs reports, which come late.
+func TestFullHallUsesOthersUntilItHasRoom(t *testing.T) {
+	rs := engines(2, 1)
+	rs[1].Hall = "h2"
+	runCluster(t, 0, rs, func(is *is.I, cl *testCluster) {
+		cl.agentPort, cl.hallCount = testAgentPort, 2
+		agents := []*loadAgent{{answer: idleLoad}, {answer: idleLoad}}
+		cl.startLoadAgents(agents)
+		for i := range 14 {
+			cl.addGateway(i, cl.store)
+		}
+		time.Sleep(5 * time.Second)
+		send := func(own, other int) {
+			before := [2]int{len(rs[0].Runs()), len(rs[1].Runs())}
+			for range own + other {
+				is.Equal(cl.send(4, "POST", "/s/x", nil).status, 200)
+			}
+			is.Equal([2]int{len(rs[0].Runs()) - before[0], len(rs[1].Runs()) - before[1]}, [2]int{own, other})
+		}
+		send(10, 0)
+		agents[0].setAnswer(peers.LoadAnswer{Version: 1, Pace: 1, Queued: 20, Running: 16, Reached: true})
+		send(0, 10)
+		agents[0].setAnswer(idleLoad)
+		time.Sleep(50 * time.Millisecond)
+		send(10, 0)
+		queries, _ := agents[1].counts()
+		is.Equal(queries, 0) // Agents of other halls are too far away.
+	})
+}
+
 // Connections to agents must cost little while they are idle, and those that are no longer used
 // must be closed.
 func TestIdleLoadConnections(t *testing.T) {
