route: a replica known by an old report counts with the mean load of its hall

A gateway whose own hall is full sent requests to the replicas of other halls that had room by reports over a second old, and so did all others. The load of a replica that is compared with those that were queried now moves from its report to the mean of its hall, slowdown included, with the half-life that reports had before.

--- a/route/estimate.go
+++ b/route/estimate.go
@@ -9,9 +9,9 @@
 )
 
 // staleCost is the share of the predicted latency that is added for a replica whose load was not
-// read, compared with those whose load was, if its report is old. Of replicas with reports older
-// than half a second, every fourth answers more than 200 ms later than predicted.
-const staleCost = 0.75
+// read, compared with those whose load was, if its report is old: the least of several uncertain
+// predictions is too low on average.
+const staleCost = 0.3
 
 // estimate is what a request is predicted to meet at a replica.
 type estimate struct {
@@ -26,8 +26,9 @@
 	out := estimate{replica: r, predicted: r.expectedLatency(now, e, crit.Workload), wait: r.expectedLatency(now, e, Workload{})}
 	stale := crit.Draw.hasAnswer() && !r.isFresh(now)
 	if stale {
-		out.predicted = max(out.predicted, r.latencyAtReport(now, e, crit.Workload))
-		out.wait = max(out.wait, r.latencyAtReport(now, e, Workload{}))
+		l := t.expectedLoad(now, r)
+		out.predicted = max(out.predicted, time.Duration(r.latencyRatio*float64(r.latencyUnder(l, e, crit.Workload))))
+		out.wait = max(out.wait, time.Duration(r.latencyRatio*float64(r.latencyUnder(l, e, Workload{}))))
 	}
 	out.cost = out.predicted
 	if stale {
@@ -46,13 +47,54 @@
 	return out
 }
 
-// latencyAtReport is expectedLatency with the full load of the last report, which otherwise counts
-// less the older it is.
-func (r *Replica) latencyAtReport(now time.Time, e config.Engine, w Workload) time.Duration {
+// hallLoad is the mean load of the replicas of a service in a hall, by their reports.
+type hallLoad struct {
+	load
+	expires time.Time
+}
+
+// hallLoadTTL is how long a mean is used. Reports of other halls arrive less often.
+const hallLoadTTL = 100 * time.Millisecond
+
+// meanLoad returns the mean load of a service's replicas in a hall.
+func (t *Table) meanLoad(now time.Time, service, hall string) load {
+	key := [2]string{service, hall}
+	if m, ok := t.hallLoads[key]; ok && now.Before(m.expires) {
+		return m.load
+	}
+	var sum load
+	n := 0.0
+	for _, r := range t.services[service] {
+		if r.Hall == hall && r.hasReport(now) && r.Report.accepting() {
+			n++
+			sum.queued += float64(r.Report.Queued)
+			sum.running += float64(r.Report.Running)
+			sum.slowdown += r.slowdown()
+		}
+	}
+	m := hallLoad{load{0, 0, 1}, now.Add(hallLoadTTL)}
+	if n > 0 {
+		m.load = load{sum.queued / n, sum.running / n, sum.slowdown / n}
+	}
+	if t.hallLoads == nil {
+		t.hallLoads = map[[2]string]hallLoad{}
+	}
+	t.hallLoads[key] = m
+	return m.load
+}
+
+// expectedLoad returns the load of a replica that is known by reports only. The older its report,
+// the closer it is to the mean of its hall: a replica that was idle has been sent requests since,
+// and one that was slow may have recovered.
+func (t *Table) expectedLoad(now time.Time, r *Replica) load {
+	mean := t.meanLoad(now, r.Service, r.Hall)
 	if !r.hasReport(now) {
-		return 0
+		return mean
 	}
-	return time.Duration(float64(r.predictLatency(r.Report.ReceivedAt, e, w)) * r.latencyRatio)
+	atReport := r.reportedLoad(r.Report.ReceivedAt)
+	s := r.staleness(now)
+	blend := func(reported, mean float64) float64 { return (1-s)*reported + s*mean }
+	return load{blend(atReport.queued, mean.queued), blend(atReport.running, mean.running), blend(atReport.slowdown, mean.slowdown)}
 }
 
 // staleness returns how uncertain the load of a replica is by the age of its report, from 0 for a
--- a/route/predict.go
+++ b/route/predict.go
@@ -55,12 +55,32 @@
 	return d
 }
 
+// load is what a replica is believed to have in addition to this gateway's requests.
+type load struct {
+	queued, running float64
+	slowdown        float64 // At least 1.
+}
+
+// reportedLoad returns the load by the last report, which counts less the older it is.
+func (r *Replica) reportedLoad(now time.Time) load {
+	queued, running := r.otherLoad(now)
+	l := load{queued, running, 1}
+	if r.hasReport(now) {
+		l.slowdown = r.slowdown()
+	}
+	return l
+}
+
 // predictLatency estimates the time to the first event of a request.
 func (r *Replica) predictLatency(now time.Time, e config.Engine, w Workload) time.Duration {
-	queued, running := r.otherLoad(now)
+	return r.latencyUnder(r.reportedLoad(now), e, w)
+}
+
+// latencyUnder estimates the time to the first event of a request under a load.
+func (r *Replica) latencyUnder(l load, e config.Engine, w Workload) time.Duration {
 	if e.PrefillRate <= 0 {
 		slots := float64(max(1, r.Slots))
-		inFlight := float64(r.prefilling+r.decoding) + queued + running
+		inFlight := float64(r.prefilling+r.decoding) + l.queued + l.running
 		perRequest := max(defaultLatency, r.typicalLatency)
 		if inFlight < slots {
 			return perRequest + time.Duration(float64(perRequest)*0.1*inFlight/slots)
@@ -68,9 +88,9 @@
 		return perRequest + time.Duration((inFlight-slots+1)/slots*float64(perRequest))
 	}
 	slots := float64(max(1, e.Slots))
-	tokens := float64(r.prefillTokens) + queued*float64(e.MeanPromptTokens) + float64(w.PromptTokens)
-	batch := float64(r.prefilling+r.decoding) + queued + running
-	decoding := min(slots, float64(r.decoding)+running)
+	tokens := float64(r.prefillTokens) + l.queued*float64(e.MeanPromptTokens) + float64(w.PromptTokens)
+	batch := float64(r.prefilling+r.decoding) + l.queued + l.running
+	decoding := min(slots, float64(r.decoding)+l.running)
 	step := e.StepTime + time.Duration(decoding*float64(e.StepTimePerSequence))
 	prefillTime := time.Duration(tokens / e.PrefillRate * float64(time.Second))
 	passes := math.Ceil(tokens / float64(max(1, e.PrefillChunk)))
@@ -83,8 +103,5 @@
 		perRequest := time.Duration(float64(e.MeanAnswerTokens) * float64(step) * 1.6)
 		ttft += time.Duration((batch - slots + 1) / slots * float64(perRequest))
 	}
-	if r.hasReport(now) && r.Report.Slowdown > 1 {
-		ttft = time.Duration(float64(ttft) * r.Report.Slowdown)
-	}
-	return ttft
+	return time.Duration(float64(ttft) * l.slowdown)
 }
--- a/route/table.go
+++ b/route/table.go
@@ -102,7 +102,8 @@
 	drainedHalls map[string]bool
 	// coldStarts holds the cold rate and time of each service whose replicas have them.
 	coldStarts map[string]coldStart
-	subsets    map[string]subset // By service, as far as needed since the last change of the list.
+	hallLoads  map[[2]string]hallLoad // By service and hall.
+	subsets    map[string]subset      // By service, as far as needed since the last change of the list.
 }
 
 // Parameters of a Table.
