--- a/internal/peers/load.go
+++ b/internal/peers/load.go
@@ -20,17 +20,18 @@
 	Addr string // Address of the replica.
 }
 
-// LoadAnswer answers a LoadQuery. Its fields have the same meaning as those of a Report.
+// LoadAnswer answers a LoadQuery. Its fields have the same meaning as those of a Report. Those that
+// are zero are not sent, since three answers are received for each request.
 type LoadAnswer struct {
-	Version         uint64
-	Changing        bool
-	ChangeIn        time.Duration
-	Queued          int
-	Running         int
-	Pace            float64
-	FetchingWeights bool
-	SlowLink        bool
-	Reached         bool // The replica answered its agent.
+	Version         uint64        `msgpack:",omitempty"`
+	Changing        bool          `msgpack:",omitempty"`
+	ChangeIn        time.Duration `msgpack:",omitempty"`
+	Queued          int           `msgpack:",omitempty"`
+	Running         int           `msgpack:",omitempty"`
+	Pace            float64       `msgpack:",omitempty"`
+	FetchingWeights bool          `msgpack:",omitempty"`
+	SlowLink        bool          `msgpack:",omitempty"`
+	Reached         bool          `msgpack:",omitempty"` // The replica answered its agent.
 }
 
 // maxReportedLoad bounds the numbers of requests in a LoadAnswer, and maxPace the pace.
--- a/internal/peers/load_test.go
+++ b/internal/peers/load_test.go
@@ -1,11 +1,13 @@
 package peers
 
 import (
+	"bytes"
 	"math"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/vmihailenco/msgpack/v5"
 )
 
 // An answer of another build, or a broken one, must not make a replica look idle or busy.
@@ -31,3 +33,15 @@
 		})
 	}
 }
+
+// Three agents are queried for each request, so a query and its answer must stay small.
+func TestLoadMessagesAreSmall(t *testing.T) {
+	const limit = 75 // Bytes of both, without the headers of frames.
+	is := is.New(t)
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	is.NoErr(enc.Encode(&LoadQuery{"10.12.103.114:8080"}))
+	is.NoErr(enc.Encode(&LoadAnswer{Version: 12, Queued: 2, Running: 12, Pace: 2.5, Reached: true}))
+	is.True(buf.Len() <= limit)
+}
