--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -95,6 +95,12 @@
 	return d
 }
 
+// allowedWait returns the longest predicted wait with which the request is sent; zero for no limit.
+func (a *admissions) allowedWait(now time.Time, rq *request) time.Duration {
+	s := a.service(rq.catalog.Config, rq.service)
+	return s.AllowedWait(a.demand(now, rq))
+}
+
 // record counts a request that was sent, or refused for lack of room or time.
 func (a *admissions) record(now time.Time, rq *request, sent bool) {
 	a.mu.Lock()
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -147,8 +147,8 @@
 	callers  sync.WaitGroup
 }
 
-func agentAddr(i int) string   { return fmt.Sprintf("10.1.0.%d:7", i+1) }
-func replicaAddr(i int) string { return fmt.Sprintf("10.1.0.%d:80", i+1) }
+func loadAgentAddr(i int) string { return fmt.Sprintf("10.1.0.%d:7", i+1) }
+func replicaAddr(i int) string   { return fmt.Sprintf("10.1.0.%d:80", i+1) }
 
 // start starts the processes and waits until they know one another.
 func (w *loadCluster) start() {
@@ -160,7 +160,7 @@
 		w.shares = append(w.shares, total)
 	}
 	for i := range w.load.engines {
-		w.hall[agentAddr(i)], w.hall[replicaAddr(i)] = w.hallOf(i), w.hallOf(i)
+		w.hall[loadAgentAddr(i)], w.hall[replicaAddr(i)] = w.hallOf(i), w.hallOf(i)
 	}
 	origin := &platformtest.Origin{Weights: platformtest.Weights{Pieces: 8, PieceBytes: 1024}}
 	origin.Newest.Store(1)
@@ -234,7 +234,7 @@
 
 // addAgent starts the agent of an engine.
 func (w *loadCluster) addAgent(i int, e *platformtest.Engine, o *platformtest.Origin) {
-	addr := agentAddr(i)
+	addr := loadAgentAddr(i)
 	client := func(h http.Handler) *http.Client {
 		return &http.Client{Transport: &simnet.Transport{Find: func(string) http.Handler { return h }}}
 	}
