route, direct: other halls only while the own one has no free slot; real agents with load queries

What callers saw: with load queries 28 in 100 choices still went to replicas of other halls, which are known by reports alone, and a third of these came over 200 ms later than predicted: the least of several old reports is mostly wrong. Change: replicas that were not queried are considered only while none of the queried ones has a free slot at its usual speed. The load test of 50 gateways and 58 replicas switches the queries on and asserts its goal. The tests of real agents among drawn faults ask too.

--- a/internal/direct/process_test.go
+++ b/internal/direct/process_test.go
@@ -26,6 +26,7 @@
 	f, t := w.follower(g.addr)
 	r, err := relay.New(&settings.Relay{
 		DirectCommon: settings.DirectCommon{Cluster: "c", Box: g.addr, Hall: g.hall, Listen: g.addr, Store: storeAddr, Join: w.seeds()},
+		AgentPort:    agentPort,
 		RelayReloadable: settings.RelayReloadable{
 			GracePeriod: 8 * time.Second, VersionWithin: versionWithin, ApplyWithin: 2 * time.Second, DrainWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -44,6 +44,7 @@
 	linkRate                    = 9e5 // Of a box's and of the origin's link, in bytes per second.
 	linkMegabits                = 7.3
 	recordInterval              = 1200 * time.Millisecond // Between two checks of a replica whether its record must be written again.
+	agentPort                   = 7                       // Gateways query agents only in worlds with more gateways.
 	storeAddr                   = "store:1"
 	originAddr                  = "origin:1"
 )
@@ -85,7 +86,7 @@
 	kill       func() // Kills the agent; nil while that is not running.
 }
 
-func (b *box) agent() string   { return b.name + ":7" }
+func (b *box) agent() string   { return fmt.Sprintf("%s:%d", b.name, agentPort) }
 func (b *box) replica() string { return b.name + ":80" }
 
 // newWorld starts a world whose replicas have loaded version 1.
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -52,6 +52,7 @@
 	loadEngines     = flag.Int("load.engines", 58, "number of engines")
 	loadUtilisation = flag.Float64("load.utilisation", 0.9, "requests as a share of what the engines bear")
 	loadFor         = flag.Duration("load.for", 8*time.Second, "duration of the measurement")
+	loadQueries     = flag.Bool("load.queries", true, "gateways query agents for load")
 )
 
 // loadTest is a load on a cluster of gateways and engines with agents, in three halls. What callers
@@ -152,7 +153,7 @@
 
 // start starts the processes and waits until they know one another.
 func (w *loadCluster) start() {
-	w.hallCount, w.hall, w.net.Latency = loadHalls, map[string]string{}, w.latency
+	w.hallCount, w.hall, w.net.Latency, w.agentPort = loadHalls, map[string]string{}, w.latency, w.load.agentPort
 	total := 0.0
 	for i := range w.load.gateways {
 		w.hall[gatewayAddr(i)] = w.hallOf(i)
@@ -318,6 +319,9 @@
 	if testing.Short() || raceDetector {
 		l.gateways, l.engines, l.duration = 14, 16, 4*time.Second
 	}
+	if *loadQueries {
+		l.agentPort = testAgentPort
+	}
 	f := l.run(t)
 	f.log(t)
 	if all := f.Predictions[len(f.Predictions)-1]; l.agentPort > 0 && all.OverTarget > maxOverTarget {
--- a/internal/stager/loadquery_test.go
+++ b/internal/stager/loadquery_test.go
@@ -111,6 +111,25 @@
 	})
 }
 
+// A replica that has accepted an order takes no new requests, also while the agent's status does not
+// show it yet. Without a report, only the load is unknown.
+func TestLoadAnswer(t *testing.T) {
+	status := peers.Status{Version: 1, ChangeIn: time.Second, Queued: 9, Pace: 3, SlowLink: true}
+	for name, tc := range map[string]struct {
+		report Report
+		err    error
+		want   peers.LoadAnswer
+	}{
+		"usual":         {Report{Version: 2, Queued: 1, Running: 4, Slowdown: 1.5}, nil, peers.LoadAnswer{Version: 2, ChangeIn: time.Second, Queued: 1, Running: 4, Pace: 1.5, SlowLink: true, Reached: true}},
+		"order pending": {Report{Version: 1, OrderPending: true}, nil, peers.LoadAnswer{Version: 1, Changing: true, ChangeIn: time.Second, SlowLink: true, Reached: true}},
+		"not reached":   {Report{}, fault.New(fault.Unreachable, "replica"), peers.LoadAnswer{Version: 1, ChangeIn: time.Second, SlowLink: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(*loadAnswer(&status, tc.report, tc.err), tc.want)
+		})
+	}
+}
+
 // A replica that asked its agent for a backoff must get no request for the sake of a load query.
 func TestLoadQueryRespectsTheBackoff(t *testing.T) {
 	runCluster(t, func(is *is.I, s *testCluster) {
--- a/route/draw.go
+++ b/route/draw.go
@@ -171,12 +171,16 @@
 func (d *Draw) split(hall string, cs []*Replica) (drawn, rest []*Replica) {
 	var local []*Replica
 	for _, r := range cs {
+		if r.Hall != hall {
+			rest = append(rest, r)
+			continue
+		}
 		s, ok := d.states[r]
 		switch {
 		case ok && s != notAnswered:
 			drawn = append(drawn, r)
 		case ok:
-		case r.Hall != hall, d.sparse && !slices.Contains(d.subset, r):
+		case d.sparse && !slices.Contains(d.subset, r):
 			rest = append(rest, r)
 		default:
 			local = append(local, r)
--- a/route/draw_test.go
+++ b/route/draw_test.go
@@ -216,6 +216,23 @@
 	}
 	is.Equal(got["e0"], 0)
 	is.Equal(len(got), 7)
+
+	// That holds from the first query on.
+	for range 20 {
+		tb := newHalls(3, 0, AgentReport{})
+		c := crit()
+		c.Draw = tb.Draw(now, c, 20)
+		for _, q := range c.Draw.Queries {
+			if q.ID == "e0" {
+				tb.RecordLoad(c.Draw, q, busy)
+			} else {
+				tb.RecordReportOnly(c.Draw, q, now.Add(time.Second))
+			}
+		}
+		choice, err := tb.Pick(now, c)
+		is.NoErr(err)
+		is.True(choice.ID != "e0")
+	}
 }
 
 // Where subsets are too small for all replicas of the hall to be in some, those that are in none
@@ -242,6 +259,7 @@
 	}{
 		"same load":                 {AgentReport{Running: 8, Queued: 2}, AgentReport{Running: 8, Queued: 2}, 1200 * time.Millisecond, false},
 		"slightly less load":        {AgentReport{Running: 6}, AgentReport{Running: 8}, 1200 * time.Millisecond, false},
+		"slightly faster":           {AgentReport{Running: 8}, AgentReport{Running: 8, Slowdown: 1.25}, 1200 * time.Millisecond, false},
 		"far less load":             {AgentReport{Running: 2}, AgentReport{Running: 16, Queued: 8}, 1200 * time.Millisecond, true},
 		"own hall has become slow":  {AgentReport{Running: 2}, AgentReport{Running: 8, Slowdown: 4}, 200 * time.Millisecond, true},
 		"reported as full long ago": {AgentReport{Running: 16, Queued: 8}, AgentReport{Running: 16, Queued: 6}, 1200 * time.Millisecond, false},
@@ -357,6 +375,9 @@
 		tb.Done(now, choice.Reservation, RequestResult{})
 		return choice
 	}
+	usual, err := tb.Pick(now, crit())
+	is.NoErr(err)
+	tb.Done(now, usual.Reservation, RequestResult{})
 	for range 20 {
 		serve(crit(), 1.3, func() {})
 	}
@@ -378,6 +399,7 @@
 	ratio := float64(slow.Predicted) / float64(normal.Predicted)
 	is.True(ratio > 2.49)
 	is.True(ratio < 2.51)
+	is.Equal(normal.Predicted, usual.Predicted) // Not that of the slow time before.
 
 	// A slowdown that begins after the choice and is reported then is not learned.
 	for range 20 {
--- a/route/predict.go
+++ b/route/predict.go
@@ -105,3 +105,10 @@
 	}
 	return time.Duration(float64(ttft) * l.slowdown)
 }
+
+// hasFreeSlot reports whether the replica is believed to run fewer requests than it has slots, at
+// its usual speed, so that another one would neither queue nor be slow.
+func (r *Replica) hasFreeSlot(now time.Time, e config.Engine) bool {
+	l := r.reportedLoad(now)
+	return l.slowdown < slowReplicaSlowdown && float64(r.prefilling+r.decoding)+l.queued+l.running < float64(max(1, e.Slots))
+}
--- a/route/table.go
+++ b/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -194,7 +195,7 @@
 		cs = t.withoutPermits(now, cs)
 	}
 	e := t.engines[crit.Service]
-	chosen := t.best(now, e, crit, t.sample(now, cs, crit.Draw))
+	chosen := t.best(now, e, crit, t.sample(now, e, cs, crit.Draw))
 	if crit.isTooLong(chosen.wait) {
 		if spill := t.withRoom(now, e, crit, cs); len(spill) > 0 {
 			chosen = t.best(now, e, crit, spill)
@@ -218,8 +219,9 @@
 }
 
 // sample returns the candidates for one choice: those of a draw whose load is known, if there are
-// any, and others at random.
-func (t *Table) sample(now time.Time, cs []*Replica, d *Draw) []*Replica {
+// any. Others, whose load is known from reports alone, are added at random only while none of
+// the drawn ones has a free slot: the least of several old reports is mostly wrong.
+func (t *Table) sample(now time.Time, e config.Engine, cs []*Replica, d *Draw) []*Replica {
 	if !d.hasAnswer() {
 		return t.sampleByReports(now, cs)
 	}
@@ -230,6 +232,9 @@
 	if len(drawn) == 0 {
 		return t.sampleByReports(now, rest)
 	}
+	if slices.ContainsFunc(drawn, func(r *Replica) bool { return r.hasFreeSlot(now, e) }) {
+		return drawn
+	}
 	sampled, _ := t.drawByReports(now, rest)
 	return append(drawn, sampled...)
 }
