admission: after a wait, a request is sent only if its answer is predicted in time

A request that had waited for a quarter of the target was sent with the same predicted wait as one that had not, and its answer was late.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -62,6 +62,7 @@
 	Target    time.Duration // Of its route; the service's if it is not positive.
 	ArrivedAt time.Time
 	Deadline  time.Time // Zero for none.
+	Waited    bool      // It has waited at the gateway.
 	OverShare bool      // Its organisation is over its fair share, and requests are being refused.
 	Cut       bool      // Its rank is refused, since more urgent ones lack room in the hall.
 	// Starved reports that its organisation, rank or size is denied its part; see Shares.Starved.
@@ -137,7 +138,7 @@
 		return Decision{Verdict: Refuse, Cause: DeadlineTooClose}
 	case d.Cut && !d.Starved:
 		return Decision{Verdict: Refuse, Cause: CutRank}
-	case p.Wait <= s.AllowedWait(d):
+	case p.Wait <= s.AllowedWait(d) && !(d.Waited && s.late(now, d, p)):
 		return Decision{Verdict: Send, Cause: Room}
 	}
 	out := Decision{
@@ -155,14 +156,24 @@
 	return arrivedAt.Add(time.Duration(waitingShare * float64(s.Target)))
 }
 
+// target returns the latency target of a request.
+func (s *Service) target(d *Demand) time.Duration {
+	if d.Target > 0 {
+		return d.Target
+	}
+	return s.Target
+}
+
+// late reports whether the answer is predicted after the target. Waiting must not turn an answer
+// that would have been in time into one that takes up room and is late.
+func (s *Service) late(now time.Time, d *Demand, p Prediction) bool {
+	return now.Add(p.FirstEvent).After(d.ArrivedAt.Add(s.target(d)))
+}
+
 // waitsUntil returns until when the request may wait: its answer could still be in time if a
 // replica started on it then.
 func (s *Service) waitsUntil(d *Demand, p Prediction) time.Time {
-	target := d.Target
-	if target <= 0 {
-		target = s.Target
-	}
-	inTime := d.ArrivedAt.Add(target - max(0, p.FirstEvent-max(0, p.Wait)))
+	inTime := d.ArrivedAt.Add(s.target(d) - max(0, p.FirstEvent-max(0, p.Wait)))
 	if latest := s.LatestWait(d.ArrivedAt); latest.Before(inTime) {
 		return latest
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -31,6 +31,7 @@
 // admissionRecord is what was decided on a request, for the log.
 type admissionRecord struct {
 	decision admission.Decision // The last one; zero if none was made.
+	waiting  bool               // The request waits or has waited at the gateway.
 	waited   time.Duration      // Time for which the request waited at the gateway.
 }
 
@@ -81,7 +82,7 @@
 	s, p := a.state(rq.service), rq.profile()
 	d := &admission.Demand{
 		Rank: rq.rank, Attempt: rq.attempt, Target: rq.route.TargetLatency, ArrivedAt: rq.arrivedAt, Deadline: rq.deadline,
-		Starved: s.shares.Starved(now, &p),
+		Waited: rq.admission.waiting, Starved: s.shares.Starved(now, &p),
 	}
 	if s.pressure.Refusing(now) {
 		d.OverShare, d.Cut = s.shares.OverShare(now, rq.organisation), s.pressure.Cuts(now, rq.rank)
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -244,6 +244,7 @@
 // and until the given time at most.
 func (g *Relay) wait(ctx context.Context, rq *request, w *waiter, until time.Time, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
 	began := time.Now()
+	rq.admission.waiting = true
 	newLine, closed := g.waiting.add(w)
 	if newLine != nil {
 		go g.waiting.run(w.Service, newLine)
