--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -14,12 +14,12 @@
 // Pressure records which ranks of a service are refused for lack of room, here and at other
 // gateways of the hall. The zero value is ready for use. It is not safe for concurrent use.
 type Pressure struct {
-	refusedUntil time.Time // Until when the last refusal here counts as recent.
-	heard        map[string]heardState
+	refusedUntil time.Time            // Until when the last refusal here counts as recent.
+	states       map[string]peerState // Keyed by gateway.
 }
 
-// heardState is the last state of another gateway.
-type heardState struct {
+// peerState is the last state of another gateway.
+type peerState struct {
 	rank  int // The most urgent rank that it refuses, or NoRank.
 	until time.Time
 }
@@ -30,24 +30,24 @@
 // RefusedHere reports whether this gateway has recently refused a request.
 func (p *Pressure) RefusedHere(now time.Time) bool { return now.Before(p.refusedUntil) }
 
-// Hear records the state of another gateway.
-func (p *Pressure) Hear(now time.Time, gateway string, rank int) {
-	if p.heard == nil {
-		p.heard = map[string]heardState{}
+// RecordState records the state of another gateway.
+func (p *Pressure) RecordState(now time.Time, gateway string, rank int) {
+	if p.states == nil {
+		p.states = map[string]peerState{}
 	}
-	p.heard[gateway] = heardState{rank, now.Add(StateExpiry)}
+	p.states[gateway] = peerState{rank, now.Add(StateExpiry)}
 }
 
 // Refusing reports whether requests are being refused, here or at another gateway.
 func (p *Pressure) Refusing(now time.Time) bool {
 	p.dropExpired(now)
-	return p.RefusedHere(now) || len(p.heard) > 0
+	return p.RefusedHere(now) || len(p.states) > 0
 }
 
 // Cuts reports whether a rank is refused: another gateway refuses a more urgent one.
 func (p *Pressure) Cuts(now time.Time, rank int) bool {
 	p.dropExpired(now)
-	for _, h := range p.heard {
+	for _, h := range p.states {
 		if h.rank != NoRank && h.rank < rank {
 			return true
 		}
@@ -56,9 +56,9 @@
 }
 
 func (p *Pressure) dropExpired(now time.Time) {
-	for gateway, h := range p.heard {
+	for gateway, h := range p.states {
 		if !now.Before(h.until) {
-			delete(p.heard, gateway)
+			delete(p.states, gateway)
 		}
 	}
 }
--- a/admission/pressure_test.go
+++ b/admission/pressure_test.go
@@ -13,13 +13,13 @@
 func TestPressure(t *testing.T) {
 	cases := []struct {
 		name     string
-		heard    map[string]int
+		states   map[string]int
 		rank     int
 		after    time.Duration
 		cut      bool
 		refusing bool
 	}{
-		{"nothing heard", nil, 2, 0, false, false},
+		{"no state", nil, 2, 0, false, false},
 		{"more urgent rank refused", map[string]int{"g1": 1}, 2, 0, true, true},
 		{"same rank refused", map[string]int{"g1": 2}, 2, 0, false, true},
 		{"less urgent rank refused", map[string]int{"g1": 3}, 2, 0, false, true},
@@ -33,13 +33,13 @@
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
 			var p Pressure
-			for gateway, rank := range tc.heard {
-				p.Hear(start, gateway, rank)
+			for gateway, rank := range tc.states {
+				p.RecordState(start, gateway, rank)
 			}
 			now := start.Add(tc.after)
 			is.Equal(p.Cuts(now, tc.rank), tc.cut)
 			is.Equal(p.Refusing(now), tc.refusing)
-			is.True(!p.RefusedHere(now)) // What is heard is not passed on.
+			is.True(!p.RefusedHere(now)) // A received state is not passed on.
 		})
 	}
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -136,7 +136,7 @@
 	}
 	s := g.admissions.service(rq.catalog.Config, rq.service)
 	if d.arrivals > 0 || s.Target <= 0 {
-		return choose()
+		return g.choose(d.ctx, rq, d.exclude, d.arrivals)
 	}
 	now := time.Now()
 	demand := g.admissions.demand(now, rq)
--- a/internal/relay/hallstate.go
+++ b/internal/relay/hallstate.go
@@ -17,7 +17,7 @@
 const (
 	hallStateInterval = 200 * time.Millisecond
 	// hallStateReceivers bounds the gateways that a state is sent to, and so the traffic of a large
-	// hall. A gateway hears from about as many, which shows what is refused in the hall as well as
+	// hall. A gateway receives about as many, which shows what is refused in the hall as well as
 	// all of them would.
 	hallStateReceivers = 12
 )
@@ -70,9 +70,9 @@
 	return m
 }
 
-// hear applies the state of another gateway of the hall. Services and organisations that the
+// applyState applies the state of another gateway of the hall. Services and organisations that the
 // configuration does not have are ignored.
-func (a *admissions) hear(now time.Time, cfg *config.Config, from string, m *peers.AdmissionState) {
+func (a *admissions) applyState(now time.Time, cfg *config.Config, from string, m *peers.AdmissionState) {
 	for name, st := range m.Services {
 		if !st.Valid() {
 			telemetry.Log("admission_state_ignored", "from", from, "service", name, "refused_rank", st.RefusedRank, "work", st.Work)
@@ -86,7 +86,7 @@
 		if st.RefusedRank != nil {
 			rank = *st.RefusedRank
 		}
-		s.pressure.Hear(now, from, rank)
+		s.pressure.RecordState(now, from, rank)
 		for organisation, work := range st.Work {
 			if o, ok := cfg.Organisations[organisation]; ok {
 				s.shares.AddWork(now, organisation, o.Weight, work)
@@ -133,5 +133,5 @@
 	if c.Config == nil || from.Hall != g.Settings.Hall || from.Role != roleGateway {
 		return
 	}
-	g.admissions.hear(time.Now(), c.Config, from.Box, m)
+	g.admissions.applyState(time.Now(), c.Config, from.Box, m)
 }
--- a/internal/relay/hallstate_test.go
+++ b/internal/relay/hallstate_test.go
@@ -81,7 +81,7 @@
 
 // Bad or absurd states change nothing: a gateway of another build must not be able to cut off
 // requests or to ruin the shares.
-func TestHearAdmissionState(t *testing.T) {
+func TestApplyAdmissionState(t *testing.T) {
 	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
 	rank := func(r int) *int { return &r }
 	cases := []struct {
@@ -108,14 +108,14 @@
 			sent := admission.Decision{Verdict: admission.Send}
 			a.record(now, hallStateRequest("a", 1, sent), true)
 			a.record(now, hallStateRequest("b", 1, sent), true)
-			a.hear(now, hallStateConfig, "g2", &peers.AdmissionState{Services: map[string]peers.ServiceAdmission{tc.service: tc.state}})
+			a.applyState(now, hallStateConfig, "g2", &peers.AdmissionState{Services: map[string]peers.ServiceAdmission{tc.service: tc.state}})
 			for name, s := range a.states {
 				is.Equal(name, "llm")
 				is.Equal(s.pressure.Cuts(now, 2), tc.cut)
 				is.Equal(s.pressure.Refusing(now), tc.refusing)
 				is.Equal(s.shares.OverShare(now, "a"), tc.over)
 			}
-			is.Equal(a.takeUnsent(now), nil) // What is heard is not passed on.
+			is.Equal(a.takeUnsent(now), nil) // A received state is not passed on.
 		})
 	}
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -65,7 +65,7 @@
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	timeouts   callerTimeouts
 	admissions admissions
-	waiting    waitingRoom
+	waiting    waitQueue
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -21,18 +21,18 @@
 	maxFailedTries = 2
 )
 
-// waitingRoom holds the requests that wait at this gateway for room at a replica. The zero value
-// is empty and open.
-type waitingRoom struct {
+// waitQueue holds the requests that wait at this gateway for room at a replica. The zero value
+// is an empty queue.
+type waitQueue struct {
 	mu      sync.Mutex
 	list    admission.WaitingList
 	waiters map[*admission.Waiting]*waiter
-	lines   map[string]*line // Those with waiting requests, keyed by service.
-	closed  chan struct{}    // Closed when the gateway drains; nil before first use.
+	loops   map[string]*tryLoop // Those of services with waiting requests, keyed by service.
+	closed  chan struct{}       // Closed when the gateway drains; nil before first use.
 }
 
-// line gives the waiting requests of one service their turns.
-type line struct {
+// tryLoop schedules the tries of the waiting requests of one service.
+type tryLoop struct {
 	ended     chan struct{} // Capacity 1; receives when a request for the service ends.
 	round     int           // Number of the current pass over the waiting requests.
 	queueWait time.Duration // Predicted at the last try.
@@ -41,19 +41,19 @@
 // waiter is a waiting request. Its own goroutine makes the tries.
 type waiter struct {
 	admission.Waiting
-	turn    chan struct{} // Capacity 1; receives when the request is to be tried.
+	try     chan struct{} // Capacity 1; receives when the request is to be tried.
 	tried   chan bool     // Capacity 1; receives whether it was sent.
 	left    chan struct{} // Closed when the request no longer waits.
 	removed chan struct{} // Closed when it is removed because too many wait.
-	// trying and round are guarded by waitingRoom.mu: whether a try is in progress, and the
-	// line's round in which it was last tried.
+	// trying and round are guarded by waitQueue.mu: whether a try is in progress, and the
+	// round in which it was last tried.
 	trying bool
 	round  int
 }
 
 func newWaiter(w admission.Waiting) *waiter {
 	return &waiter{
-		Waiting: w, turn: make(chan struct{}, 1), tried: make(chan bool, 1), left: make(chan struct{}), removed: make(chan struct{}),
+		Waiting: w, try: make(chan struct{}, 1), tried: make(chan bool, 1), left: make(chan struct{}), removed: make(chan struct{}),
 	}
 }
 
@@ -71,7 +71,7 @@
 }
 
 // closing returns a channel that is closed when the gateway drains. The caller holds r.mu.
-func (r *waitingRoom) closing() chan struct{} {
+func (r *waitQueue) closing() chan struct{} {
 	if r.closed == nil {
 		r.closed = make(chan struct{})
 	}
@@ -79,7 +79,7 @@
 }
 
 // close refuses all requests that wait, and those that would.
-func (r *waitingRoom) close() {
+func (r *waitQueue) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.closing()
@@ -91,59 +91,59 @@
 }
 
 // mustWait reports whether a request may not be tried before others that wait.
-func (r *waitingRoom) mustWait(w *admission.Waiting) bool {
+func (r *waitQueue) mustWait(w *admission.Waiting) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.list.MustWait(w)
 }
 
-// add adds a request, and starts a line for its service if there is none. The second result is
-// closed when the gateway drains. If too many requests wait, one of them, perhaps the new one, is
-// notified by its channel removed.
-func (r *waitingRoom) add(w *waiter) (newLine *line, closed <-chan struct{}) {
+// add adds a request. It returns the loop that must be started for its service, or nil if there is
+// one, and a channel that is closed when the gateway drains. If too many requests wait, one of
+// them, perhaps the new one, is notified by its channel removed.
+func (r *waitQueue) add(w *waiter) (newLoop *tryLoop, closed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.waiters == nil {
-		r.waiters, r.lines = map[*admission.Waiting]*waiter{}, map[string]*line{}
+		r.waiters, r.loops = map[*admission.Waiting]*waiter{}, map[string]*tryLoop{}
 	}
 	r.waiters[&w.Waiting] = w
 	for _, removed := range r.list.Add(&w.Waiting) {
 		close(r.waiters[removed].removed)
 	}
-	if r.lines[w.Service] == nil && r.list.Waits(w.Service) {
-		newLine = &line{ended: make(chan struct{}, 1)}
-		r.lines[w.Service] = newLine
+	if r.loops[w.Service] == nil && r.list.Waits(w.Service) {
+		newLoop = &tryLoop{ended: make(chan struct{}, 1)}
+		r.loops[w.Service] = newLoop
 	}
-	return newLine, r.closing()
+	return newLoop, r.closing()
 }
 
 // remove removes a request that no longer waits, and returns the wait predicted at the last try
-// of its line.
-func (r *waitingRoom) remove(w *waiter) (queueWait time.Duration) {
+// for its service.
+func (r *waitQueue) remove(w *waiter) (queueWait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Remove(&w.Waiting)
 	delete(r.waiters, &w.Waiting)
 	close(w.left)
-	if l := r.lines[w.Service]; l != nil {
+	if l := r.loops[w.Service]; l != nil {
 		queueWait = l.queueWait
 	}
 	return queueWait
 }
 
 // recordStart records that a request was sent.
-func (r *waitingRoom) recordStart(w *admission.Waiting) {
+func (r *waitQueue) recordStart(w *admission.Waiting) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Start(w)
 }
 
 // recordTry records the end of a try.
-func (r *waitingRoom) recordTry(w *waiter, sent bool, queueWait time.Duration) {
+func (r *waitQueue) recordTry(w *waiter, sent bool, queueWait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.trying = false
-	if l := r.lines[w.Service]; l != nil {
+	if l := r.loops[w.Service]; l != nil {
 		l.queueWait = queueWait
 	}
 	select {
@@ -153,17 +153,17 @@
 }
 
 // len returns the number of waiting requests.
-func (r *waitingRoom) len() int {
+func (r *waitQueue) len() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.list.Len()
 }
 
 // requestEnded notes that a request has ended. If it was sent, that may have made room.
-func (r *waitingRoom) requestEnded(rq *request) {
+func (r *waitQueue) requestEnded(rq *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.lines[rq.service]; l != nil && rq.attempts > 0 {
+	if l := r.loops[rq.service]; l != nil && rq.attempts > 0 {
 		select {
 		case l.ended <- struct{}{}:
 		default:
@@ -172,7 +172,7 @@
 }
 
 // next returns the request that is to be tried next in the current round; nil if there is none.
-func (r *waitingRoom) next(service string, l *line) *waiter {
+func (r *waitQueue) next(service string, l *tryLoop) *waiter {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.list.First(service, func(o *admission.Waiting) bool {
@@ -188,26 +188,26 @@
 	case <-w.tried: // Of a try that had taken too long.
 	default:
 	}
-	w.turn <- struct{}{}
+	w.try <- struct{}{}
 	return w
 }
 
-// endLine ends a line if no request of its service waits.
-func (r *waitingRoom) endLine(service string) bool {
+// endLoop removes the loop of a service if none of its requests waits.
+func (r *waitQueue) endLoop(service string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.list.Waits(service) {
 		return false
 	}
-	delete(r.lines, service)
+	delete(r.loops, service)
 	return true
 }
 
-// run gives the waiting requests of a service their turns until none is left.
-func (r *waitingRoom) run(service string, l *line) {
+// run tries the waiting requests of a service until none is left.
+func (r *waitQueue) run(service string, l *tryLoop) {
 	t := time.NewTicker(waitingTryInterval)
 	defer t.Stop()
-	for !r.endLine(service) {
+	for !r.endLoop(service) {
 		select {
 		case <-t.C:
 		case <-l.ended:
@@ -218,7 +218,7 @@
 
 // tryInOrder lets waiting requests be tried one after the other, for as long as they are sent. A
 // try that takes long, such as one that waits for a permit, does not hold up the others.
-func (r *waitingRoom) tryInOrder(service string, l *line) {
+func (r *waitQueue) tryInOrder(service string, l *tryLoop) {
 	l.round++
 	timeout := time.NewTimer(waitingTryInterval)
 	defer timeout.Stop()
@@ -245,11 +245,11 @@
 func (g *Relay) wait(ctx context.Context, rq *request, w *waiter, until time.Time, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
 	began := time.Now()
 	rq.admission.waiting = true
-	newLine, closed := g.waiting.add(w)
-	if newLine != nil {
-		go g.waiting.run(w.Service, newLine)
+	newLoop, closed := g.waiting.add(w)
+	if newLoop != nil {
+		go g.waiting.run(w.Service, newLoop)
 	}
-	choice, res, ok := g.waitForTurns(ctx, rq, w, until, closed, choose)
+	choice, res, ok := g.waitForTries(ctx, rq, w, until, closed, choose)
 	rq.queueWait = max(rq.queueWait, g.waiting.remove(w))
 	rq.admission.waited += time.Since(began)
 	result := "refused"
@@ -263,7 +263,7 @@
 // chooseFunc chooses a replica for a request.
 type chooseFunc func() (route.Choice, dispatch.Result, bool)
 
-func (g *Relay) waitForTurns(ctx context.Context, rq *request, w *waiter, until time.Time, closed <-chan struct{}, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
+func (g *Relay) waitForTries(ctx context.Context, rq *request, w *waiter, until time.Time, closed <-chan struct{}, choose chooseFunc) (route.Choice, dispatch.Result, bool) {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	end := func(v admission.Verdict, cause admission.Cause, res dispatch.Result) (route.Choice, dispatch.Result, bool) {
@@ -272,7 +272,7 @@
 	}
 	for {
 		select {
-		case <-w.turn:
+		case <-w.try:
 			choice, res, ok := choose()
 			g.waiting.recordTry(w, ok, rq.queueWait)
 			if rq.admission.decision.Verdict != admission.Wait {
