weights, stager: no uploads wait while boxes have one fetch open at a time

In the last 3.7 s of the version that a replica holds its agent has one fetch open at a time, since requests queue behind chunks in flight if the link narrows. After an outage of the origin the whole transfer falls into that time. A box then waited at one busy peer while others were idle. Now a request is refused at once if the one upload slot is taken, and the box asks another peer; what is in flight to a box stays as it was. The model of the outage limits fetches in the same way.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -242,6 +242,7 @@
 	for _, r := range vs.all() {
 		r.SetSingleFetch(single)
 	}
+	s.exchange.SetNoUploadQueue(single) // The other boxes limit their fetches at the same time.
 }
 
 // changeVersion stages a version and orders the replica to load it.
--- a/internal/way/box.go
+++ b/internal/way/box.go
@@ -96,6 +96,7 @@
 		return
 	}
 	sim := b.sim
+	b.plan.SingleFetch = sim.SingleFetch.contains(sim.now)
 	todo, wake := b.plan.Next(sim.clock())
 	for _, a := range todo {
 		b.fetch(a)
@@ -183,7 +184,11 @@
 		b.sim.after(detectionDelay, func() { u.to.fetchEnded(u.chunk, b.index, fault.LinkStalled) })
 		return
 	}
-	if len(b.waiting) >= uploadQueue {
+	full := len(b.waiting) >= uploadQueue
+	if b.sim.SingleFetch.contains(b.sim.now) {
+		full = b.uploading
+	}
+	if full {
 		b.sim.after(b.sim.latency(b, u.to), func() { u.to.fetchEnded(u.chunk, b.index, fault.Busy) })
 		return
 	}
--- a/internal/way/scenario.go
+++ b/internal/way/scenario.go
@@ -20,6 +20,10 @@
 	HallPairRate     float64       // Capacity between two halls in bytes a second, in each direction; 0 if unlimited.
 	StartJitter      time.Duration // Boxes start at random times up to this one, when they have their manifests.
 
+	// SingleFetch is when boxes have one fetch from a peer open at a time, as agents do shortly
+	// before the version that their replicas hold expires.
+	SingleFetch Span
+
 	OriginOutages []Span          // Spans in which the origin is unreachable.
 	CorruptRate   float64         // Share of the origin's answers that are corrupt.
 	Partitions    []HallPartition // Halls cut off from the other halls.
@@ -140,6 +144,7 @@
 	p.OriginRate, p.BoxRate, p.HallPairRate = 9e6/8, 9.4e6/8, 30e6/8
 	p.CrossHallLatency = 5 * time.Millisecond
 	p.OriginOutages = []Span{{500 * time.Millisecond, 6500 * time.Millisecond}}
+	p.SingleFetch = Span{6 * time.Second, 9700 * time.Millisecond}
 	return p
 }
 
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -48,6 +48,7 @@
 	mu        sync.Mutex
 	transfers map[string]*Transfer
 	manifests map[string][]byte
+	noQueue   bool // Set by SetNoUploadQueue.
 	uploading int
 	waiting   []chan struct{} // Uploads waiting for a slot, oldest first.
 }
@@ -217,11 +218,27 @@
 	x.grantUploads()
 }
 
+// SetNoUploadQueue sets whether requests for chunks are refused while there is no free upload
+// slot. Boxes that have one fetch open at a time would rather ask another peer than wait.
+func (x *Exchange) SetNoUploadQueue(none bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.noQueue = none
+}
+
+// queueFull reports whether no further upload may wait. The caller holds x.mu.
+func (x *Exchange) queueFull() bool {
+	if x.noQueue {
+		return x.uploading >= orDefault(x.UploadSlots, defaultUploadSlots)
+	}
+	return len(x.waiting) >= orDefault(x.UploadQueue, defaultUploadQueue)
+}
+
 // acquireUpload waits for an upload slot. It reports false if too many uploads are waiting or
 // ctx ends.
 func (x *Exchange) acquireUpload(ctx context.Context) bool {
 	x.mu.Lock()
-	if len(x.waiting) >= orDefault(x.UploadQueue, defaultUploadQueue) {
+	if x.queueFull() {
 		x.mu.Unlock()
 		return false
 	}
