weights: the expected time of completion leaves out pauses

Boxes extrapolated the time of completion from their first chunk. With an outage of 6 s of the origin in between, a version that arrived 2 s later was expected in 15 s or more, so replicas that waited for it reported a time of change far off. The rate now counts from the last pause of a second.

--- a/weights/progress.go
+++ b/weights/progress.go
@@ -91,8 +91,20 @@
 	return t.plan.currentParallel
 }
 
-// CompleteBy extrapolates the time of completion from the rate so far. It returns the zero
-// time before the first chunk and after completion.
+// ratePause is how long no chunk arrives until the rate so far no longer counts: the origin was
+// unavailable.
+const ratePause = time.Second
+
+// recordArrival records for CompleteBy that a chunk has arrived. The caller holds t.mu.
+func (t *Transfer) recordArrival(now time.Time) {
+	if t.lastChunkAt.IsZero() || now.Sub(t.lastChunkAt) >= ratePause {
+		t.firstChunkAt, t.missingAtFirst = now, t.plan.Missing()+1
+	}
+	t.lastChunkAt = now
+}
+
+// CompleteBy extrapolates the time of completion from the rate so far, or since the last pause
+// of ratePause. It returns the zero time before the first chunk and after completion.
 func (t *Transfer) CompleteBy(now time.Time) time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -34,8 +34,9 @@
 	plan           *Plan // Nil until the manifest is available.
 	manifest       *Manifest
 	chunks         []Chunk
-	missingAtFirst int
-	firstChunkAt   time.Time // When the first chunk arrived; zero before.
+	missingAtFirst int       // Chunks that were missing before the one that arrived at firstChunkAt.
+	firstChunkAt   time.Time // When the first chunk arrived, or the first after a pause of ratePause; zero before.
+	lastChunkAt    time.Time // When the last chunk so far arrived; zero before.
 	completedAt    time.Time // When the last chunk arrived; zero before.
 	yieldOrigin    bool
 	singleFetch    bool
@@ -316,9 +317,7 @@
 	t.spreadGossip("")
 	if code == "" && !had {
 		t.announce(a.Chunk)
-		if t.firstChunkAt.IsZero() {
-			t.firstChunkAt = time.Now()
-		}
+		t.recordArrival(time.Now())
 	}
 	if !before && t.plan.Complete() {
 		t.markComplete()
