route, relay: callers refused between two versions are told when to retry

A request refused because no replica held a usable version was told a fixed wait of 1.4 to 2.1 s, whatever was known of the change. Now the time follows the reported changes of the replicas: it is spread over the time in which these can serve, half of their capacity for retries, and a less urgent rank has half of the places of the one before, so that more urgent retries come first. A caller for whom there is no place before its deadline, or within 10 s, is told that time and holds no place. Where no change is known, or its time has passed without it, or another replica may be back earlier, the wait is as before.

--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -75,6 +76,11 @@
 	rq.replicaVersions = fmt.Sprint(g.table.CountByVersion(now, rq.service))
 	res := notRun(fault.CodeOf(err))
 	res.RetryAt = g.retryTime(now, rq, 0)
+	if res.Reason == fault.NoUpstream {
+		if at, ok := g.table.RetryAfterChange(now, rq.deadline, rq.routeCriteria(g, nil), choice.Availability, len(g.gossip.Live()), rand.Float64()); ok {
+			res.RetryAt = at
+		}
+	}
 	if res.Reason == fault.UpstreamBackingOff || res.Reason == fault.UpstreamLimited {
 		res.RetryAt = retryAfterBackoff(now, choice.Availability.BackAt)
 	}
--- /dev/null
+++ b/route/reopening.go
@@ -0,0 +1,137 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/internal/times"
+)
+
+// Parameters of the times at which refused callers should retry while no replica of a service
+// holds a version that may be used.
+const (
+	switchTime     = 200 * time.Millisecond // From when a replica is due to switch versions until it serves.
+	returnShare    = 0.5                    // Share of the capacity that retries of the most urgent rank may use; the rest is left for first attempts.
+	returnRankStep = 0.5                    // Share of the places of a rank that the next less urgent one may use.
+	maxReturns     = 1024                   // Retries kept for a service.
+	maxReturnWait  = 10 * time.Second       // Longest time until a retry; by then replicas have switched, and what they serve is known.
+)
+
+// reopening holds the times at which refused callers of a service were told to retry. The zero
+// value is empty.
+type reopening struct {
+	told  []time.Time // In order, and none in the past.
+	phase float64     // At least 0 and less than 1; it sets gateways apart that tell the same times.
+}
+
+// next returns when the next refused caller should retry, and records it. The replicas that are
+// waiting for a version serve from the times in ready, each rate requests a second of this
+// gateway. The retries told up to any time, of all ranks, use the share of the rank at most of
+// what these replicas serve until then, so that they do not all come when the first replica is
+// ready and a more urgent retry comes before the less urgent ones told earlier. The phase is used
+// if there are no others. A caller whose time would be after latest is told that, and does not
+// count: it will not come back in time. ready must not be empty.
+func (x *reopening) next(now, latest time.Time, ready []time.Time, rate float64, rank int, phase float64) time.Time {
+	slices.SortFunc(ready, time.Time.Compare)
+	past, _ := slices.BinarySearchFunc(x.told, now, time.Time.Compare)
+	x.told = slices.Delete(x.told, 0, past)
+	if len(x.told) == 0 {
+		x.phase = phase
+	}
+	share := returnShare * math.Pow(returnRankStep, float64(max(0, rank)))
+	var at time.Time
+	index := 0
+	for ; ; index++ {
+		at = servedAt(ready, (float64(index)+x.phase)/(share*rate))
+		if index > 0 && at.Before(x.told[index-1]) {
+			at = x.told[index-1]
+		}
+		if index == len(x.told) || at.Before(x.told[index]) {
+			break
+		}
+	}
+	if at.After(latest) {
+		return latest
+	}
+	if len(x.told) < maxReturns {
+		x.told = slices.Insert(x.told, index, at)
+	}
+	return at
+}
+
+// servedAt returns when replicas that serve from the times in ready have together served for a
+// number of seconds. ready must be sorted and not empty.
+func servedAt(ready []time.Time, seconds float64) time.Time {
+	at := ready[0]
+	for i := 1; i < len(ready); i++ {
+		until := ready[i].Sub(at).Seconds() * float64(i)
+		if until >= seconds {
+			return at.Add(time.Duration(seconds / float64(i) * float64(time.Second)))
+		}
+		seconds -= until
+		at = ready[i]
+	}
+	return at.Add(time.Duration(seconds / float64(len(ready)) * float64(time.Second)))
+}
+
+// RetryAfterChange returns when a caller should retry for whose request Pick found no replica: it
+// is spread over the time in which the replicas that are about to switch versions can serve the
+// callers that wait for them, and no later than the caller's deadline. The phase, at least 0 and less than 1, is drawn at random; gateways
+// is the number of gateways that share the replicas. ok is false if no replica is known to be
+// about to switch, or if other replicas may serve earlier.
+func (t *Table) RetryAfterChange(now, deadline time.Time, crit Criteria, seen Availability, gateways int, phase float64) (at time.Time, ok bool) {
+	if seen.Count[excluded] > 0 || !seen.BackAt.IsZero() {
+		return time.Time{}, false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var ready []time.Time
+	for _, r := range t.services[crit.Service] {
+		if s := t.eligibility(now, r, crit); s != unsuitable && s != changing {
+			continue
+		}
+		if from := r.servesFrom(now); !from.IsZero() {
+			ready = append(ready, from)
+		}
+	}
+	rate := replicaRate(t.engines[crit.Service]) / float64(max(1, gateways))
+	if len(ready) == 0 || rate <= 0 {
+		return time.Time{}, false
+	}
+	if t.reopenings == nil {
+		t.reopenings = map[string]*reopening{}
+	}
+	x := t.reopenings[crit.Service]
+	if x == nil {
+		x = &reopening{}
+		t.reopenings[crit.Service] = x
+	}
+	return x.next(now, times.Earlier(deadline, now.Add(maxReturnWait)), ready, rate, crit.Rank, phase), true
+}
+
+// servesFrom returns when the replica is expected to serve the version that it is about to switch
+// to, or zero if that is not known. If the reported time has passed and it is not switching, its
+// weights have not arrived.
+func (r *Replica) servesFrom(now time.Time) time.Time {
+	switch {
+	case !r.Engine || !r.hasReport(now):
+	case r.Report.Changing:
+		return now.Add(switchTime)
+	case r.Report.ChangeAt.After(now):
+		return r.Report.ChangeAt.Add(switchTime)
+	}
+	return time.Time{}
+}
+
+// replicaRate returns how many requests a second a replica with all slots in use completes, or 0
+// if its engine is not described.
+func replicaRate(e config.Engine) float64 {
+	step := e.StepTime + time.Duration(float64(e.Slots)*float64(e.StepTimePerSequence))
+	perRequest := time.Duration(prefillOverhead * float64(e.MeanAnswerTokens) * float64(step))
+	if e.PrefillRate <= 0 || perRequest <= 0 {
+		return 0
+	}
+	return float64(e.Slots) / perRequest.Seconds()
+}
--- a/route/sync.go
+++ b/route/sync.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"time"
 
 	"github.com/poststand/poststand/config"
@@ -25,6 +26,10 @@
 			t.coldStarts[name] = coldStart{s.ColdRate, s.ColdFor}
 		}
 	}
+	maps.DeleteFunc(t.reopenings, func(name string, _ *reopening) bool {
+		_, configured := services[name]
+		return !configured
+	})
 	for id, u := range ups {
 		r := t.replicaFor(now, old[id], u.Incarnation)
 		if !u.Before(r.Incarnation) {
--- a/route/table.go
+++ b/route/table.go
@@ -96,6 +96,7 @@
 	drainedHalls map[string]bool
 	// coldStarts holds the cold rate and time of each service whose replicas have them.
 	coldStarts map[string]coldStart
+	reopenings map[string]*reopening // By service.
 }
 
 // Parameters of a Table.
