stager: uploads use more of the link while the replica runs no requests

Uploads were paced at 0.85 of a box's link, so that the events of answers do not wait. Between two versions, when no replica may serve, there are no answers to wait for. While its replica has no request running or queued an agent now paces at 0.95.

--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -126,6 +126,7 @@
 // events of an answer would wait.
 const (
 	linkShare   = 0.85
+	idleShare   = 0.95 // Instead of linkShare while the replica runs no requests.
 	sendPart    = 4 << 10
 	uploadSlots = 1
 	uploadQueue = 1 // Keeps the link busy between two uploads; a longer queue delays a chunk at each box that passes it on.
@@ -173,13 +174,21 @@
 func (s *Stager) linkRate() float64 { return s.bounds.Load().Link * bitsPerMega / bitsPerByte }
 
 func (s *Stager) pace(ctx context.Context, n int) error {
-	limit := rate.Limit(linkShare * s.linkRate() * s.availableShare())
+	limit := rate.Limit(s.uploadShare() * s.linkRate() * s.availableShare())
 	if s.linkLimiter.Limit() != limit {
 		s.linkLimiter.SetLimit(limit)
 	}
 	return s.linkLimiter.WaitN(ctx, n)
 }
 
+// uploadShare returns the share of the link that uploads use.
+func (s *Stager) uploadShare() float64 {
+	if rep, ok := s.status.report(); ok && rep.Queued == 0 && rep.Running == 0 {
+		return idleShare
+	}
+	return linkShare
+}
+
 // availableShare estimates the share of the link's configured rate that is available now.
 func (s *Stager) availableShare() float64 {
 	a, _, _ := s.assignments.watch()
--- a/internal/stager/stager_test.go
+++ b/internal/stager/stager_test.go
@@ -136,3 +136,25 @@
 	got, _, _ := a.watch()
 	is.Equal(got.Version, uint64(3))
 }
+
+// Uploads leave a part of the link to answers, but not while the replica runs no requests: between
+// two versions no replica may serve, and all of them wait for weights.
+func TestUploadShare(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		rep   Report
+		valid bool
+		want  float64
+	}{
+		{"idle", Report{}, true, idleShare},
+		{"running", Report{Running: 1}, true, linkShare},
+		{"queued", Report{Queued: 1}, true, linkShare},
+		{"not known", Report{}, false, linkShare},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			s := &Stager{}
+			s.status.last, s.status.valid = tc.rep, tc.valid
+			is.New(t).Equal(s.uploadShare(), tc.want)
+		})
+	}
+}
--- a/internal/way/box.go
+++ b/internal/way/box.go
@@ -204,7 +204,11 @@
 	u := b.waiting[0]
 	b.waiting = b.waiting[1:]
 	b.uploading = true
-	took := sim.onLink(b, linkShare)
+	share := linkShare
+	if sim.Idle.contains(sim.now) {
+		share = idleLinkShare
+	}
+	took := sim.onLink(b, share)
 	sim.after(took, func() {
 		b.uploading = false
 		if b.lost || !sim.reachable(b, u.to) {
--- a/internal/way/scenario.go
+++ b/internal/way/scenario.go
@@ -24,6 +24,9 @@
 	// before the version that their replicas hold expires.
 	SingleFetch Span
 
+	// Idle is when replicas run no requests, so that uploads use more of the links.
+	Idle Span
+
 	OriginOutages []Span          // Spans in which the origin is unreachable.
 	CorruptRate   float64         // Share of the origin's answers that are corrupt.
 	Partitions    []HallPartition // Halls cut off from the other halls.
@@ -145,6 +148,7 @@
 	p.CrossHallLatency = 5 * time.Millisecond
 	p.OriginOutages = []Span{{500 * time.Millisecond, 6500 * time.Millisecond}}
 	p.SingleFetch = Span{6 * time.Second, 9700 * time.Millisecond}
+	p.Idle = Span{8600 * time.Millisecond, maxTime}
 	return p
 }
 
--- a/internal/way/simulation.go
+++ b/internal/way/simulation.go
@@ -32,6 +32,7 @@
 	parallel       = 6
 	atOrigin       = 3
 	linkShare      = 0.85                    // Share of a box's link that uploads use.
+	idleLinkShare  = 0.95                    // The same while replicas run no requests.
 	detectionDelay = 1500 * time.Millisecond // Time until the failure of a neighbour is detected.
 	maxTime        = 60 * time.Second        // Limit of a run.
 )
