--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"strings"
 	"time"
 
@@ -78,6 +79,12 @@
 	rq.replicaVersions = fmt.Sprint(g.table.CountByVersion(now, rq.service))
 	res := notRun(fault.CodeOf(err))
 	res.RetryAt = g.retryTime(now, rq, res.Reason)
+	if res.Reason == fault.NoUpstream {
+		crit := rq.routeCriteria(g, nil)
+		if at, ok := g.table.RetryAfterChange(now, rq.deadline, crit, g.admissions.level(rq), choice.Availability, len(g.gossip.Live()), rand.Float64()); ok {
+			res.RetryAt = at
+		}
+	}
 	if res.Reason == fault.UpstreamBackingOff || res.Reason == fault.UpstreamLimited {
 		res.RetryAt = retryAfterBackoff(now, choice.Availability.BackAt)
 	}
--- a/internal/relay/retrytime.go
+++ b/internal/relay/retrytime.go
@@ -37,12 +37,10 @@
 // no room by the time that the caller waits at most, it is a time past its deadline, so that it
 // does not retry only to be refused again.
 func (g *Relay) reserveRetry(now time.Time, rq *request) time.Time {
-	// Callers wait for a third of the time that they have left. Retry-After is rounded, and
-	// the refusal takes some time to arrive.
-	const maxWaitShare, margin = 3, 20 * time.Millisecond
+	const margin = 20 * time.Millisecond // Retry-After is rounded, and the refusal takes some time to arrive.
 	t := g.retryTimes.Reserve(now, admission.RetryRequest{
 		Service: rq.service, Step: g.admissions.level(rq),
-		Earliest: now.Add(max(minRetryDelay, rq.queueWait)), Latest: now.Add(rq.deadline.Sub(now)/maxWaitShare - margin),
+		Earliest: now.Add(max(minRetryDelay, rq.queueWait)), Latest: rq.latestRetry(now).Add(-margin),
 		NoPlace: rq.attempt != admission.FirstAttempt,
 	})
 	rq.retriesBefore = t.Before
@@ -59,3 +57,10 @@
 		g.retryTimes.Complete(time.Now(), rq.service)
 	}
 }
+
+// latestRetry returns when the caller of a request that is refused now retries at the latest,
+// whatever Retry-After says: callers wait for a third of the time that they have left.
+func (rq *request) latestRetry(now time.Time) time.Time {
+	const waitedShare = 3
+	return now.Add(rq.deadline.Sub(now) / waitedShare)
+}
--- a/internal/relay/returns.go
+++ b/internal/relay/returns.go
@@ -7,6 +7,7 @@
 	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/limit"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/wire"
@@ -26,11 +27,13 @@
 }
 
 // expectRetry records that the caller of a refused request was told to retry at a time, and queues
-// that for the other gateways of the hall. An early retry is still expected at its first time.
+// that for the other gateways of the hall. A caller that is told a later time than it waits for is
+// expected when it stops waiting. An early retry is still expected at its first time.
 func (g *Relay) expectRetry(now time.Time, rq *request, at time.Time) {
 	if rq.key == (quarantine.Key{}) || rq.attempt == admission.RetriedEarly || !at.Before(rq.deadline) || at.Sub(now) > peers.MaxReturnIn {
 		return
 	}
+	at = times.Earlier(at, rq.latestRetry(now))
 	e := admission.ExpectedReturn{Key: rq.key, NotBefore: at, Rank: max(0, min(limit.NumRanks-1, rq.rank))}
 	g.returns.Expect(now, e)
 	g.returnQueue.add(e)
--- a/internal/way/box.go
+++ b/internal/way/box.go
@@ -96,6 +96,7 @@
 		return
 	}
 	sim := b.sim
+	b.plan.SingleFetch = sim.SingleFetch.contains(sim.now)
 	todo, wake := b.plan.Next(sim.clock())
 	for _, a := range todo {
 		b.fetch(a)
@@ -183,7 +184,11 @@
 		b.sim.after(detectionDelay, func() { u.to.fetchEnded(u.chunk, b.index, fault.LinkStalled) })
 		return
 	}
-	if len(b.waiting) >= uploadQueue {
+	full := len(b.waiting) >= uploadQueue
+	if b.sim.SingleFetch.contains(b.sim.now) {
+		full = b.uploading
+	}
+	if full {
 		b.sim.after(b.sim.latency(b, u.to), func() { u.to.fetchEnded(u.chunk, b.index, fault.Busy) })
 		return
 	}
@@ -199,7 +204,11 @@
 	u := b.waiting[0]
 	b.waiting = b.waiting[1:]
 	b.uploading = true
-	took := sim.onLink(b, linkShare)
+	share := linkShare
+	if sim.Idle.contains(sim.now) {
+		share = idleLinkShare
+	}
+	took := sim.onLink(b, share)
 	sim.after(took, func() {
 		b.uploading = false
 		if b.lost || !sim.reachable(b, u.to) {
@@ -215,7 +224,11 @@
 func (b *box) receive(chunk, from int, took, latency time.Duration) {
 	sim := b.sim
 	own := sim.onLink(b, 1)
-	arrives := max(sim.now+latency, b.downlinkFreeAt+own, sim.now+own-took)
+	left := sim.now
+	if from >= 0 {
+		left = sim.crossHall(from, b.index)
+	}
+	arrives := max(left+latency, b.downlinkFreeAt+own, sim.now+own-took)
 	b.downlinkFreeAt = arrives
 	sim.after(arrives-sim.now, func() {
 		if b.plan != nil && from >= 0 {
--- a/route/table.go
+++ b/route/table.go
@@ -105,6 +105,7 @@
 	coldStarts map[string]coldStart
 	hallLoads  map[[2]string]hallLoad // By service and hall.
 	subsets    map[string]subset      // By service, as far as needed since the last change of the list.
+	reopenings map[string]*reopening  // By service.
 }
 
 // Parameters of a Table.
