link, poststand: dials to an origin that was away end sooner

After an outage in which the origin did not refuse connections, boxes still waited up to 0.6 s for dials from before its return. After a failed dial the next ones now have 0.2 s until one succeeds; the first one keeps 0.6 s, since an origin with a full link may answer late.

Where it refuses connections (origin_away) it is 0.11 s as before.

--- a/cmd/poststand-load/simulate.go
+++ b/cmd/poststand-load/simulate.go
@@ -27,7 +27,7 @@
 				name string
 				draw func(seed uint64) way.Scenario
 				n    int
-			}{{"no_faults", way.ScarceOrigin, max(1, plans/10)}, {"origin_away", way.OriginAway, max(1, plans/10)}, {"random", way.RandomScenario, max(1, plans)}} {
+			}{{"no_faults", way.ScarceOrigin, max(1, plans/10)}, {"origin_away", way.OriginAway, max(1, plans/10)}, {"origin_silent", way.SilentOrigin, max(1, plans/10)}, {"random", way.RandomScenario, max(1, plans)}} {
 				if only != "" && only != kind.name {
 					continue
 				}
@@ -52,7 +52,7 @@
 	f := c.Flags()
 	f.IntVar(&plans, "plans", 100, "simulations with random faults; a tenth as many run without faults")
 	f.Uint64Var(&first, "first", 0, "seed of the first simulation")
-	f.StringVar(&only, "only", "", "run only the simulations of this kind: no_faults, origin_away or random")
+	f.StringVar(&only, "only", "", "run only the simulations of this kind: no_faults, origin_away, origin_silent or random")
 	f.BoolVar(&each, "each", false, "print a line for each simulation")
 	return c
 }
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -58,7 +58,7 @@
 // connections: the origin accepts few in total, and an idle one would block other boxes.
 func newOriginClient() *http.Client {
 	return &http.Client{Transport: &http.Transport{
-		DialContext: link.DialContext, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: (&link.RetryDialer{}).DialContext, DisableCompression: true, DisableKeepAlives: true,
 	}}
 }
 
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -25,7 +26,8 @@
 	// whose connection is closed then is lost, so they are longer than callers wait.
 	replicaAckTimeout      = 30 * time.Second
 	replicaKeepAliveProbes = 30
-	// startupDialTimeout bounds each dial of a starting process. A peer that is not up yet,
+	// startupDialTimeout bounds each dial of a starting process, and those of a RetryDialer after
+	// a failed one. A peer that is not up yet,
 	// or that many processes dial at once, may accept a moment later, but the kernel would
 	// resend the SYN only after a second.
 	startupDialTimeout = 200 * time.Millisecond
@@ -52,6 +54,20 @@
 	return Dial(ctx, addr)
 }
 
+// RetryDialer dials a server that may be away. After a failed dial it uses a shorter timeout until
+// one succeeds, so that a dial from before the server's return does not delay the next one.
+type RetryDialer struct {
+	Connect func(ctx context.Context, addr string) (net.Conn, error) // Establishes the connection; Dial if nil.
+	failed  atomic.Bool
+}
+
+// DialContext connects to the server at addr.
+func (d *RetryDialer) DialContext(ctx context.Context, _, addr string) (net.Conn, error) {
+	c, err := Dialer{Starting: d.failed.Load, Connect: d.Connect}.Dial(ctx, addr)
+	d.failed.Store(err != nil)
+	return c, err
+}
+
 // DialContext connects to another process or the platform.
 func DialContext(ctx context.Context, network, addr string) (net.Conn, error) {
 	return dial(ctx, network, addr, ackTimeout, keepAliveProbes)
--- a/internal/way/box.go
+++ b/internal/way/box.go
@@ -20,6 +20,7 @@
 	downlinkFreeAt time.Duration
 	wakeAt         time.Duration
 	lost           bool
+	dialFailed     bool          // The last dial to the origin failed.
 	completedAt    time.Duration // Zero while incomplete.
 	pending        map[fetch]bool
 }
--- a/internal/way/links.go
+++ b/internal/way/links.go
@@ -71,7 +71,7 @@
 // serve starts the flow of a chunk on the origin's link.
 func (sim *simulation) serve(b *box, chunk int) {
 	if !sim.reachOrigin(b) {
-		sim.after(sim.originLatency(b), func() { b.fetchEnded(chunk, -1, fault.Unreachable) })
+		sim.after(sim.dialFailsAfter(b), func() { b.fetchEnded(chunk, -1, fault.Unreachable) })
 		return
 	}
 	sim.advance()
@@ -79,6 +79,19 @@
 	sim.scheduleFlowEnd()
 }
 
+// dialFailsAfter returns how long a dial to the unreachable origin takes: if it is silent, the
+// timeout of link.RetryDialer.
+func (sim *simulation) dialFailsAfter(b *box) time.Duration {
+	if !sim.OriginSilent {
+		return sim.originLatency(b)
+	}
+	if !b.dialFailed {
+		b.dialFailed = true
+		return dialTimeout
+	}
+	return redialTimeout
+}
+
 // advance subtracts from all flows the bytes carried since the last change.
 func (sim *simulation) advance() {
 	if n := len(sim.flows); n > 0 {
--- a/internal/way/scenario.go
+++ b/internal/way/scenario.go
@@ -27,6 +27,7 @@
 	// Idle is when replicas run no requests, so that uploads use more of the links.
 	Idle Span
 
+	OriginSilent  bool            // Connections to an unreachable origin time out instead of being refused.
 	OriginOutages []Span          // Spans in which the origin is unreachable.
 	CorruptRate   float64         // Share of the origin's answers that are corrupt.
 	Partitions    []HallPartition // Halls cut off from the other halls.
@@ -152,6 +153,14 @@
 	return p
 }
 
+// SilentOrigin returns an OriginAway scenario in which the origin does not refuse connections
+// meanwhile.
+func SilentOrigin(seed uint64) Scenario {
+	p := OriginAway(seed)
+	p.OriginSilent = true
+	return p
+}
+
 // RandomScenario returns a random scenario with some faults.
 func RandomScenario(seed uint64) Scenario {
 	r := rand.New(rand.NewPCG(seed, 1))
