--- a/route/draw.go
+++ b/route/draw.go
@@ -65,6 +65,7 @@
 	s := t.subset(crit.Service)
 	d := &Draw{states: map[*Replica]drawState{}, subset: s.replicas, sparse: gateways*loadSubset < minCoverage*s.of}
 	var cs []*Replica
+	crit.readsLoad = true
 	for _, r := range s.replicas {
 		if r.Engine && !r.noQueryUntil.After(now) && t.eligibility(now, r, crit) == usable {
 			cs = append(cs, r)
--- a/route/table.go
+++ b/route/table.go
@@ -125,9 +125,11 @@
 	defaultLatency      = 60 * time.Millisecond   // Assumed request time if none is known.
 	// A request is sent to a version with a start deadline only if it is expected to start by
 	// then even if starting takes startFactor times the predicted time plus startMargin.
-	startFactor         = 1.5
-	startMargin         = 200 * time.Millisecond
-	receivingMargin     = 400 * time.Millisecond  // Added while weights are sent to the box: if its link narrows, they queue ahead of requests.
+	startFactor = 1.5
+	startMargin = 200 * time.Millisecond
+	// receivingMargin is added while weights are sent to the box: if its link narrows, they queue
+	// ahead of requests. An answer to a load query within its short timeout shows that they do not.
+	receivingMargin     = 400 * time.Millisecond
 	slowLinkMargin      = 2500 * time.Millisecond // Added if the link to the replica may be slow.
 	slowLinkFor         = 6 * time.Second         // A link counts as slow for this long after a report, since the next one may report it again.
 	slowLinkCost        = 100 * time.Millisecond  // Added to the cost of a replica whose link counts as slow.
@@ -162,6 +164,8 @@
 	// Draw restricts the choice among replicas of the gateway's own hall to those that were drawn
 	// and whose load is known. Nil, or a draw without any answer, does not restrict it.
 	Draw *Draw
+	// readsLoad is set while a draw is made: the load will have been read before the choice.
+	readsLoad bool
 	// MaxWait is the longest wait for which the request is sent; zero for no limit. If all sampled
 	// replicas have a longer one, any other replica with a shorter one is chosen. It applies only
 	// with an answer to Draw.
@@ -176,6 +180,7 @@
 	QueueWait    time.Duration // The part of Predicted before the replica starts on the request.
 	ReportAge    time.Duration // Age of the agent's report of the replica, or of its answer to a query; negative if there is none.
 	Fresh        bool          // The choice rests on an answer to a query.
+	Queried      bool          // There were answers to queries, from this replica or others.
 	Reservation  *Reservation
 	Deadline     time.Time    // Deadline to set for the request; zero for the caller's.
 	Limit        Limit        // Rate limit in force for the replica.
@@ -210,12 +215,13 @@
 		best.probedAt = now
 	}
 	deadline, _ := best.versionDeadline(now, e, crit)
+	fresh := best.isFresh(now)
 	best.prefilling++
 	best.prefillTokens += crit.Workload.PromptTokens
 	return Choice{
-		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now, fresh: best.isFresh(now), slowdown: best.slowdown()},
+		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now, fresh: fresh, slowdown: best.slowdown()},
 		Upstream:    best.Upstream, Version: best.version(now), Predicted: chosen.predicted,
-		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: best.isFresh(now), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
+		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: fresh, Queried: crit.Draw.hasAnswer(), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
 	}, nil
 }
 
@@ -348,7 +354,7 @@
 		return true
 	}
 	margin := startMargin
-	if r.Report.ReceivingWeights {
+	if r.Report.ReceivingWeights && !crit.readsLoad && !r.isFresh(now) {
 		margin += receivingMargin
 	}
 	if r.linkMayBeSlow(now) {
