--- a/internal/stager/roll.go
+++ b/internal/stager/roll.go
@@ -19,15 +19,19 @@
 	firstCopyFactor = 1.4                    // Time until the first box has a complete copy, in times that a box's link needs for one.
 )
 
-// nearExpiry is how long before a version expires the chunks in flight to boxes whose
+// From nearExpiry until lastSend before a version expires, the chunks in flight to boxes whose
 // replicas hold it are limited: if such a box's link slows down, requests queue behind them.
-const nearExpiry = 3700 * time.Millisecond
+// Gateways send no request for the version later than that.
+const (
+	nearExpiry = 3700 * time.Millisecond
+	lastSend   = time.Second
+)
 
 // expiresSoon reports whether a version that was superseded at the given time is within
-// nearExpiry of its expiry.
+// nearExpiry of its expiry, and requests may still be sent to it.
 func (s *Stager) expiresSoon(now, supersededAt time.Time) bool {
 	left := supersededAt.Add(s.bounds.Load().VersionWithin).Sub(now)
-	return !supersededAt.IsZero() && left > 0 && left <= nearExpiry
+	return !supersededAt.IsZero() && left > lastSend && left <= nearExpiry
 }
 
 // changeTime returns when the replica may change its version, or zero for at once: a replica
--- a/internal/way/scenario.go
+++ b/internal/way/scenario.go
@@ -21,7 +21,7 @@
 	StartJitter      time.Duration // Boxes start at random times up to this one, when they have their manifests.
 
 	// SingleFetch is when boxes have one fetch from a peer open at a time, as agents do shortly
-	// before the version that their replicas hold expires.
+	// before the version that their replicas hold expires, until requests are no longer sent to it.
 	SingleFetch Span
 
 	// Idle is when replicas run no requests, so that uploads use more of the links.
@@ -148,7 +148,7 @@
 	p.OriginRate, p.BoxRate, p.HallPairRate = 9e6/8, 9.4e6/8, 30e6/8
 	p.CrossHallLatency = 5 * time.Millisecond
 	p.OriginOutages = []Span{{500 * time.Millisecond, 6500 * time.Millisecond}}
-	p.SingleFetch = Span{6 * time.Second, 9700 * time.Millisecond}
+	p.SingleFetch = Span{6 * time.Second, 8700 * time.Millisecond}
 	p.Idle = Span{8600 * time.Millisecond, maxTime}
 	return p
 }
