--- a/internal/relay/loadquery.go
+++ b/internal/relay/loadquery.go
@@ -21,7 +21,7 @@
 // before it chooses one of them.
 const (
 	loadQueryMinGateways = 13                     // Live gateways from which agents are queried.
-	loadQueryTimeout     = 15 * time.Millisecond  // A choice waits no longer for answers.
+	loadQueryTimeout     = 30 * time.Millisecond  // A choice waits no longer for answers; they queue behind chunks of weights on a box's link.
 	loadRetryDelay       = 300 * time.Millisecond // Pause after an agent did not answer.
 	loadUnsupportedDelay = 10 * time.Second       // Pause after an agent refused a query as unsupported.
 	loadConnIdle         = 30 * time.Second       // Connections without a query for longer are closed.
--- a/route/draw.go
+++ b/route/draw.go
@@ -62,12 +62,13 @@
 func (t *Table) Draw(now time.Time, crit Criteria, gateways int) *Draw {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.subset(crit.Service)
-	d := &Draw{states: map[*Replica]drawState{}, subset: s.replicas, sparse: gateways*loadSubset < minCoverage*s.of}
-	var cs []*Replica
 	crit.readsLoad = true
-	for _, r := range s.replicas {
-		if r.Engine && !r.noQueryUntil.After(now) && t.eligibility(now, r, crit) == usable {
+	ranking := t.ranking(crit.Service)
+	subset := t.subset(now, ranking, crit)
+	d := &Draw{states: map[*Replica]drawState{}, subset: subset, sparse: gateways*loadSubset < minCoverage*len(ranking)}
+	var cs []*Replica
+	for _, r := range subset {
+		if !r.noQueryUntil.After(now) {
 			cs = append(cs, r)
 		}
 	}
@@ -92,18 +93,27 @@
 	return d
 }
 
-// subset holds the replicas of a service in the gateway's hall whose load the gateway reads, and the
-// number of replicas that they were chosen from.
-type subset struct {
-	replicas []*Replica
-	of       int
+// subset returns the replicas whose load the gateway reads for a request: the first ones of the
+// ranking that could take it. While replicas of the hall switch versions, others take their places.
+func (t *Table) subset(now time.Time, ranking []*Replica, crit Criteria) []*Replica {
+	var out []*Replica
+	for _, r := range ranking {
+		if len(out) == loadSubset {
+			break
+		}
+		if r.Engine && t.eligibility(now, r, crit) == usable {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
-// subset returns the subset for a service. It stays the same until the list of replicas changes,
-// so that the gateway keeps connections to few agents. The caller holds t.mu.
-func (t *Table) subset(service string) subset {
-	if s, ok := t.subsets[service]; ok {
-		return s
+// ranking returns the replicas of a service in the gateway's hall in the gateway's rendezvous order.
+// It stays the same until the list of replicas changes, so that the gateway keeps connections to
+// few agents. The caller holds t.mu.
+func (t *Table) ranking(service string) []*Replica {
+	if rs, ok := t.rankings[service]; ok {
+		return rs
 	}
 	var addrs []string
 	for _, r := range t.services[service] {
@@ -111,15 +121,15 @@
 			addrs = append(addrs, r.Addr)
 		}
 	}
-	if t.subsets == nil {
-		t.subsets = map[string]subset{}
+	var rs []*Replica
+	for _, addr := range rendezvous.Rank(t.Gateway, addrs) {
+		rs = append(rs, t.byAddr[addr])
 	}
-	s := subset{of: len(addrs)}
-	for _, addr := range rendezvous.Rank(t.Gateway, addrs)[:min(loadSubset, len(addrs))] {
-		s.replicas = append(s.replicas, t.byAddr[addr])
+	if t.rankings == nil {
+		t.rankings = map[string][]*Replica{}
 	}
-	t.subsets[service] = s
-	return s
+	t.rankings[service] = rs
+	return rs
 }
 
 // RecordLoad stores the answer to a query of the draw.
--- a/route/sync.go
+++ b/route/sync.go
@@ -20,7 +20,7 @@
 	t.services = map[string][]*Replica{}
 	t.engines = map[string]config.Engine{}
 	t.coldStarts = map[string]coldStart{}
-	t.subsets = nil
+	t.rankings = nil
 	for name, s := range services {
 		t.engines[name] = s.Engine
 		if s.ColdRate > 0 {
--- a/route/table.go
+++ b/route/table.go
@@ -104,7 +104,7 @@
 	// coldStarts holds the cold rate and time of each service whose replicas have them.
 	coldStarts map[string]coldStart
 	hallLoads  map[[2]string]hallLoad // By service and hall.
-	subsets    map[string]subset      // By service, as far as needed since the last change of the list.
+	rankings   map[string][]*Replica  // By service, as far as needed since the last change of the list; see Table.ranking.
 	reopenings map[string]*reopening  // By service.
 }
 
