relay, admission: waiting requests of one region no longer hold up others

Callers saw: while requests of an organisation that may be served only in a full region waited at a gateway, requests that may be served elsewhere were refused as queue_full, although replicas there were idle.

Cause: requests waited in one order for each service. The requests of the restricted organisation get no work, so fair share puts them first in each pass.

Change: requests wait in a pool, which is a service and the regions where they may be served. Each pool has its own order and its own tries.

--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -12,9 +12,16 @@
 	maxWaitingBytes = 4 << 20 // Of bodies.
 )
 
+// Pool identifies requests that may be sent to the same replicas, so that they wait for the same
+// room.
+type Pool struct {
+	Service string
+	Regions string // Where they may be served; see config.Residency.
+}
+
 // Waiting is a request that waits at the gateway for room at a replica.
 type Waiting struct {
-	Service      string
+	Pool
 	Level        int  // Number of more urgent ranks of the service; see Service.Level.
 	First        bool // It goes before the others of its level: a retry on time.
 	Organisation string
@@ -43,7 +50,7 @@
 	return cmp.Or(w.Deadline.Compare(o.Deadline), cmp.Compare(w.seq, o.seq))
 }
 
-// WaitingList holds the requests that wait at a gateway. Those for one service are ordered by
+// WaitingList holds the requests that wait at a gateway. Those of one pool are ordered by
 // level, those marked First before the others of one, then by the fair share of their organisations, then
 // by deadline. The zero value is an empty list. It is not safe for concurrent use.
 type WaitingList struct {
@@ -84,24 +91,24 @@
 // Len returns the number of waiting requests.
 func (l *WaitingList) Len() int { return len(l.waiting) }
 
-// Waits reports whether any request for a service waits.
-func (l *WaitingList) Waits(service string) bool {
-	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Service == service })
+// Waits reports whether any request of a pool waits.
+func (l *WaitingList) Waits(p Pool) bool {
+	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Pool == p })
 }
 
 // MustWait reports whether a request that arrives must join the list without a try: others of at
-// least its urgency wait for the same service.
+// least its urgency wait in the same pool.
 func (l *WaitingList) MustWait(w *Waiting) bool {
-	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Service == w.Service && o.compareUrgency(w) <= 0 })
+	return slices.ContainsFunc(l.waiting, func(o *Waiting) bool { return o.Pool == w.Pool && o.compareUrgency(w) <= 0 })
 }
 
-// First returns the request for a service that is to be tried next, except those that skip
-// reports; nil if there is none.
-func (l *WaitingList) First(service string, skip func(*Waiting) bool) *Waiting {
+// First returns the request of a pool that is to be tried next, except those that skip reports;
+// nil if there is none.
+func (l *WaitingList) First(p Pool, skip func(*Waiting) bool) *Waiting {
 	next := map[string]*Waiting{} // The next request of each organisation, all of the same urgency.
 	var most *Waiting
 	for _, w := range l.waiting {
-		if w.Service != service || skip(w) {
+		if w.Pool != p || skip(w) {
 			continue
 		}
 		if most == nil || w.compareUrgency(most) < 0 {
--- a/admission/waiting_test.go
+++ b/admission/waiting_test.go
@@ -9,10 +9,10 @@
 )
 
 // drainOrder returns the organisations of the waiting requests in the order in which they start.
-func (l *WaitingList) drainOrder(service string) []string {
+func (l *WaitingList) drainOrder(p Pool) []string {
 	var out []string
 	for {
-		w := l.First(service, func(*Waiting) bool { return false })
+		w := l.First(p, func(*Waiting) bool { return false })
 		if w == nil {
 			return out
 		}
@@ -52,7 +52,7 @@
 			[]string{"a", "b", "b", "b", "a"},
 		},
 		{"deadline", []Waiting{{Organisation: "b", Deadline: at(2 * ms)}, {Organisation: "a", Deadline: at(ms)}}, []string{"a", "b"}},
-		{"another service", []Waiting{{Organisation: "b", Service: "other"}, {Organisation: "a"}}, []string{"a"}},
+		{"another service", []Waiting{{Organisation: "b", Pool: Pool{Service: "other"}}, {Organisation: "a"}}, []string{"a"}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -60,7 +60,7 @@
 			for i := range tc.waiting {
 				l.Add(&tc.waiting[i])
 			}
-			is.New(t).Equal(l.drainOrder(""), tc.want)
+			is.New(t).Equal(l.drainOrder(Pool{}), tc.want)
 		})
 	}
 }
@@ -80,7 +80,7 @@
 	}
 	l.Add(&Waiting{Organisation: "a"})
 	l.Add(small)
-	is.Equal(l.drainOrder(""), []string{"b", "a"})
+	is.Equal(l.drainOrder(Pool{}), []string{"b", "a"})
 }
 
 // With more requests waiting than the bounds allow, the newest of the least urgent are removed.
@@ -118,20 +118,21 @@
 }
 
 // A request that arrives while others wait must not take the room that they wait for, unless it
-// is more urgent or for another service.
+// is more urgent, for another service or to be served elsewhere.
 func TestMustWait(t *testing.T) {
 	var l WaitingList
-	l.Add(&Waiting{Service: "s", Level: 1})
+	l.Add(&Waiting{Pool: Pool{Service: "s"}, Level: 1})
 	cases := []struct {
 		name string
 		w    Waiting
 		want bool
 	}{
-		{"more urgent", Waiting{Service: "s"}, false},
-		{"equally urgent", Waiting{Service: "s", Level: 1}, true},
-		{"retry on time of the same rank", Waiting{Service: "s", Level: 1, First: true}, false},
-		{"less urgent", Waiting{Service: "s", Level: 2, First: true}, true},
-		{"another service", Waiting{Service: "other", Level: 2}, false},
+		{"more urgent", Waiting{Pool: Pool{Service: "s"}}, false},
+		{"equally urgent", Waiting{Pool: Pool{Service: "s"}, Level: 1}, true},
+		{"retry on time of the same rank", Waiting{Pool: Pool{Service: "s"}, Level: 1, First: true}, false},
+		{"less urgent", Waiting{Pool: Pool{Service: "s"}, Level: 2, First: true}, true},
+		{"another service", Waiting{Pool: Pool{Service: "other"}, Level: 2}, false},
+		{"other regions", Waiting{Pool: Pool{Service: "s", Regions: "r1"}, Level: 2}, false},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -153,7 +153,7 @@
 	}
 	now := time.Now()
 	demand := g.admissions.demand(now, rq)
-	w, until := rq.waiting(&s, demand.Starved), times.Earlier(s.LatestWait(rq.arrivedAt), rq.deadline)
+	w, until := rq.waiting(&s, demand.Starved, rq.residency(g).String()), times.Earlier(s.LatestWait(rq.arrivedAt), rq.deadline)
 	mustWait := g.waiting.mustWait(&w)
 	var choice route.Choice
 	var res dispatch.Result
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -27,13 +27,13 @@
 	mu      sync.Mutex
 	list    admission.WaitingList
 	waiters map[*admission.Waiting]*waiter
-	loops   map[string]*tryLoop // Those of services with waiting requests, keyed by service.
-	closed  chan struct{}       // Closed when the gateway drains; nil before first use.
+	loops   map[admission.Pool]*tryLoop // Those of pools with waiting requests.
+	closed  chan struct{}               // Closed when the gateway drains; nil before first use.
 }
 
-// tryLoop schedules the tries of the waiting requests of one service.
+// tryLoop schedules the tries of the waiting requests of one pool.
 type tryLoop struct {
-	ended     chan struct{} // Capacity 1; receives when a request for the service ends.
+	ended     chan struct{} // Capacity 1; receives when a request for the pool's service ends.
 	round     int           // Number of the current pass over the waiting requests.
 	queueWait time.Duration // Predicted at the last try.
 }
@@ -58,10 +58,10 @@
 }
 
 // waiting returns how the request is ordered among those that wait.
-func (rq *request) waiting(s *admission.Service, starved bool) admission.Waiting {
+func (rq *request) waiting(s *admission.Service, starved bool, regions string) admission.Waiting {
 	p := rq.profile()
 	w := admission.Waiting{
-		Service: rq.service, Level: s.Level(rq.rank), First: rq.attempt == admission.RetriedOnTime, Organisation: rq.organisation,
+		Pool: admission.Pool{Service: rq.service, Regions: regions}, Level: s.Level(rq.rank), First: rq.attempt == admission.RetriedOnTime, Organisation: rq.organisation,
 		Weight: p.Weight, Work: p.Work, Deadline: rq.deadline, Bytes: len(rq.body),
 	}
 	if starved {
@@ -97,35 +97,35 @@
 	return r.list.MustWait(w)
 }
 
-// add adds a request. It returns the loop that must be started for its service, or nil if there is
+// add adds a request. It returns the loop that must be started for its pool, or nil if there is
 // one, and a channel that is closed when the gateway drains. If too many requests wait, one of
 // them, perhaps the new one, is notified by its channel removed.
 func (r *waitQueue) add(w *waiter) (newLoop *tryLoop, closed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.waiters == nil {
-		r.waiters, r.loops = map[*admission.Waiting]*waiter{}, map[string]*tryLoop{}
+		r.waiters, r.loops = map[*admission.Waiting]*waiter{}, map[admission.Pool]*tryLoop{}
 	}
 	r.waiters[&w.Waiting] = w
 	for _, removed := range r.list.Add(&w.Waiting) {
 		close(r.waiters[removed].removed)
 	}
-	if r.loops[w.Service] == nil && r.list.Waits(w.Service) {
+	if r.loops[w.Pool] == nil && r.list.Waits(w.Pool) {
 		newLoop = &tryLoop{ended: make(chan struct{}, 1)}
-		r.loops[w.Service] = newLoop
+		r.loops[w.Pool] = newLoop
 	}
 	return newLoop, r.closing()
 }
 
 // remove removes a request that no longer waits, and returns the wait predicted at the last try
-// for its service.
+// for its pool.
 func (r *waitQueue) remove(w *waiter) (queueWait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Remove(&w.Waiting)
 	delete(r.waiters, &w.Waiting)
 	close(w.left)
-	if l := r.loops[w.Service]; l != nil {
+	if l := r.loops[w.Pool]; l != nil {
 		queueWait = l.queueWait
 	}
 	return queueWait
@@ -143,7 +143,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.trying = false
-	if l := r.loops[w.Service]; l != nil {
+	if l := r.loops[w.Pool]; l != nil {
 		l.queueWait = queueWait
 	}
 	select {
@@ -163,7 +163,13 @@
 func (r *waitQueue) requestEnded(rq *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if l := r.loops[rq.service]; l != nil && rq.attempts > 0 {
+	if rq.attempts == 0 {
+		return
+	}
+	for p, l := range r.loops {
+		if p.Service != rq.service {
+			continue
+		}
 		select {
 		case l.ended <- struct{}{}:
 		default:
@@ -172,10 +178,10 @@
 }
 
 // next returns the request that is to be tried next in the current round; nil if there is none.
-func (r *waitQueue) next(service string, l *tryLoop) *waiter {
+func (r *waitQueue) next(p admission.Pool, l *tryLoop) *waiter {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	first := r.list.First(service, func(o *admission.Waiting) bool {
+	first := r.list.First(p, func(o *admission.Waiting) bool {
 		w := r.waiters[o]
 		return w.trying || w.round == l.round
 	})
@@ -192,38 +198,38 @@
 	return w
 }
 
-// endLoop removes the loop of a service if none of its requests waits.
-func (r *waitQueue) endLoop(service string) bool {
+// endLoop removes the loop of a pool if none of its requests waits.
+func (r *waitQueue) endLoop(p admission.Pool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.list.Waits(service) {
+	if r.list.Waits(p) {
 		return false
 	}
-	delete(r.loops, service)
+	delete(r.loops, p)
 	return true
 }
 
-// run tries the waiting requests of a service until none is left.
-func (r *waitQueue) run(service string, l *tryLoop) {
+// run tries the waiting requests of a pool until none is left.
+func (r *waitQueue) run(p admission.Pool, l *tryLoop) {
 	t := time.NewTicker(waitingTryInterval)
 	defer t.Stop()
-	for !r.endLoop(service) {
+	for !r.endLoop(p) {
 		select {
 		case <-t.C:
 		case <-l.ended:
 		}
-		r.tryInOrder(service, l)
+		r.tryInOrder(p, l)
 	}
 }
 
 // tryInOrder lets waiting requests be tried one after the other, for as long as they are sent. A
 // try that takes long, such as one that waits for a permit, does not hold up the others.
-func (r *waitQueue) tryInOrder(service string, l *tryLoop) {
+func (r *waitQueue) tryInOrder(p admission.Pool, l *tryLoop) {
 	l.round++
 	timeout := time.NewTimer(waitingTryInterval)
 	defer timeout.Stop()
 	for failed := 0; failed < maxFailedTries; {
-		w := r.next(service, l)
+		w := r.next(p, l)
 		if w == nil {
 			return
 		}
@@ -247,7 +253,7 @@
 	rq.admission.waiting = true
 	newLoop, closed := g.waiting.add(w)
 	if newLoop != nil {
-		go g.waiting.run(w.Service, newLoop)
+		go g.waiting.run(w.Pool, newLoop)
 	}
 	choice, res, ok := g.waitForTries(ctx, rq, w, until, closed, choose)
 	rq.queueWait = max(rq.queueWait, g.waiting.remove(w))
