relay: callers that disconnect are not expected to retry

Callers saw: a caller that disconnected while its request waited and sent it again counted as an early retry, with 0.7 of the allowed wait.

Cause: the refusal was recorded as told, although the caller had gone.

Change: a retry is expected only of a caller that is still connected.

Result: TestDisconnectedCallerIsNotExpectedToRetry counts no expected and no early retry; it counted one of each before.

--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -201,7 +201,9 @@
 		if res.RetryAt.IsZero() {
 			res.RetryAt = g.retryTime(time.Now(), rq, res.Reason)
 		}
-		g.expectRetry(time.Now(), rq, res.RetryAt)
+		if r.Context().Err() == nil { // A caller that has gone does not learn when to retry.
+			g.expectRetry(time.Now(), rq, res.RetryAt)
+		}
 		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(res.RetryAt).Seconds()), 'f', 2, 64))
 	}
 	if err != nil {
