--- a/admission/decide.go
+++ b/admission/decide.go
@@ -5,22 +5,11 @@
 	"time"
 )
 
-// waitShares are allowed predicted waits, as fractions of the service's latency target. A request
-// is sent only if the wait predicted for it is within its share, so that most answers are in time.
-type waitShares struct {
-	mostUrgent float64 // For the most urgent rank.
-	precedence float64 // For those that go before the most urgent rank: its retries on time, and starved requests.
-}
-
-// Where the load of replicas was read right before the choice, a wait means that all of them are
-// busy or slow. Requests then wait at the gateway, where their order is kept, rather than in a
-// replica's queue, where each delays those behind it while the replica is slow.
-var (
-	reportedLoadShares = waitShares{mostUrgent: 0.55, precedence: 0.75}
-	readLoadShares     = waitShares{mostUrgent: 0.2, precedence: 0.3}
-)
-
+// Allowed predicted waits, as fractions of the service's latency target. A request is sent only
+// if the wait predicted for it is within its share, so that most answers are in time.
 const (
+	mostUrgentShare  = 0.55 // For the most urgent rank.
+	precedenceShare  = 0.75 // For those that go before the most urgent rank: its retries on time, and starved requests.
 	lessUrgentFactor = 0.7 // For each further rank.
 	earlyFactor      = 0.7 // For a retry earlier than told, so that such retries do not displace first attempts.
 	overShareFactor  = 0.7 // For an organisation over its fair share, while requests are refused.
@@ -82,17 +71,12 @@
 	Starved bool
 }
 
-// AllowedWait returns the longest predicted wait with which the request is sent. loadRead reports
-// that the load of replicas was read right before.
-func (s *Service) AllowedWait(d *Demand, loadRead bool) time.Duration {
-	shares := reportedLoadShares
-	if loadRead {
-		shares = readLoadShares
-	}
-	share, level := shares.mostUrgent, s.Level(d.Rank)
+// AllowedWait returns the longest predicted wait with which the request is sent.
+func (s *Service) AllowedWait(d *Demand) time.Duration {
+	share, level := mostUrgentShare, s.Level(d.Rank)
 	switch onTime := d.Attempt == RetriedOnTime; {
 	case d.Starved, onTime && level == 0:
-		share, level = shares.precedence, 0
+		share, level = precedenceShare, 0
 	case onTime:
 		level--
 	}
@@ -112,7 +96,6 @@
 type Prediction struct {
 	Wait       time.Duration // Until the replica starts on it.
 	FirstEvent time.Duration // Until its first event, including Wait.
-	LoadRead   bool          // The load of replicas was read right before the choice.
 }
 
 // Verdict is what is done with a request.
@@ -155,7 +138,7 @@
 		return Decision{Verdict: Refuse, Cause: DeadlineTooClose}
 	case d.Cut && !d.Starved:
 		return Decision{Verdict: Refuse, Cause: CutRank}
-	case p.Wait <= s.AllowedWait(d, p.LoadRead) && !(d.Waited && s.late(now, d, p)):
+	case p.Wait <= s.AllowedWait(d) && !(d.Waited && s.late(now, d, p)):
 		return Decision{Verdict: Send, Cause: Room}
 	}
 	out := Decision{
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -96,11 +96,10 @@
 	return d
 }
 
-// allowedWait returns the longest predicted wait with which the request is sent where the load of
-// replicas was read right before; zero for no limit.
+// allowedWait returns the longest predicted wait with which the request is sent; zero for no limit.
 func (a *admissions) allowedWait(now time.Time, rq *request) time.Duration {
 	s := a.service(rq.catalog.Config, rq.service)
-	return s.AllowedWait(a.demand(now, rq), false)
+	return s.AllowedWait(a.demand(now, rq))
 }
 
 // record counts a request that was sent, or refused for lack of room or time.
@@ -135,7 +134,7 @@
 		return true
 	}
 	s := g.admissions.service(rq.catalog.Config, rq.service)
-	rq.admission.decision = s.Decide(now, g.admissions.demand(now, rq), admission.Prediction{Wait: c.QueueWait, FirstEvent: c.Predicted, LoadRead: c.Queried})
+	rq.admission.decision = s.Decide(now, g.admissions.demand(now, rq), admission.Prediction{Wait: c.QueueWait, FirstEvent: c.Predicted})
 	return rq.admission.decision.Verdict == admission.Send
 }
 
--- a/internal/relay/loadquery_test.go
+++ b/internal/relay/loadquery_test.go
@@ -87,7 +87,7 @@
 // Answers of agents.
 var (
 	idleLoad = peers.LoadAnswer{Version: 1, Pace: 1, Reached: true}
-	busyLoad = peers.LoadAnswer{Version: 1, Pace: 1, Running: 8, Reached: true}
+	busyLoad = peers.LoadAnswer{Version: 1, Pace: 1, Queued: 2, Running: 8, Reached: true}
 )
 
 // Gateways must choose by the load that agents answer with, and serve requests as before, with
--- a/route/table.go
+++ b/route/table.go
@@ -180,7 +180,6 @@
 	QueueWait    time.Duration // The part of Predicted before the replica starts on the request.
 	ReportAge    time.Duration // Age of the agent's report of the replica, or of its answer to a query; negative if there is none.
 	Fresh        bool          // The choice rests on an answer to a query.
-	Queried      bool          // There were answers to queries, from this replica or others.
 	Reservation  *Reservation
 	Deadline     time.Time    // Deadline to set for the request; zero for the caller's.
 	Limit        Limit        // Rate limit in force for the replica.
@@ -221,7 +220,7 @@
 	return Choice{
 		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now, fresh: fresh, slowdown: best.slowdown()},
 		Upstream:    best.Upstream, Version: best.version(now), Predicted: chosen.predicted,
-		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: fresh, Queried: crit.Draw.hasAnswer(), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
+		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: fresh, Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
 	}, nil
 }
 
