admission: a request does not wait past its deadline

Callers saw: a request whose deadline was earlier than a quarter of the latency target could wait up to that quarter, and was refused after its caller had stopped waiting.

Cause: the time until which a request waits was derived from the latency target alone.

Change: it is the deadline at the latest.

Result: TestDecide has a case of a deadline within the allowed time; it failed before.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // waitShares are allowed predicted waits, as fractions of the service's latency target. A request
@@ -188,11 +190,12 @@
 }
 
 // waitsUntil returns until when the request may wait: its answer could still be in time if a
-// replica started on it then.
+// replica started on it then, and it does not wait past its deadline.
 func (s *Service) waitsUntil(d *Demand, p Prediction) time.Time {
 	inTime := d.ArrivedAt.Add(s.target(d) - max(0, p.FirstEvent-max(0, p.Wait)))
-	if latest := s.LatestWait(d.ArrivedAt); latest.Before(inTime) {
-		return latest
+	until := times.Earlier(inTime, s.LatestWait(d.ArrivedAt))
+	if !d.Deadline.IsZero() {
+		until = times.Earlier(until, d.Deadline)
 	}
-	return inTime
+	return until
 }
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -97,6 +97,13 @@
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true},
 		},
+		{
+			"deadline before the end of the allowed time", two,
+			Demand{Deadline: start.Add(95 * ms)},
+			Prediction{85 * ms, 90 * ms, true},
+			0,
+			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(95 * ms), LacksRoom: true},
+		},
 		{"prompt that cannot be in time", two, Demand{Target: target}, Prediction{300 * ms, 720 * ms, false}, 0, Decision{Verdict: Refuse, Cause: LongWait, LacksRoom: true}},
 		{
 			"early retry, whose refusal does not show that its rank lacks room", two,
