route: choices while all replicas are full cost less in a large service

Gateways saw: with 12,000 replicas, all full, a choice took 20.7 ms of processor time, beside 4.4 ms while there is room, with the table locked. Each gateway with waiting requests makes up to 100 such choices a second.

Cause: before a request is refused for its wait, the wait at every replica was estimated.

Change: up to 64 replicas drawn at random are considered. Where a tenth of the replicas has room, one of them is found for all but 2 in 1,000 requests.

--- a/route/estimate.go
+++ b/route/estimate.go
@@ -125,20 +125,25 @@
 	return c.MaxWait > 0 && c.Draw.hasAnswer() && wait > c.MaxWait
 }
 
+// maxSpillEstimates bounds the replicas that are considered for a request that would be refused. A
+// service may have thousands, and requests that wait for room are tried many times a second.
+const maxSpillEstimates = 64
+
 // withRoom draws some of cs where the wait is not too long, by reports. Those of other halls are
 // considered before the gateway refuses for lack of room in its own. They are drawn at random,
 // since all gateways of a full hall consider the same reports.
 func (t *Table) withRoom(now time.Time, e config.Engine, crit Criteria, cs []*Replica) []*Replica {
 	var out []*Replica
+	considered := 0
 	for _, i := range rand.Perm(len(cs)) {
 		r := cs[i]
 		if s, drawn := crit.Draw.states[r]; drawn && s == notAnswered || rand.Float64() >= r.rampUp(now) {
 			continue
 		}
-		if crit.isTooLong(t.estimate(now, r, e, crit).wait) {
-			continue
+		if !crit.isTooLong(t.estimate(now, r, e, crit).wait) {
+			out = append(out, r)
 		}
-		if out = append(out, r); len(out) == sampledInHall+sampledElsewhere {
+		if considered++; considered == maxSpillEstimates || len(out) == sampledInHall+sampledElsewhere {
 			break
 		}
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -167,8 +167,8 @@
 	// readsLoad is set while a draw is made: the load will have been read before the choice.
 	readsLoad bool
 	// MaxWait is the longest wait for which the request is sent; zero for no limit. If all sampled
-	// replicas have a longer one, any other replica with a shorter one is chosen. It applies only
-	// with an answer to Draw.
+	// replicas have a longer one, another one with a shorter one is chosen, if some are found among
+	// up to maxSpillEstimates others. It applies only with an answer to Draw.
 	MaxWait time.Duration
 }
 
