relay, peers: reports with absurd loads are ignored

Cause: predictions multiply by the reported pace, and an overflow made them negative. Before load queries a pace that is not a number had no effect. Answers to queries were checked, reports were not.

Change: statuses and forwarded reports are checked like the answers, logged and ignored. A forwarded report with a negative age is ignored as well, since all later ones and all answers would count as older.

--- a/internal/peers/load.go
+++ b/internal/peers/load.go
@@ -34,18 +34,22 @@
 	Reached         bool          `msgpack:",omitempty"` // The replica answered its agent.
 }
 
-// maxReportedLoad bounds the numbers of requests in a LoadAnswer, and maxPace the pace.
+// maxReportedLoad bounds the numbers of requests that a replica is reported to have, and maxPace its
+// pace.
 const (
 	maxReportedLoad = 1 << 20
 	maxPace         = 1000
 )
 
-// Valid reports whether the message is plausible: its values are within bounds.
-func (a *LoadAnswer) Valid() bool {
-	return a.Queued >= 0 && a.Queued <= maxReportedLoad && a.Running >= 0 && a.Running <= maxReportedLoad &&
-		!math.IsNaN(a.Pace) && a.Pace >= 0 && a.Pace <= maxPace && a.ChangeIn >= 0
+// validLoad reports whether the load and pace of a replica are within bounds.
+func validLoad(queued, running int, pace float64) bool {
+	return queued >= 0 && queued <= maxReportedLoad && running >= 0 && running <= maxReportedLoad &&
+		!math.IsNaN(pace) && pace >= 0 && pace <= maxPace
 }
 
+// Valid reports whether the message is plausible: its values are within bounds.
+func (a *LoadAnswer) Valid() bool { return validLoad(a.Queued, a.Running, a.Pace) && a.ChangeIn >= 0 }
+
 // QueryLoad requests the load of the replica at an address from its agent.
 func QueryLoad(ctx context.Context, c *wire.Conn, replica string) (*LoadAnswer, error) {
 	m, err := c.Call(ctx, &LoadQuery{replica})
--- a/internal/peers/load_test.go
+++ b/internal/peers/load_test.go
@@ -45,3 +45,14 @@
 	is.NoErr(enc.Encode(&LoadAnswer{Version: 12, Queued: 2, Running: 12, Pace: 2.5, Reached: true}))
 	is.True(buf.Len() <= limit)
 }
+
+// A report with absurd values must not make a replica look idle, nor hold up later ones.
+func TestImplausibleReportsAreInvalid(t *testing.T) {
+	is := is.NewRelaxed(t)
+	for _, r := range []Report{{Pace: math.NaN()}, {Pace: 1e300}, {Pace: -1}, {Queued: -1}, {Running: 1 << 40}, {Age: -time.Hour}} {
+		is.True(!r.Valid())
+		s := Status{Queued: r.Queued, Running: r.Running, Pace: r.Pace}
+		is.Equal(s.Valid(), r.Age < 0)
+	}
+	is.True((&Report{Queued: 3, Running: 12, Pace: 1.5, Age: time.Second}).Valid())
+}
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -138,6 +138,9 @@
 	Forward       bool    // The agent reports to a few gateways only: the receiver forwards the status to the others.
 }
 
+// Valid reports whether the replica's load and pace are within bounds.
+func (s *Status) Valid() bool { return validLoad(s.Queued, s.Running, s.Pace) }
+
 // OnlyLoadDiffers reports whether two statuses differ in nothing but the replica's load.
 func (s *Status) OnlyLoadDiffers(o *Status) bool {
 	return s.Version == o.Version && s.Changing == o.Changing && s.Reached == o.Reached && s.SlowLink == o.SlowLink && (s.ChangeIn == 0) == (o.ChangeIn == 0)
@@ -157,6 +160,9 @@
 	Age             time.Duration // Time since the agent's report, when the message was sent.
 }
 
+// Valid reports whether the load, pace and age are within bounds.
+func (r *Report) Valid() bool { return validLoad(r.Queued, r.Running, r.Pace) && r.Age >= 0 }
+
 // Reports forwards the state of replicas from a gateway that their agents report to, to one
 // that they do not.
 type Reports struct {
--- a/internal/relay/agents.go
+++ b/internal/relay/agents.go
@@ -75,7 +75,9 @@
 	var last peers.Status
 	for {
 		m.SlowLink = m.SlowLink || s.Conn().RTT(time.Now()) >= slowLinkRTT
-		if m.Reached {
+		if !m.Valid() {
+			telemetry.Log("report_ignored", "from", s.Conn().Remote().Box, "addr", m.Addr, "queued", m.Queued, "running", m.Running, "pace", m.Pace)
+		} else if m.Reached {
 			now := time.Now()
 			r := route.AgentReport{
 				Version: m.Version, Changing: m.Changing, ChangeAt: changeAt(m.ChangeIn, now),
--- a/internal/relay/reports.go
+++ b/internal/relay/reports.go
@@ -111,6 +111,10 @@
 	for {
 		now := time.Now()
 		for _, r := range m.Replicas {
+			if !r.Valid() {
+				telemetry.Log("report_ignored", "from", s.Conn().Remote().Box, "addr", r.Addr, "queued", r.Queued, "running", r.Running, "pace", r.Pace, "age", r.Age)
+				continue
+			}
 			report := route.AgentReport{
 				Version: r.Version, Changing: r.Changing, ChangeAt: changeAt(r.ChangeIn, now),
 				Queued: r.Queued, Running: r.Running, Slowdown: r.Pace, ReceivingWeights: r.FetchingWeights, SlowLink: r.SlowLink, ReceivedAt: now.Add(-r.Age),
