admission, route: requests are sent where nothing is queued, however short their allowed wait

A service whose shortest latency target is 120 ms would have lost all ranks so.

Cause: where loads are read, the allowed wait is 0.2 of the target and 0.7 of that for each further rank. The predicted wait includes half a step of the running batch before a prefill, 24 ms here, which is no queue.

Change: a wait that is no longer than at a replica with a free slot and nothing queued is always allowed. The learned ratio counts in it up to 1.5, so that it does not let requests into slow replicas.

--- a/admission/decide.go
+++ b/admission/decide.go
@@ -115,6 +115,9 @@
 	Wait       time.Duration // Until the replica starts on it.
 	FirstEvent time.Duration // Until its first event, including Wait.
 	LoadRead   bool          // The load of replicas was read right before the choice.
+	// Unqueued is the wait at a replica with a free slot and nothing queued: there is room, however
+	// short the allowed wait.
+	Unqueued time.Duration
 }
 
 // Verdict is what is done with a request.
@@ -157,7 +160,7 @@
 		return Decision{Verdict: Refuse, Cause: DeadlineTooClose}
 	case d.Cut && !d.Starved:
 		return Decision{Verdict: Refuse, Cause: CutRank}
-	case p.Wait <= s.AllowedWait(d, p.LoadRead) && !(d.Waited && s.late(now, d, p)):
+	case p.Wait <= max(s.AllowedWait(d, p.LoadRead), p.Unqueued) && !(d.Waited && s.late(now, d, p)):
 		return Decision{Verdict: Send, Cause: Room}
 	}
 	out := Decision{
--- a/admission/decide_test.go
+++ b/admission/decide_test.go
@@ -65,71 +65,72 @@
 		after      time.Duration // Time since the request's arrival.
 		want       Decision
 	}{
-		{"low load", two, Demand{}, Prediction{0, 50 * ms, false}, 0, Decision{Verdict: Send, Cause: Room}},
-		{"negative wait", two, Demand{}, Prediction{-5 * ms, 50 * ms, false}, 0, Decision{Verdict: Send, Cause: Room}},
+		{"low load", two, Demand{}, Prediction{0, 50 * ms, false, 0}, 0, Decision{Verdict: Send, Cause: Room}},
+		{"negative wait", two, Demand{}, Prediction{-5 * ms, 50 * ms, false, 0}, 0, Decision{Verdict: Send, Cause: Room}},
 		{
 			"1.5 times the capacity, less urgent rank", two,
 			Demand{Rank: 1},
-			Prediction{200 * ms, 250 * ms, false},
+			Prediction{200 * ms, 250 * ms, false, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true},
 		},
-		{"1.5 times the capacity, urgent rank", two, Demand{}, Prediction{200 * ms, 250 * ms, false}, 0, Decision{Verdict: Send, Cause: Room}},
+		{"1.5 times the capacity, urgent rank", two, Demand{}, Prediction{200 * ms, 250 * ms, false, 0}, 0, Decision{Verdict: Send, Cause: Room}},
 		{
 			"1.5 times the capacity, all replicas read to be busy", two,
 			Demand{},
-			Prediction{200 * ms, 250 * ms, true},
+			Prediction{200 * ms, 250 * ms, true, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true},
 		},
-		{"the same after a quarter of the target", two, Demand{Rank: 1}, Prediction{200 * ms, 250 * ms, false}, 100 * ms, Decision{Verdict: Refuse, Cause: LongWait, LacksRoom: true}},
+		{"the same after a quarter of the target", two, Demand{Rank: 1}, Prediction{200 * ms, 250 * ms, false, 0}, 100 * ms, Decision{Verdict: Refuse, Cause: LongWait, LacksRoom: true}},
 		{
 			"long prompt, which must start early to be in time", two,
 			Demand{Target: target},
-			Prediction{300 * ms, 640 * ms, false},
+			Prediction{300 * ms, 640 * ms, false, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(60 * ms), LacksRoom: true},
 		},
 		{
 			"long prompt, longer target of its own", two,
 			Demand{Target: 800 * ms},
-			Prediction{300 * ms, 640 * ms, false},
+			Prediction{300 * ms, 640 * ms, false, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true},
 		},
+		{"least urgent rank, nothing queued", two, Demand{Rank: 1}, Prediction{60 * ms, 90 * ms, true, 60 * ms}, 0, Decision{Verdict: Send, Cause: Room}},
 		{
 			"deadline before the end of the allowed time", two,
 			Demand{Deadline: start.Add(95 * ms)},
-			Prediction{85 * ms, 90 * ms, true},
+			Prediction{85 * ms, 90 * ms, true, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(95 * ms), LacksRoom: true},
 		},
-		{"prompt that cannot be in time", two, Demand{Target: target}, Prediction{300 * ms, 720 * ms, false}, 0, Decision{Verdict: Refuse, Cause: LongWait, LacksRoom: true}},
+		{"prompt that cannot be in time", two, Demand{Target: target}, Prediction{300 * ms, 720 * ms, false, 0}, 0, Decision{Verdict: Refuse, Cause: LongWait, LacksRoom: true}},
 		{
 			"early retry, whose refusal does not show that its rank lacks room", two,
 			Demand{Attempt: RetriedEarly},
-			Prediction{200 * ms, 250 * ms, false},
+			Prediction{200 * ms, 250 * ms, false, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms)},
 		},
 		{
 			"organisation over its share, likewise", two,
 			Demand{OverShare: true},
-			Prediction{200 * ms, 250 * ms, false},
+			Prediction{200 * ms, 250 * ms, false, 0},
 			0,
 			Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms)},
 		},
-		{"late after the wait", two, Demand{Waited: true}, Prediction{200 * ms, 340 * ms, false}, 80 * ms, Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true}},
-		{"in time after the wait", two, Demand{Waited: true}, Prediction{200 * ms, 320 * ms, false}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
-		{"late for its own target alone", two, Demand{Waited: true, Target: 800 * ms}, Prediction{200 * ms, 340 * ms, false}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
-		{"late without a wait", two, Demand{}, Prediction{200 * ms, 340 * ms, false}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
-		{"deadline before the answer", two, Demand{Deadline: start.Add(100 * ms)}, Prediction{80 * ms, 120 * ms, false}, 0, Decision{Verdict: Refuse, Cause: DeadlineTooClose}},
-		{"deadline after the answer", two, Demand{Deadline: start.Add(200 * ms)}, Prediction{80 * ms, 120 * ms, false}, 0, Decision{Verdict: Send, Cause: Room}},
-		{"more urgent rank refused in the hall", two, Demand{Rank: 1, Cut: true}, Prediction{0, 50 * ms, false}, 0, Decision{Verdict: Refuse, Cause: CutRank}},
-		{"the same, starved", two, Demand{Rank: 1, Cut: true, Starved: true}, Prediction{200 * ms, 250 * ms, false}, 0, Decision{Verdict: Send, Cause: Room}},
-		{"no target, any load", []Route{{0, 0}}, Demand{Cut: true, Deadline: start}, Prediction{time.Hour, time.Hour, false}, 0, Decision{Verdict: Send}},
-		{"negative target, any load", []Route{{0, -target}}, Demand{}, Prediction{time.Hour, time.Hour, false}, 0, Decision{Verdict: Send}},
-		{"no routes", nil, Demand{}, Prediction{time.Hour, time.Hour, false}, 0, Decision{Verdict: Send}},
+		{"late after the wait", two, Demand{Waited: true}, Prediction{200 * ms, 340 * ms, false, 0}, 80 * ms, Decision{Verdict: Wait, Cause: LongWait, Until: start.Add(100 * ms), LacksRoom: true}},
+		{"in time after the wait", two, Demand{Waited: true}, Prediction{200 * ms, 320 * ms, false, 0}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
+		{"late for its own target alone", two, Demand{Waited: true, Target: 800 * ms}, Prediction{200 * ms, 340 * ms, false, 0}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
+		{"late without a wait", two, Demand{}, Prediction{200 * ms, 340 * ms, false, 0}, 80 * ms, Decision{Verdict: Send, Cause: Room}},
+		{"deadline before the answer", two, Demand{Deadline: start.Add(100 * ms)}, Prediction{80 * ms, 120 * ms, false, 0}, 0, Decision{Verdict: Refuse, Cause: DeadlineTooClose}},
+		{"deadline after the answer", two, Demand{Deadline: start.Add(200 * ms)}, Prediction{80 * ms, 120 * ms, false, 0}, 0, Decision{Verdict: Send, Cause: Room}},
+		{"more urgent rank refused in the hall", two, Demand{Rank: 1, Cut: true}, Prediction{0, 50 * ms, false, 0}, 0, Decision{Verdict: Refuse, Cause: CutRank}},
+		{"the same, starved", two, Demand{Rank: 1, Cut: true, Starved: true}, Prediction{200 * ms, 250 * ms, false, 0}, 0, Decision{Verdict: Send, Cause: Room}},
+		{"no target, any load", []Route{{0, 0}}, Demand{Cut: true, Deadline: start}, Prediction{time.Hour, time.Hour, false, 0}, 0, Decision{Verdict: Send}},
+		{"negative target, any load", []Route{{0, -target}}, Demand{}, Prediction{time.Hour, time.Hour, false, 0}, 0, Decision{Verdict: Send}},
+		{"no routes", nil, Demand{}, Prediction{time.Hour, time.Hour, false, 0}, 0, Decision{Verdict: Send}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
@@ -147,7 +148,7 @@
 	s := NewService([]Route{{0, target}, {0, 4 * target}})
 	for _, tgt := range []time.Duration{target, 4 * target} {
 		is.Equal(s.AllowedWait(&Demand{Target: tgt}, false), 220*ms)
-		d := s.Decide(start, &Demand{Target: tgt, ArrivedAt: start}, Prediction{300 * ms, 350 * ms, false})
+		d := s.Decide(start, &Demand{Target: tgt, ArrivedAt: start}, Prediction{300 * ms, 350 * ms, false, 0})
 		is.Equal(d.Until, start.Add(100*ms))
 	}
 }
--- a/admission/shares_test.go
+++ b/admission/shares_test.go
@@ -115,7 +115,7 @@
 				wait := time.Duration(queue / capacity * float64(tick))
 				d := Demand{Rank: p.Rank, ArrivedAt: now, Starved: shares.Starved(now, p)}
 				d.OverShare = pressure.Refusing(now) && shares.OverShare(now, p.Organisation)
-				ok := s.Decide(now, &d, Prediction{wait, wait + 50*ms, false}).Verdict == Send
+				ok := s.Decide(now, &d, Prediction{wait, wait + 50*ms, false, 0}).Verdict == Send
 				shares.Record(now, p, ok)
 				if !ok {
 					pressure.RecordRefusal(now)
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -135,7 +135,7 @@
 		return true
 	}
 	s := g.admissions.service(rq.catalog.Config, rq.service)
-	rq.admission.decision = s.Decide(now, g.admissions.demand(now, rq), admission.Prediction{Wait: c.QueueWait, FirstEvent: c.Predicted, LoadRead: c.Queried})
+	rq.admission.decision = s.Decide(now, g.admissions.demand(now, rq), admission.Prediction{Wait: c.QueueWait, FirstEvent: c.Predicted, LoadRead: c.Queried, Unqueued: c.Unqueued})
 	return rq.admission.decision.Verdict == admission.Send
 }
 
--- a/route/predict.go
+++ b/route/predict.go
@@ -106,6 +106,18 @@
 	return time.Duration(float64(ttft) * l.slowdown)
 }
 
+// unqueuedWait returns the longest wait at the replica while it has a free slot and nothing queued.
+// It includes how much later answers usually are than predicted, but not a replica that is slow.
+func (r *Replica) unqueuedWait(now time.Time, e config.Engine) time.Duration {
+	slots := e.Slots
+	if e.PrefillRate <= 0 {
+		slots = r.Slots
+	}
+	other := Replica{Upstream: r.Upstream, typicalLatency: r.typicalLatency}
+	wait := other.latencyUnder(load{running: float64(max(1, slots) - 1), slowdown: 1}, e, Workload{})
+	return time.Duration(min(*r.ratio(r.isFresh(now)), slowReplicaSlowdown) * float64(wait))
+}
+
 // hasFreeSlot reports whether the replica is believed to run fewer requests than it has slots, at
 // its usual speed, so that another one would neither queue nor be slow.
 func (r *Replica) hasFreeSlot(now time.Time, e config.Engine) bool {
--- a/route/table.go
+++ b/route/table.go
@@ -178,6 +178,7 @@
 	Version      uint64        // The version that the replica is believed to hold.
 	Predicted    time.Duration // Predicted time to the first event, or to the answer of a plain service.
 	QueueWait    time.Duration // The part of Predicted before the replica starts on the request.
+	Unqueued     time.Duration // What QueueWait is while the replica has a free slot and nothing queued.
 	ReportAge    time.Duration // Age of the agent's report of the replica, or of its answer to a query; negative if there is none.
 	Fresh        bool          // The choice rests on an answer to a query.
 	Queried      bool          // There were answers to queries, from this replica or others.
@@ -221,7 +222,7 @@
 	return Choice{
 		Reservation: &Reservation{replica: best, workload: crit.Workload, pickedAt: now, fresh: fresh, slowdown: best.slowdown()},
 		Upstream:    best.Upstream, Version: best.version(now), Predicted: chosen.predicted,
-		QueueWait: chosen.wait, ReportAge: best.reportAge(now), Fresh: fresh, Queried: crit.Draw.hasAnswer(), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
+		QueueWait: chosen.wait, Unqueued: best.unqueuedWait(now, e), ReportAge: best.reportAge(now), Fresh: fresh, Queried: crit.Draw.hasAnswer(), Deadline: deadline, Limit: best.limit, ColdRate: t.coldRate(now, best), Availability: avail,
 	}, nil
 }
 
