route, relay: a request that is not sent is no probe of a replica

Callers saw: after a backoff, a replica could be unusable for up to half a second although it was idle again, and requests were refused as upstream_resting.

Cause: the first request that chooses such a replica counts as its probe, and no other is sent until it is answered or half a second is over. A request for which the wait is too long, or that gets no permit, gave the replica back but stayed its probe. Waiting requests are tried every 20 ms, so that this happened often.

Change: what is known not to be sent is recorded so, and is no probe.

Result: TestRequestNotSentIsNoProbe; it failed before.

--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -40,7 +40,7 @@
 		return false
 	}
 	if to.Predicted > time.Duration(moveGapShare*float64(rq.route.TargetGap)) || !g.hasPermit(d.ctx, rq, &to) || !g.retryWindow(rq.service).TrySpend(now, g.retrySlack()) {
-		g.table.Done(now, to.Reservation, route.RequestResult{})
+		g.table.Done(now, to.Reservation, route.RequestResult{NotSent: true})
 		return false
 	}
 	d.start(to)
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -53,11 +53,11 @@
 		}
 		rq.recordChoice(g, now, choice)
 		if arrivals == 0 && !g.admits(now, rq, choice) {
-			g.table.Done(now, choice.Reservation, route.RequestResult{})
+			g.table.Done(now, choice.Reservation, route.RequestResult{NotSent: true})
 			return choice, notRun(fault.QueueFull), false
 		}
 		if !g.hasPermit(ctx, rq, &choice) {
-			g.table.Done(time.Now(), choice.Reservation, route.RequestResult{})
+			g.table.Done(time.Now(), choice.Reservation, route.RequestResult{NotSent: true})
 			if permitRequests < maxPermitRequests && ctx.Err() == nil {
 				continue
 			}
@@ -66,7 +66,7 @@
 			return choice, res, false
 		}
 		if arrivals > 0 && !g.retryWindow(rq.service).TrySpend(now, g.retrySlack()) {
-			g.table.Done(now, choice.Reservation, route.RequestResult{})
+			g.table.Done(now, choice.Reservation, route.RequestResult{NotSent: true})
 			g.Metrics.Event("retry_budget_spent", "")
 			return choice, notRun(fault.RetryBudget), false
 		}
--- a/route/declared_test.go
+++ b/route/declared_test.go
@@ -135,6 +135,22 @@
 	tb.Done(at(3700), second.Reservation, RequestResult{})
 }
 
+// A request that is not sent after all, for lack of room or a permit, is no probe: it must not keep
+// others from the replica.
+func TestRequestNotSentIsNoProbe(t *testing.T) {
+	is := is.New(t)
+	tb, _ := newTable(1)
+	rest := epoch.Add(3 * time.Second)
+	tb.MarkBackoff(fleet.Incarnation{ID: "e0"}, epoch, rest)
+	c, err := tb.Pick(rest, Criteria{Service: "llm"})
+	is.NoErr(err)
+	tb.Done(rest.Add(time.Millisecond), c.Reservation, RequestResult{NotSent: true})
+	_, err = tb.Pick(rest.Add(2*time.Millisecond), Criteria{Service: "llm"})
+	is.NoErr(err)
+	_, err = tb.Pick(rest.Add(3*time.Millisecond), Criteria{Service: "llm"})
+	is.True(err != nil) // The one before is a probe.
+}
+
 // An answer to a request that was sent before the backoff does not end the probe after it, and
 // neither does a request that never reached the replica or was refused by it.
 func TestProbeEndsOnlyWithAnAnswer(t *testing.T) {
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -68,6 +68,7 @@
 
 // RequestResult is how a request at a replica ended.
 type RequestResult struct {
+	NotSent  bool // The request was not sent after all.
 	Failed   bool
 	Answered bool   // The headers of an answer arrived.
 	Full     bool   // The replica refused for lack of capacity.
@@ -89,6 +90,9 @@
 	if r.prefilling < 0 || r.decoding < 0 || r.prefillTokens < 0 {
 		panic("route: a request ended twice")
 	}
+	if result.NotSent && r.probedAt.Equal(res.pickedAt) {
+		r.probedAt = time.Time{}
+	}
 	if result.Version > 0 {
 		r.servedVersion = result.Version
 	}
