--- a/admission/decide.go
+++ b/admission/decide.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Allowed predicted waits, as fractions of the service's latency target. A request is sent only
@@ -10,9 +12,9 @@
 const (
 	mostUrgentShare  = 0.55 // For the most urgent rank.
 	precedenceShare  = 0.75 // For those that go before the most urgent rank: its retries on time, and starved requests.
-	lessUrgentFactor = 0.7 // For each further rank.
-	earlyFactor      = 0.7 // For a retry earlier than told, so that such retries do not displace first attempts.
-	overShareFactor  = 0.7 // For an organisation over its fair share, while requests are refused.
+	lessUrgentFactor = 0.7  // For each further rank.
+	earlyFactor      = 0.7  // For a retry earlier than told, so that such retries do not displace first attempts.
+	overShareFactor  = 0.7  // For an organisation over its fair share, while requests are refused.
 )
 
 // waitingShare is the part of the latency target for which a request waits at the gateway at
@@ -96,6 +98,9 @@
 type Prediction struct {
 	Wait       time.Duration // Until the replica starts on it.
 	FirstEvent time.Duration // Until its first event, including Wait.
+	// Unqueued is the wait at a replica with a free slot and nothing queued: there is room, however
+	// short the allowed wait.
+	Unqueued time.Duration
 }
 
 // Verdict is what is done with a request.
@@ -138,7 +143,7 @@
 		return Decision{Verdict: Refuse, Cause: DeadlineTooClose}
 	case d.Cut && !d.Starved:
 		return Decision{Verdict: Refuse, Cause: CutRank}
-	case p.Wait <= s.AllowedWait(d) && !(d.Waited && s.late(now, d, p)):
+	case p.Wait <= max(s.AllowedWait(d), p.Unqueued) && !(d.Waited && s.late(now, d, p)):
 		return Decision{Verdict: Send, Cause: Room}
 	}
 	out := Decision{
@@ -171,11 +176,12 @@
 }
 
 // waitsUntil returns until when the request may wait: its answer could still be in time if a
-// replica started on it then.
+// replica started on it then, and it does not wait past its deadline.
 func (s *Service) waitsUntil(d *Demand, p Prediction) time.Time {
 	inTime := d.ArrivedAt.Add(s.target(d) - max(0, p.FirstEvent-max(0, p.Wait)))
-	if latest := s.LatestWait(d.ArrivedAt); latest.Before(inTime) {
-		return latest
+	until := times.Earlier(inTime, s.LatestWait(d.ArrivedAt))
+	if !d.Deadline.IsZero() {
+		until = times.Earlier(until, d.Deadline)
 	}
-	return inTime
+	return until
 }
