--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -96,8 +96,8 @@
 	return d
 }
 
-// allowedWait returns the longest predicted wait with which the request is sent where the load of
-// replicas was read right before; zero for no limit.
+// allowedWait returns the longest predicted wait with which the request is sent by reported loads,
+// and beyond which any replica with room is considered where loads were read; zero for no limit.
 func (a *admissions) allowedWait(now time.Time, rq *request) time.Duration {
 	s := a.service(rq.catalog.Config, rq.service)
 	return s.AllowedWait(a.demand(now, rq), false)
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -120,7 +120,7 @@
 	return best
 }
 
-// isTooLong reports whether a request would be refused for its wait.
+// isTooLong reports whether a wait is over MaxWait, where that applies.
 func (c *Criteria) isTooLong(wait time.Duration) bool {
 	return c.MaxWait > 0 && c.Draw.hasAnswer() && wait > c.MaxWait
 }
--- a/route/table.go
+++ b/route/table.go
@@ -166,9 +166,9 @@
 	Draw *Draw
 	// readsLoad is set while a draw is made: the load will have been read before the choice.
 	readsLoad bool
-	// MaxWait is the longest wait for which the request is sent; zero for no limit. If all sampled
-	// replicas have a longer one, any other replica with a shorter one is chosen. It applies only
-	// with an answer to Draw.
+	// MaxWait is the wait beyond which other replicas are considered than those sampled; zero for no
+	// limit. If all sampled replicas have a longer one, any other replica with a shorter one is
+	// chosen. It applies only with an answer to Draw.
 	MaxWait time.Duration
 }
 
