stager: sending of the status pauses while no gateway can be reached

What operators saw: an agent that reaches no gateway kept a core busy; its box has 0.48 of one. Cause: sendToFirst claims a gateway to be avoided when there is no other, and the pool fails at once during the redial delay, so that the loop had no pause. Change: it pauses as sendTo does while no gateway is free that is not avoided. A lost gateway is still replaced at once by the next one. Measured: TestUnreachableGatewaysAreRetriedWithPauses failed before: with one gateway and with three, 1000 readings of the context's error within 0 s of virtual time. It passes with the change, with at most 4 readings for each gateway and each 300 ms of 2 s.

--- a/internal/stager/send.go
+++ b/internal/stager/send.go
@@ -21,8 +21,9 @@
 	// otherHallInterval is the same for gateways of other halls: they send few requests
 	// here, and traffic between halls is charged for.
 	otherHallInterval = 300 * time.Millisecond
-	// sendRetry is the pause after the connection to a gateway was lost. The gateway is
-	// then avoided for avoidFor in favour of the next one in order.
+	// sendRetry is the pause after the connection to a gateway was lost. Where any gateway
+	// will do, the lost one is avoided for avoidFor in favour of the next one in order, and
+	// there is no pause until all are avoided.
 	sendRetry = 300 * time.Millisecond
 	avoidFor  = 3 * time.Second
 	// fallbackFor is how long the status is sent to a gateway that is not among the
@@ -93,6 +94,9 @@
 		lost := sendCtx.Err() == nil
 		cancel()
 		s.claims.release(g.Addr, lost, time.Now())
+		if !s.claims.anyUsable(a.Gateways, time.Now()) {
+			kernel.Sleep(ctx, sendRetry)
+		}
 	}
 }
 
@@ -112,10 +116,9 @@
 	if c.held == nil {
 		c.held, c.avoidUntil = map[string]bool{}, map[string]time.Time{}
 	}
-	free := func(m peers.Member) bool { return !c.held[m.Addr] }
-	index = slices.IndexFunc(order, func(m peers.Member) bool { return free(m) && !now.Before(c.avoidUntil[m.Addr]) })
+	index = slices.IndexFunc(order, func(m peers.Member) bool { return c.usable(m, now) })
 	if index < 0 {
-		index = slices.IndexFunc(order, free)
+		index = slices.IndexFunc(order, func(m peers.Member) bool { return !c.held[m.Addr] })
 	}
 	if index < 0 {
 		return peers.Member{}, 0, false
@@ -124,6 +127,18 @@
 	return order[index], index, true
 }
 
+// usable reports whether a gateway is free and was not lost recently. The caller holds c.mu.
+func (c *claims) usable(m peers.Member, now time.Time) bool {
+	return !c.held[m.Addr] && !now.Before(c.avoidUntil[m.Addr])
+}
+
+// anyUsable reports whether a gateway is free that was not lost recently.
+func (c *claims) anyUsable(order []peers.Member, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(order, func(m peers.Member) bool { return c.usable(m, now) })
+}
+
 // release gives up a claim. A gateway that was lost is avoided for avoidFor.
 func (c *claims) release(addr string, lost bool, now time.Time) {
 	c.mu.Lock()
