--- a/internal/peers/message_test.go
+++ b/internal/peers/message_test.go
@@ -81,3 +81,38 @@
 		})
 	}
 }
+
+// Clocks differ and may jump, so that messages about load and admission may contain no time: times
+// travel as durations.
+func TestLoadAndAdmissionContainNoTimes(t *testing.T) {
+	var contains func(t reflect.Type, seen map[reflect.Type]bool) bool
+	contains = func(t reflect.Type, seen map[reflect.Type]bool) bool {
+		if t == reflect.TypeFor[time.Time]() {
+			return true
+		}
+		if seen[t] {
+			return false
+		}
+		seen[t] = true
+		switch t.Kind() {
+		case reflect.Pointer, reflect.Slice, reflect.Array:
+			return contains(t.Elem(), seen)
+		case reflect.Map:
+			return contains(t.Key(), seen) || contains(t.Elem(), seen)
+		case reflect.Struct:
+			for i := range t.NumField() {
+				if contains(t.Field(i).Type, seen) {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	is := is.New(t)
+	is.True(contains(reflect.TypeFor[map[string][]struct{ At *time.Time }](), map[reflect.Type]bool{}))
+	for _, m := range []any{Status{}, Reports{}, LoadQuery{}, LoadAnswer{}, ExpectedReturns{}, AdmissionState{}} {
+		if typ := reflect.TypeOf(m); contains(typ, map[reflect.Type]bool{}) {
+			t.Errorf("%v contains a time", typ)
+		}
+	}
+}
