--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -51,8 +51,8 @@
 }
 
 // WaitingList holds the requests that wait at a gateway. Those of one pool are ordered by
-// level, those marked First before the others of one, then by the fair share of their organisations, then
-// by deadline. The zero value is an empty list. It is not safe for concurrent use.
+// level, those marked First before the others of one, then by the fair share of their organisations,
+// then by deadline. The zero value is an empty list. It is not safe for concurrent use.
 type WaitingList struct {
 	waiting []*Waiting // Of all services, in order of arrival.
 	bytes   int
--- a/route/draw.go
+++ b/route/draw.go
@@ -164,11 +164,10 @@
 	return false
 }
 
-// split returns those of cs that were drawn and may be chosen, in random order since many are equally
-// good, and the others that the usual
-// sample is taken from: replicas of other halls and, where subsets are too small to contain all
-// replicas of the hall, those outside this one. If no drawn one is left, all that are not
-// known to be silent are sampled.
+// split returns those of cs that were drawn and may be chosen, in random order since many are
+// equally good, and the others that the usual sample is taken from: replicas of other halls and,
+// where subsets are too small to contain all replicas of the hall, those outside this one. If no
+// drawn one is left, all that are not known to be silent are sampled.
 func (d *Draw) split(hall string, cs []*Replica) (drawn, rest []*Replica) {
 	var local []*Replica
 	for _, r := range cs {
