admission, relay: what is recorded of services and organisations that are gone is dropped

Found in review, not seen by callers: shares, refused ranks and fair orders of services and organisations that were removed from the configuration were kept for as long as the process lives. Services are dropped when a configuration comes, organisations once they have no claim left.

--- a/admission/fairorder.go
+++ b/admission/fairorder.go
@@ -1,5 +1,10 @@
 package admission
 
+import "maps"
+
+// maxFinishes is the number of organisations beyond which those without a claim are dropped.
+const maxFinishes = 256
+
 // FairOrder orders organisations by start-time fair queueing: the next request to start is that
 // of the organisation with the earliest virtual start time, so that organisations with waiting
 // requests get work in proportion to their weights. The zero value is ready for use. It is not
@@ -21,6 +26,10 @@
 	}
 	o.virtual = o.Next(organisation)
 	o.finishes[organisation] = o.virtual + work/weight
+	if len(o.finishes) > maxFinishes {
+		// An organisation whose last request has finished by now goes as one that is not recorded.
+		maps.DeleteFunc(o.finishes, func(_ string, finish float64) bool { return finish <= o.virtual })
+	}
 }
 
 // Forget drops what is recorded of an organisation.
--- a/admission/fairorder_test.go
+++ b/admission/fairorder_test.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/matryer/is"
@@ -47,3 +48,13 @@
 		})
 	}
 }
+
+// Organisations that are removed from the configuration must not be kept for ever.
+func TestFairOrderIsBounded(t *testing.T) {
+	var o FairOrder
+	for i := range 10 * maxFinishes {
+		o.Start(strconv.Itoa(i), 1, 1)
+		o.Start("busy", 1, 2)
+	}
+	is.New(t).True(len(o.finishes) <= maxFinishes+1)
+}
--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 )
@@ -156,3 +157,8 @@
 	}
 	return o
 }
+
+// Keep forgets the fair shares of services for which configured returns false.
+func (l *WaitingList) Keep(configured func(service string) bool) {
+	maps.DeleteFunc(l.orders, func(service string, _ *FairOrder) bool { return !configured(service) })
+}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -81,6 +82,13 @@
 	return s
 }
 
+// keep forgets the services for which configured returns false.
+func (a *admissions) keep(configured func(service string) bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	maps.DeleteFunc(a.states, func(service string, _ *admissionState) bool { return !configured(service) })
+}
+
 // demand returns what is to be decided on.
 func (a *admissions) demand(now time.Time, rq *request) *admission.Demand {
 	a.mu.Lock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,6 +14,7 @@
 
 	"github.com/poststand/poststand/admission"
 	"github.com/poststand/poststand/catalog"
+	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
 	"github.com/poststand/poststand/internal/drain"
@@ -235,7 +236,7 @@
 			g.catalog.Set(c)
 			g.table.SetDrainedHalls(now, c.DrainedHalls)
 			if c.Config != nil {
-				g.retryTimes.Keep(func(service string) bool { _, ok := c.Config.Services[service]; return ok })
+				g.keepServices(c.Config.Services)
 				for _, id := range g.table.Sync(now, c.Upstreams, c.Config.Services) {
 					telemetry.Log("upstream_lapsed", "id", id, "used_for", delistGrace(g.bounds.Load()), "revision", c.Position)
 				}
@@ -250,6 +251,14 @@
 	return nil
 }
 
+// keepServices forgets what is recorded of services that are no longer configured.
+func (g *Relay) keepServices(services map[string]config.Service) {
+	configured := func(service string) bool { _, ok := services[service]; return ok }
+	g.retryTimes.Keep(configured)
+	g.admissions.keep(configured)
+	g.waiting.keep(configured)
+}
+
 // versionAges lists how long ago each of the last versions was set as the target, as far as
 // this process can tell. The deadline for starting requests on an older version counts from
 // that.
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -70,6 +70,13 @@
 	return w
 }
 
+// keep forgets the services for which configured returns false.
+func (r *waitQueue) keep(configured func(service string) bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list.Keep(configured)
+}
+
 // closing returns a channel that is closed when the gateway drains. The caller holds r.mu.
 func (r *waitQueue) closing() chan struct{} {
 	if r.closed == nil {
