--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -31,8 +31,10 @@
 type caller struct {
 	addr string
 	body string // Of each request; "body" if empty.
-	conn net.Conn
-	r    *bufio.Reader
+	// readPause, if set, is the pause after each small part of an answer that is read.
+	readPause time.Duration
+	conn      net.Conn
+	r         *bufio.Reader
 }
 
 // errNotConnected is returned for requests that could not be sent, since no process listens.
@@ -57,6 +59,9 @@
 			return &reply{err: fmt.Errorf("%w: %w", errNotConnected, err)}
 		}
 		c.conn, c.r = nc, bufio.NewReader(nc)
+		if c.readPause > 0 {
+			c.r = bufio.NewReader(&slowReader{nc, c.readPause})
+		}
 	}
 	const slack = 3 * time.Second
 	_ = c.conn.SetDeadline(time.Now().Add(timeout + slack))
@@ -84,6 +89,21 @@
 	return &reply{status: resp.StatusCode, header: resp.Header, body: string(data), err: err}
 }
 
+// slowReader reads from a connection in small parts, with a pause after each.
+type slowReader struct {
+	conn  net.Conn
+	pause time.Duration
+}
+
+func (s *slowReader) Read(b []byte) (int, error) {
+	const part = 64
+	n, err := s.conn.Read(b[:min(len(b), part)])
+	if n > 0 {
+		time.Sleep(s.pause)
+	}
+	return n, err
+}
+
 // closedByPeer reports whether the other side has closed the connection, which was idle.
 func (c *caller) closedByPeer() bool {
 	_ = c.conn.SetReadDeadline(time.Now().Add(time.Millisecond))
--- a/internal/soak/disturbance_test.go
+++ b/internal/soak/disturbance_test.go
@@ -54,6 +54,9 @@
 			a.start()
 		})
 	default:
+		if len(s.links) == 0 {
+			return
+		}
 		const minStall = 300 * time.Millisecond
 		p := s.links[r.IntN(len(s.links))]
 		begin("silence", func() {
@@ -84,6 +87,9 @@
 			g.signal(syscall.SIGCONT)
 		})
 	case 2:
+		if len(s.links) == 0 {
+			return
+		}
 		p := s.links[s.rand.IntN(len(s.links))]
 		begin("reset", p.cut)
 	default:
