--- a/admission/attempt.go
+++ b/admission/attempt.go
@@ -1,6 +1,6 @@
 package admission
 
-// Attempt tells a caller's first attempt at a request from a retry after a refusal.
+// Attempt says whether a request is its caller's first attempt or a retry after a refusal.
 type Attempt int
 
 const (
--- a/admission/clock_test.go
+++ b/admission/clock_test.go
@@ -34,9 +34,9 @@
 			is.Equal(after(0).Round(0).Sub(start.Round(0)), time.Duration(seconds)*time.Second) // It did jump.
 
 			key := quarantine.KeyOf([]byte("t"), []byte("/s/"), []byte("body"))
-			expecting := func() *Returns {
-				var r Returns
-				r.Expect(start, ExpectedReturn{Key: key, NotBefore: start.Add(time.Second)})
+			expecting := func() *ExpectedRetries {
+				var r ExpectedRetries
+				r.Expect(start, ExpectedRetry{Key: key, NotBefore: start.Add(time.Second)})
 				return &r
 			}
 			is.Equal(expecting().Arrive(after(800*time.Millisecond), key), RetriedEarly)
--- a/admission/decide.go
+++ b/admission/decide.go
@@ -73,7 +73,8 @@
 	Starved bool
 }
 
-// AllowedWait returns the longest predicted wait with which the request is sent.
+// AllowedWait returns the longest predicted wait with which the request is sent. A retry on time
+// counts as one rank more urgent than it is.
 func (s *Service) AllowedWait(d *Demand) time.Duration {
 	share, level := mostUrgentShare, s.Level(d.Rank)
 	switch onTime := d.Attempt == RetriedOnTime; {
@@ -108,7 +109,7 @@
 
 const (
 	Send Verdict = iota
-	Wait
+	Wait         // At the gateway.
 	Refuse
 )
 
@@ -129,8 +130,8 @@
 	Verdict Verdict
 	Cause   Cause
 	Until   time.Time // How long the request may wait, if the verdict is Wait.
-	// LacksRoom reports that the wait is too long for any request of its rank: its own allowed
-	// wait is not a reduced one.
+	// LacksRoom reports that the wait is too long for every request of its rank, and not only for
+	// this one because its allowed wait is reduced.
 	LacksRoom bool
 }
 
--- a/admission/expected.go
+++ b/admission/expected.go
@@ -8,39 +8,39 @@
 	"github.com/poststand/poststand/quarantine"
 )
 
-// Limits of Returns.
+// Limits of ExpectedRetries.
 const (
-	// MaxExpected is the number of retries that Returns hold. Beyond it, the one that is due
-	// first is dropped.
-	MaxExpected = 4096
-	// returnGrace is how long after its time a retry is expected.
-	returnGrace = 3 * time.Second
+	// MaxExpectedRetries is the number of retries that an ExpectedRetries holds. Beyond it, the one
+	// that is due first is dropped.
+	MaxExpectedRetries = 4096
+	// retryGrace is how long after its time a retry is expected.
+	retryGrace = 3 * time.Second
 	// earlyTolerance is how much earlier than told a retry counts as on time: Retry-After is
 	// rounded, and other gateways hear of a refusal after some transit time.
 	earlyTolerance = 100 * time.Millisecond
 )
 
-// ExpectedReturn is the retry that a caller was told to make when its request was refused. It
+// ExpectedRetry is the retry that a caller was told to make when its request was refused. It
 // counts for one retry.
-type ExpectedReturn struct {
+type ExpectedRetry struct {
 	Key       quarantine.Key // Key of the request.
 	NotBefore time.Time
 	Rank      int // Rank of the request.
 }
 
-// Returns holds the retries that are expected from refused callers, and recognises them by the
-// keys of their requests. The zero value expects none. Its methods are safe for concurrent use.
+// ExpectedRetries holds the retries that are expected from refused callers, and recognises them by
+// the keys of their requests. The zero value expects none. Its methods are safe for concurrent use.
 //
 // The gateways of a hall tell one another which retries to expect, but not which ones have
-// arrived. What a caller gains by that is priority for a further retry within the time for which
-// the first one is expected.
-type Returns struct {
+// arrived. So a caller that retries at two gateways may have its second retry count as on time as
+// well.
+type ExpectedRetries struct {
 	mu       sync.Mutex
-	expected []ExpectedReturn // Sorted by NotBefore; at most MaxExpected.
+	expected []ExpectedRetry // Sorted by NotBefore; at most MaxExpectedRetries.
 }
 
 // Expect adds a retry after a refusal by this gateway.
-func (r *Returns) Expect(now time.Time, e ExpectedReturn) {
+func (r *ExpectedRetries) Expect(now time.Time, e ExpectedRetry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.add(now, e)
@@ -48,7 +48,7 @@
 
 // Learn adds a retry after a refusal by another gateway. If one of the same key is already due,
 // the refused request was most likely that retry, so the new one replaces it.
-func (r *Returns) Learn(now time.Time, e ExpectedReturn) {
+func (r *ExpectedRetries) Learn(now time.Time, e ExpectedRetry) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if i := r.first(e.Key); i >= 0 && r.expected[i].due(now) {
@@ -61,7 +61,7 @@
 // the expected one that is due first. A request that arrives while all expected ones are due
 // later is an early retry and uses up none: its caller is still expected then, and an early
 // retry that is refused must not be added again.
-func (r *Returns) Arrive(now time.Time, k quarantine.Key) Attempt {
+func (r *ExpectedRetries) Arrive(now time.Time, k quarantine.Key) Attempt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.expire(now)
@@ -77,30 +77,30 @@
 }
 
 // due reports whether a retry at a time counts as on time.
-func (e *ExpectedReturn) due(now time.Time) bool {
+func (e *ExpectedRetry) due(now time.Time) bool {
 	return !now.Before(e.NotBefore.Add(-earlyTolerance))
 }
 
 // add adds a retry. The caller holds r.mu.
-func (r *Returns) add(now time.Time, e ExpectedReturn) {
+func (r *ExpectedRetries) add(now time.Time, e ExpectedRetry) {
 	r.expire(now)
-	if len(r.expected) >= MaxExpected {
+	if len(r.expected) >= MaxExpectedRetries {
 		r.expected = slices.Delete(r.expected, 0, 1)
 	}
-	i, _ := slices.BinarySearchFunc(r.expected, e.NotBefore, func(o ExpectedReturn, at time.Time) int { return o.NotBefore.Compare(at) })
+	i, _ := slices.BinarySearchFunc(r.expected, e.NotBefore, func(o ExpectedRetry, at time.Time) int { return o.NotBefore.Compare(at) })
 	r.expected = slices.Insert(r.expected, i, e)
 }
 
 // first returns the index of the retry with a key that is due first, or -1. The caller holds
 // r.mu.
-func (r *Returns) first(k quarantine.Key) int {
-	return slices.IndexFunc(r.expected, func(e ExpectedReturn) bool { return e.Key == k })
+func (r *ExpectedRetries) first(k quarantine.Key) int {
+	return slices.IndexFunc(r.expected, func(e ExpectedRetry) bool { return e.Key == k })
 }
 
 // expire drops the retries that are no longer expected. The caller holds r.mu.
-func (r *Returns) expire(now time.Time) {
+func (r *ExpectedRetries) expire(now time.Time) {
 	n := 0
-	for n < len(r.expected) && now.Sub(r.expected[n].NotBefore) >= returnGrace {
+	for n < len(r.expected) && now.Sub(r.expected[n].NotBefore) >= retryGrace {
 		n++
 	}
 	r.expected = slices.Delete(r.expected, 0, n)
--- a/admission/expected_test.go
+++ b/admission/expected_test.go
@@ -19,7 +19,7 @@
 // A retry is recognised by its key and the time that its caller was told, and each refusal counts
 // for one retry. Without that, a caller would have priority for every further request, or an
 // independent caller with an equal request for its first one.
-func TestReturns(t *testing.T) {
+func TestExpectedRetries(t *testing.T) {
 	type step struct {
 		ms     int
 		key    string
@@ -69,9 +69,9 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			var r Returns
+			var r ExpectedRetries
 			for _, s := range tc.steps {
-				e := ExpectedReturn{Key: keyOf(s.key), NotBefore: after(s.refuse)}
+				e := ExpectedRetry{Key: keyOf(s.key), NotBefore: after(s.refuse)}
 				switch {
 				case s.other:
 					r.Learn(after(s.ms), e)
@@ -89,19 +89,19 @@
 // last stay.
 func TestReturnsAreBounded(t *testing.T) {
 	is := is.New(t)
-	var r Returns
+	var r ExpectedRetries
 	key := func(i int) (k quarantine.Key) {
 		binary.LittleEndian.PutUint64(k[:], uint64(i))
 		return k
 	}
 	const surplus = 10
-	for i := range MaxExpected + surplus {
-		r.Learn(testStart, ExpectedReturn{Key: key(i), NotBefore: testStart.Add(time.Second + time.Duration(i)*time.Microsecond)})
+	for i := range MaxExpectedRetries + surplus {
+		r.Learn(testStart, ExpectedRetry{Key: key(i), NotBefore: testStart.Add(time.Second + time.Duration(i)*time.Microsecond)})
 	}
-	is.Equal(len(r.expected), MaxExpected)
+	is.Equal(len(r.expected), MaxExpectedRetries)
 	is.Equal(r.Arrive(after(1500), key(surplus-1)), FirstAttempt)
 	is.Equal(r.Arrive(after(1500), key(surplus)), RetriedOnTime)
-	is.Equal(len(r.expected), MaxExpected-1)
+	is.Equal(len(r.expected), MaxExpectedRetries-1)
 	is.Equal(r.Arrive(after(5000), key(surplus+1)), FirstAttempt)
 	is.Equal(len(r.expected), 0)
 }
--- a/admission/fairorder.go
+++ b/admission/fairorder.go
@@ -2,7 +2,8 @@
 
 import "maps"
 
-// maxFinishes is the number of organisations beyond which those without a claim are dropped.
+// maxFinishes is the number of organisations beyond which those whose virtual finish time has
+// passed are dropped.
 const maxFinishes = 256
 
 // FairOrder orders organisations by start-time fair queueing: the next request to start is that
@@ -27,7 +28,7 @@
 	o.virtual = o.Next(organisation)
 	o.finishes[organisation] = o.virtual + work/weight
 	if len(o.finishes) > maxFinishes {
-		// An organisation whose last request has finished by now goes as one that is not recorded.
+		// These have the same next start time as organisations that are not recorded.
 		maps.DeleteFunc(o.finishes, func(_ string, finish float64) bool { return finish <= o.virtual })
 	}
 }
--- a/admission/pressure.go
+++ b/admission/pressure.go
@@ -47,8 +47,8 @@
 // Cuts reports whether a rank is refused: another gateway refuses a more urgent one.
 func (p *Pressure) Cuts(now time.Time, rank int) bool {
 	p.dropExpired(now)
-	for _, h := range p.states {
-		if h.rank != NoRank && h.rank < rank {
+	for _, s := range p.states {
+		if s.rank != NoRank && s.rank < rank {
 			return true
 		}
 	}
@@ -56,8 +56,8 @@
 }
 
 func (p *Pressure) dropExpired(now time.Time) {
-	for gateway, h := range p.states {
-		if !now.Before(h.until) {
+	for gateway, s := range p.states {
+		if !now.Before(s.until) {
 			delete(p.states, gateway)
 		}
 	}
--- a/admission/retrytimes.go
+++ b/admission/retrytimes.go
@@ -14,8 +14,9 @@
 	retryInterval       = 50 * time.Millisecond
 	retryHorizon        = 120 // Intervals ahead in which places are reserved.
 	completionIntervals = 40  // Intervals in which completed requests are counted.
-	// The room is unknown with fewer completed requests, and it is computed from a time of at
-	// least minCompletionSpan intervals: a few that end together tell nothing of what follows.
+	// The room is unknown while fewer than minCompletions requests were completed. It is computed
+	// over at least minCompletionSpan intervals, since a few requests that end together do not show
+	// the rate at which others will.
 	minCompletions    = 4
 	minCompletionSpan = 10
 	firstAttemptShare = 0.5 // Share of the room that is left for first attempts.
@@ -40,12 +41,12 @@
 // RetryRequest describes a refused request whose caller should retry.
 type RetryRequest struct {
 	Service string
-	// Step is how many ranks of the service are more urgent than that of the request.
-	Step     int
+	// Level is the number of more urgent ranks of the service; see Service.Level.
+	Level    int
 	Earliest time.Time
 	Latest   time.Time // Callers do not wait longer.
-	// NoPlace requests a time without reserving a place: a caller that has been refused before
-	// most likely does not come back.
+	// NoPlace requests a time without reserving a place. It is set for callers that have been
+	// refused before, which most likely do not retry again.
 	NoPlace bool
 }
 
@@ -70,7 +71,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.schedule(now, r.Service)
-	r.Step = max(0, min(limit.NumRanks-1, r.Step))
+	r.Level = max(0, min(limit.NumRanks-1, r.Level))
 	cur := s.interval(now)
 	at := s.find(cur, &r)
 	last := r.Latest
@@ -79,7 +80,7 @@
 	}
 	out := RetryTime{At: at, Before: s.reservedUntil(cur, s.interval(last))}
 	if i := s.interval(at); !at.IsZero() && !r.NoPlace && i < cur+retryHorizon {
-		s.reserved.at(i)[r.Step]++
+		s.reserved.at(i)[r.Level]++
 	}
 	return out
 }
@@ -102,20 +103,20 @@
 		if t.schedules == nil {
 			t.schedules = map[string]*retrySchedule{}
 		}
-		s = &retrySchedule{start: now, completed: make(ring[int], completionIntervals+1), reserved: make(ring[stepCounts], 2*retryHorizon)}
+		s = &retrySchedule{start: now, completed: make(ring[int], completionIntervals+1), reserved: make(ring[levelCounts], 2*retryHorizon)}
 		t.schedules[service] = s
 	}
 	return s
 }
 
-// stepCounts counts the reserved places of an interval by RetryRequest.Step.
-type stepCounts [limit.NumRanks]uint16
+// levelCounts counts the reserved places of an interval by RetryRequest.Level.
+type levelCounts [limit.NumRanks]uint16
 
 // retrySchedule is the schedule of one service. Intervals are numbered from its start.
 type retrySchedule struct {
 	start     time.Time
 	completed ring[int]
-	reserved  ring[stepCounts]
+	reserved  ring[levelCounts]
 }
 
 // ring holds the values of as many consecutive intervals as it has cells.
@@ -157,13 +158,13 @@
 		return r.Earliest.Add(rand.N(min(unknownSpread, r.Latest.Sub(r.Earliest)) + 1))
 	}
 	first := s.interval(r.Earliest.Add(retryInterval - 1)) // The first interval that begins no earlier.
-	levels := s.levels(cur, r.Step, places)
+	limits := s.levelLimits(cur, r.Level, places)
 	for i := max(cur, first); i < cur+retryHorizon; i++ {
 		at := s.timeWithin(i, places)
 		if at.After(r.Latest) {
 			break
 		}
-		if levels.haveRoom(i) {
+		if limits.haveRoom(i) {
 			return at
 		}
 	}
@@ -203,16 +204,16 @@
 	return n
 }
 
-// sum returns the number of places that are reserved by the given step and those after it.
-func (c stepCounts) sum(step int) (n int) {
-	for _, v := range c[step:] {
+// sum returns the number of places that are reserved by a level and those after it.
+func (c levelCounts) sum(level int) (n int) {
+	for _, v := range c[level:] {
 		n += int(v)
 	}
 	return n
 }
 
-// level limits the places that are reserved by a step and all those after it.
-type level struct {
+// levelLimit limits the places that are reserved by a level and all those after it.
+type levelLimit struct {
 	first   int       // Interval that sums begin with.
 	sums    []int     // Sum of the places in all intervals from the first up to each, exclusive.
 	windows [2]window // In any of them, there is a limit.
@@ -221,17 +222,17 @@
 // window is a number of consecutive intervals, and how many places in them may be reserved.
 type window struct{ intervals, limit int }
 
-type levels []level
+type levelLimits []levelLimit
 
-// levels returns the limits that apply to a step: its own and those of the more urgent ones.
-func (s *retrySchedule) levels(cur, step int, places float64) (out levels) {
+// levelLimits returns the limits that apply to a level: its own and those of the more urgent ones.
+func (s *retrySchedule) levelLimits(cur, level int, places float64) (out levelLimits) {
 	first := max(0, cur-retryHorizon+1)
-	for l := range step + 1 {
+	for l := range level + 1 {
 		sums := make([]int, 1, cur+retryHorizon-first+1)
 		for i := first; i < cur+retryHorizon; i++ {
 			sums = append(sums, sums[len(sums)-1]+s.reserved.get(i).sum(l))
 		}
-		out = append(out, level{first, sums, windowsFor(places * math.Pow(rankShare, float64(l)))})
+		out = append(out, levelLimit{first, sums, windowsFor(places * math.Pow(rankShare, float64(l)))})
 	}
 	return out
 }
@@ -249,7 +250,7 @@
 }
 
 // haveRoom reports whether one more place in an interval keeps all limits.
-func (ls levels) haveRoom(interval int) bool {
+func (ls levelLimits) haveRoom(interval int) bool {
 	for _, l := range ls {
 		for _, w := range l.windows {
 			if !l.hasRoom(w, interval-l.first) {
@@ -261,7 +262,7 @@
 }
 
 // hasRoom reports whether all windows that contain a position have less than their limit.
-func (l *level) hasRoom(w window, position int) bool {
+func (l *levelLimit) hasRoom(w window, position int) bool {
 	for from := max(0, position-w.intervals+1); from <= position; from++ {
 		to := min(len(l.sums)-1, from+w.intervals)
 		if l.sums[to]-l.sums[from] >= w.limit {
--- a/admission/retrytimes_test.go
+++ b/admission/retrytimes_test.go
@@ -17,11 +17,11 @@
 	}
 }
 
-// reserveAll reserves places for n requests of a step that are refused now, and returns their
+// reserveAll reserves places for n requests of a level that are refused now, and returns their
 // times.
-func reserveAll(t *RetryTimes, now time.Time, step, n int) (times []time.Time) {
+func reserveAll(t *RetryTimes, now time.Time, level, n int) (times []time.Time) {
 	for range n {
-		r := t.Reserve(now, RetryRequest{Service: "s", Step: step, Earliest: now.Add(350 * time.Millisecond), Latest: now.Add(2 * time.Second)})
+		r := t.Reserve(now, RetryRequest{Service: "s", Level: level, Earliest: now.Add(350 * time.Millisecond), Latest: now.Add(2 * time.Second)})
 		if !r.At.IsZero() {
 			times = append(times, r.At)
 		}
@@ -37,7 +37,7 @@
 	for _, tc := range []struct {
 		name      string
 		each      int // Requests completed in each interval.
-		step      int
+		level     int
 		perSecond float64
 	}{
 		{"most urgent rank", 4, 0, 40},
@@ -52,7 +52,7 @@
 			is := is.New(t)
 			var rt RetryTimes
 			completeSteadily(&rt, testStart, 2*time.Second, tc.each)
-			times := reserveAll(&rt, after(2000), tc.step, 200)
+			times := reserveAll(&rt, after(2000), tc.level, 200)
 			is.True(float64(len(times)) >= 0.85*seconds*tc.perSecond-1)
 			is.True(float64(len(times)) <= seconds*tc.perSecond+1)
 			for i, at := range times {
@@ -166,7 +166,7 @@
 		is.Equal(rt.Reserve(after(2000), r).Before, i)
 	}
 	reserveAll(&rt, after(2000), 0, 100)
-	r.Step = 1
+	r.Level = 1
 	full := rt.Reserve(after(2000), r)
 	is.True(full.At.IsZero())
 	is.True(full.Before >= 28) // All places until the latest time.
@@ -188,10 +188,10 @@
 // and a more urgent request has no later time than a less urgent one.
 func TestReservedTimesKeepTheRoom(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		const steps = 4
+		const levels = 4
 		most := rapid.IntRange(1, 6).Draw(t, "completed in an interval at most")
 		var rt RetryTimes
-		var reserved [steps][]time.Time
+		var reserved [levels][]time.Time
 		now := testStart
 		completeSteadily(&rt, now, 500*time.Millisecond, 1)
 		now = now.Add(500 * time.Millisecond)
@@ -201,30 +201,30 @@
 			}
 			for range rapid.IntRange(0, 12).Draw(t, "refused") {
 				at := now.Add(time.Duration(rapid.IntRange(0, int(retryInterval)-1).Draw(t, "offset")))
-				r := RetryRequest{Service: "s", Step: rapid.IntRange(0, steps-1).Draw(t, "step")}
+				r := RetryRequest{Service: "s", Level: rapid.IntRange(0, levels-1).Draw(t, "level")}
 				r.Earliest = at.Add(time.Duration(rapid.IntRange(350, 1500).Draw(t, "earliest")) * time.Millisecond)
 				r.Latest = at.Add(time.Duration(rapid.IntRange(0, 9000).Draw(t, "latest")) * time.Millisecond)
 				urgent := r
-				urgent.Step, urgent.NoPlace = max(0, r.Step-1), true
+				urgent.Level, urgent.NoPlace = max(0, r.Level-1), true
 				first := rt.Reserve(at, urgent).At
 				got := rt.Reserve(at, r).At
 				if got.IsZero() {
 					continue
 				}
 				if first.IsZero() || first.After(got) {
-					t.Fatalf("step %d has %v, and the one before it %v", r.Step, got, first)
+					t.Fatalf("level %d has %v, and the one before it %v", r.Level, got, first)
 				}
 				if got.Before(r.Earliest) || got.After(r.Latest) {
 					t.Fatalf("%v is not from %v to %v", got, r.Earliest, r.Latest)
 				}
-				reserved[r.Step] = append(reserved[r.Step], got)
+				reserved[r.Level] = append(reserved[r.Level], got)
 			}
 			now = now.Add(retryInterval)
 		}
 		room := float64(most) / retryInterval.Seconds() / 2
-		for step := range steps {
+		for level := range levels {
 			var times []time.Time
-			for _, ts := range reserved[step:] {
+			for _, ts := range reserved[level:] {
 				times = append(times, ts...)
 			}
 			for _, from := range times {
@@ -235,7 +235,7 @@
 					}
 				}
 				if float64(n) > max(1, room) {
-					t.Fatalf("%d places within a second from step %d on, of %.2f", n, step, room)
+					t.Fatalf("%d places within a second from level %d on, of %.2f", n, level, room)
 				}
 			}
 			room /= 2
--- a/admission/shares.go
+++ b/admission/shares.go
@@ -46,7 +46,7 @@
 	lastStep int64 // Step of the newest count.
 }
 
-// Length of the counted time and of the steps that it is divided into.
+// Counts are kept for the last windowSteps steps, of stepLength each.
 const (
 	windowSteps = 10
 	stepLength  = 200 * time.Millisecond
@@ -163,8 +163,8 @@
 	return ok && u.got.sum(step) > s.fairShare(step, byOrganisation, u)
 }
 
-// minShare is the part of its fair share that no organisation, rank or size of requests is
-// denied.
+// minShare is the part of its fair share below which an organisation, rank or size of requests
+// counts as starved.
 const minShare = 0.25
 
 // Starved reports whether the organisation, rank or size of a request got less than minShare of
--- a/admission/waiting.go
+++ b/admission/waiting.go
@@ -51,9 +51,9 @@
 	return cmp.Or(w.Deadline.Compare(o.Deadline), cmp.Compare(w.seq, o.seq))
 }
 
-// WaitingList holds the requests that wait at a gateway. Those of one pool are ordered by
-// level, those marked First before the others of one, then by the fair share of their organisations,
-// then by deadline. The zero value is an empty list. It is not safe for concurrent use.
+// WaitingList holds the requests that wait at a gateway. Those of one pool are ordered by level,
+// within a level by First, then by the fair shares of their organisations, then by deadline. The
+// zero value is an empty list. It is not safe for concurrent use.
 type WaitingList struct {
 	waiting []*Waiting // Of all services, in order of arrival.
 	bytes   int
--- a/internal/causes/prediction.go
+++ b/internal/causes/prediction.go
@@ -12,10 +12,11 @@
 	ageBounds       = [...]int32{-1, 0, 50, 200, 400, 600}
 )
 
-// laterThan is how much later than predicted an answer counts as mispredicted.
+// An answer that comes more than laterThan after its predicted time counts as late in ReportAgeRow.
 const laterThan = 200 // ms
 
-// maxFirst bounds the first events that are told apart.
+// maxFirst is the longest time until the first event that is counted by the millisecond. Longer
+// ones are counted as maxFirst.
 const maxFirst = 10_000 // ms
 
 // allRanges is the name of the row, the last one, that counts all answers.
@@ -54,9 +55,9 @@
 func (a *Analysis) addPrediction(p predicted, t attempt) {
 	a.predictions[rangeOf(predictedBounds[:], p.first)].add(t)
 	a.allPredictions.add(t)
-	late := int64(t.first) - int64(t.waited) - int64(p.first)
-	a.reportAges[rangeOf(ageBounds[:], p.age)].add(late)
-	a.allReportAges.add(late)
+	lateBy := int64(t.first) - int64(t.waited) - int64(p.first)
+	a.reportAges[rangeOf(ageBounds[:], p.age)].add(lateBy)
+	a.allReportAges.add(lateBy)
 }
 
 func (p *prediction) add(t attempt) {
@@ -71,10 +72,10 @@
 }
 
 // add adds an answer by how many milliseconds later than predicted it came.
-func (e *ageError) add(late int64) {
+func (e *ageError) add(lateBy int64) {
 	e.count++
-	e.sum += max(late, -late)
-	if late > laterThan {
+	e.sum += max(lateBy, -lateBy)
+	if lateBy > laterThan {
 		e.later++
 	}
 }
@@ -113,7 +114,7 @@
 	Range     string // Milliseconds.
 	Requests  int
 	MeanError float64 // Mean absolute error of the prediction, in milliseconds.
-	Later     float64 // Share that came over 200 ms later than predicted.
+	Later     float64 // Share that came more than laterThan later than predicted.
 }
 
 func (a *Analysis) predictionRows() []PredictionRow {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -26,13 +26,12 @@
 	// whose connection is closed then is lost, so they are longer than callers wait.
 	replicaAckTimeout      = 30 * time.Second
 	replicaKeepAliveProbes = 30
-	// idleKeepAliveInterval is that of connections that are many and mostly idle, and on which a
-	// dead path is noticed by the timeouts of what is sent.
+	// idleKeepAliveInterval is the interval for connections that are many and mostly idle, and on
+	// which a dead path is noticed by the timeouts of the requests sent there.
 	idleKeepAliveInterval = 15 * time.Second
 	// startupDialTimeout bounds each dial of a starting process, and those of a RetryDialer after
-	// a failed one. A peer that is not up yet,
-	// or that many processes dial at once, may accept a moment later, but the kernel would
-	// resend the SYN only after a second.
+	// a failed one. A peer that is not up yet, or that many processes dial at once, may accept a
+	// moment later, but the kernel would resend the SYN only after a second.
 	startupDialTimeout = 200 * time.Millisecond
 )
 
--- a/internal/peers/load.go
+++ b/internal/peers/load.go
@@ -10,8 +10,8 @@
 )
 
 // LoadPingInterval is the interval of pings on connections on which gateways query the load of
-// replicas. They are many and often idle, and a query to an agent that was lost ends by its own
-// timeout.
+// replicas. These connections are many and often idle, and a query to an agent that was lost ends
+// by its own timeout.
 const LoadPingInterval = 15 * time.Second
 
 // LoadQuery asks an agent for the current load of its replica. It is answered by a LoadAnswer.
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -166,8 +166,9 @@
 	var res dispatch.Result
 	var ok bool
 	if mustWait {
+		// A request that would not be sent even with a predicted wait of zero does not wait.
 		rq.admission.decision = s.Decide(now, demand, admission.Prediction{})
-		mustWait = rq.admission.decision.Verdict == admission.Send // It is not refused whatever the wait.
+		mustWait = rq.admission.decision.Verdict == admission.Send
 	} else if choice, res, ok = choose(); rq.admission.decision.Verdict == admission.Wait {
 		mustWait, until = true, rq.admission.decision.Until
 	}
--- a/internal/relay/hallstate.go
+++ b/internal/relay/hallstate.go
@@ -16,10 +16,10 @@
 // Sending of admission states.
 const (
 	hallStateInterval = 200 * time.Millisecond
-	// hallStateReceivers bounds the gateways that a state is sent to, and so the traffic of a large
-	// hall. A gateway receives about as many, which shows what is refused in the hall as well as
-	// all of them would.
-	hallStateReceivers = 12
+	// maxHallStateReceivers bounds the gateways that a state is sent to, and so the traffic of a
+	// large hall. Each gateway also receives the states of about as many others, which is enough to
+	// show what is refused in the hall.
+	maxHallStateReceivers = 12
 )
 
 // unsentState is what a gateway has not yet sent of its own admission to a service.
@@ -122,8 +122,8 @@
 			out = append(out, m.Addr)
 		}
 	}
-	if len(out) > hallStateReceivers {
-		out = rendezvous.Rank("admission/"+g.Settings.Listen, out)[:hallStateReceivers]
+	if len(out) > maxHallStateReceivers {
+		out = rendezvous.Rank("admission/"+g.Settings.Listen, out)[:maxHallStateReceivers]
 	}
 	return out
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,7 +66,7 @@
 	startDelay time.Duration
 	stopping   atomic.Pointer[drainTimes] // Set when draining begins.
 	admissions admissions
-	waiting    waitQueue
+	waiting    waitingRequests
 	inFlight   drain.InFlight
 	// suspects holds requests during which replicas terminated.
 	suspects       quarantine.Table
@@ -79,12 +79,12 @@
 	limitQueue notifyQueue[fleet.Incarnation]
 	// endQueue holds the terminations that are to be sent to other gateways.
 	endQueue notifyQueue[replicaEnd]
-	// returns holds the retries that callers refused in this hall were told to make.
-	returns admission.Returns
-	// returnQueue holds those that are to be sent to other gateways.
-	returnQueue notifyQueue[admission.ExpectedReturn]
-	retryTimes  admission.RetryTimes
-	bounds      atomic.Pointer[settings.RelayReloadable]
+	// expectedRetries holds the retries that callers refused in this hall were told to make.
+	expectedRetries admission.ExpectedRetries
+	// expectedRetryQueue holds those that are to be sent to other gateways.
+	expectedRetryQueue notifyQueue[admission.ExpectedRetry]
+	retryTimes         admission.RetryTimes
+	bounds             atomic.Pointer[settings.RelayReloadable]
 
 	mu            sync.Mutex
 	retryWindows  map[string]*limit.RetryWindow // Keyed by service; bounded by the configuration.
@@ -220,7 +220,7 @@
 	k.AddTask(g.notifyLimits)
 	k.AddTask(g.notifyEnds)
 	k.AddTask(g.announceAdmission)
-	k.AddTask(g.notifyReturns)
+	k.AddTask(g.notifyExpectedRetries)
 	k.AddTask(g.sweep)
 }
 
--- a/internal/relay/retrytime.go
+++ b/internal/relay/retrytime.go
@@ -33,13 +33,13 @@
 }
 
 // reserveRetry returns when the caller of a request that is refused for lack of room should retry.
-// That is no earlier than the queue at the replica chosen last is predicted to be done. If there is
-// no room by the time that the caller waits at most, it is a time past its deadline, so that it
-// does not retry only to be refused again.
+// That is no earlier than the end of the wait predicted at the replica chosen last. If there is no
+// room by the latest time at which the caller would retry, it is a time past the caller's deadline,
+// so that it does not retry only to be refused again.
 func (g *Relay) reserveRetry(now time.Time, rq *request) time.Time {
 	const margin = 20 * time.Millisecond // Retry-After is rounded, and the refusal takes some time to arrive.
 	t := g.retryTimes.Reserve(now, admission.RetryRequest{
-		Service: rq.service, Step: g.admissions.level(rq),
+		Service: rq.service, Level: g.admissions.level(rq),
 		Earliest: now.Add(max(minRetryDelay, rq.queueWait)), Latest: rq.latestRetry(now).Add(-margin),
 		NoPlace: rq.attempt != admission.FirstAttempt,
 	})
@@ -61,6 +61,6 @@
 // latestRetry returns when the caller of a request that is refused now retries at the latest,
 // whatever Retry-After says: callers wait for a third of the time that they have left.
 func (rq *request) latestRetry(now time.Time) time.Time {
-	const waitedShare = 3
-	return now.Add(rq.deadline.Sub(now) / waitedShare)
+	const waitDivisor = 3
+	return now.Add(rq.deadline.Sub(now) / waitDivisor)
 }
--- a/internal/relay/returns.go
+++ b/internal/relay/returns.go
@@ -13,13 +13,13 @@
 	"github.com/poststand/poststand/wire"
 )
 
-// returnBatchTime is how long expected retries are collected for one message. Callers retry
-// 350 ms after a refusal at the earliest, and other gateways need to know of it by then.
-const returnBatchTime = 100 * time.Millisecond
+// expectedRetryBatchTime is how long expected retries are collected for one message. Callers retry
+// minRetryDelay after a refusal at the earliest, and other gateways need to know of it by then.
+const expectedRetryBatchTime = 100 * time.Millisecond
 
 // recogniseRetry returns which attempt a request with a key is that arrives now.
 func (g *Relay) recogniseRetry(now time.Time, k quarantine.Key) admission.Attempt {
-	a := g.returns.Arrive(now, k)
+	a := g.expectedRetries.Arrive(now, k)
 	if a != admission.FirstAttempt {
 		g.countExpectedRetry(a.String())
 	}
@@ -27,32 +27,33 @@
 }
 
 // expectRetry records that the caller of a refused request was told to retry at a time, and queues
-// that for the other gateways of the hall. A caller that is told a later time than it waits for is
-// expected when it stops waiting. An early retry is still expected at its first time.
+// that for the other gateways of the hall. A caller that is told a later time than its latestRetry
+// is expected at that one. The refusal of an early retry adds none, since the retry that it came
+// before is still expected.
 func (g *Relay) expectRetry(now time.Time, rq *request, at time.Time) {
 	if rq.key == (quarantine.Key{}) || rq.attempt == admission.RetriedEarly || !at.Before(rq.deadline) || at.Sub(now) > peers.MaxReturnIn {
 		return
 	}
 	at = times.Earlier(at, rq.latestRetry(now))
-	e := admission.ExpectedReturn{Key: rq.key, NotBefore: at, Rank: max(0, min(limit.NumRanks-1, rq.rank))}
-	g.returns.Expect(now, e)
-	g.returnQueue.add(e)
+	e := admission.ExpectedRetry{Key: rq.key, NotBefore: at, Rank: max(0, min(limit.NumRanks-1, rq.rank))}
+	g.expectedRetries.Expect(now, e)
+	g.expectedRetryQueue.add(e)
 	g.countExpectedRetry("told")
 }
 
 func (g *Relay) countExpectedRetry(what string) { g.Metrics.Event("expected_retry", what) }
 
-// notifyReturns notifies the other gateways of the hall of expected retries until ctx ends.
-func (g *Relay) notifyReturns(ctx context.Context) error {
-	return notifyBatches(ctx, &g.returnQueue, g.sendReturns)
+// notifyExpectedRetries notifies the other gateways of the hall of expected retries until ctx ends.
+func (g *Relay) notifyExpectedRetries(ctx context.Context) error {
+	return notifyBatches(ctx, &g.expectedRetryQueue, g.sendExpectedRetries)
 }
 
-// sendReturns sends expected retries to the other gateways of the hall and returns how long the
-// next ones are collected.
-func (g *Relay) sendReturns(ctx context.Context, pending map[admission.ExpectedReturn]bool, now time.Time) time.Duration {
+// sendExpectedRetries sends expected retries to the other gateways of the hall and returns how long
+// the next ones are collected.
+func (g *Relay) sendExpectedRetries(ctx context.Context, pending map[admission.ExpectedRetry]bool, now time.Time) time.Duration {
 	var msg []peers.ExpectedReturn
 	for e := range pending {
-		if len(msg) < admission.MaxExpected {
+		if len(msg) < admission.MaxExpectedRetries {
 			msg = append(msg, peers.ExpectedReturn{Key: e.Key, In: max(0, e.NotBefore.Sub(now)), Rank: e.Rank})
 		}
 	}
@@ -61,14 +62,14 @@
 			go g.gossip.SendExpectedReturns(ctx, m.Addr, msg)
 		}
 	}
-	return returnBatchTime
+	return expectedRetryBatchTime
 }
 
 // serveExpectedReturns receives the retries that another gateway of the hall told callers to make.
 // Those that are out of bounds are dropped, and so is a message with more than a gateway holds.
 func (g *Relay) serveExpectedReturns(_ context.Context, s *wire.Stream, m *peers.ExpectedReturns) {
 	now, dropped := time.Now(), 0
-	if len(m.Returns) > admission.MaxExpected {
+	if len(m.Returns) > admission.MaxExpectedRetries {
 		dropped, m.Returns = len(m.Returns), nil
 	}
 	for i := range m.Returns {
@@ -77,7 +78,7 @@
 			dropped++
 			continue
 		}
-		g.returns.Learn(now, admission.ExpectedReturn{Key: e.Key, NotBefore: now.Add(e.In), Rank: e.Rank})
+		g.expectedRetries.Learn(now, admission.ExpectedRetry{Key: e.Key, NotBefore: now.Add(e.In), Rank: e.Rank})
 	}
 	if dropped > 0 {
 		telemetry.Log("expected_retries_dropped", "from", s.Conn().Remote().Box, "dropped", dropped)
--- a/internal/relay/returns_test.go
+++ b/internal/relay/returns_test.go
@@ -179,7 +179,7 @@
 func TestExpectedRetriesOutOfBounds(t *testing.T) {
 	key := quarantine.KeyOf([]byte("t"), []byte("/s/"), []byte("body"))
 	valid := peers.ExpectedReturn{Key: key, In: 400 * time.Millisecond, Rank: 1}
-	many := make([]peers.ExpectedReturn, admission.MaxExpected+1)
+	many := make([]peers.ExpectedReturn, admission.MaxExpectedRetries+1)
 	for i := range many {
 		many[i] = valid
 	}
--- a/internal/relay/wait.go
+++ b/internal/relay/wait.go
@@ -14,16 +14,17 @@
 
 // Times and limits of the tries of waiting requests.
 const (
+	// waitingTryInterval is the interval of the passes over the waiting requests while none ends,
+	// and the longest time for which a pass waits for one try.
 	waitingTryInterval = 20 * time.Millisecond
-	// maxFailedTries is how many waiting requests are tried in vain before the others wait for the
-	// next occasion. It is more than one since the first in order may have a lower allowed wait
-	// than the next.
+	// maxFailedTries is the number of failed tries after which a pass ends. It is more than one
+	// since the first request in order may have a shorter allowed wait than the next.
 	maxFailedTries = 2
 )
 
-// waitQueue holds the requests that wait at this gateway for room at a replica. The zero value
-// is an empty queue.
-type waitQueue struct {
+// waitingRequests holds the requests that wait at this gateway for room at a replica. The zero
+// value is empty.
+type waitingRequests struct {
 	mu      sync.Mutex
 	list    admission.WaitingList
 	waiters map[*admission.Waiting]*waiter
@@ -34,7 +35,7 @@
 // tryLoop schedules the tries of the waiting requests of one pool.
 type tryLoop struct {
 	ended     chan struct{} // Capacity 1; receives when a request for the pool's service ends.
-	round     int           // Number of the current pass over the waiting requests.
+	pass      int           // Number of the current pass over the waiting requests.
 	queueWait time.Duration // Predicted at the last try.
 }
 
@@ -45,10 +46,10 @@
 	tried   chan bool     // Capacity 1; receives whether it was sent.
 	left    chan struct{} // Closed when the request no longer waits.
 	removed chan struct{} // Closed when it is removed because too many wait.
-	// trying and round are guarded by waitQueue.mu: whether a try is in progress, and the
-	// round in which it was last tried.
+	// trying and pass are guarded by waitingRequests.mu: whether a try is in progress, and the
+	// pass in which it was last tried.
 	trying bool
-	round  int
+	pass   int
 }
 
 func newWaiter(w admission.Waiting) *waiter {
@@ -71,14 +72,14 @@
 }
 
 // keep forgets the services for which configured returns false.
-func (r *waitQueue) keep(configured func(service string) bool) {
+func (r *waitingRequests) keep(configured func(service string) bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Keep(configured)
 }
 
 // closing returns a channel that is closed when the gateway drains. The caller holds r.mu.
-func (r *waitQueue) closing() chan struct{} {
+func (r *waitingRequests) closing() chan struct{} {
 	if r.closed == nil {
 		r.closed = make(chan struct{})
 	}
@@ -86,7 +87,7 @@
 }
 
 // close refuses all requests that wait, and those that would.
-func (r *waitQueue) close() {
+func (r *waitingRequests) close() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	c := r.closing()
@@ -98,7 +99,7 @@
 }
 
 // mustWait reports whether a request may not be tried before others that wait.
-func (r *waitQueue) mustWait(w *admission.Waiting) bool {
+func (r *waitingRequests) mustWait(w *admission.Waiting) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.list.MustWait(w)
@@ -107,7 +108,7 @@
 // add adds a request. It returns the loop that must be started for its pool, or nil if there is
 // one, and a channel that is closed when the gateway drains. If too many requests wait, one of
 // them, perhaps the new one, is notified by its channel removed.
-func (r *waitQueue) add(w *waiter) (newLoop *tryLoop, closed <-chan struct{}) {
+func (r *waitingRequests) add(w *waiter) (newLoop *tryLoop, closed <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.waiters == nil {
@@ -126,7 +127,7 @@
 
 // remove removes a request that no longer waits, and returns the wait predicted at the last try
 // for its pool.
-func (r *waitQueue) remove(w *waiter) (queueWait time.Duration) {
+func (r *waitingRequests) remove(w *waiter) (queueWait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Remove(&w.Waiting)
@@ -139,14 +140,14 @@
 }
 
 // recordStart records that a request was sent.
-func (r *waitQueue) recordStart(w *admission.Waiting) {
+func (r *waitingRequests) recordStart(w *admission.Waiting) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.list.Start(w)
 }
 
 // recordTry records the end of a try.
-func (r *waitQueue) recordTry(w *waiter, sent bool, queueWait time.Duration) {
+func (r *waitingRequests) recordTry(w *waiter, sent bool, queueWait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	w.trying = false
@@ -160,14 +161,14 @@
 }
 
 // len returns the number of waiting requests.
-func (r *waitQueue) len() int {
+func (r *waitingRequests) len() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.list.Len()
 }
 
 // requestEnded notes that a request has ended. If it was sent, that may have made room.
-func (r *waitQueue) requestEnded(rq *request) {
+func (r *waitingRequests) requestEnded(rq *request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if rq.attempts == 0 {
@@ -184,19 +185,19 @@
 	}
 }
 
-// next returns the request that is to be tried next in the current round; nil if there is none.
-func (r *waitQueue) next(p admission.Pool, l *tryLoop) *waiter {
+// next returns the request that is to be tried next in the current pass; nil if there is none.
+func (r *waitingRequests) next(p admission.Pool, l *tryLoop) *waiter {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	first := r.list.First(p, func(o *admission.Waiting) bool {
 		w := r.waiters[o]
-		return w.trying || w.round == l.round
+		return w.trying || w.pass == l.pass
 	})
 	if first == nil {
 		return nil
 	}
 	w := r.waiters[first]
-	w.trying, w.round = true, l.round
+	w.trying, w.pass = true, l.pass
 	select {
 	case <-w.tried: // Of a try that had taken too long.
 	default:
@@ -206,7 +207,7 @@
 }
 
 // endLoop removes the loop of a pool if none of its requests waits.
-func (r *waitQueue) endLoop(p admission.Pool) bool {
+func (r *waitingRequests) endLoop(p admission.Pool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.list.Waits(p) {
@@ -217,7 +218,7 @@
 }
 
 // run tries the waiting requests of a pool until none is left.
-func (r *waitQueue) run(p admission.Pool, l *tryLoop) {
+func (r *waitingRequests) run(p admission.Pool, l *tryLoop) {
 	t := time.NewTicker(waitingTryInterval)
 	defer t.Stop()
 	for !r.endLoop(p) {
@@ -231,8 +232,8 @@
 
 // tryInOrder lets waiting requests be tried one after the other, for as long as they are sent. A
 // try that takes long, such as one that waits for a permit, does not hold up the others.
-func (r *waitQueue) tryInOrder(p admission.Pool, l *tryLoop) {
-	l.round++
+func (r *waitingRequests) tryInOrder(p admission.Pool, l *tryLoop) {
+	l.pass++
 	timeout := time.NewTimer(waitingTryInterval)
 	defer timeout.Stop()
 	for failed := 0; failed < maxFailedTries; {
--- a/internal/way/simulation.go
+++ b/internal/way/simulation.go
@@ -33,8 +33,8 @@
 	atOrigin       = 3
 	linkShare      = 0.85                    // Share of a box's link that uploads use.
 	idleLinkShare  = 0.95                    // The same while replicas run no requests.
-	dialTimeout    = 600 * time.Millisecond  // Of a dial to the origin,
-	redialTimeout  = 200 * time.Millisecond  // and of the next one if it failed.
+	dialTimeout    = 600 * time.Millisecond  // Of a dial to the origin.
+	redialTimeout  = 200 * time.Millisecond  // Of a dial to the origin after a failed one.
 	detectionDelay = 1500 * time.Millisecond // Time until the failure of a neighbour is detected.
 	maxTime        = 60 * time.Second        // Limit of a run.
 )
--- a/route/draw.go
+++ b/route/draw.go
@@ -175,9 +175,9 @@
 }
 
 // split returns those of cs that were drawn and may be chosen, in random order since many are
-// equally good, and the others that the usual sample is taken from: replicas of other halls and,
-// where subsets are too small to contain all replicas of the hall, those outside this one. If no
-// drawn one is left, all that are not known to be silent are sampled.
+// equally good, and the rest, which may be sampled by reports: replicas of other halls and, where
+// many replicas are in no gateway's subset, those outside this gateway's. If no drawn one may be
+// chosen, the rest are all but those whose agents did not answer.
 func (d *Draw) split(hall string, cs []*Replica) (drawn, rest []*Replica) {
 	var local []*Replica
 	for _, r := range cs {
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -8,9 +8,9 @@
 	"github.com/poststand/poststand/config"
 )
 
-// staleCost is the share of the predicted latency that is added for a replica whose load was not
-// read, compared with those whose load was, if its report is old: the least of several uncertain
-// predictions is too low on average.
+// staleCost is the share of the predicted latency that is added to the cost of a replica with no
+// report, when it is compared with replicas whose load was just read. With a report, the share is
+// lower, by staleness. The least of several uncertain predictions is too low on average.
 const staleCost = 0.3
 
 // estimate is what a request is predicted to meet at a replica.
@@ -125,13 +125,14 @@
 	return c.MaxWait > 0 && c.Draw.hasAnswer() && wait > c.MaxWait
 }
 
-// maxSpillEstimates bounds the replicas that are considered for a request that would be refused. A
-// service may have thousands, and requests that wait for room are tried many times a second.
-const maxSpillEstimates = 64
+// maxRoomEstimates bounds the replicas that withRoom considers for a request that would otherwise be
+// refused. A service may have thousands, and requests that wait for room are tried many times a
+// second.
+const maxRoomEstimates = 64
 
-// withRoom draws some of cs where the wait is not too long, by reports. Those of other halls are
-// considered before the gateway refuses for lack of room in its own. They are drawn at random,
-// since all gateways of a full hall consider the same reports.
+// withRoom returns some of cs whose predicted wait is not too long, so that other halls are
+// considered before a request is refused for lack of room. They are sampled at random, since all
+// gateways of a full hall have the same reports.
 func (t *Table) withRoom(now time.Time, e config.Engine, crit Criteria, cs []*Replica) []*Replica {
 	var out []*Replica
 	considered := 0
@@ -143,7 +144,7 @@
 		if !crit.isTooLong(t.estimate(now, r, e, crit).wait) {
 			out = append(out, r)
 		}
-		if considered++; considered == maxSpillEstimates || len(out) == sampledInHall+sampledElsewhere {
+		if considered++; considered == maxRoomEstimates || len(out) == sampledInHall+sampledElsewhere {
 			break
 		}
 	}
--- a/route/reopening.go
+++ b/route/reopening.go
@@ -13,34 +13,34 @@
 // holds a version that may be used.
 const (
 	switchTime     = 200 * time.Millisecond // From when a replica is due to switch versions until it serves.
-	returnShare    = 0.5                    // Share of the capacity that retries of the most urgent rank may use; the rest is left for first attempts.
-	returnRankStep = 0.5                    // Share of the places of a rank that the next less urgent one may use.
-	maxReturns     = 1024                   // Retries kept for a service.
-	maxReturnWait  = 10 * time.Second       // Longest time until a retry; by then replicas have switched, and what they serve is known.
+	retryShare     = 0.5                    // Share of the capacity that retries of the most urgent rank may use; the rest is left for first attempts.
+	retryRankShare = 0.5                    // Share of the places of a rank that the next less urgent one may use.
+	maxToldRetries = 1024                   // Retries kept for a service.
+	maxRetryWait   = 10 * time.Second       // Longest time until a retry; by then replicas have switched, and what they serve is known.
 )
 
-// reopening holds the times at which refused callers of a service were told to retry. The zero
+// toldRetries holds the times at which refused callers of a service were told to retry. The zero
 // value is empty.
-type reopening struct {
+type toldRetries struct {
 	told  []time.Time // In order, and none in the past.
-	phase float64     // At least 0 and less than 1; it sets gateways apart that tell the same times.
+	phase float64     // At least 0 and less than 1; it differs between gateways, so that they do not all tell the same times.
 }
 
 // next returns when the next refused caller should retry, and records it. The replicas that are
 // waiting for a version serve from the times in ready, each rate requests a second of this
-// gateway. The retries told up to any time, of all ranks, use the share of the rank at most of
-// what these replicas serve until then, so that they do not all come when the first replica is
-// ready and a more urgent retry comes before the less urgent ones told earlier. The phase is used
-// if there are no others. A caller whose time would be after latest is told that, and does not
-// count: it will not come back in time. ready must not be empty.
-func (x *reopening) next(now, latest time.Time, ready []time.Time, rate float64, level int, phase float64) time.Time {
+// gateway. Up to the returned time, the retries of all ranks use at most the share of the
+// request's rank of what these replicas can serve. So retries do not all arrive when the first
+// replica is ready, and a more urgent one may be told an earlier time than less urgent ones were.
+// The phase is used if no other retries are recorded. A time after latest is replaced by latest
+// and not recorded, since the caller will not retry in time. ready must not be empty.
+func (x *toldRetries) next(now, latest time.Time, ready []time.Time, rate float64, level int, phase float64) time.Time {
 	slices.SortFunc(ready, time.Time.Compare)
 	past, _ := slices.BinarySearchFunc(x.told, now, time.Time.Compare)
 	x.told = slices.Delete(x.told, 0, past)
 	if len(x.told) == 0 {
 		x.phase = phase
 	}
-	share := returnShare * math.Pow(returnRankStep, float64(max(0, level)))
+	share := retryShare * math.Pow(retryRankShare, float64(max(0, level)))
 	var at time.Time
 	index := 0
 	for ; ; index++ {
@@ -55,7 +55,7 @@
 	if at.After(latest) {
 		return latest
 	}
-	if len(x.told) < maxReturns {
+	if len(x.told) < maxToldRetries {
 		x.told = slices.Insert(x.told, index, at)
 	}
 	return at
@@ -101,15 +101,15 @@
 	if len(ready) == 0 || rate <= 0 {
 		return time.Time{}, false
 	}
-	if t.reopenings == nil {
-		t.reopenings = map[string]*reopening{}
+	if t.toldRetries == nil {
+		t.toldRetries = map[string]*toldRetries{}
 	}
-	x := t.reopenings[crit.Service]
+	x := t.toldRetries[crit.Service]
 	if x == nil {
-		x = &reopening{}
-		t.reopenings[crit.Service] = x
+		x = &toldRetries{}
+		t.toldRetries[crit.Service] = x
 	}
-	return x.next(now, times.Earlier(deadline, now.Add(maxReturnWait)), ready, rate, level, phase), true
+	return x.next(now, times.Earlier(deadline, now.Add(maxRetryWait)), ready, rate, level, phase), true
 }
 
 // servesFrom returns when the replica is expected to serve the version that it is about to switch
--- a/route/reopening_test.go
+++ b/route/reopening_test.go
@@ -41,7 +41,7 @@
 		{"a rank below 0 is the most urgent", nil, at(1000), 10, []int{-1, -1}, at(1000, 1200)},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			x := reopening{told: tc.told}
+			x := toldRetries{told: tc.told}
 			var got []time.Time
 			for _, rank := range tc.ranks {
 				got = append(got, x.next(start, start.Add(2*time.Second), tc.ready, tc.rate, rank, 0).Round(time.Millisecond))
@@ -54,12 +54,12 @@
 // The number of retries kept is limited.
 func TestReopeningIsBounded(t *testing.T) {
 	is := is.New(t)
-	var x reopening
+	var x toldRetries
 	now := time.Now()
-	for range maxReturns + 10 {
-		is.True(!x.next(now, now.Add(maxReturnWait), []time.Time{now.Add(time.Second)}, 1e6, 0, 0.5).Before(now))
+	for range maxToldRetries + 10 {
+		is.True(!x.next(now, now.Add(maxRetryWait), []time.Time{now.Add(time.Second)}, 1e6, 0, 0.5).Before(now))
 	}
-	is.Equal(len(x.told), maxReturns)
+	is.Equal(len(x.told), maxToldRetries)
 }
 
 // Only replicas that are known to be about to switch versions count.
@@ -115,7 +115,7 @@
 		ready = append(ready, first.Add(switchesFor*time.Duration(i)/replicas))
 	}
 	rate := replicaRate(config.Engine{Slots: 12, PrefillRate: 20000, MeanAnswerTokens: 90, StepTime: 9 * time.Millisecond})
-	xs := make([]reopening, gateways)
+	xs := make([]toldRetries, gateways)
 	told, toldBefore := map[time.Duration]float64{}, map[time.Duration]float64{} // By bin after the first replica is ready.
 	early, earlyBefore, n := 0, 0, int(refusedPerSecond*outage.Seconds())
 	var waits [ranks]time.Duration
--- a/route/reservation.go
+++ b/route/reservation.go
@@ -32,13 +32,14 @@
 	r.decoding++
 	r.failures, r.ejections = 0, 0
 	if predicted > 0 {
-		r.recordLatencyRatio(res, float64(took)/float64(predicted)**r.ratio(res.fresh))
+		r.recordLatencyRatio(res, float64(took)/float64(predicted)*(*r.ratio(res.fresh)))
 	}
 }
 
-// ratio returns the smoothed ratio that corrects predictions by a load that was read right before,
-// or by reports. Reports tell of a slowdown late, so the ratio of the latter includes slowdowns. If
-// it also corrected predictions by a current slowdown, that would count twice.
+// ratio returns the smoothed ratio that corrects predictions: those from a load that was read right
+// before the choice if fresh is set, else those from reports. Reports show a slowdown late, so the
+// ratio for them includes slowdowns. A prediction from a fresh load already includes the current
+// slowdown, which that ratio would count twice.
 func (r *Replica) ratio(fresh bool) *float64 {
 	if fresh {
 		return &r.freshRatio
@@ -50,9 +51,9 @@
 func (r *Replica) slowdown() float64 { return max(1, r.Report.Slowdown) }
 
 // recordLatencyRatio adds a sample of the measured over the predicted latency to the smoothed
-// ratio. Increases have a greater weight than decreases, except for predictions by a current load.
-// Of these, a sample is reduced by a slowdown that was reported since, as later predictions include
-// it.
+// ratio. For predictions from reports, increases have a greater weight than decreases. For those
+// from a fresh load, a slowdown that was reported since the choice is divided out of the sample, as
+// later predictions include it.
 func (r *Replica) recordLatencyRatio(res *Reservation, sample float64) {
 	smoothed := r.ratio(res.fresh)
 	weight := ratioWeight
@@ -124,7 +125,7 @@
 	}
 	res.failed = true
 	if !res.gotFirstEvent {
-		r.recordLatencyRatio(res, 2**r.ratio(res.fresh))
+		r.recordLatencyRatio(res, 2*(*r.ratio(res.fresh)))
 	}
 	r.failures++
 	if r.failures >= replicaEjectAfter {
--- a/route/sync.go
+++ b/route/sync.go
@@ -27,7 +27,7 @@
 			t.coldStarts[name] = coldStart{s.ColdRate, s.ColdFor}
 		}
 	}
-	maps.DeleteFunc(t.reopenings, func(name string, _ *reopening) bool {
+	maps.DeleteFunc(t.toldRetries, func(name string, _ *toldRetries) bool {
 		_, configured := services[name]
 		return !configured
 	})
--- a/route/table.go
+++ b/route/table.go
@@ -102,10 +102,10 @@
 	// drainedHalls are the halls that the operator has drained: their replicas get no requests.
 	drainedHalls map[string]bool
 	// coldStarts holds the cold rate and time of each service whose replicas have them.
-	coldStarts map[string]coldStart
-	hallLoads  map[[2]string]hallLoad // By service and hall.
-	rankings   map[string][]*Replica  // By service, as far as needed since the last change of the list; see Table.ranking.
-	reopenings map[string]*reopening  // By service.
+	coldStarts  map[string]coldStart
+	hallLoads   map[[2]string]hallLoad  // By service and hall.
+	rankings    map[string][]*Replica   // By service, as far as needed since the last change of the list; see Table.ranking.
+	toldRetries map[string]*toldRetries // By service.
 }
 
 // Parameters of a Table.
@@ -166,9 +166,9 @@
 	Draw *Draw
 	// readsLoad is set while a draw is made: the load will have been read before the choice.
 	readsLoad bool
-	// MaxWait is the longest wait for which the request is sent; zero for no limit. If all sampled
-	// replicas have a longer one, another one with a shorter one is chosen, if some are found among
-	// up to maxSpillEstimates others. It applies only with an answer to Draw.
+	// MaxWait is the longest predicted wait with which the request is sent; zero for no limit. If
+	// all sampled replicas exceed it, up to maxRoomEstimates others are considered, and one that
+	// does not is chosen if there is any. It applies only if Draw has an answer.
 	MaxWait time.Duration
 }
 
@@ -203,8 +203,8 @@
 	e := t.engines[crit.Service]
 	chosen := t.best(now, e, crit, t.sample(now, e, cs, crit.Draw))
 	if crit.isTooLong(chosen.wait) {
-		if spill := t.withRoom(now, e, crit, cs); len(spill) > 0 {
-			chosen = t.best(now, e, crit, spill)
+		if others := t.withRoom(now, e, crit, cs); len(others) > 0 {
+			chosen = t.best(now, e, crit, others)
 		}
 	}
 	best := chosen.replica
@@ -242,25 +242,25 @@
 	if slices.ContainsFunc(drawn, func(r *Replica) bool { return r.hasFreeSlot(now, e) }) {
 		return drawn
 	}
-	sampled, _ := t.drawByReports(now, rest)
+	sampled, _ := t.sampleWithSkipped(now, rest)
 	return append(drawn, sampled...)
 }
 
-// sampleByReports draws candidates at random, some of this hall, if there are any, and some of
-// others. If all gateways chose the best replica from the same stale reports, they
-// would overload it. A replica that has just become available looks best to all gateways until
-// agents report the requests it was sent, so it is drawn less often at first.
+// sampleByReports returns candidates at random, some of this hall, if there are any, and some of
+// others. If all gateways chose the best replica from the same stale reports, they would overload
+// it. A replica that has just become available looks best to all gateways until agents report the
+// requests it was sent, so it is sampled less often at first.
 func (t *Table) sampleByReports(now time.Time, cs []*Replica) []*Replica {
-	out, skipped := t.drawByReports(now, cs)
+	out, skipped := t.sampleWithSkipped(now, cs)
 	if len(out) == 0 {
 		return skipped[:min(sampledInHall+sampledElsewhere, len(skipped))]
 	}
 	return out
 }
 
-// drawByReports is sampleByReports, but it also returns the replicas that were skipped because they
-// have just become available.
-func (t *Table) drawByReports(now time.Time, cs []*Replica) (out, skipped []*Replica) {
+// sampleWithSkipped is sampleByReports, but it also returns the replicas that were skipped because
+// they have just become available.
+func (t *Table) sampleWithSkipped(now time.Time, cs []*Replica) (out, skipped []*Replica) {
 	here, there := sampledInHall, sampledElsewhere
 	for _, i := range rand.Perm(len(cs)) {
 		r := cs[i]
@@ -280,7 +280,7 @@
 	return out, skipped
 }
 
-// rampUp returns the probability with which the replica is drawn as a candidate. It grows from
+// rampUp returns the probability with which the replica is sampled as a candidate. It grows from
 // rampUpStart to 1 after the replica becomes available.
 func (r *Replica) rampUp(now time.Time) float64 {
 	elapsed := now.Sub(r.availableSince)
--- a/weights/progress.go
+++ b/weights/progress.go
@@ -91,8 +91,8 @@
 	return t.plan.currentParallel
 }
 
-// ratePause is how long no chunk arrives until the rate so far no longer counts: the origin was
-// unavailable.
+// ratePause is the time without an arrival after which the rate before it is disregarded: the
+// origin was most likely unavailable.
 const ratePause = time.Second
 
 // recordArrival records for CompleteBy that a chunk has arrived. The caller holds t.mu.
