--- a/admission/expected_test.go
+++ b/admission/expected_test.go
@@ -87,7 +87,7 @@
 
 // However many callers are refused, the number of expected retries is bounded; those that are due
 // last stay.
-func TestReturnsAreBounded(t *testing.T) {
+func TestExpectedRetriesAreBounded(t *testing.T) {
 	is := is.New(t)
 	var r ExpectedRetries
 	key := func(i int) (k quarantine.Key) {
--- a/cmd/poststand/cmd/logfile.go
+++ b/cmd/poststand/cmd/logfile.go
@@ -8,7 +8,7 @@
 	"github.com/poststand/poststand/internal/telemetry"
 )
 
-const maxLineBytes = 1 << 20
+const maxLineBytes = 1 << 20 // Longer lines are an error.
 
 // scanLog passes the lines of a process's log file to add, and counts those that are not log
 // lines.
--- a/route/reopening_test.go
+++ b/route/reopening_test.go
@@ -15,7 +15,7 @@
 // Callers refused between two versions come back while replicas can serve them. Told a fixed wait
 // instead, most came back while no replica held the new version, or all within a second after the
 // first one did.
-func TestReopening(t *testing.T) {
+func TestToldRetries(t *testing.T) {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	at := func(ms ...int) (out []time.Time) {
 		for _, n := range ms {
@@ -52,7 +52,7 @@
 }
 
 // The number of retries kept is limited.
-func TestReopeningIsBounded(t *testing.T) {
+func TestToldRetriesAreBounded(t *testing.T) {
 	is := is.New(t)
 	var x toldRetries
 	now := time.Now()
