relay: an attempt given up at its version's deadline is logged

Callers of requests that may run once only get a 502 when their attempt is given up at the end of its replica's version (KNOWN-RED: TestScarcityLosesNoRequest). The request's line does not tell whether the request was queued behind a change of version, queued at a slow replica, or running. No behaviour changes.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -281,6 +281,7 @@
 func (d *delivery) check(now time.Time) {
 	for _, a := range slices.Clone(d.open) {
 		if deadline := d.startDeadline(a); !deadline.IsZero() && !now.Before(deadline) {
+			d.logVersionDeadline(now, a)
 			d.giveUp(a, fault.LinkStalled)
 		}
 	}
--- a/route/sync.go
+++ b/route/sync.go
@@ -161,6 +161,13 @@
 	return now.Sub(res.replica.changingSince)
 }
 
+// Report returns the newest agent report of the replica that was chosen; zero if there is none.
+func (t *Table) Report(res *Reservation) AgentReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return res.replica.Report
+}
+
 // version returns the version that the replica holds according to its agent's report or, without
 // a current one, the newer of its list entry and its last answer. The caller holds t.mu.
 func (r *Replica) version(now time.Time) uint64 {
