relay, route: requests whose start can't be seen are not cut at their version's deadline

What callers saw: with versions that follow each other by seconds, 1 to 8 of 3,200 requests get a 502, nearly all of them requests that may run once only, whose callers can neither repeat them nor know whether they ran.

Cause: a gateway gives up an attempt without data at the end of its replica's version, since it may be queued there and would begin late. A plain answer has no data until it is complete: it is given up while the replica works on it. The same rule gives up a request 0.6 s before the deadline that the replica itself was given, at which it would say that it did not run.

Change: plain requests, and those that may run once only, are sent to a replica of an older version only if the whole answer is predicted by the deadline that the replica is told, and the replica's own word at that deadline is awaited for 0.3 s. They name the version that they were sent for: queued behind a change, they are refused as not run instead of begun and cut. Where no replica can answer in time they are refused at once.

Why it holds: a replica drops what has waited past its deadline and says so, so that no request begins late for the gateway's waiting, and each ends as an answer or as not run, unless an answer takes much longer than predicted.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -242,6 +242,9 @@
 // deadline itself, or if the deadline of older versions has passed. Without an expected version,
 // a request sent on outdated information would start on the older version, and nothing would
 // cancel it at that version's deadline.
+//
+// It is the replica's version as well if the request must end by that version's deadline: queued
+// behind a change of version, it would begin on the next one and be cut.
 func (a *attempt) expectedVersion() uint64 {
 	if a.version > 0 {
 		return a.version
@@ -250,7 +253,8 @@
 	if !a.to.Engine || olderDeadline.IsZero() {
 		return 0
 	}
-	if a.relay.versionDeadline(a.rq, a.to.Version).IsZero() || !time.Now().Before(olderDeadline) {
+	mustEnd := !a.to.Deadline.IsZero() && a.rq.needsOutcome()
+	if mustEnd || a.relay.versionDeadline(a.rq, a.to.Version).IsZero() || !time.Now().Before(olderDeadline) {
 		return a.to.Version
 	}
 	return 0
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -269,10 +269,16 @@
 // startDeadline returns the time by which an attempt must have data, since its replica's version
 // may not start requests later; zero for no limit. That includes requests that may not be
 // repeated: they could otherwise start as late as their caller's deadline.
+//
+// A replica that was given an earlier deadline than the caller's drops the request by itself, and
+// says whether it ran. That answer is awaited if it matters.
 func (d *delivery) startDeadline(a *attempt) time.Time {
 	if a.gotData || !a.to.Engine {
 		return time.Time{}
 	}
+	if !a.to.Deadline.IsZero() && d.rq.needsOutcome() {
+		return a.to.Deadline.Add(outcomeMargin)
+	}
 	return d.relay.versionDeadline(d.rq, a.to.Version)
 }
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -66,6 +66,11 @@
 // repeatable reports whether the request may run more than once.
 func (rq *request) repeatable() bool { return rq.route.Repeatable() }
 
+// needsOutcome reports whether the outcome of an attempt without data must be learned from the replica.
+// A plain answer has no data until it is complete, so that the request may be running, and one that
+// may not run twice is lost to its caller if its outcome is unknown.
+func (rq *request) needsOutcome() bool { return rq.route.Kind != streamKind || !rq.repeatable() }
+
 // runsModel reports whether the service runs a model.
 func (rq *request) runsModel() bool { return rq.catalog.Config.Services[rq.service].Model != "" }
 
@@ -74,8 +79,9 @@
 	return route.Criteria{
 		AllowsHall: rq.allowsHall(g),
 		Service:    rq.service, Workload: rq.workload, Version: rq.version, Exclude: exclude, Rank: rq.rank,
-		LatestStart:    func(v uint64) time.Time { return g.versionDeadline(rq, v) },
-		LatestDeadline: func(v uint64) time.Time { return g.queueDeadline(rq, v) },
+		LatestStart:     func(v uint64) time.Time { return g.versionDeadline(rq, v) },
+		LatestDeadline:  func(v uint64) time.Time { return g.queueDeadline(rq, v) },
+		WholeByDeadline: rq.needsOutcome(),
 	}
 }
 
--- a/internal/relay/stale_report_test.go
+++ b/internal/relay/stale_report_test.go
@@ -21,7 +21,7 @@
 	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
 		cl.store.Put("op/config", platformtest.Config(2, once))
 		cl.startAgents(func(*platformtest.Replica) uint64 { return 2 })
-		supersededAt := cl.queueBeforeDeadline("/once/")
+		supersededAt := cl.queueBeforeDeadline("/once/", nil)
 		time.Sleep(versionWithin)
 		late = startedLate(rs, supersededAt)
 	})
--- a/internal/relay/superseded_test.go
+++ b/internal/relay/superseded_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -42,15 +43,17 @@
 
 func actualVersion(r *platformtest.Replica) uint64 { return r.Version }
 
-// queueBeforeDeadline makes version 2 the target and sends two streams shortly before the
-// deadline of version 1: the first takes the replica's slot, and the second is queued. It
-// returns when version 1 was superseded.
-func (cl *testCluster) queueBeforeDeadline(target string) time.Time {
+// queueBeforeDeadline makes version 2 the target and sends two streams, with additional headers,
+// shortly before the deadline of version 1: the first takes the replica's slot, and the second is
+// queued. It returns when version 1 was superseded.
+func (cl *testCluster) queueBeforeDeadline(target string, header map[string]string) time.Time {
 	supersededAt := time.Now()
 	cl.store.Put("op/version/m", platformtest.Body{"model": "m", "version": 2})
 	time.Sleep(versionWithin - lastSendBeforeDeadline - sendInterval)
 	for _, id := range []string{"first", "second"} {
-		go cl.sendContext(context.Background(), 0, "POST", target, map[string]string{"X-Attempt-Id": id})
+		h := map[string]string{"X-Attempt-Id": id}
+		maps.Copy(h, header)
+		go cl.sendContext(context.Background(), 0, "POST", target, h)
 		time.Sleep(sendInterval)
 	}
 	return supersededAt
@@ -75,7 +78,7 @@
 	rs := []*platformtest.Replica{r}
 	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
 		cl.startAgents(reportedVersion)
-		supersededAt := cl.queueBeforeDeadline(target)
+		supersededAt := cl.queueBeforeDeadline(target, nil)
 		afterSend(cl)
 		time.Sleep(versionWithin)
 		received, late = r.RequestCount(), startedLate(rs, supersededAt)
@@ -128,7 +131,7 @@
 	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
 		cl.store.Put("op/config", platformtest.Config(2, once))
 		cl.startAgents(actualVersion)
-		supersededAt := cl.queueBeforeDeadline("/once/")
+		supersededAt := cl.queueBeforeDeadline("/once/", tokenCount) // They take longer than that.
 		time.Sleep(versionWithin)
 		received, late = rs[0].RequestCount(), startedLate(rs, supersededAt)
 	})
--- a/internal/relay/versiondeadline.go
+++ b/internal/relay/versiondeadline.go
@@ -25,6 +25,10 @@
 // to reach its deadline.
 const transitMargin = 200 * time.Millisecond
 
+// outcomeMargin is how long after the deadline of a request at its replica the replica's answer is
+// awaited: it is sent then, and travels back.
+const outcomeMargin = 300 * time.Millisecond
+
 // queueDeadline returns the latest request deadline with which a request queued at a replica
 // can't start on a version after the version's deadline, or zero if any request deadline will
 // do.
--- a/route/table.go
+++ b/route/table.go
@@ -155,10 +155,13 @@
 	// a replica does not start on a version that has expired; zero for no limit. It is later
 	// than LatestStart. Nil means no limit.
 	LatestDeadline func(version uint64) time.Time
-	Exclude        map[string]bool // Replica IDs.
-	ReportedOnly   bool            // Consider only replicas with a recent agent report.
-	Rank           int             // Urgency of the request; 0 is the most urgent.
-	AvoidPermits   bool            // Choose a replica that needs no permit, if there is one.
+	// WholeByDeadline excludes replicas whose whole answer is not expected by LatestDeadline. For a
+	// request that must not be cut while it runs, if it can't be told whether it runs.
+	WholeByDeadline bool
+	Exclude         map[string]bool // Replica IDs.
+	ReportedOnly    bool            // Consider only replicas with a recent agent report.
+	Rank            int             // Urgency of the request; 0 is the most urgent.
+	AvoidPermits    bool            // Choose a replica that needs no permit, if there is one.
 	// AllowsHall reports whether the request may be served in a hall. Nil allows all halls.
 	AllowsHall func(hall string) bool
 	// Draw restricts the choice among replicas of the gateway's own hall to those that were drawn
@@ -360,7 +363,7 @@
 	if r.linkMayBeSlow(now) {
 		margin += slowLinkMargin
 	}
-	if _, outlasts := r.versionDeadline(now, e, crit); outlasts && r.mayQueueLong(now) {
+	if _, outlasts := r.versionDeadline(now, e, crit); outlasts && (crit.WholeByDeadline || r.mayQueueLong(now)) {
 		return false
 	}
 	return now.Add(margin + time.Duration(startFactor*float64(r.expectedLatency(now, e, crit.Workload)))).Before(latestStart)
