relay: Retry-After is rounded up, so that a caller that waits that long is not early

What callers saw: where all replicas of a service state a limit, a caller that came back when it was told was refused once more (KNOWN-RED: TestAllReplicasOfAServiceAreLimited).

Cause: Retry-After has two decimals and was rounded to the nearest. A caller that was told 1.12 for 1.123 s came 3 ms before the next permit, which the gateway knew of, and was refused.

Elsewhere: the product's own gateway rounds up already; no other header of ours has a time. The margin of 20 ms that reserved retries keep covers the rounding in both directions.

Change: times.FormatSeconds rounds up to a hundredth. Its test fails with the old formatting.

--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -15,6 +15,7 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/internal/times"
 )
 
 // bearer is the prefix of an API key in the Authorization header.
@@ -204,7 +205,7 @@
 		if r.Context().Err() == nil { // A caller that has gone does not learn when to retry.
 			g.expectRetry(time.Now(), rq, res.RetryAt)
 		}
-		h.Set("Retry-After", strconv.FormatFloat(max(0, time.Until(res.RetryAt).Seconds()), 'f', 2, 64))
+		h.Set("Retry-After", times.FormatSeconds(time.Until(res.RetryAt)))
 	}
 	if err != nil {
 		telemetry.Log("refused", "id", rq.id, "status", status, "reason", res.Reason, "detail", err.Error(),
--- a/internal/times/seconds.go
+++ b/internal/times/seconds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/poststand/poststand/internal/decimal"
@@ -23,3 +24,11 @@
 	}
 	return time.Duration(math.Ceil(v * float64(time.Second))), true
 }
+
+// FormatSeconds formats a duration as a decimal number of seconds, rounded up to a hundredth:
+// whoever waits that long does not come too early. A negative duration is 0.
+func FormatSeconds(d time.Duration) string {
+	const unit = 10 * time.Millisecond
+	hundredths := (max(0, d) + unit - 1) / unit
+	return strconv.FormatFloat(float64(hundredths)/100, 'f', 2, 64)
+}
--- a/internal/times/seconds_test.go
+++ b/internal/times/seconds_test.go
@@ -54,3 +54,13 @@
 		}
 	})
 }
+
+// A caller that was told a time rounded down came back early, and was refused again.
+func TestFormattedSecondsAreNotTooShort(t *testing.T) {
+	for d, want := range map[time.Duration]string{
+		-time.Second: "0.00", 0: "0.00", 1: "0.01", 10 * time.Millisecond: "0.01", 1123 * time.Millisecond: "1.13", 1120*time.Millisecond + 1: "1.13",
+		time.Minute: "60.00",
+	} {
+		is.New(t).Equal(FormatSeconds(d), want)
+	}
+}
