peers: gateways that have just started list the others that they know in each round

What callers saw: after a restart of all gateways, requests are refused for up to two seconds while replicas that are cold could serve them (KNOWN-RED: TestColdReplicasAreUsedAfterARestartOfAll).

Cause: a gateway lists the others that it knows in one round of announcements in four. The lists that 30 gateways exchange when they start are incomplete, since each knows few then, and the next ones follow 1.5 s later. Meanwhile two gateways, which know 27 and 15 of 30, take themselves for the limiter of the same replica; each asks the second in order, which disagrees, and grants nothing.

Evidence: 7 of 33 plays with -race red. In each, one or more of the three replicas got its first permit after 1.86 to 2.00 s instead of 0.34 to 0.70 s. Lines of each question among gateways and of each view (a trial, not kept) show views of 27 and 15, and of 26 and 20, unchanged from 0.1 to 1.6 s after the start, and answers that name the second itself; at 1.6 s both know 30.

Change: the first four rounds of a process all list others.

Why it holds: half a second after the start everybody's list has reached all neighbours. It costs at most three more lists of 24 gateways to eight neighbours for each start.

Measured: TestGatewaysThatStartAtOnceKnowEachOther is new: 5 of 5 red before (16 to 30 known after 1 s), 0 of 20 after. The listed test, unchanged, with -race: 0 of 24 red after, each replica used in full (14 of 14) in the second second.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -48,7 +48,8 @@
 	// maxKnownToStarting bounds the list that a gateway gets that starts.
 	maxKnownToStarting = 4096
 	localNeighbours    = 6 // Neighbours that are in the same hall.
-	roundsPerKnown     = 4 // One round in this many lists other gateways.
+	roundsPerKnown     = 4 // One round in this many lists other gateways,
+	startRounds        = 4 // and each of the first ones: many may start at once, and know few others.
 	// watchersPerHall is how many gateways of a hall may watch the platform: each one only
 	// while none that ranks before it does.
 	watchersPerHall = 3
@@ -382,7 +383,7 @@
 	defer g.mu.Unlock()
 	g.expireMembers(now)
 	g.manyGateways.Store(len(g.members) >= meshLimit)
-	others := g.rounds%roundsPerKnown == 0
+	others := g.rounds <= startRounds || g.rounds%roundsPerKnown == 0
 	g.rounds++
 	to := g.chooseNeighbours(now)
 	g.announceHeld(ctx, to)
--- a/internal/relay/started_test.go
+++ b/internal/relay/started_test.go
@@ -103,3 +103,20 @@
 	}
 	return -1
 }
+
+// After a restart of all gateways, some knew half of the others for one and a half seconds, two took
+// themselves for the limiter of the same replica, and neither granted permits for it.
+func TestGatewaysThatStartAtOnceKnowEachOther(t *testing.T) {
+	const gateways, bound = 30, time.Second
+	known := map[int]int{} // Gateways by the number of gateways that they know.
+	runCluster(t, gateways, plainReplicas(1), func(_ *is.I, cl *testCluster) {
+		for i := range gateways {
+			cl.restart(i)
+		}
+		time.Sleep(bound)
+		for _, g := range cl.gateways {
+			known[len(g.Status().Peers)]++
+		}
+	})
+	is.New(t).Equal(known, map[int]int{gateways: gateways})
+}
