quarantine: terminations that are yet to come around the last strike count

What callers saw: in a rolling restart of 16 replicas, four a second, a sound request is at times refused for ten minutes (KNOWN-RED: TestSoundRequestsInARollAreNotQuarantined).

Cause, one of three: a request with three strikes is judged when the third replica has terminated, by the terminations up to a second from its strikes. Those of the second that follows are not known yet, so that a roll is seen half.

A trial that printed the judgement: three strikes among five known terminations (3.25, 3.49, 3.74, 4.00 and 4.25 s), so more than half; the next ones, of the same roll, came at 4.50 to 5.25 s and make it 3 of 9. Replicas that are attributed to other suspects, which was another hypothesis, were none.

Change: what is yet to come counts by how many terminated without the request in the second before its last strike, less as that second passes. A request that terminates replicas by itself has none of those, and is judged as before; beside others the judgement comes up to a second later.

The new case of TestVerdict fails without it.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -33,7 +33,7 @@
 		return
 	}
 	until := last.Add(Duration)
-	if s.quarantinedUntil.After(now) || !until.After(now) || s.independent < MinStrikes || !t.isCause(s) {
+	if s.quarantinedUntil.After(now) || !until.After(now) || s.independent < MinStrikes || !t.isCause(now, s) {
 		return
 	}
 	s.quarantinedUntil = until
@@ -45,8 +45,9 @@
 // strikesSufficient independent strikes remain, the request is the cause. MinStrikes are enough
 // if no other request has as many strikes at these replicas, and if the request was at more
 // than half of the replicas that terminated around those times: in a rolling restart or a power
-// failure most of them terminate without it.
-func (t *Table) isCause(s *suspect) bool {
+// failure most of them terminate without it. Terminations that are yet to come around the last
+// strike count by how many there were without the request just before it.
+func (t *Table) isCause(now time.Time, s *suspect) bool {
 	if countIndependent(without(s.strikes, t.terminatedUnderOthers(s, s.independent+1))) >= strikesSufficient {
 		return true
 	}
@@ -59,13 +60,19 @@
 	for _, strike := range counted {
 		replicas[strike.Replica] = true
 	}
-	nearby := 0
+	_, last := span(counted)
+	nearby, withoutRequest := 0, 0
 	for replica, at := range t.terminations {
-		if !others[replica] && nearAny(counted, at) {
-			nearby++
+		if others[replica] || !nearAny(counted, at) {
+			continue
+		}
+		nearby++
+		if before := last.Sub(at); !replicas[replica] && before >= 0 && before <= coincidence {
+			withoutRequest++
 		}
 	}
-	return 2*len(replicas) > nearby
+	unknownShare := min(1, max(0, 1-float64(now.Sub(last))/float64(coincidence)))
+	return float64(2*len(replicas)) > float64(nearby)+unknownShare*float64(withoutRequest)
 }
 
 // terminatedUnderOthers returns the replicas that terminated under requests other than s that
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -85,6 +85,13 @@
 			{1500, "a", "r10", 4},
 			{1800, "a", "r11", 5},
 		}, 1900, true},
+		// A sound request was refused for ten minutes: it was judged before the terminations that followed.
+		{"a rolling restart, judged while it goes on", []step{
+			{0, "", "r1", 0}, {250, "a", "r2", 1}, {500, "a", "r3", 2}, {750, "", "r4", 0}, {1000, "a", "r5", 3},
+		}, 1000, false},
+		{"three rounds beside terminations that have ended", []step{
+			{0, "", "r1", 0}, {250, "a", "r2", 1}, {500, "a", "r3", 2}, {750, "", "r4", 0}, {1000, "a", "r5", 3},
+		}, 2100, true},
 		{"three terminations within 270 ms", []step{{0, "a", "r1", 1}, {170, "a", "r2", 2}, {270, "a", "r3", 3}}, 300, false},
 		{"overlapping attempts, seconds apart", []step{{0, "a", "r1", 1}, {1700, "a", "r2", 1}, {3000, "a", "r3", 2}, {3000, "a", "r4", 2}}, 3100, true},
 		{"quarantine expired", []step{{0, "a", "r1", 1}, {400, "a", "r2", 2}, {900, "a", "r3", 3}}, 900 + int(quarantine.Duration/time.Millisecond), false},
