relay, quarantine: the end of a replica that runs nothing is known

Cause, the second of three: a gateway notices the end of a replica by requests that break with it. With 20 requests on 16 replicas, more than a quarter of the replicas run none when they end, and nobody counts them. Lines of one red play show a request judged by three of at most five known ends while eight replicas had ended.

Change: a refused connection is recorded as an end too, and told to the other gateways, if no end of that replica is known; a later refusal does not move the time of an end.

TestEndOfAnIdleReplicaIsKnown: no gateway of three knew of it before, all three after.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/dispatch"
@@ -163,6 +165,9 @@
 		if ctx.Err() != nil {
 			return nil, notRun(fault.Cancelled)
 		}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			a.relay.recordRefusal(a.to.ID)
+		}
 		return nil, notRun(fault.Unreachable)
 	}
 	// Dialling may have taken seconds, and the replica may no longer accept the request.
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -180,3 +180,19 @@
 	})
 	is.New(t).Equal(recorded, 3)
 }
+
+// A replica that runs nothing when it terminates was not known to have, and the others of the same
+// rolling restart counted for more against a request that was lost with them.
+func TestEndOfAnIdleReplicaIsKnown(t *testing.T) {
+	recorded := 0
+	runCluster(t, 3, engines(1, 3), func(_ *is.I, cl *testCluster) {
+		c := cl.injectCrashes()
+		c.crash(cl.replicas[0])
+		cl.send(0, "POST", "/s/any", nil)
+		time.Sleep(500 * time.Millisecond)
+		for i := range cl.gateways {
+			recorded += cl.gateways[i].KnownTerminations()
+		}
+	})
+	is.New(t).Equal(recorded, 3)
+}
--- a/internal/relay/replicaend.go
+++ b/internal/relay/replicaend.go
@@ -23,6 +23,15 @@
 	}
 }
 
+// recordRefusal records that a replica refuses connections. A replica that ran no request when it
+// terminated is noticed only by this.
+func (g *Relay) recordRefusal(id string) {
+	now := time.Now()
+	if g.suspects.RecordRefusal(now, id) {
+		g.endQueue.add(replicaEnd{id, now})
+	}
+}
+
 // notifyEnds notifies all other gateways of terminated replicas until ctx ends.
 func (g *Relay) notifyEnds(ctx context.Context) error {
 	return notifyPeers(ctx, &g.endQueue, g.sendEnds)
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -94,6 +94,19 @@
 	return t.recordTermination(replica, at)
 }
 
+// RecordRefusal records that a replica refuses connections, and reports whether it was not known to
+// have terminated. It did so at now or earlier, while it ran no request of this process.
+func (t *Table) RecordRefusal(now time.Time, replica string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.init()
+	t.sweep(now)
+	if _, known := t.terminations[replica]; known {
+		return false
+	}
+	return t.recordTermination(replica, now)
+}
+
 // RecordSuccess records that a replica answered a request successfully, which clears its
 // strikes. It returns the status before, with Cleared set, or the zero Status if there were
 // none.
