quarantine, relay, peers: the judgement in two functions; a log line without a report has age -1

Read as a newcomer would: the terminations around a request's strikes are counted in a function of their own, the comparison of rounds says what its constant does, and the line version_deadline has the age that other lines have where an agent has not reported.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -383,7 +383,7 @@
 	defer g.mu.Unlock()
 	g.expireMembers(now)
 	g.manyGateways.Store(len(g.members) >= meshLimit)
-	others := g.rounds <= startRounds || g.rounds%roundsPerKnown == 0
+	others := g.rounds < startRounds || g.rounds%roundsPerKnown == 0
 	g.rounds++
 	to := g.chooseNeighbours(now)
 	g.announceHeld(ctx, to)
--- a/internal/relay/versiondeadline.go
+++ b/internal/relay/versiondeadline.go
@@ -42,12 +42,16 @@
 
 // logVersionDeadline counts and logs an attempt without data that is given up at the deadline of its
 // replica's version, with the time at which it was sent and what agents have reported of the replica
-// since. It shows whether the request was queued behind a change of version.
+// since: whether it is about to change its version, and its load.
 func (d *delivery) logVersionDeadline(now time.Time, a *attempt) {
 	d.relay.Metrics.Event("version_deadline", "")
 	rep := d.relay.table.Report(a.to.Reservation)
+	age := -time.Millisecond
+	if !rep.ReceivedAt.IsZero() {
+		age = now.Sub(rep.ReceivedAt)
+	}
 	telemetry.Log("version_deadline", "id", d.rq.id, "route", d.rq.routeName, "upstream", a.to.ID, "version", a.to.Version,
 		"sent_ms", now.Sub(a.startedAt).Milliseconds(), "predicted_ms", a.to.Predicted.Milliseconds(), "repeatable", d.rq.repeatable(),
 		"reported", rep.Version, "changing", rep.Changing, "change_known", !rep.ChangeAt.IsZero(), "running", rep.Running, "queued", rep.Queued,
-		"report_age_ms", now.Sub(rep.ReceivedAt).Milliseconds())
+		"report_age_ms", age.Milliseconds())
 }
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -45,8 +45,7 @@
 // strikesSufficient independent strikes remain, the request is the cause. MinStrikes are enough
 // if no other request has as many strikes at these replicas, and if the request was at more
 // than half of the replicas that terminated around those times: in a rolling restart or a power
-// failure most of them terminate without it. Terminations that are yet to come around the last
-// strike count by how many there were without the request just before it.
+// failure most of them terminate without it.
 func (t *Table) isCause(now time.Time, s *suspect) bool {
 	if countIndependent(without(s.strikes, t.terminatedUnderOthers(s, s.independent+1))) >= strikesSufficient {
 		return true
@@ -60,19 +59,26 @@
 	for _, strike := range counted {
 		replicas[strike.Replica] = true
 	}
-	_, last := span(counted)
-	nearby, withoutRequest := 0, 0
+	return float64(2*len(replicas)) > t.terminationsAround(now, counted, replicas, others)
+}
+
+// terminationsAround returns how many replicas, without those to ignore, terminated around the strikes
+// at some replicas. Those that will have terminated within coincidence of the last strike are not known
+// yet: they are estimated by those that terminated without the request in the same time before it.
+func (t *Table) terminationsAround(now time.Time, strikes []Strike, struck, ignore map[string]bool) float64 {
+	_, last := span(strikes)
+	known, unrelated := 0, 0
 	for replica, at := range t.terminations {
-		if others[replica] || !nearAny(counted, at) {
+		if ignore[replica] || !nearAny(strikes, at) {
 			continue
 		}
-		nearby++
-		if before := last.Sub(at); !replicas[replica] && before >= 0 && before <= coincidence {
-			withoutRequest++
+		known++
+		if before := last.Sub(at); !struck[replica] && before >= 0 && before <= coincidence {
+			unrelated++
 		}
 	}
-	unknownShare := min(1, max(0, 1-float64(now.Sub(last))/float64(coincidence)))
-	return float64(2*len(replicas)) > float64(nearby)+unknownShare*float64(withoutRequest)
+	remaining := min(1, max(0, 1-float64(now.Sub(last))/float64(coincidence)))
+	return float64(known) + remaining*float64(unrelated)
 }
 
 // terminatedUnderOthers returns the replicas that terminated under requests other than s that
