relay: the lines of a request name the shared parts of its prompt

The lines could not tell which of the requests that were lost with a replica have a part in common with those lost with another: no line named X-Prefix-Hash. The request's line, the one of a replica that ended under it and the one of its quarantine have parts=, all but the last.

--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -85,6 +85,9 @@
 	rq.deadline = now.Add(timeout)
 	rq.service = chooseService(rq.route.Services)
 	rq.workload = parseWorkload(names, r.Header, c.Config.Services[rq.service].Engine)
+	if rq.runsModel() {
+		rq.parts = sharedParts(r.Header.Get(names.PromptParts))
+	}
 	rq.header = rq.forwardedHeader(names, r.Header)
 	if err := rq.readBody(w, r, c.Config.Callers.BodyBytes); err != nil {
 		return rq, err
--- a/internal/relay/headers.go
+++ b/internal/relay/headers.go
@@ -12,6 +12,7 @@
 	NotRun        string // Set if the request has not run.
 	Tokens        string // "prompt,answer": tokens of the prompt, and the maximum of the answer.
 	LengthHint    string // Estimated tokens of the answer.
+	PromptParts   string // "ID:TOKENS,ID:TOKENS,…": parts of the prompt in order, with hexadecimal IDs; only the last is not shared.
 	Rank          string // Priority of the request; 0 is the highest.
 	Version       string // Version of the weights that answered.
 	ExpectVersion string // The only version of the weights that may run the request.
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -154,5 +154,5 @@
 		"outcome", res.Outcome, "reason", res.Reason, "attempts", strings.Join(rq.attemptResults, ","), "regions", rq.residency(g),
 		"predicted_ms", rq.predicted.Milliseconds(), "wait_ms", rq.queueWait.Milliseconds(), "report_age_ms", rq.reportAge.Milliseconds(), "load_queried", rq.freshLoad,
 		"client_retry", rq.attempt, "holding", rq.replicaVersions, "retry_in_ms", retryInMillis(res, now), "retries_before", rq.retriesBefore, "first_ms", first.Milliseconds(), "pause_ms", out.longestGap.Milliseconds(), "took_ms", now.Sub(rq.arrivedAt).Milliseconds(), "left_ms", rq.deadline.Sub(now).Milliseconds(),
-		"prompt", rq.workload.PromptTokens, "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
+		"prompt", rq.workload.PromptTokens, "parts", strings.Join(rq.parts, ","), "weights", rq.version, "held", rq.heldVersion, "held_for_ms", rq.versionTimeLeft.Milliseconds(), "listed_at", rq.listedAt, "seen", rq.availability, "limit", rq.limit, "sent_4s", rq.recentSends, "revision", rq.catalog.Position, "version", rq.catalog.Version)
 }
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -19,6 +19,7 @@
 type request struct {
 	id               string         // ID of the caller's attempt.
 	key              quarantine.Key // The same for all attempts at the same request.
+	parts            []string       // IDs of the parts of its prompt that other requests may share; see sharedParts.
 	method           string
 	target           string // Path and query as received.
 	header           http.Header
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/poststand/poststand/dispatch"
@@ -33,7 +34,7 @@
 		return false
 	}
 	g.Metrics.Event("quarantined", "")
-	telemetry.Log("request_quarantined", "id", rq.id, "key", rq.key, "route", rq.routeName, "organisation", rq.organisation,
+	telemetry.Log("request_quarantined", "id", rq.id, "key", rq.key, "parts", strings.Join(rq.parts, ","), "route", rq.routeName, "organisation", rq.organisation,
 		"round", rq.quarantineStatus.Round, "replicas", rq.quarantineStatus.Replicas(), "last_ended_ago", rq.quarantineStatus.SinceLastStrike(now), "sends", rq.attempts, "for", rq.quarantineStatus.Until.Sub(now))
 	return true
 }
@@ -96,7 +97,7 @@
 	}
 	v := g.suspects.RecordStrike(at, rq.key, a.epoch, quarantine.Strike{Replica: a.to.ID, Round: a.round, At: at})
 	g.Metrics.Event("ended_under_request", "")
-	telemetry.Log("replica_ended_under_request", "id", rq.id, "key", rq.key, "route", rq.routeName, "organisation", rq.organisation,
+	telemetry.Log("replica_ended_under_request", "id", rq.id, "key", rq.key, "parts", strings.Join(rq.parts, ","), "route", rq.routeName, "organisation", rq.organisation,
 		"replica", a.to.ID, "addr", a.to.Addr, "round", a.round, "sent_ago", time.Since(a.startedAt), "answered", !a.firstAt.IsZero(),
 		"known_round", v.Round, "replicas", v.Replicas(), "quarantined", v.Quarantined())
 }
