--- a/internal/relay/crash_injector_test.go
+++ b/internal/relay/crash_injector_test.go
@@ -76,7 +76,7 @@
 	c.crashCount++
 	next := &platformtest.Replica{
 		ID: fmt.Sprintf("%s-%d", r.Addr, c.crashCount), Service: r.Service, Addr: r.Addr, Hall: r.Hall, Version: r.Version,
-		Events: r.Events, EventInterval: r.EventInterval, Slots: r.Slots, CrashOn: r.CrashOn,
+		Events: r.Events, EventInterval: r.EventInterval, Slots: r.Slots, CrashOn: r.CrashOn, Handle: r.Handle,
 	}
 	c.mu.Unlock()
 	cl.addReplica(next)
