quarantine, relay, peers: requests are judged by the parts of their prompts too

Cause: a strike counted against the content of a request alone, so that requests of which no two are alike were strangers to one another.

Change: a strike counts against the content of a request and each shared part of its prompt, in one table by one rule. A key is judged by what began with it since its strikes: what was served before proves nothing about a part that has just turned fatal, so the case "served shortly before" of TestVerdict now expects the verdict, and one that is served after each strike takes its place. Ends under a key with more replicas are that one's; keys at the same replicas refuse only requests that have all of them; a part that nearly all requests have is never the cause. Strikes and what clears keys with several of them go to all gateways at once with the ends. After a quarantine one gateway at a time tries one request. A request is judged again right before it is sent.

Why it holds: the cause is at each end and never served, all else is. The clock of TestServedRequestIsNeverQuarantined ran backwards; it runs forwards now, with the same draws.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -7,12 +7,14 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/times"
+	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
 )
 
@@ -36,9 +38,13 @@
 	lastEventID string
 	version     uint64
 	continues   bool
-	isBackup    bool   // Another attempt is open, which is silent.
-	round       int    // Strike round if the replica terminates during this attempt.
-	epoch       uint64 // Epoch of the quarantine status when the request was sent.
+	isBackup    bool // Another attempt is open, which is silent.
+	number      int  // Number of this attempt, from 1.
+	// struck are the strike rounds of the attempts before this one, and strikes what is recorded if
+	// the replica terminates during this one; both have one entry for each key of the request.
+	struck  []struckRound
+	strikes []quarantine.KeyStrike
+	onTrial bool // The request is sent to learn whether it still crashes replicas.
 
 	cancel context.CancelFunc
 	parts  chan<- receivedPart
@@ -53,8 +59,11 @@
 	conn        *conn
 	stopAbort   func() bool // Stops the abort of conn when the attempt is cancelled.
 	idleTimeout time.Duration
-	// firstAt is when the first event or the complete answer arrived; zero before.
+	// firstAt is when the first event or the complete answer arrived; zero before. The harmless
+	// timer is set from then on, if the answer is a success.
 	firstAt     time.Time
+	harmless    *time.Timer
+	complete    atomic.Bool // The answer is complete.
 	result      route.RequestResult
 	status      int
 	recentSends int // Recent requests of this gateway to the replica, including this one.
@@ -176,6 +185,10 @@
 		a.relay.Metrics.Event("request_withdrawn", string(code))
 		return nil, notRun(code)
 	}
+	if v := a.judge(time.Now()); v.Refused {
+		_ = c.Close()
+		return nil, dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: v.Until}
+	}
 	a.conn = c
 	a.stopAbort = context.AfterFunc(ctx, c.abort)
 	n, err := a.write()
@@ -382,5 +395,6 @@
 		a.relay.table.RecordFirstEvent(time.Now(), a.to.Reservation, took, a.to.Predicted)
 		a.relay.Metrics.FirstData(took.Seconds())
 		a.relay.recordPrediction(a.to, took)
+		a.awaitHarm()
 	}
 }
--- a/internal/relay/callers.go
+++ b/internal/relay/callers.go
@@ -92,7 +92,7 @@
 	if err := rq.readBody(w, r, c.Config.Callers.BodyBytes); err != nil {
 		return rq, err
 	}
-	rq.key = rq.quarantineKey()
+	rq.setKeys()
 	rq.attempt = g.recogniseRetry(now, rq.key)
 	return rq, nil
 }
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -114,7 +114,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &attempt{
 		relay: d.relay, rq: rq, to: choice, startedAt: now, lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started,
-		isBackup: slices.ContainsFunc(d.open, func(o *attempt) bool { return o.silent }), round: rq.nextStrikeRound(), epoch: rq.quarantineStatus.Epoch,
+		isBackup: slices.ContainsFunc(d.open, func(o *attempt) bool { return o.silent }), number: rq.attempts, struck: slices.Clone(rq.struck), onTrial: rq.verdict.Trial,
 		cancel: cancel, parts: d.parts, resume: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
 	d.open = append(d.open, a)
--- a/internal/relay/notify.go
+++ b/internal/relay/notify.go
@@ -28,12 +28,15 @@
 	}
 }
 
-func (n *notifyQueue[K]) add(k K) {
+func (n *notifyQueue[K]) add(ks ...K) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.init()
-	if !n.pending[k] {
+	before := len(n.pending)
+	for _, k := range ks {
 		n.pending[k] = true
+	}
+	if len(n.pending) > before {
 		close(n.added)
 		n.added = make(chan struct{})
 	}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -19,7 +19,7 @@
 		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Draining, RetryAt: now.Add(drainRetryDelay())}
 	}
 	if g.isQuarantined(time.Now(), rq) {
-		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: rq.quarantineStatus.Until}
+		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: rq.verdict.Until}
 	}
 	g.retryWindow(rq.service).RecordRequest(rq.arrivedAt)
 	defer g.waiting.requestEnded(rq)
@@ -103,7 +103,7 @@
 // reached reports whether an attempt with this result has reached its replica.
 func reached(res dispatch.Result) bool {
 	switch res.Reason {
-	case fault.Unreachable, fault.UpstreamLeaving, fault.HallsDrained, fault.UpstreamCold, fault.UpstreamBackingOff, fault.UpstreamLimited:
+	case fault.Unreachable, fault.UpstreamLeaving, fault.HallsDrained, fault.UpstreamCold, fault.UpstreamBackingOff, fault.UpstreamLimited, fault.Quarantined:
 		return false
 	}
 	return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,7 +68,7 @@
 	admissions admissions
 	waiting    waitingRequests
 	inFlight   drain.InFlight
-	// suspects holds requests during which replicas terminated.
+	// suspects holds keys of requests during which replicas terminated.
 	suspects       quarantine.Table
 	endProbes      endProbes
 	loads          loadReader
@@ -77,8 +77,9 @@
 	memberViews memberViews
 	// limitQueue holds the replicas whose limits are to be sent to other gateways.
 	limitQueue notifyQueue[fleet.Incarnation]
-	// endQueue holds the terminations that are to be sent to other gateways.
-	endQueue notifyQueue[replicaEnd]
+	// endQueue holds the terminations, and the keys with new evidence, that are to be sent to other
+	// gateways.
+	endQueue notifyQueue[endNotice]
 	// expectedRetries holds the retries that callers refused in this hall were told to make.
 	expectedRetries admission.ExpectedRetries
 	// expectedRetryQueue holds those that are to be sent to other gateways.
@@ -110,6 +111,7 @@
 	}
 	g.headers = &g.options.Headers
 	g.bounds.Store(&s.RelayReloadable)
+	g.suspects.IsTurn = g.isTrialTurn
 	g.mirror.KeepsHistory, g.mirror.HoldPolicy, g.mirror.OnEvent = o.KeepsHistory, o.HoldPolicy, peers.LogMirrorEvent
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.handlers = &wire.Handlers{}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -17,51 +17,58 @@
 
 // request is one request of a caller. It is routed by a single catalog from start to end.
 type request struct {
-	id               string         // ID of the caller's attempt.
-	key              quarantine.Key // The same for all attempts at the same request.
-	parts            []string       // IDs of the parts of its prompt that other requests may share; see sharedParts.
-	method           string
-	target           string // Path and query as received.
-	header           http.Header
-	host             string
-	body             []byte
-	catalog          *catalog.Catalog
-	routeName        string
-	route            *config.Route
-	service          string
-	organisation     string
-	rank             int
-	arrivedAt        time.Time
-	deadline         time.Time // Deadline of the caller or the route, whichever is earlier.
-	attempt          admission.Attempt
-	admission        admissionRecord
-	retriesBefore    int // Retries expected before the one that the caller was told to make.
-	workload         route.Workload
-	lastEventID      string             // ID of the last stream event sent to the caller.
-	version          uint64             // Version of the first part of the answer; all further parts must match it.
-	attempts         int                // Attempts made so far.
-	predicted        time.Duration      // Time until the first event, at the replica chosen last.
-	queueWait        time.Duration      // Part of predicted before the replica starts on the request.
-	reportAge        time.Duration      // Age of the agent's report about that replica; -1 ms if there is none.
-	freshLoad        bool               // The replica's load was queried right before it was chosen.
-	replicaVersions  string             // Versions that replicas hold, if none could be chosen.
-	heldVersion      uint64             // Version that the replica chosen last is believed to hold.
-	versionTimeLeft  time.Duration      // Time left to start requests on that version when it was chosen; zero if unlimited.
-	listedAt         mirror.Position    // Position of the replica's catalog entry.
-	availability     route.Availability // Availability of all replicas when it was chosen.
-	limit            route.Limit        // Believed limit of the replica that was last sent to.
-	recentSends      int                // Recent requests of this gateway to that replica, including this one.
-	struckRound      int                // Highest strike round of the attempts after which a replica may have terminated.
-	quarantineStatus quarantine.Status  // Result of the last quarantine lookup.
-	attemptResults   []string           // Result of each attempt, for the log.
-	inFlight         drain.Request      // What is logged if the end of the process cuts it off.
-	broken           breakdown          // How the last attempt that broke off ended.
+	id              string         // ID of the caller's attempt.
+	key             quarantine.Key // The same for all attempts at the same request.
+	parts           []string       // IDs of the parts of its prompt that other requests may share; see sharedParts.
+	method          string
+	target          string // Path and query as received.
+	header          http.Header
+	host            string
+	body            []byte
+	catalog         *catalog.Catalog
+	routeName       string
+	route           *config.Route
+	service         string
+	organisation    string
+	rank            int
+	arrivedAt       time.Time
+	deadline        time.Time // Deadline of the caller or the route, whichever is earlier.
+	attempt         admission.Attempt
+	admission       admissionRecord
+	retriesBefore   int // Retries expected before the one that the caller was told to make.
+	workload        route.Workload
+	lastEventID     string             // ID of the last stream event sent to the caller.
+	version         uint64             // Version of the first part of the answer; all further parts must match it.
+	attempts        int                // Attempts made so far.
+	predicted       time.Duration      // Time until the first event, at the replica chosen last.
+	queueWait       time.Duration      // Part of predicted before the replica starts on the request.
+	reportAge       time.Duration      // Age of the agent's report about that replica; -1 ms if there is none.
+	freshLoad       bool               // The replica's load was queried right before it was chosen.
+	replicaVersions string             // Versions that replicas hold, if none could be chosen.
+	heldVersion     uint64             // Version that the replica chosen last is believed to hold.
+	versionTimeLeft time.Duration      // Time left to start requests on that version when it was chosen; zero if unlimited.
+	listedAt        mirror.Position    // Position of the replica's catalog entry.
+	availability    route.Availability // Availability of all replicas when it was chosen.
+	limit           route.Limit        // Believed limit of the replica that was last sent to.
+	recentSends     int                // Recent requests of this gateway to that replica, including this one.
+	keys            []quarantine.Key   // key, and one key for each of parts.
+	struck          []struckRound      // For each of keys.
+	verdict         quarantine.Verdict // Last verdict on whether it may be sent.
+	attemptResults  []string           // Result of each attempt, for the log.
+	inFlight        drain.Request      // What is logged if the end of the process cuts it off.
+	broken          breakdown          // How the last attempt that broke off ended.
 }
 
-// quarantineKey returns the key that identifies this request at every gateway, computed from
-// its organisation, target and body.
-func (rq *request) quarantineKey() quarantine.Key {
-	return quarantine.KeyOf([]byte(rq.organisation), []byte(rq.target), rq.body)
+// setKeys sets the key that identifies this request at every gateway, computed from its
+// organisation, target and body, and those of the shared parts of its prompt.
+func (rq *request) setKeys() {
+	rq.key = quarantine.KeyOf([]byte(rq.organisation), []byte(rq.target), rq.body)
+	rq.keys = append(rq.keys, rq.key)
+	model := rq.catalog.Config.Services[rq.service].Model
+	for _, part := range rq.parts {
+		rq.keys = append(rq.keys, quarantine.PartKey(model, part))
+	}
+	rq.struck = make([]struckRound, len(rq.keys))
 }
 
 // repeatable reports whether the request may run more than once.
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -9,13 +11,13 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/quarantine"
+	"github.com/poststand/poststand/rendezvous"
 )
 
-// suspectWindow is how long after the first data of an answer the termination of its
-// replica is still attributed to the request. A request that crashes a replica does so soon
-// after it starts, and most requests that are lost with a replica have been receiving their
-// answer for longer.
-const suspectWindow = time.Second
+// suspectWindow is how long after the first data of an answer the termination of its replica is
+// still attributed to the request. A request that crashes a replica does so when its answer
+// begins. One whose replica has run on for this long did no harm.
+const suspectWindow = 500 * time.Millisecond
 
 // minRunTime is how long a request must have been in progress on a reused connection to be a
 // suspect. If the replica terminated shortly before, the connection breaks as soon as the
@@ -23,50 +25,103 @@
 // terminate at once, one request would get strikes for two of them.
 const minRunTime = 30 * time.Millisecond
 
-// isQuarantined looks up a request before it is sent and reports whether it must not be sent.
+// struckRound is the highest strike round of the attempts at a request after which a replica may
+// have terminated, for one of its keys. Such a termination counts before it is confirmed.
+type struckRound struct {
+	epoch uint64 // Epoch of the key in which the attempt was sent.
+	round int    // 0 for none.
+}
+
+// isQuarantined judges a request before it is sent and reports whether it must not be sent.
 func (g *Relay) isQuarantined(now time.Time, rq *request) bool {
-	status := g.suspects.Lookup(now, rq.key)
-	if status.Epoch != rq.quarantineStatus.Epoch {
-		rq.struckRound = 0 // The request was cleared in the meantime.
+	rq.verdict = g.suspects.Judge(now, rq.keys, rq.verdict.Trial)
+	if rq.verdict.Refused {
+		g.logQuarantined(now, rq, &rq.verdict, rq.attempts)
 	}
-	rq.quarantineStatus = status
-	if !rq.quarantineStatus.Quarantined() {
-		return false
+	return rq.verdict.Refused
+}
+
+func (g *Relay) logQuarantined(now time.Time, rq *request, v *quarantine.Verdict, sends int) {
+	g.Metrics.Event("quarantined", keyKind(v.Cause))
+	cause := &v.Statuses[v.Cause]
+	telemetry.Log("request_quarantined", "id", rq.id, "key", rq.keys[v.Cause], "part", rq.partOf(v.Cause), "parts", strings.Join(rq.parts, ","),
+		"route", rq.routeName, "organisation", rq.organisation, "round", cause.Round, "replicas", cause.Replicas(),
+		"last_ended_ago", cause.SinceLastStrike(now), "sends", sends, "for", v.Until.Sub(now))
+}
+
+// partOf returns the ID of the part that a key of the request stands for; empty for the request
+// as a whole.
+func (rq *request) partOf(key int) string {
+	if key == 0 {
+		return ""
+	}
+	return rq.parts[key-1]
+}
+
+// keyKind names what a key of a request stands for, for metrics.
+func keyKind(key int) string {
+	if key == 0 {
+		return "request"
 	}
-	g.Metrics.Event("quarantined", "")
-	telemetry.Log("request_quarantined", "id", rq.id, "key", rq.key, "parts", strings.Join(rq.parts, ","), "route", rq.routeName, "organisation", rq.organisation,
-		"round", rq.quarantineStatus.Round, "replicas", rq.quarantineStatus.Replicas(), "last_ended_ago", rq.quarantineStatus.SinceLastStrike(now), "sends", rq.attempts, "for", rq.quarantineStatus.Until.Sub(now))
-	return true
+	return "part"
 }
 
-// nextStrikeRound returns the strike round that applies if a replica terminates during the
-// next attempt. Suspected terminations in this request's own attempts count before they are
-// confirmed.
-func (rq *request) nextStrikeRound() int { return 1 + max(rq.quarantineStatus.Round, rq.struckRound) }
+// judge judges the request again right before it is sent, since it may have waited, and sets what
+// is recorded if the replica terminates.
+func (a *attempt) judge(now time.Time) quarantine.Verdict {
+	g, rq := a.relay, a.rq
+	v := g.suspects.Judge(now, rq.keys, a.onTrial)
+	if v.Refused {
+		g.logQuarantined(now, rq, &v, a.number)
+		return v
+	}
+	a.strikes = make([]quarantine.KeyStrike, len(rq.keys))
+	for i, k := range rq.keys {
+		st := &v.Statuses[i]
+		round := st.Round
+		if a.struck[i].epoch == st.Epoch {
+			round = max(round, a.struck[i].round)
+		}
+		a.strikes[i] = quarantine.KeyStrike{Key: k, Epoch: st.Epoch, Strike: quarantine.Strike{Replica: a.to.ID, Round: round + 1}}
+	}
+	if v.Trial {
+		telemetry.Log("quarantine_trial", "id", rq.id, "key", rq.keys[v.Cause], "part", rq.partOf(v.Cause), "replica", a.to.ID, "round", v.Statuses[v.Cause].Round)
+	}
+	return v
+}
 
-// updateSuspects updates the quarantine state after an attempt. A request that was served is
-// cleared. One whose connection broke becomes a suspect if the replica has terminated; this is
-// checked in the background, unless the strike could quarantine the request.
+// updateSuspects updates the quarantine state after an attempt. One whose connection broke becomes
+// a suspect if the replica has terminated; this is checked in the background, unless the strike
+// could quarantine the request.
 func (a *attempt) updateSuspects(res dispatch.Result) {
-	switch {
-	case res.Outcome == dispatch.Done && a.status < http.StatusMultipleChoices:
-		a.recordServed()
-	case res.Reason == fault.ConnectionLost || res.Reason == fault.Truncated:
+	if res.Outcome == dispatch.Done {
+		a.complete.Store(true)
+		return
+	}
+	if a.harmless != nil {
+		a.harmless.Stop()
+	}
+	if res.Reason == fault.ConnectionLost || res.Reason == fault.Truncated {
 		a.connectionLost(time.Now())
 	}
 }
 
 // connectionLost handles a connection that broke at now.
 func (a *attempt) connectionLost(now time.Time) {
-	suspect := a.mayBeCause(now)
-	if suspect {
-		a.rq.struckRound = max(a.rq.struckRound, a.round)
+	if !a.mayBeCause(now) {
+		go a.recordEnd(now)
+		return
+	}
+	wait := false
+	for i, s := range a.strikes {
+		a.rq.struck[i] = struckRound{s.Epoch, s.Round}
+		wait = wait || s.Round >= quarantine.MinStrikes
 	}
-	if suspect && a.round >= quarantine.MinStrikes {
-		a.recordStrike(now, suspect)
+	if wait {
+		a.recordStrikes(now)
 		return
 	}
-	go a.recordStrike(now, suspect)
+	go a.recordStrikes(now)
 }
 
 // mayBeCause reports whether the request can be the cause if its replica has terminated. Its
@@ -78,26 +133,100 @@
 	return a.firstAt.IsZero() || now.Sub(a.firstAt) < suspectWindow
 }
 
-func (a *attempt) recordServed() {
-	if v := a.relay.suspects.RecordSuccess(time.Now(), a.rq.key); v.Cleared {
-		telemetry.Log("suspect_served", "id", a.rq.id, "key", a.rq.key, "replica", a.to.ID, "round", v.Round, "replicas", v.Replicas())
+// awaitHarm is called when the first data has arrived. It waits whether the replica terminates.
+func (a *attempt) awaitHarm() {
+	if a.status < http.StatusMultipleChoices {
+		a.harmless = time.AfterFunc(suspectWindow, a.recordHarm)
 	}
 }
 
-// recordStrike records the termination of a replica whose connection broke at the given time,
-// if it has terminated, and a strike against the request if it is a suspect.
-func (a *attempt) recordStrike(at time.Time, suspect bool) {
+// recordHarm records, suspectWindow after the first data, whether the replica has terminated. Its
+// connection is not broken, but if the answer is complete that proves nothing: an answer may end
+// when its replica crashes.
+func (a *attempt) recordHarm() {
+	g, rq, now := a.relay, a.rq, time.Now()
+	if a.complete.Load() && (g.suspects.HasTerminated(a.to.ID, a.firstAt) || g.anySuspect(now, rq) && g.endProbes.ended(a.to.ID, a.to.Addr)) {
+		a.recordStrikes(now)
+		return
+	}
+	var notices []endNotice
+	for k, st := range g.suspects.RecordSuccess(now, a.firstAt, rq.keys...) {
+		telemetry.Log("suspect_served", "id", rq.id, "key", k, "replica", a.to.ID, "round", st.Round, "replicas", st.Replicas())
+		if len(st.Strikes) > 1 { // Others may quarantine it at the next strike.
+			notices = append(notices, endNotice{key: k})
+		}
+	}
+	g.endQueue.add(notices...)
+}
+
+// anySuspect reports whether there are strikes against any key of the request.
+func (g *Relay) anySuspect(now time.Time, rq *request) bool {
+	for _, k := range rq.keys {
+		if st := g.suspects.Lookup(now, k); len(st.Strikes) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// recordEnd records the termination of a replica whose connection broke at the given time, if it
+// has terminated.
+func (a *attempt) recordEnd(at time.Time) {
+	if a.relay.endProbes.ended(a.to.ID, a.to.Addr) {
+		a.relay.recordEnd(a.to.ID, at)
+	}
+}
+
+// recordStrikes records the termination of the replica at the given time, if it has terminated,
+// and a strike against each key of the request.
+func (a *attempt) recordStrikes(at time.Time) {
 	g, rq := a.relay, a.rq
 	if !g.endProbes.ended(a.to.ID, a.to.Addr) {
 		return
 	}
-	g.recordEnd(a.to.ID, at)
-	if !suspect {
-		return
+	var notices []endNotice
+	if g.suspects.RecordTermination(time.Now(), a.to.ID, at) {
+		notices = append(notices, endNotice{end: replicaEnd{a.to.ID, at}})
+	}
+	strikes := slices.Clone(a.strikes)
+	for i := range strikes {
+		strikes[i].At = at
+		notices = append(notices, endNotice{key: strikes[i].Key})
 	}
-	v := g.suspects.RecordStrike(at, rq.key, a.epoch, quarantine.Strike{Replica: a.to.ID, Round: a.round, At: at})
+	statuses := g.suspects.RecordStrikes(at, strikes)
+	g.endQueue.add(notices...)
 	g.Metrics.Event("ended_under_request", "")
 	telemetry.Log("replica_ended_under_request", "id", rq.id, "key", rq.key, "parts", strings.Join(rq.parts, ","), "route", rq.routeName, "organisation", rq.organisation,
-		"replica", a.to.ID, "addr", a.to.Addr, "round", a.round, "sent_ago", time.Since(a.startedAt), "answered", !a.firstAt.IsZero(),
-		"known_round", v.Round, "replicas", v.Replicas(), "quarantined", v.Quarantined())
+		"replica", a.to.ID, "addr", a.to.Addr, "round", strikes[0].Round, "sent_ago", time.Since(a.startedAt), "answered", !a.firstAt.IsZero(),
+		"known_round", statuses[0].Round, "replicas", statuses[0].Replicas(), "quarantined", statuses[0].Quarantined(), "of_parts", describeParts(rq.parts, statuses[1:]))
+}
+
+// describeParts describes the strikes against parts of prompts, for log lines.
+func describeParts(parts []string, statuses []quarantine.Status) string {
+	var out []string
+	for i, part := range parts {
+		st := &statuses[i]
+		state := "free"
+		if st.Quarantined() {
+			state = "quarantined"
+		}
+		out = append(out, fmt.Sprintf("%s=%d/%s", part, len(st.Strikes), state))
+	}
+	return strings.Join(out, ",")
+}
+
+// trialTurn is for how long it is the turn of one gateway to send a request on trial.
+const trialTurn = 5 * time.Second
+
+// isTrialTurn reports whether it is this gateway's turn to send a request on trial, given the time
+// since trials became possible. Gateways that reach each other take turns in an order by hashing.
+// When each has had its turn, and none has sent such a request, it comes too seldom for that, and
+// all may send it.
+func (g *Relay) isTrialTurn(k quarantine.Key, since time.Duration) bool {
+	var addrs []string
+	for _, m := range g.gossip.Live() {
+		addrs = append(addrs, m.Addr)
+	}
+	turn := int(since / trialTurn)
+	return turn >= len(addrs) || rendezvous.Rank(k.String(), addrs)[turn] == g.Settings.Listen
 }
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -139,6 +139,13 @@
 	}
 }
 
+// Refuse makes a node refuse new connections. Those that are open go on.
+func (n *Network) Refuse(name string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.ends, name)
+}
+
 // Control returns the number of bytes of all writes smaller than Small.
 func (n *Network) Control() int64 {
 	n.mu.Lock()
--- a/quarantine/bench_test.go
+++ b/quarantine/bench_test.go
@@ -30,7 +30,7 @@
 	for i := 0; b.Loop(); i++ {
 		k := keys[i%len(keys)]
 		t.Lookup(at(100_000+i/1000), k)
-		t.RecordSuccess(at(100_000+i/1000), k)
+		t.RecordSuccess(at(100_000+i/1000), at(100_000+i/1000), k)
 	}
 }
 
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -1,12 +1,15 @@
 package quarantine
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // When a request is quarantined.
 const (
-	// MinStrikes independent strikes are enough if the request was at more than half of the
-	// replicas that terminated meanwhile; see isCause. A harmless request gets that many in a row if each of three sends happens to
-	// meet a replica that terminates for another reason.
+	// MinStrikes independent strikes are enough if the suspect was at more than half of the
+	// replicas that terminated meanwhile; see isCause. A harmless request gets that many in a row
+	// if each of three sends happens to meet a replica that terminates for another reason.
 	MinStrikes = 3
 	// strikesSufficient independent strikes are enough whatever other replicas terminated.
 	strikesSufficient = 5
@@ -14,43 +17,75 @@
 	coincidence = time.Second
 )
 
-// evaluate quarantines a request for Duration after its last strike if its strikes show that it
-// is the cause. A request whose quarantine has expired is therefore not quarantined again
-// before its next strike. The caller holds t.mu.
+// evaluate quarantines a suspect until its quarantineEnd if its strikes show that it is the cause.
+// One whose quarantine has expired is therefore not quarantined again before its next strike. The
+// caller holds t.mu.
 //
-// A request that was served here since its first strike, or shortly before it, is cleared
-// instead, even if another process quarantined it. When many callers send the same request,
-// some of them are served all the time, but a process whose attempt fails does not receive a
-// report of that at once: without this rule, one such request was quarantined everywhere within
-// 60 minutes of random faults.
+// Strikes from before a request with the same key started to run without harm are dropped first,
+// even if another process quarantined it: when many callers send the same request, a process whose
+// attempt fails does not receive a report of the others' successes at once.
 func (t *Table) evaluate(now time.Time, s *suspect) {
 	if len(s.strikes) == 0 {
 		return
 	}
-	first, last := span(s.strikes)
-	if t.successes.last(s.key).After(first.Add(-recentWindow)) {
-		t.clear(now, s)
+	t.refute(now, s, t.successes.last(s.key))
+	if s.independent < MinStrikes || s.quarantinedUntil.After(now) {
 		return
 	}
-	until := last.Add(Duration)
-	if s.quarantinedUntil.After(now) || !until.After(now) || s.independent < MinStrikes || !t.isCause(now, s) {
+	until := s.quarantineEnd()
+	if !until.After(now) || !t.isCause(now, s) {
 		return
 	}
 	s.quarantinedUntil = until
 	t.announce(now, s)
 }
 
-// isCause reports whether the terminations of replicas under a request are attributed to it. A
-// termination that also hit another request with more strikes is attributed to that one; if
-// strikesSufficient independent strikes remain, the request is the cause. MinStrikes are enough
-// if no other request has as many strikes at these replicas, and if the request was at more
-// than half of the replicas that terminated around those times: in a rolling restart or a power
-// failure most of them terminate without it.
+// refute drops the strikes against a suspect that are not later than a time at which a request
+// with its key started to run without harm, and reports whether there were any. What was harmless
+// before a strike proves nothing: a key may turn fatal at any time. The caller holds t.mu.
+func (t *Table) refute(now time.Time, s *suspect, startedAt time.Time) bool {
+	var later []Strike
+	for _, strike := range s.strikes {
+		if strike.At.After(startedAt) {
+			later = append(later, strike)
+		}
+	}
+	if len(later) == len(s.strikes) {
+		return false
+	}
+	if s.isShared(now) {
+		t.signalUrgent() // Other processes may be refusing requests with this key.
+	}
+	s.reset(s.epoch + 1)
+	for _, strike := range later {
+		s.add(strike)
+	}
+	t.announce(now, s)
+	return true
+}
+
+// isCause reports whether the terminations of replicas under a suspect are attributed to it. A
+// termination that also hit another suspect with more evidence is attributed to that one; if
+// strikesSufficient independent strikes remain, the suspect is the cause. MinStrikes are enough
+// if no other suspect has as much evidence and was at some of these replicas, and if this one was
+// at more than half of the replicas that terminated around those times: in a rolling restart or a
+// power failure most of them terminate without it.
+//
+// Suspects at exactly the same replicas can't be told apart and don't speak for each other; see
+// inseparable. A common key is at most replicas that terminate, and quarantining it would refuse
+// nearly all requests: it is neither the cause nor speaks for others.
 func (t *Table) isCause(now time.Time, s *suspect) bool {
-	if countIndependent(without(s.strikes, t.terminatedUnderOthers(s, s.independent+1))) >= strikesSufficient {
+	if t.successes.isCommon(s.key) {
+		return false
+	}
+	stronger := t.terminatedUnder(func(o *suspect) bool { return o.compareEvidence(s) > 0 && !t.successes.isCommon(o.key) })
+	if countIndependent(without(s.strikes, stronger)) >= strikesSufficient {
 		return true
 	}
-	others := t.terminatedUnderOthers(s, s.independent)
+	others := t.terminatedUnder(func(o *suspect) bool {
+		c := o.compareEvidence(s)
+		return (c > 0 || c == 0 && !o.sameReplicas(s)) && !t.successes.isCommon(o.key)
+	})
 	counted := without(s.strikes, others)
 	if countIndependent(counted) < MinStrikes {
 		return false
@@ -59,7 +94,26 @@
 	for _, strike := range counted {
 		replicas[strike.Replica] = true
 	}
-	return float64(2*len(replicas)) > t.terminationsAround(now, counted, replicas, others)
+	ignored := t.terminatedUnder(func(o *suspect) bool { return o.quarantinedUntil.After(now) })
+	maps.Copy(ignored, others)
+	maps.DeleteFunc(ignored, func(replica string, _ bool) bool { return replicas[replica] })
+	return float64(2*len(replicas)) > t.terminationsAround(now, counted, replicas, ignored)
+}
+
+// inseparable returns the quarantined suspects whose strikes are at the same replicas as those of
+// a quarantined one. Only requests that have all of these keys are known to crash replicas. The
+// caller holds t.mu.
+func (t *Table) inseparable(now time.Time, s *suspect) []*suspect {
+	if s.independent < MinStrikes {
+		return nil
+	}
+	var out []*suspect
+	for _, o := range t.shared {
+		if o != s && o.quarantinedUntil.After(now) && o.sameReplicas(s) {
+			out = append(out, o)
+		}
+	}
+	return out
 }
 
 // terminationsAround returns how many replicas, without those to ignore, terminated around the strikes
@@ -81,12 +135,12 @@
 	return float64(known) + remaining*float64(unrelated)
 }
 
-// terminatedUnderOthers returns the replicas that terminated under requests other than s that
-// have at least n independent strikes.
-func (t *Table) terminatedUnderOthers(s *suspect, n int) map[string]bool {
+// terminatedUnder returns the replicas that terminated under the suspects for which include
+// returns true.
+func (t *Table) terminatedUnder(include func(o *suspect) bool) map[string]bool {
 	out := map[string]bool{}
 	for _, o := range t.suspects {
-		if o == s || o.independent < n {
+		if !include(o) {
 			continue
 		}
 		for _, strike := range o.strikes {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -36,13 +36,19 @@
 		case s.request == "":
 			t.RecordTermination(now, s.replica, now)
 		case s.replica == "":
-			t.RecordSuccess(now, key(s.request))
+			t.RecordSuccess(now, now, key(s.request))
 		default:
-			t.RecordStrike(now, key(s.request), t.Lookup(now, key(s.request)).Epoch, quarantine.Strike{Replica: s.replica, Round: s.round, At: now})
+			strike(t, now, s.request, t.Lookup(now, key(s.request)).Epoch, s.replica, s.round)
 		}
 	}
 }
 
+// strike records a strike and returns the new status.
+func strike(t *quarantine.Table, now time.Time, request string, epoch uint64, replica string, round int) quarantine.Status {
+	s := quarantine.KeyStrike{Key: key(request), Epoch: epoch, Strike: quarantine.Strike{Replica: replica, Round: round, At: now}}
+	return t.RecordStrikes(now, []quarantine.KeyStrike{s})[0]
+}
+
 func TestVerdict(t *testing.T) {
 	cases := []struct {
 		name     string
@@ -59,7 +65,9 @@
 		{"many copies at the same time", []step{{0, "a", "r1", 1}, {0, "a", "r2", 1}, {1, "a", "r3", 1}, {1, "a", "r4", 1}, {2, "a", "r5", 1}}, 500, false},
 		{"served in between", []step{{0, "a", "r1", 1}, {400, "a", "r2", 2}, {600, "a", "", 0}, {900, "a", "r3", 1}}, 1000, false},
 		{"served in the end", []step{{0, "a", "r1", 1}, {400, "a", "r2", 2}, {900, "a", "r3", 3}, {950, "a", "", 0}}, 1000, false},
-		{"served shortly before", []step{{0, "a", "", 0}, {100, "a", "r1", 1}, {400, "a", "r2", 2}, {900, "a", "r3", 3}}, 1000, false},
+		// Each request with a part that had just turned fatal cleared it again, for 5 s.
+		{"served shortly before", []step{{0, "a", "", 0}, {100, "a", "r1", 1}, {400, "a", "r2", 2}, {900, "a", "r3", 3}}, 1000, true},
+		{"served after each strike", []step{{0, "a", "r1", 1}, {50, "a", "", 0}, {400, "a", "r2", 2}, {450, "a", "", 0}, {900, "a", "r3", 3}, {950, "a", "", 0}}, 1000, false},
 		{"served long before", []step{{0, "a", "", 0}, {9100, "a", "r1", 1}, {9400, "a", "r2", 2}, {9900, "a", "r3", 3}}, 10_000, true},
 		{"another request with more strikes at the same replicas", []step{
 			{0, "b", "r0", 1}, {300, "a", "r1", 1}, {300, "b", "r1", 2}, {600, "a", "r2", 2}, {600, "b", "r2", 3}, {900, "a", "r3", 3}, {900, "b", "r3", 4},
@@ -131,7 +139,7 @@
 			k := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "request"))
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
-				all[n].RecordSuccess(at(now), key(k))
+				all[n].RecordSuccess(at(now), at(now), key(k))
 			case 1, 2, 3:
 				exchange(&all[n], &all[rapid.IntRange(0, tables-1).Draw(t, "to")], at(now))
 			default:
@@ -170,16 +178,19 @@
 func TestServedRequestIsNeverQuarantined(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var tab quarantine.Table
-		rounds := 0
+		rounds, ms := 0, 0
 		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
-			now := at(i * rapid.IntRange(1, 500).Draw(t, "ms"))
+			ms += rapid.IntRange(1, 500).Draw(t, "ms")
+			now, replica := at(ms), fmt.Sprint("r", i)
 			other := fmt.Sprint("o", rapid.IntRange(0, 3).Draw(t, "other"))
-			tab.RecordStrike(now, key(other), tab.Lookup(now, key(other)).Epoch, quarantine.Strike{Replica: fmt.Sprint("r", i), Round: tab.Lookup(now, key(other)).Round + 1, At: now})
+			st := tab.Lookup(now, key(other))
+			strike(&tab, now, other, st.Epoch, replica, st.Round+1)
 			if rounds == 2 || rapid.Bool().Draw(t, "served") {
-				tab.RecordSuccess(now, key("a"))
+				tab.RecordSuccess(now, now, key("a"))
 				rounds = 0
 			} else {
-				tab.RecordStrike(now, key("a"), tab.Lookup(now, key("a")).Epoch, quarantine.Strike{Replica: fmt.Sprint("r", i), Round: tab.Lookup(now, key("a")).Round + 1, At: now})
+				st := tab.Lookup(now, key("a"))
+				strike(&tab, now, "a", st.Epoch, replica, st.Round+1)
 				rounds++
 			}
 			if st := tab.Lookup(now, key("a")); st.Quarantined() {
@@ -257,7 +268,7 @@
 	sent := tab.Lookup(at(10), key("a"))
 	apply(&tab, []step{{500, "a", "", 0}})
 	const late = 7000
-	st := tab.RecordStrike(at(late), key("a"), sent.Epoch, quarantine.Strike{Replica: "r2", Round: sent.Round + 1, At: at(late)})
+	st := strike(&tab, at(late), "a", sent.Epoch, "r2", sent.Round+1)
 	is.Equal(st.Round, 0)
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -125,6 +125,19 @@
 	return out
 }
 
+// Reports returns the reports of some keys, for all processes at once.
+func (t *Table) Reports(now time.Time, keys []Key) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Report
+	for _, k := range keys {
+		if s := t.suspects[k]; s != nil {
+			out = append(out, s.report(now))
+		}
+	}
+	return out
+}
+
 // Quarantined returns the quarantined requests, for a process that only keeps them for others.
 // If there are too many, those that were quarantined last are returned, in the order of their
 // keys.
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -28,7 +28,14 @@
 	return s.Replica == o.Replica && s.At.Sub(o.At).Abs() <= coincidence
 }
 
-// suspect is a request under which a replica terminated.
+// KeyStrike is a strike against one key of a request that was sent in an epoch of that key.
+type KeyStrike struct {
+	Key   Key
+	Epoch uint64
+	Strike
+}
+
+// suspect is a key of requests under which a replica terminated.
 type suspect struct {
 	key              Key
 	epoch            uint64    // How often it was cleared. Strikes of an older epoch are void.
@@ -37,6 +44,7 @@
 	quarantinedUntil time.Time // Zero if it was never quarantined.
 	changedAt        time.Time // When new information about it was last recorded.
 	sendsLeft        int       // In how many messages that is still to be reported.
+	trialUntil       time.Time // Until when a request that was sent on trial may be running.
 }
 
 // round returns the highest round of s, or 0 if it has no strikes.
@@ -50,7 +58,39 @@
 // reset drops all strikes and starts an epoch.
 func (s *suspect) reset(epoch uint64) {
 	s.epoch = epoch
-	s.strikes, s.independent, s.quarantinedUntil = nil, 0, time.Time{}
+	s.strikes, s.independent, s.quarantinedUntil, s.trialUntil = nil, 0, time.Time{}, time.Time{}
+}
+
+// compareEvidence compares the strikes of two suspects by their number, of independent ones first.
+func (s *suspect) compareEvidence(o *suspect) int {
+	return cmp.Or(cmp.Compare(s.independent, o.independent), cmp.Compare(len(s.strikes), len(o.strikes)))
+}
+
+// sameReplicas reports whether the strikes of two suspects are at the same replicas.
+func (s *suspect) sameReplicas(o *suspect) bool {
+	if len(s.strikes) != len(o.strikes) {
+		return false
+	}
+	for _, strike := range s.strikes {
+		if !slices.ContainsFunc(o.strikes, func(other Strike) bool { return other.Replica == strike.Replica }) {
+			return false
+		}
+	}
+	return true
+}
+
+// quarantineEnd returns when a quarantine for the strikes of s ends. Each trial that failed, which
+// is a strike that came after the end of a quarantine, doubles its length.
+func (s *suspect) quarantineEnd() time.Time {
+	const maxDoublings = 2
+	byTime := slices.SortedFunc(slices.Values(s.strikes), func(a, b Strike) int { return a.At.Compare(b.At) })
+	doublings := 0
+	for i := 1; i < len(byTime) && doublings < maxDoublings; i++ {
+		if byTime[i].At.Sub(byTime[i-1].At) >= Duration<<doublings {
+			doublings++
+		}
+	}
+	return byTime[len(byTime)-1].At.Add(Duration << doublings)
 }
 
 // A strike is independent of the one before it after minGapNextRound if the request was sent
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Bounds of a Table.
@@ -11,30 +13,35 @@
 	maxSuspects     = 4096
 	maxTerminations = 1024
 
-	// Duration is how long a request is quarantined after its last strike. After that it is
+	// Duration is how long a suspect is quarantined after its last strike. After that it is
 	// tried again, since the replicas may have been fixed; one more strike quarantines it at
-	// once.
+	// once, for longer.
 	Duration = 10 * time.Minute
-	// retention is how long strikes are kept.
+	// retention is how long strikes are kept, and those of a quarantine after its end.
 	retention  = 2 * Duration
 	sweepEvery = 10 * time.Second
 )
 
-// Status is what a Table has recorded about a request.
+// Status is what a Table has recorded about a key.
 type Status struct {
-	Until   time.Time // End of the quarantine; zero if the request is not quarantined.
-	Epoch   uint64    // How often the request was cleared.
+	Until   time.Time // End of the quarantine; zero if the key is not quarantined.
+	Epoch   uint64    // How often strikes were dropped because a request ran without harm.
 	Round   int       // The highest round of its strikes; 0 if there are none.
 	Strikes []Strike  // Highest rounds first.
-	Cleared bool      // The request has just been cleared because it was served.
+	Cleared bool      // The strikes have just been dropped because a request ran without harm.
 }
 
-// Quarantined reports whether the request must not be sent.
+// Quarantined reports whether requests with the key must not be sent.
 func (st *Status) Quarantined() bool { return !st.Until.IsZero() }
 
-// Table records requests under which replicas terminated. The zero value is an empty table. Its
-// methods are safe for concurrent use.
+// Table records the keys of requests under which replicas terminated. The zero value is an empty
+// table. Its methods are safe for concurrent use.
 type Table struct {
+	// IsTurn reports whether this process may send a request on trial, given the time since
+	// trials became possible. If several processes share their records, it lets one at a time do
+	// so. Nil is always. It is set before the Table is used.
+	IsTurn func(k Key, since time.Duration) bool
+
 	mu           sync.Mutex
 	suspects     map[Key]*suspect
 	pending      map[Key]*suspect     // May have changes to report.
@@ -53,7 +60,7 @@
 	}
 }
 
-// Lookup returns the status of a request that is about to be sent.
+// Lookup returns the status of a key.
 func (t *Table) Lookup(now time.Time, k Key) Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -65,23 +72,31 @@
 	return s.status(now)
 }
 
-// RecordStrike records a strike against a request that was sent in an epoch, and returns its
-// new status. If the request was cleared after it was sent, the strike is void.
-func (t *Table) RecordStrike(now time.Time, k Key, epoch uint64, strike Strike) Status {
+// RecordStrikes records a strike against each of several keys, and returns their new statuses in
+// the same order. A strike is void if its key was cleared after the request was sent.
+func (t *Table) RecordStrikes(now time.Time, strikes []KeyStrike) []Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.init()
 	t.sweep(now)
-	t.recordTermination(strike.Replica, strike.At)
-	s := t.suspects[k]
-	if s == nil {
-		s = t.insert(k)
+	suspects := make([]*suspect, len(strikes))
+	for i, strike := range strikes {
+		t.recordTermination(strike.Replica, strike.At)
+		s := t.suspects[strike.Key]
+		if s == nil {
+			s = t.insert(strike.Key)
+		}
+		suspects[i] = s
+		if strike.Epoch == s.epoch && s.add(strike.Strike) {
+			t.announce(now, s)
+		}
 	}
-	if epoch == s.epoch && s.add(strike) {
+	out := make([]Status, len(strikes))
+	for i, s := range suspects { // Once all strikes are known.
 		t.evaluate(now, s)
-		t.announce(now, s)
+		out[i] = s.status(now)
 	}
-	return s.status(now)
+	return out
 }
 
 // RecordTermination records that a replica terminated at a time, whatever request it was
@@ -107,31 +122,38 @@
 	return t.recordTermination(replica, now)
 }
 
-// RecordSuccess records that a replica answered a request successfully, which clears its
-// strikes. It returns the status before, with Cleared set, or the zero Status if there were
-// none.
-func (t *Table) RecordSuccess(now time.Time, k Key) Status {
+// RecordSuccess records that a request with some keys started to run at a time and did its replica
+// no harm. It returns, for the keys that had strikes from before, their statuses before, with
+// Cleared set.
+func (t *Table) RecordSuccess(now, startedAt time.Time, keys ...Key) map[Key]Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.successes.add(now, k)
-	s := t.suspects[k]
-	if s == nil || len(s.strikes) == 0 {
-		return Status{}
+	t.successes.add(now, startedAt, keys)
+	var cleared map[Key]Status
+	for _, k := range keys {
+		s := t.suspects[k]
+		if s == nil {
+			continue
+		}
+		before := s.status(now)
+		if !t.refute(now, s, startedAt) {
+			continue
+		}
+		if cleared == nil {
+			cleared = map[Key]Status{}
+		}
+		before.Cleared = true
+		cleared[k] = before
 	}
-	st := s.status(now)
-	st.Cleared = true
-	t.clear(now, s)
-	return st
+	return cleared
 }
 
-// clear drops the strikes of a request, here and at the processes that receive its report. The
-// caller holds t.mu.
-func (t *Table) clear(now time.Time, s *suspect) {
-	if s.isShared(now) {
-		t.signalUrgent() // Other processes may be refusing the request.
-	}
-	s.reset(s.epoch + 1)
-	t.announce(now, s)
+// HasTerminated reports whether a replica terminated at a time or later.
+func (t *Table) HasTerminated(replica string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.terminations[replica]
+	return ok && !at.Before(since)
 }
 
 // recordTermination records the earliest observation of a replica's last termination, and
@@ -199,7 +221,7 @@
 	}
 	t.sweptAt = now
 	for _, s := range t.suspects {
-		if now.Sub(s.changedAt) > retention {
+		if now.Sub(times.Later(s.changedAt, s.quarantinedUntil)) > retention {
 			t.drop(s)
 		}
 	}
