relay: an answer that ends with its replica is not taken as whole

What callers saw: an answer with neither length nor chunks ends with its connection, and so does one whose replica crashes. The first half of a plain answer, or of a stream that was cut between two events or after its header, reached callers as a whole answer, and counted as a request that did no harm.

Cause: a closed connection was taken for the end of such an answer, whoever closed it. Change: when such an answer ends, the gateway opens the connection that it needs next anyway; if the replica refuses it, the answer has broken off, and is resumed, sent again or failed like any other. A stream without any event is never whole.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -347,12 +347,15 @@
 	if a.continues {
 		return part{result: unknown(fault.UpstreamFailed)}, false
 	}
-	return a.receiveWhole(ctx, resp, reusable)
+	return a.receiveWhole(ctx, resp, framed, reusable)
 }
 
 // receiveWhole reads an answer that is passed on as a whole.
-func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, reusable bool) (p part, reuse bool) {
+func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && !framed {
+		err = a.endedWithReplica(ctx)
+	}
 	if err != nil || len(data) > maxAnswerBytes {
 		if err == nil {
 			err = fault.New(fault.TooLarge, "answer exceeds the size limit")
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/config"
@@ -44,8 +46,8 @@
 			buf = append(buf[:0], buf[end:]...)
 		}
 		switch {
-		case err == io.EOF && !framed && len(buf) > 0:
-			return nil, fault.New(fault.Truncated, "stream ended inside an event")
+		case err == io.EOF && !framed:
+			return nil, a.unframedEnd(ctx, len(buf) > 0)
 		case err == io.EOF:
 			return buf, nil
 		case err != nil:
@@ -54,6 +56,35 @@
 	}
 }
 
+// unframedEnd returns the error of a stream that has ended with its connection, or nil if it is
+// complete.
+func (a *attempt) unframedEnd(ctx context.Context, insideEvent bool) error {
+	switch {
+	case insideEvent:
+		return fault.New(fault.Truncated, "stream ended inside an event")
+	case a.firstAt.IsZero() && !a.continues:
+		return fault.New(fault.Truncated, "stream ended without an event")
+	}
+	return a.endedWithReplica(ctx)
+}
+
+// endedWithReplica returns an error if the replica of an answer that has ended with its connection
+// has terminated: its connections end just so, and the answer may not be complete. The new connection
+// by which this is found out takes the place of the one that has ended.
+func (a *attempt) endedWithReplica(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
+	switch {
+	case err == nil:
+		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.relay.recordRefusal(a.to.ID)
+		return fault.New(fault.Truncated, "answer ended with its replica")
+	}
+	return nil
+}
+
 // parseLastID returns the ID of the last event in b that has one.
 func parseLastID(b []byte) string {
 	for len(b) > 0 {
