quarantine: a verdict that may be wrong is put to the test by one request

Change: if requests with a quarantined key ran shortly before, the gateway whose turn it is sends one that has no other suspect key, a second after the last strike, and no further one if a replica terminated under it.

--- a/internal/relay/fatal_part_test.go
+++ b/internal/relay/fatal_part_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -29,20 +30,18 @@
 	crasher *crashInjector
 
 	mu       sync.Mutex
+	begin    string // What is sent of an answer to a fatal request before the crash; empty for nothing.
 	fatal    map[string]bool
 	crashed  map[*platformtest.Replica]bool
 	crashes  map[string][]time.Time // By part.
 	arrivals map[string][]time.Time // Of requests at replicas, by part.
 }
 
-func (cl *testCluster) injectFatalParts(parts ...string) *fatalParts {
+func (cl *testCluster) injectFatalParts() *fatalParts {
 	f := &fatalParts{
 		crasher: &crashInjector{cl: cl}, fatal: map[string]bool{}, crashed: map[*platformtest.Replica]bool{},
 		crashes: map[string][]time.Time{}, arrivals: map[string][]time.Time{},
 	}
-	for _, p := range parts {
-		f.fatal[p] = true
-	}
 	for _, r := range cl.replicas {
 		r.Handle, r.CrashOn = f.recordArrival, f.crashOnFatal
 	}
@@ -75,7 +74,15 @@
 	if part == "" {
 		return false
 	}
+	if f.begin != "" {
+		x.Printf("%s", x.Head(http.StatusOK, f.begin))
+	}
 	time.Sleep(crashAfter)
+	if f.begin != "" {
+		f.crasher.cl.net.Refuse(x.Replica.Addr)
+		_ = x.Conn.Close()
+		time.Sleep(2 * endArrives)
+	}
 	f.mu.Lock()
 	crashed := f.crashed[x.Replica]
 	f.crashed[x.Replica] = true
@@ -128,6 +135,7 @@
 	Warm           bool                         // Sound requests have the fatal parts before they turn fatal.
 	Before, During time.Duration                // Time without and with fatal requests.
 	Meanwhile      func()                       // If set, called while fatal requests are sent.
+	Begin          string                       // What replicas send of an answer to a fatal request before they crash: headers and events.
 }
 
 const middleParts = 12
@@ -144,6 +152,7 @@
 func (l *partLoad) run(cl *testCluster) {
 	cl.t.Helper()
 	f := cl.injectFatalParts()
+	f.begin = l.Begin
 	r := rand.New(rand.NewPCG(l.Seed, 1))
 	start, stop := time.Now(), make(chan struct{})
 	var wg sync.WaitGroup
@@ -241,16 +250,94 @@
 	return cl.send(gateway, "POST", target, map[string]string{"X-Attempt-Id": fmt.Sprintf("%s@%d", target, gateway), "X-Prefix-Hash": parts})
 }
 
+// partCase is a case of TestPartsThatCrashReplicas.
+type partCase struct {
+	name               string
+	gateways, replicas int
+	slots              int // Of each replica; 0 is no limit.
+	load               partLoad
+	meanwhile          func(cl *testCluster) // If set, called while fatal requests are sent.
+	begin              string                // What replicas send of an answer to a fatal request before they crash.
+}
+
+const unframedHead = "Content-Type: text/event-stream\r\n\r\n"
+
+func partCases() []partCase {
+	load := func(perSecond float64, during time.Duration, fatal ...string) partLoad {
+		return partLoad{SoundPerSecond: 50, FatalPerSecond: perSecond, Fatal: fatal, Before: 5 * time.Second, During: during}
+	}
+	with := func(l partLoad, change func(l *partLoad)) partLoad {
+		change(&l)
+		return l
+	}
+	return []partCase{
+		{name: "in the middle", gateways: 6, replicas: 32, load: load(5, 30*time.Second, "f1")},
+		{name: "first", gateways: 6, replicas: 32, load: with(load(5, 30*time.Second, "f1"), func(l *partLoad) {
+			l.Prompt = func(fatal, own string) string { return fatal + ":40,d3:400," + own + ":9" }
+		})},
+		{name: "sound until just now", gateways: 6, replicas: 32, load: with(load(5, 30*time.Second, "f1"), func(l *partLoad) { l.Warm = true })},
+		{name: "always with another rare part", gateways: 6, replicas: 32, load: with(load(5, 30*time.Second, "f1"), func(l *partLoad) {
+			l.Prompt = func(fatal, own string) string { return "a0:40," + fatal + ":300,e1:200," + own + ":9" }
+		})},
+		{name: "two at once", gateways: 6, replicas: 32, load: load(8, 30*time.Second, "f1", "f2")},
+		{name: "two at once that share their other part", gateways: 6, replicas: 32, load: with(load(8, 30*time.Second, "f1", "f2"), func(l *partLoad) {
+			l.Prompt = func(fatal, own string) string { return "a0:40," + fatal + ":300,d3:400," + own + ":9" }
+		})},
+		{name: "seldom", gateways: 6, replicas: 16, load: load(0.15, 150*time.Second, "f1")},
+		{name: "few replicas with few slots, often", gateways: 6, replicas: 16, slots: 8, load: load(10, 30*time.Second, "f1")},
+		{name: "many gateways, often", gateways: 20, replicas: 32, load: load(10, 30*time.Second, "f1")},
+		{name: "gateways restart", gateways: 6, replicas: 32, load: load(5, 30*time.Second, "f1"), meanwhile: func(cl *testCluster) {
+			for i := range cl.gateways {
+				time.Sleep(3 * time.Second)
+				cl.restart(i)
+			}
+		}},
+		{name: "answers begin without length", gateways: 6, replicas: 32, load: load(5, 30*time.Second, "f1"), begin: unframedHead},
+		{name: "answers begin with an event", gateways: 6, replicas: 32, load: load(5, 30*time.Second, "f1"), begin: unframedHead + events(1, 1)},
+	}
+}
+
+func (tc *partCase) run(t *testing.T, seed uint64) {
+	replicas := engines(tc.replicas, 20)
+	for _, r := range replicas {
+		r.Slots = tc.slots
+	}
+	runCluster(t, tc.gateways, replicas, func(_ *is.I, cl *testCluster) {
+		l := tc.load
+		l.Seed, l.Begin = seed, tc.begin
+		if tc.meanwhile != nil {
+			l.Meanwhile = func() { tc.meanwhile(cl) }
+		}
+		l.run(cl)
+	})
+}
+
 // Requests of which no two are alike share a part of their prompts that crashes each replica which
 // starts to run it.
 func TestRequestsThatShareAFatalPartAreNotSentOnAndOn(t *testing.T) {
 	for _, gateways := range []int{4, 6} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprintf("%d gateways/%d", gateways, seed), func(t *testing.T) {
-				runCluster(t, gateways, engines(32, 20), func(_ *is.I, cl *testCluster) {
-					(&partLoad{Seed: seed, SoundPerSecond: 50, FatalPerSecond: 5, Fatal: []string{"f1"}, Before: 5 * time.Second, During: 30 * time.Second}).run(cl)
-				})
+				tc := partCases()[0]
+				tc.gateways = gateways
+				tc.run(t, seed)
 			})
 		}
 	}
 }
+
+// Whichever part crashes replicas, and whatever else goes on: it is stopped, and the requests that
+// share all other parts with it are served. POSTSTAND_SEEDS plays other seeds.
+func TestPartsThatCrashReplicas(t *testing.T) {
+	first, last := uint64(1), uint64(1)
+	if v := os.Getenv("POSTSTAND_SEEDS"); v != "" {
+		if _, err := fmt.Sscanf(v, "%d-%d", &first, &last); err != nil {
+			t.Fatalf("POSTSTAND_SEEDS: %v", err)
+		}
+	}
+	for _, tc := range partCases() {
+		for seed := first; seed <= last; seed++ {
+			t.Run(fmt.Sprintf("%s/%d", tc.name, seed), func(t *testing.T) { tc.run(t, seed) })
+		}
+	}
+}
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -36,7 +36,7 @@
 	if !until.After(now) || !t.isCause(now, s) {
 		return
 	}
-	s.quarantinedUntil = until
+	s.quarantinedAt, s.quarantinedUntil = now, until
 	t.announce(now, s)
 }
 
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -229,7 +229,7 @@
 	}
 	remaining := min(r.Remaining, Duration)
 	if until := requestedAt.Add(remaining); remaining > 0 && until.After(now) && !s.quarantinedUntil.After(now) {
-		s.quarantinedUntil, changed = until, true
+		s.quarantinedAt, s.quarantinedUntil, changed = now, until, true
 	}
 	return changed
 }
--- a/quarantine/suspect.go
+++ b/quarantine/suspect.go
@@ -41,6 +41,7 @@
 	epoch            uint64    // How often it was cleared. Strikes of an older epoch are void.
 	strikes          []Strike  // Highest rounds first.
 	independent      int       // Number of independent strikes; see countIndependent.
+	quarantinedAt    time.Time // When its quarantine began here; zero if it was never quarantined.
 	quarantinedUntil time.Time // Zero if it was never quarantined.
 	changedAt        time.Time // When new information about it was last recorded.
 	sendsLeft        int       // In how many messages that is still to be reported.
@@ -58,7 +59,8 @@
 // reset drops all strikes and starts an epoch.
 func (s *suspect) reset(epoch uint64) {
 	s.epoch = epoch
-	s.strikes, s.independent, s.quarantinedUntil, s.trialUntil = nil, 0, time.Time{}, time.Time{}
+	s.strikes, s.independent = nil, 0
+	s.quarantinedAt, s.quarantinedUntil, s.trialUntil = time.Time{}, time.Time{}, time.Time{}
 }
 
 // compareEvidence compares the strikes of two suspects by their number, of independent ones first.
--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -3,12 +3,17 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/poststand/poststand/internal/times"
 )
 
 // Times of trials.
 const (
 	trialTimeout    = 10 * time.Second // A trial whose outcome is not known by then has ended.
 	trialRetryAfter = 30 * time.Second // When a request that is refused during a trial may return.
+	// earlyTrialDelay is how long after the start of a quarantine, or its last strike, an early trial
+	// is possible: requests that were sent before may be running until then.
+	earlyTrialDelay = time.Second
 )
 
 // Verdict is whether a request with some keys may be sent.
@@ -21,10 +26,9 @@
 }
 
 // Judge returns whether a request with some keys may be sent. Requests with a quarantined key are
-// refused. Once the quarantine has expired, and for requests that lack a key which is inseparable
-// from it, a single request is sent on trial at a time, if it is the turn of this process; see
-// Table.IsTurn. If the trial shows no harm, the key is cleared. onTrial is whether this request was
-// sent on trial before.
+// refused. Once the quarantine has expired, and where the verdict may be wrong, a single request is
+// sent on trial at a time, if it is the turn of this process; see Table.IsTurn. If the trial shows
+// no harm, the key is cleared. onTrial is whether this request was sent on trial before.
 func (t *Table) Judge(now time.Time, keys []Key, onTrial bool) Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -73,9 +77,28 @@
 	if !s.quarantinedUntil.After(now) {
 		return s.quarantineEnd(), t.isCause(now, s)
 	}
-	lacksOne := slices.ContainsFunc(t.inseparable(now, s), func(o *suspect) bool { return !slices.Contains(keys, o.key) })
 	_, last := span(s.strikes)
-	return last, lacksOne
+	if slices.ContainsFunc(t.inseparable(now, s), func(o *suspect) bool { return !slices.Contains(keys, o.key) }) {
+		return last, true
+	}
+	since = times.Later(s.quarantinedAt, last).Add(earlyTrialDelay)
+	return since, !now.Before(since) && t.mayBeWrong(s, keys)
+}
+
+// mayBeWrong reports whether a request with some keys tells whether the quarantine of one of them is
+// wrong. That is possible if requests with this key ran shortly before, and no replica terminated
+// since: two fatal parts that always come with a third one leave the most evidence against that
+// one. A request that has another suspect key proves nothing. The caller holds t.mu.
+func (t *Table) mayBeWrong(s *suspect, keys []Key) bool {
+	if _, last := span(s.strikes); last.After(s.quarantinedAt.Add(earlyTrialDelay)) || t.successes.last(s.key).IsZero() {
+		return false
+	}
+	for _, k := range keys {
+		if o := t.suspects[k]; o != nil && o != s && len(o.strikes) >= sharedStrikes && !t.successes.isCommon(k) {
+			return false
+		}
+	}
+	return true
 }
 
 // mayTry reports whether this process may send a request on trial now. The caller holds t.mu.
