quarantine: strikes against a popular key wait until they could have been refuted

Change: a key seen to do no harm in the 5 s before its first strike is judged by strikes that are 0.8 s old.

--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -13,6 +13,12 @@
 	MinStrikes = 3
 	// strikesSufficient independent strikes are enough whatever other replicas terminated.
 	strikesSufficient = 5
+	// refuteDelay is the time in which a harmless request that started to run is known as such
+	// everywhere.
+	refuteDelay = 800 * time.Millisecond
+	// popularWindow is how recently before its first strike a key must have been seen to do no harm
+	// for its strikes to be judged only after refuteDelay.
+	popularWindow = 5 * time.Second
 	// coincidence is how close in time terminations are that may have one common cause.
 	coincidence = time.Second
 )
@@ -29,7 +35,7 @@
 		return
 	}
 	t.refute(now, s, t.successes.last(s.key))
-	if s.independent < MinStrikes || s.quarantinedUntil.After(now) {
+	if s.independent < MinStrikes || s.quarantinedUntil.After(now) || !t.isConclusive(now, s) {
 		return
 	}
 	until := s.quarantineEnd()
@@ -40,6 +46,23 @@
 	t.announce(now, s)
 }
 
+// isConclusive reports whether MinStrikes independent strikes are old enough to have been refuted,
+// if requests with the key ran shortly before. Those that run now are known to be harmless only
+// later. The caller holds t.mu.
+func (t *Table) isConclusive(now time.Time, s *suspect) bool {
+	first, _ := span(s.strikes)
+	if !t.successes.last(s.key).After(first.Add(-popularWindow)) {
+		return true
+	}
+	var old []Strike
+	for _, strike := range s.strikes {
+		if now.Sub(strike.At) >= refuteDelay {
+			old = append(old, strike)
+		}
+	}
+	return countIndependent(old) >= MinStrikes
+}
+
 // refute drops the strikes against a suspect that are not later than a time at which a request
 // with its key started to run without harm, and reports whether there were any. What was harmless
 // before a strike proves nothing: a key may turn fatal at any time. The caller holds t.mu.
