--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -108,3 +108,33 @@
 		t.Errorf("strikes left: %v", st.Strikes)
 	}
 }
+
+// Two fatal parts that always come with a third one leave more evidence against that one than against
+// each of them: all requests with it were refused for ten minutes.
+func TestQuarantineThatMayBeWrongIsTriedByOneRequest(t *testing.T) {
+	var tab quarantine.Table
+	apply(&tab, []step{{0, "shared", "", 0}})
+	for i := range 6 {
+		fatal := fmt.Sprint("fatal", i%2)
+		apply(&tab, []step{
+			{1000 + 400*i, "shared", fmt.Sprint("r", i), i + 1}, {1000 + 400*i, fatal, fmt.Sprint("r", i), i/2 + 1},
+		})
+	}
+	judge := func(ms int, names ...string) quarantine.Verdict { return tab.Judge(at(ms), keysOf(names...), false) }
+	if v := judge(3900, "shared", "own1"); !v.Refused {
+		t.Error("not refused")
+	}
+	if v := judge(4100, "shared", "fatal0"); !v.Refused || v.Trial {
+		t.Error("a request with another suspect key is on trial")
+	}
+	if v := judge(4100, "shared", "own2"); v.Refused || !v.Trial {
+		t.Error("no trial")
+	}
+	if v := judge(4200, "shared", "own3"); !v.Refused {
+		t.Error("a second trial")
+	}
+	tab.RecordSuccess(at(4700), at(4150), keysOf("shared", "own2")...)
+	if v := judge(4800, "shared", "own3"); v.Refused || v.Trial {
+		t.Error("not cleared by the trial")
+	}
+}
