quarantine: a process that has just started waits for successes before it judges

Suspected cause, by reading: a gateway that has just started has seen no success and took others' strikes as evidence at once; its verdict went to all. Only prompts with shared parts count for what is common now, which had hidden it. Change: StartedAt.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -111,7 +111,7 @@
 	}
 	g.headers = &g.options.Headers
 	g.bounds.Store(&s.RelayReloadable)
-	g.suspects.IsTurn = g.isTrialTurn
+	g.suspects.IsTurn, g.suspects.StartedAt = g.isTrialTurn, g.startedAt
 	g.mirror.KeepsHistory, g.mirror.HoldPolicy, g.mirror.OnEvent = o.KeepsHistory, o.HoldPolicy, peers.LogMirrorEvent
 	g.ctx, g.cancel = context.WithCancel(context.Background())
 	g.handlers = &wire.Handlers{}
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -47,11 +47,11 @@
 }
 
 // isConclusive reports whether MinStrikes independent strikes are old enough to have been refuted,
-// if requests with the key ran shortly before. Those that run now are known to be harmless only
-// later. The caller holds t.mu.
+// if requests with the key ran shortly before, or this process has just started and does not know.
+// Those that run now are known to be harmless only later. The caller holds t.mu.
 func (t *Table) isConclusive(now time.Time, s *suspect) bool {
 	first, _ := span(s.strikes)
-	if !t.successes.last(s.key).After(first.Add(-popularWindow)) {
+	if now.Sub(t.StartedAt) >= popularWindow && !t.successes.last(s.key).After(first.Add(-popularWindow)) {
 		return true
 	}
 	var old []Strike
--- a/quarantine/successes.go
+++ b/quarantine/successes.go
@@ -7,7 +7,7 @@
 	recentWindow = 15 * time.Second
 	maxRecent    = 4096 // Keys in each of the two generations.
 
-	// A key that at least commonShare of the requests in this record have is common, if there are
+	// A key that at least commonShare of the prompts in this record have is common, if there are
 	// minForShare of them.
 	commonShare = 0.8
 	minForShare = 8
@@ -21,8 +21,8 @@
 
 // generation is a part of the record.
 type generation struct {
-	keys     map[Key]success
-	requests int
+	keys    map[Key]success
+	prompts int // Number of requests with more than one key.
 }
 
 // recentSuccesses records when requests with a key last started to run without harm, for at least
@@ -37,7 +37,9 @@
 	if r.current.keys == nil || len(r.current.keys) >= maxRecent || now.Sub(r.since) > recentWindow {
 		r.previous, r.current, r.since = r.current, generation{keys: map[Key]success{}}, now
 	}
-	r.current.requests++
+	if len(keys) > 1 {
+		r.current.prompts++
+	}
 	for _, k := range keys {
 		s := r.current.keys[k]
 		s.count++
@@ -56,9 +58,9 @@
 	return r.previous.keys[k].at
 }
 
-// isCommon reports whether nearly all recent requests had the key.
+// isCommon reports whether nearly all recent requests whose prompts have shared parts had the key.
 func (r *recentSuccesses) isCommon(k Key) bool {
-	requests := r.current.requests + r.previous.requests
+	prompts := r.current.prompts + r.previous.prompts
 	with := r.current.keys[k].count + r.previous.keys[k].count
-	return requests >= minForShare && float64(with) >= commonShare*float64(requests)
+	return prompts >= minForShare && float64(with) >= commonShare*float64(prompts)
 }
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -41,6 +41,8 @@
 	// trials became possible. If several processes share their records, it lets one at a time do
 	// so. Nil is always. It is set before the Table is used.
 	IsTurn func(k Key, since time.Duration) bool
+	// StartedAt is when this process started to record successes; it is set before the Table is used.
+	StartedAt time.Time
 
 	mu           sync.Mutex
 	suspects     map[Key]*suspect
