quarantine: a popular key is not on trial before it is judged

Found by reading: a key with three strikes that may yet be refuted was treated like one whose quarantine has expired. A turn was asked for ten minutes before there was any, and a gateway that looked for its place in the order by that would have ended the request with a panic; no run showed it. Change: a trial needs an expired quarantine. TestPopularKeyIsNotOnTrialBeforeItIsJudged was red before.

--- a/quarantine/verdict.go
+++ b/quarantine/verdict.go
@@ -75,7 +75,8 @@
 		return time.Time{}, false
 	}
 	if !s.quarantinedUntil.After(now) {
-		return s.quarantineEnd(), t.isCause(now, s)
+		end := s.quarantineEnd()
+		return end, !now.Before(end) && t.isCause(now, s)
 	}
 	_, last := span(s.strikes)
 	if slices.ContainsFunc(t.inseparable(now, s), func(o *suspect) bool { return !slices.Contains(keys, o.key) }) {
--- a/quarantine/verdict_test.go
+++ b/quarantine/verdict_test.go
@@ -138,3 +138,16 @@
 		t.Error("not cleared by the trial")
 	}
 }
+
+// A popular key whose strikes may yet be refuted was treated like one whose quarantine has expired,
+// and a turn was asked for before there was any.
+func TestPopularKeyIsNotOnTrialBeforeItIsJudged(t *testing.T) {
+	tab := &quarantine.Table{IsTurn: func(_ quarantine.Key, since time.Duration) bool {
+		t.Errorf("asked for a turn at %v", since)
+		return false
+	}}
+	apply(tab, append([]step{{-1, "a", "", 0}}, struckThrice("a")...))
+	if v := tab.Judge(at(1000), keysOf("x", "a"), false); v.Refused || v.Trial {
+		t.Errorf("refused %t, trial %t", v.Refused, v.Trial)
+	}
+}
