--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// When a request is quarantined.
+// When a key is quarantined.
 const (
 	// MinStrikes independent strikes are enough if the suspect was at more than half of the
 	// replicas that terminated meanwhile; see isCause. A harmless request gets that many in a row
--- a/quarantine/report.go
+++ b/quarantine/report.go
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// Report is the record of a request that is sent to other processes. Clocks differ between
+// Report is the record of a key that is sent to other processes. Clocks differ between
 // processes, so times are sent as ages.
 type Report struct {
 	Key       Key
@@ -138,7 +138,7 @@
 	return out
 }
 
-// Quarantined returns the quarantined requests, for a process that only keeps them for others.
+// Quarantined returns the quarantined keys, for a process that only keeps them for others.
 // If there are too many, those that were quarantined last are returned, in the order of their
 // keys.
 func (t *Table) Quarantined(now time.Time) []Report {
