--- a/internal/relay/crash_injector_test.go
+++ b/internal/relay/crash_injector_test.go
@@ -176,6 +176,8 @@
 func (cl *testCluster) restart(i int) {
 	cl.stops[i]()
 	cl.addGateway(i, cl.store)
+	cl.mu.Lock()
+	defer cl.mu.Unlock()
 	last := len(cl.gateways) - 1
 	cl.gateways[i], cl.stops[i] = cl.gateways[last], cl.stops[last]
 	cl.gateways, cl.stops = cl.gateways[:last], cl.stops[:last]
--- a/quarantine/evaluate.go
+++ b/quarantine/evaluate.go
@@ -19,6 +19,8 @@
 	// popularWindow is how recently before its first strike a key must have been seen to do no harm
 	// for its strikes to be judged only after refuteDelay.
 	popularWindow = 5 * time.Second
+	// startWindow is how long a process that has just started knows too few successes.
+	startWindow = 2 * time.Second
 	// coincidence is how close in time terminations are that may have one common cause.
 	coincidence = time.Second
 )
@@ -51,7 +53,7 @@
 // Those that run now are known to be harmless only later. The caller holds t.mu.
 func (t *Table) isConclusive(now time.Time, s *suspect) bool {
 	first, _ := span(s.strikes)
-	if now.Sub(t.StartedAt) >= popularWindow && !t.successes.last(s.key).After(first.Add(-popularWindow)) {
+	if now.Sub(t.StartedAt) >= startWindow && !t.successes.last(s.key).After(first.Add(-popularWindow)) {
 		return true
 	}
 	var old []Strike
