--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,10 +59,9 @@
 	conn        *conn
 	stopAbort   func() bool // Stops the abort of conn when the attempt is cancelled.
 	idleTimeout time.Duration
-	// firstAt is when the first event or the complete answer arrived; zero before. The harmless
-	// timer is set from then on, if the answer is a success.
+	// firstAt is when the first event or the complete answer arrived; zero before.
 	firstAt     time.Time
-	harmless    *time.Timer
+	harmCheck   *time.Timer // Set with firstAt if the answer is a success; see checkHarm.
 	complete    atomic.Bool // The answer is complete.
 	result      route.RequestResult
 	status      int
@@ -317,79 +316,6 @@
 	return nil, unknown(fault.Garbage)
 }
 
-// receive passes on an answer. It returns the last part, and whether the connection can be
-// reused.
-func (a *attempt) receive(ctx context.Context, resp *http.Response) (p part, reuse bool) {
-	names := a.relay.headers
-	a.status = resp.StatusCode
-	if id := resp.Header.Get(names.Incarnation); resp.StatusCode == http.StatusMisdirectedRequest && id != "" && id != a.to.ID {
-		a.relay.table.MarkLeaving(a.to.Incarnation, time.Now())
-	}
-	if resp.Close { // Counted only: not all replicas that send it are leaving.
-		a.relay.Metrics.Event("upstream_closing", "")
-	}
-	a.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
-	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	reusable := framed && !resp.Close
-	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(names.NotRun) != "" {
-		return part{result: a.refusal(resp)}, reusable
-	}
-	if v, err := strconv.ParseUint(resp.Header.Get(names.Version), 10, 64); err == nil {
-		a.result.Version = v
-		if a.version > 0 && v != a.version {
-			return part{result: unknown(fault.MixedVersion)}, false
-		}
-	}
-	if a.rq.route.Kind == streamKind && resp.StatusCode == http.StatusOK {
-		rest, err := a.stream(ctx, resp, framed)
-		return part{resp: resp, stream: true, data: rest, result: a.bodyResult(ctx, err)}, reusable && err == nil
-	}
-	if a.continues {
-		return part{result: unknown(fault.UpstreamFailed)}, false
-	}
-	return a.receiveWhole(ctx, resp, framed, reusable)
-}
-
-// receiveWhole reads an answer that is passed on as a whole.
-func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && !framed {
-		err = a.endedWithReplica(ctx)
-	}
-	if err != nil || len(data) > maxAnswerBytes {
-		if err == nil {
-			err = fault.New(fault.TooLarge, "answer exceeds the size limit")
-		}
-		return part{result: a.bodyResult(ctx, err)}, false
-	}
-	a.recordFirst()
-	p = part{resp: resp, data: data, result: dispatch.Result{Outcome: dispatch.Done}}
-	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(a.relay.headers.Signature) == "" {
-		p.result = unknown(fault.UpstreamFailed)
-	}
-	return p, reusable
-}
-
-func (a *attempt) refusal(resp *http.Response) dispatch.Result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes))
-	if resp.StatusCode == http.StatusMisdirectedRequest {
-		return notRun(fault.WrongVersion)
-	}
-	return notRun(fault.QueueFull)
-}
-
-// bodyResult returns the result of an answer whose body ended with err.
-func (a *attempt) bodyResult(ctx context.Context, err error) dispatch.Result {
-	switch {
-	case err == nil:
-		return dispatch.Result{Outcome: dispatch.Done}
-	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
-		a.recordBreakdown(ctx, err)
-		return unknown(fault.CodeOf(err))
-	}
-	return a.connectionResult(ctx, err)
-}
-
 // recordFirst records the arrival of the first data.
 func (a *attempt) recordFirst() {
 	if a.firstAt.IsZero() {
@@ -398,6 +324,6 @@
 		a.relay.table.RecordFirstEvent(time.Now(), a.to.Reservation, took, a.to.Predicted)
 		a.relay.Metrics.FirstData(took.Seconds())
 		a.relay.recordPrediction(a.to, took)
-		a.awaitHarm()
+		a.scheduleHarmCheck()
 	}
 }
--- /dev/null
+++ b/internal/relay/receive.go
@@ -0,0 +1,104 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
+)
+
+// receive passes on an answer. It returns the last part, and whether the connection can be
+// reused.
+func (a *attempt) receive(ctx context.Context, resp *http.Response) (p part, reuse bool) {
+	names := a.relay.headers
+	a.status = resp.StatusCode
+	if id := resp.Header.Get(names.Incarnation); resp.StatusCode == http.StatusMisdirectedRequest && id != "" && id != a.to.ID {
+		a.relay.table.MarkLeaving(a.to.Incarnation, time.Now())
+	}
+	if resp.Close { // Counted only: not all replicas that send it are leaving.
+		a.relay.Metrics.Event("upstream_closing", "")
+	}
+	a.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
+	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
+	reusable := framed && !resp.Close
+	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(names.NotRun) != "" {
+		return part{result: a.refusal(resp)}, reusable
+	}
+	if v, err := strconv.ParseUint(resp.Header.Get(names.Version), 10, 64); err == nil {
+		a.result.Version = v
+		if a.version > 0 && v != a.version {
+			return part{result: unknown(fault.MixedVersion)}, false
+		}
+	}
+	if a.rq.route.Kind == streamKind && resp.StatusCode == http.StatusOK {
+		rest, err := a.stream(ctx, resp, framed)
+		return part{resp: resp, stream: true, data: rest, result: a.bodyResult(ctx, err)}, reusable && err == nil
+	}
+	if a.continues {
+		return part{result: unknown(fault.UpstreamFailed)}, false
+	}
+	return a.receiveWhole(ctx, resp, framed, reusable)
+}
+
+// receiveWhole reads an answer that is passed on as a whole.
+func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err == nil && !framed {
+		err = a.endedWithReplica(ctx)
+	}
+	if err != nil || len(data) > maxAnswerBytes {
+		if err == nil {
+			err = fault.New(fault.TooLarge, "answer exceeds the size limit")
+		}
+		return part{result: a.bodyResult(ctx, err)}, false
+	}
+	a.recordFirst()
+	p = part{resp: resp, data: data, result: dispatch.Result{Outcome: dispatch.Done}}
+	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(a.relay.headers.Signature) == "" {
+		p.result = unknown(fault.UpstreamFailed)
+	}
+	return p, reusable
+}
+
+func (a *attempt) refusal(resp *http.Response) dispatch.Result {
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes))
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return notRun(fault.WrongVersion)
+	}
+	return notRun(fault.QueueFull)
+}
+
+// bodyResult returns the result of an answer whose body ended with err.
+func (a *attempt) bodyResult(ctx context.Context, err error) dispatch.Result {
+	switch {
+	case err == nil:
+		return dispatch.Result{Outcome: dispatch.Done}
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
+		a.recordBreakdown(ctx, err)
+		return unknown(fault.CodeOf(err))
+	}
+	return a.connectionResult(ctx, err)
+}
+
+// endedWithReplica returns an error if the replica of an answer that has ended with its connection
+// has terminated: its connections end just so, and the answer may not be complete. The new connection
+// by which this is found out takes the place of the one that has ended.
+func (a *attempt) endedWithReplica(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
+	switch {
+	case err == nil:
+		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		a.relay.recordRefusal(a.to.ID)
+		return fault.New(fault.Truncated, "answer ended with its replica")
+	}
+	return nil
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -3,10 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
-	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/config"
@@ -68,23 +66,6 @@
 	return a.endedWithReplica(ctx)
 }
 
-// endedWithReplica returns an error if the replica of an answer that has ended with its connection
-// has terminated: its connections end just so, and the answer may not be complete. The new connection
-// by which this is found out takes the place of the one that has ended.
-func (a *attempt) endedWithReplica(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-	defer cancel()
-	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
-	switch {
-	case err == nil:
-		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		a.relay.recordRefusal(a.to.ID)
-		return fault.New(fault.Truncated, "answer ended with its replica")
-	}
-	return nil
-}
-
 // parseLastID returns the ID of the last event in b that has one.
 func parseLastID(b []byte) string {
 	for len(b) > 0 {
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -11,7 +11,6 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/quarantine"
-	"github.com/poststand/poststand/rendezvous"
 )
 
 // suspectWindow is how long after the first data of an answer the termination of its replica is
@@ -98,8 +97,8 @@
 		a.complete.Store(true)
 		return
 	}
-	if a.harmless != nil {
-		a.harmless.Stop()
+	if a.harmCheck != nil {
+		a.harmCheck.Stop()
 	}
 	if res.Reason == fault.ConnectionLost || res.Reason == fault.Truncated {
 		a.connectionLost(time.Now())
@@ -133,17 +132,17 @@
 	return a.firstAt.IsZero() || now.Sub(a.firstAt) < suspectWindow
 }
 
-// awaitHarm is called when the first data has arrived. It waits whether the replica terminates.
-func (a *attempt) awaitHarm() {
+// scheduleHarmCheck is called when the first data has arrived.
+func (a *attempt) scheduleHarmCheck() {
 	if a.status < http.StatusMultipleChoices {
-		a.harmless = time.AfterFunc(suspectWindow, a.recordHarm)
+		a.harmCheck = time.AfterFunc(suspectWindow, a.checkHarm)
 	}
 }
 
-// recordHarm records, suspectWindow after the first data, whether the replica has terminated. Its
+// checkHarm records, suspectWindow after the first data, whether the replica has terminated. Its
 // connection is not broken, but if the answer is complete that proves nothing: an answer may end
 // when its replica crashes.
-func (a *attempt) recordHarm() {
+func (a *attempt) checkHarm() {
 	g, rq, now := a.relay, a.rq, time.Now()
 	if a.complete.Load() && (g.suspects.HasTerminated(a.to.ID, a.firstAt) || g.anySuspect(now, rq) && g.endProbes.ended(a.to.ID, a.to.Addr)) {
 		a.recordStrikes(now)
@@ -214,19 +213,3 @@
 	}
 	return strings.Join(out, ",")
 }
-
-// trialTurn is for how long it is the turn of one gateway to send a request on trial.
-const trialTurn = 5 * time.Second
-
-// isTrialTurn reports whether it is this gateway's turn to send a request on trial, given the time
-// since trials became possible. Gateways that reach each other take turns in an order by hashing.
-// When each has had its turn, and none has sent such a request, it comes too seldom for that, and
-// all may send it.
-func (g *Relay) isTrialTurn(k quarantine.Key, since time.Duration) bool {
-	var addrs []string
-	for _, m := range g.gossip.Live() {
-		addrs = append(addrs, m.Addr)
-	}
-	turn := int(since / trialTurn)
-	return turn >= len(addrs) || rendezvous.Rank(k.String(), addrs)[turn] == g.Settings.Listen
-}
