--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -22,6 +22,7 @@
 	"crash":    playCrash,
 	"expired":  playExpired,
 	"poison":   playPoison,
+	"foreign":  playForeign,
 	"tokens":   playTokens,
 	"surplus":  playSurplus,
 }
--- a/review/_cases/poison.go
+++ b/review/_cases/poison.go
@@ -23,7 +23,7 @@
 	contact       = 3 * time.Second // contact_ms.
 	allowedAfter  = 3               // Retries that may reach replicas later than contact_ms after the third crash.
 	plainWork     = 20 * time.Millisecond
-	soundCallers  = 3 // At each relay.
+	soundCallers  = 6 // At each relay.
 	soundThinking = 25 * time.Millisecond
 )
 
@@ -43,9 +43,7 @@
 			_, _ = fmt.Fprintf(nc, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nX-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", id, r.id)
 			continue
 		}
-		if req.URL.Path != poisonPath {
-			r.printf("%s runs %s", r.id, id)
-		} else {
+		if req.URL.Path == poisonPath {
 			r.printf("%s begins to run the poison, as %s", r.id, id)
 			if deadly {
 				if v, err := time.ParseDuration(os.Getenv("POISON_AFTER")); err == nil {
@@ -95,6 +93,11 @@
 			continue
 		}
 		failed.Add(1)
+		if err != nil {
+			w.note("client has no whole answer to %s: %v", id, err)
+		} else {
+			w.note("client has %s: status %d", id, resp.StatusCode)
+		}
 		if err != nil || resp.Close {
 			_ = nc.Close()
 			nc = nil
