--- a/review/_cases/poison.go
+++ b/review/_cases/poison.go
@@ -23,7 +23,7 @@
 	contact       = 3 * time.Second // contact_ms.
 	allowedAfter  = 3               // Retries that may reach replicas later than contact_ms after the third crash.
 	plainWork     = 20 * time.Millisecond
-	soundCallers  = 6 // At each relay.
+	soundCallers  = 16 // At each relay: so many that connections to the replicas are mostly reused.
 	soundThinking = 25 * time.Millisecond
 )
 
