--- a/review/_cases/replica.go
+++ b/review/_cases/replica.go
@@ -26,7 +26,7 @@
 	modePlain    = "plain"    // A plain answer with a length.
 	modeDeadly   = "deadly"   // The same, but the poison crashes the replica.
 	modeSheds    = "sheds"    // The same, but one in shedEvery requests of a connection is turned away.
-	modeRepeats  = "repeats"  // The same, and each refusal is sent once more, late.
+	modeRepeats  = "repeats"  // The same, and a surplus refusal follows each, late.
 )
 
 const (
