limit, internal/relay: log how many retries a gateway has spent and may spend

The log and the metrics told only that a retry was refused (retry_budget_spent). None of the three hypotheses of docs/incidents/retry-restarts.md can be told apart by that: how much a gateway had spent, how much it took as allowed, by what slack and how many gateways, and for how long it had been up.

A gateway with retries in its window now logs a line retry_budget for each service each second, and the gauges poststand_retries_spent and poststand_retries_allowed say the same over all services.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -152,6 +152,9 @@
 	g.options.Follower.MaxAssumedAge = peers.MaxAssumedAgeFor(s.VersionWithin)
 	g.options.Follower.CheckInterval = checkIntervalFor(&s.RelayReloadable)
 	g.options.Follower.Event = func(name string, c fault.Code) { m.Event(name, string(c)) }
+	if err := g.addRetryGauges(); err != nil {
+		return nil, err
+	}
 	return g, m.Gauge("poststand_waiting", "Requests that wait at this gateway for room at a replica.", func() float64 { return float64(g.waiting.len()) })
 }
 
@@ -223,6 +226,7 @@
 	k.AddTask(g.notifyEnds)
 	k.AddTask(g.announceAdmission)
 	k.AddTask(g.notifyExpectedRetries)
+	k.AddTask(g.logRetryUsage)
 	k.AddTask(g.sweep)
 }
 
@@ -323,34 +327,6 @@
 	}
 }
 
-// retryWindow returns the retry budget of a service.
-func (g *Relay) retryWindow(service string) *limit.RetryWindow {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w, ok := g.retryWindows[service]
-	if !ok {
-		s := g.bounds.Load()
-		w = &limit.RetryWindow{Length: s.RetryWindow, Ratio: s.RetryRatio * retryShare}
-		g.retryWindows[service] = w
-	}
-	return w
-}
-
-// retryShare is the fraction of the retry budget that is used, because gateways do not share
-// their counts and callers' requests are counted where they arrive.
-const retryShare = 0.8
-
-// retrySlack returns this gateway's share of the retries that are allowed beyond the ratio. A
-// gateway with few known peers may be cut off, so it takes a third at most, and peers count
-// for a while after they have stopped. It is unknown how many retries the previous process of
-// this gateway used, so the share of a new process grows from zero over one window.
-func (g *Relay) retrySlack() float64 {
-	const minPeers = 3
-	b := g.bounds.Load()
-	ramp := min(1, float64(time.Since(g.startedAt))/float64(b.RetryWindow))
-	return ramp * retryShare * float64(b.RetrySlack) / float64(max(minPeers, g.gossip.KnownCount()))
-}
-
 // Reload applies new settings. Settings that can be changed only by a restart are refused, and
 // the old settings stay in force.
 func (g *Relay) Reload(s *settings.Relay) error {
--- a/limit/window.go
+++ b/limit/window.go
@@ -65,16 +65,35 @@
 func (w *RetryWindow) TrySpend(now time.Time, slack float64) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	step := w.step(now)
-	w.requests.advance(step)
-	w.retries.advance(step)
-	if float64(w.retries.sum+1) > w.Ratio*float64(w.requests.sum)+slack {
+	if u := w.usage(now, slack); float64(u.Retries+1) > u.Allowed {
 		return false
 	}
-	w.retries.add(step, 1)
+	w.retries.add(w.step(now), 1)
 	return true
 }
 
+// RetryUsage is how much of a limit on retries is used.
+type RetryUsage struct {
+	Requests int     // Requests in the window.
+	Retries  int     // Retries in the window.
+	Allowed  float64 // Retries that the limit allows in the window.
+}
+
+// Usage returns how much of the limit is used, given the slack; see TrySpend.
+func (w *RetryWindow) Usage(now time.Time, slack float64) RetryUsage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.usage(now, slack)
+}
+
+// usage implements Usage. The caller holds w.mu.
+func (w *RetryWindow) usage(now time.Time, slack float64) RetryUsage {
+	step := w.step(now)
+	w.requests.advance(step)
+	w.retries.advance(step)
+	return RetryUsage{w.requests.sum, w.retries.sum, w.Ratio*float64(w.requests.sum) + slack}
+}
+
 // SetRatio changes Ratio.
 func (w *RetryWindow) SetRatio(ratio float64) {
 	w.mu.Lock()
