--- a/internal/relay/crash_injector_test.go
+++ b/internal/relay/crash_injector_test.go
@@ -175,6 +175,11 @@
 // restart kills a gateway and starts it again.
 func (cl *testCluster) restart(i int) {
 	cl.stops[i]()
+	cl.replaceGateway(i)
+}
+
+// replaceGateway starts a gateway in place of one that has ended.
+func (cl *testCluster) replaceGateway(i int) {
 	cl.addGateway(i, cl.store)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
