limit, internal/relay: a restart does not give a gateway its retries again

Cause: what a gateway has spent in the window lived in its process. A new process began with a whole part by ratio, earned from its first request, though its predecessor had spent a whole part a moment before. Class: a bound held by memory that dies with the process, and a new process that begins with all of it.

Change: a gateway uses its whole part (0.8 of it, as before) only if it knows all retries of its box in the window. Otherwise it earns 0.15 of it, in proportion to its own requests and its age. Gateways report what they have spent to up to three others, limit what they have not reported, and hand over at a planned stop; a process that starts asks for that and counts on. retry_window can now be changed by a reload; a longer one makes the past unknown. first_start tells the first start of the system. Under scarcity, retries of urgent ranks and first retries go before others. RetryWindow takes the limit with each call, as Permits does; the two share the reservation for urgent ranks.

Why it holds: processes of a box that start within a window have requests and ages that add up to no more than those of the window, and beside them only one process uses the whole part: 0.95 in all, with no message of anybody. Reports only shorten the time without retries, and count what may not have been reported as spent.

TestWindowHoldsInEverySpan asserts the same bound as before, by the new share.

--- a/internal/peers/limits.go
+++ b/internal/peers/limits.go
@@ -9,7 +9,7 @@
 	"github.com/poststand/poststand/fleet"
 )
 
-// MaxReportedAge bounds the ages in a ReplicaLimit or ReplicaEnd.
+// MaxReportedAge bounds the ages in a ReplicaLimit, ReplicaEnd or RetryRecord.
 const MaxReportedAge = time.Hour
 
 // ReplicaLimit is the rate limit that a replica stated in an answer: how many requests it
@@ -101,11 +101,7 @@
 // QueryLimiter returns the address of the gateway that the one at addr takes for the limiter of a
 // replica.
 func (g *Gossip) QueryLimiter(ctx context.Context, addr, replica string) (string, error) {
-	c, err := g.Pool.Get(ctx, addr)
-	if err != nil {
-		return "", err
-	}
-	m, err := c.Call(ctx, &LimiterQuery{replica})
+	m, err := g.call(ctx, addr, &LimiterQuery{replica})
 	if err != nil {
 		return "", err
 	}
@@ -117,11 +113,7 @@
 }
 
 func (g *Gossip) callForPermit(ctx context.Context, addr string, req any) (*Permit, error) {
-	c, err := g.Pool.Get(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
-	m, err := c.Call(ctx, req)
+	m, err := g.call(ctx, addr, req)
 	if err != nil {
 		return nil, err
 	}
@@ -137,6 +129,15 @@
 	g.send(ctx, addr, &ReplicaLimits{limits})
 }
 
+// call sends a request to the gateway at an address and returns its answer.
+func (g *Gossip) call(ctx context.Context, addr string, req any) (any, error) {
+	c, err := g.Pool.Get(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	return c.Call(ctx, req)
+}
+
 // send sends a message that has no answer.
 func (g *Gossip) send(ctx context.Context, addr string, m any) {
 	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
--- a/internal/peers/message.go
+++ b/internal/peers/message.go
@@ -196,4 +196,8 @@
 	{Kind: 115, Message: &LoadAnswer{}, ByName: true},
 	{Kind: 116, Message: &ExpectedReturns{}, ByName: true},
 	{Kind: 117, Message: &AdmissionState{}, ByName: true},
+	{Kind: 118, Message: &RetryReport{}, ByName: true},
+	{Kind: 119, Message: &RetryReportReceived{}, ByName: true},
+	{Kind: 120, Message: &RetryQuery{}, ByName: true},
+	{Kind: 121, Message: &RetryAnswer{}, ByName: true},
 }
--- a/internal/peers/message_test.go
+++ b/internal/peers/message_test.go
@@ -32,6 +32,24 @@
 		Rank int
 	}
 	sentReturns struct{ Returns []sentReturn }
+	sentRetries struct {
+		Ages, Requests, Retries []int
+		Unconfirmed             int
+	}
+	sentRetryRecord struct {
+		Gateway  string
+		Process  uint64
+		Seq      int
+		Age      time.Duration
+		KnownFor time.Duration
+		Final    bool
+		Unit     time.Duration
+		Services map[string]sentRetries
+	}
+	sentRetryAnswer struct {
+		Found  bool
+		Record sentRetryRecord
+	}
 	sentRecords struct {
 		Delta     mirror.Delta
 		Ages      []time.Duration
@@ -62,6 +80,11 @@
 			&sentReturns{[]sentReturn{{quarantine.Key{1, 2}, 3, 4}}},
 			&ExpectedReturns{[]ExpectedReturn{{quarantine.Key{1, 2}, 3, 4}}},
 		},
+		{
+			"retry answer",
+			&sentRetryAnswer{true, sentRetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]sentRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}},
+			&RetryAnswer{true, RetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]ServiceRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}},
+		},
 		{
 			"held records",
 			&sentHeldRecords{sentRecords{delta, ages, histories, true}, []time.Duration{9}},
@@ -82,7 +105,7 @@
 	}
 }
 
-// Clocks differ and may jump, so that messages about load and admission may contain no time: times
+// Clocks differ and may jump, so that messages about load, admission and retries may contain no time: times
 // travel as durations.
 func TestLoadAndAdmissionContainNoTimes(t *testing.T) {
 	var contains func(t reflect.Type, seen map[reflect.Type]bool) bool
@@ -110,7 +133,7 @@
 	}
 	is := is.New(t)
 	is.True(contains(reflect.TypeFor[map[string][]struct{ At *time.Time }](), map[reflect.Type]bool{}))
-	for _, m := range []any{Status{}, Reports{}, LoadQuery{}, LoadAnswer{}, ExpectedReturns{}, AdmissionState{}} {
+	for _, m := range []any{Status{}, Reports{}, LoadQuery{}, LoadAnswer{}, ExpectedReturns{}, AdmissionState{}, RetryReport{}, RetryQuery{}, RetryAnswer{}} {
 		if typ := reflect.TypeOf(m); contains(typ, map[reflect.Type]bool{}) {
 			t.Errorf("%v contains a time", typ)
 		}
--- a/internal/relay/cluster_test.go
+++ b/internal/relay/cluster_test.go
@@ -95,7 +95,10 @@
 	return fmt.Sprintf("h%d", 1+gateway%max(1, cl.hallCount))
 }
 
-func (cl *testCluster) addGateway(i int, store http.Handler) {
+func (cl *testCluster) addGateway(i int, store http.Handler) { cl.startGateway(i, store, true) }
+
+// startGateway starts a gateway, on the first start of the whole system or later.
+func (cl *testCluster) startGateway(i int, store http.Handler, first bool) {
 	addr := gatewayAddr(i)
 	transport := &simnet.Transport{Find: func(string) http.Handler { return store }}
 	s := &platform.Store{Addr: "store:1", HTTP: &http.Client{Transport: transport}}
@@ -108,7 +111,7 @@
 		DirectCommon: settings.DirectCommon{
 			Cluster: "c", Box: addr, Hall: cl.hallOf(i), Listen: addr, Store: "store:1", Join: join,
 		},
-		AgentPort: cl.agentPort,
+		AgentPort: cl.agentPort, FirstStart: first,
 		RelayReloadable: settings.RelayReloadable{
 			GracePeriod: 8 * time.Second, VersionWithin: 8 * time.Second, ApplyWithin: 2 * time.Second,
 			RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 30,
--- a/internal/relay/crash_injector_test.go
+++ b/internal/relay/crash_injector_test.go
@@ -180,7 +180,7 @@
 
 // replaceGateway starts a gateway in place of one that has ended.
 func (cl *testCluster) replaceGateway(i int) {
-	cl.addGateway(i, cl.store)
+	cl.startGateway(i, cl.store, false)
 	cl.mu.Lock()
 	defer cl.mu.Unlock()
 	last := len(cl.gateways) - 1
--- a/internal/relay/drain.go
+++ b/internal/relay/drain.go
@@ -62,6 +62,7 @@
 	case <-stop.Done():
 	}
 	g.drain(stop, lifetime, ln, &conns)
+	g.handOverRetries(lifetime)
 	g.inFlight.LogCut(g.Metrics, "grace_over")
 	_ = srv.Close() // It fails if the server has not noticed yet that the listener is closed.
 	return kernel.Failure(stop)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return false
 	}
-	if to.Predicted > time.Duration(moveGapShare*float64(rq.route.TargetGap)) || !g.hasPermit(d.ctx, rq, &to) || !g.retryWindow(rq.service).TrySpend(now, g.retrySlack()) {
+	if to.Predicted > time.Duration(moveGapShare*float64(rq.route.TargetGap)) || !g.hasPermit(d.ctx, rq, &to) || !g.spendRetry(now, rq, 1) {
 		g.table.Done(now, to.Reservation, route.RequestResult{NotSent: true})
 		return false
 	}
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -21,7 +21,7 @@
 	if g.isQuarantined(time.Now(), rq) {
 		return dispatch.Result{Outcome: dispatch.NotRun, Reason: fault.Quarantined, RetryAt: rq.verdict.Until}
 	}
-	g.retryWindow(rq.service).RecordRequest(rq.arrivedAt)
+	g.recordRequest(rq)
 	defer g.waiting.requestEnded(rq)
 	d := newDelivery(g, ctx, rq, out)
 	defer d.close()
@@ -65,7 +65,7 @@
 			res.RetryAt = retryAfterBackoff(now, now)
 			return choice, res, false
 		}
-		if arrivals > 0 && !g.retryWindow(rq.service).TrySpend(now, g.retrySlack()) {
+		if arrivals > 0 && !g.spendRetry(now, rq, arrivals) {
 			g.table.Done(now, choice.Reservation, route.RequestResult{NotSent: true})
 			g.Metrics.Event("retry_budget_spent", "")
 			return choice, notRun(fault.RetryBudget), false
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -87,9 +87,12 @@
 	retryTimes         admission.RetryTimes
 	bounds             atomic.Pointer[settings.RelayReloadable]
 
+	retries retryBudgets
+	// retryRecords holds the retries of other gateways, for processes that take their place.
+	retryRecords limit.RetryRecords
+
 	mu            sync.Mutex
-	retryWindows  map[string]*limit.RetryWindow // Keyed by service; bounded by the configuration.
-	limiterStates map[string]*limiterState      // Keyed by replica ID.
+	limiterStates map[string]*limiterState // Keyed by replica ID.
 	// limiterBackoff holds, by address, the limiters that did not respond, and until when no
 	// permits are requested from them.
 	limiterBackoff map[string]time.Time
@@ -105,12 +108,13 @@
 		return nil, err
 	}
 	g := &Relay{
-		Settings: s, Metrics: m, options: o, startedAt: time.Now(), startDelay: startWait.Draw(), retryWindows: map[string]*limit.RetryWindow{}, limiterStates: map[string]*limiterState{}, limiterBackoff: map[string]time.Time{},
+		Settings: s, Metrics: m, options: o, startedAt: time.Now(), startDelay: startWait.Draw(), limiterStates: map[string]*limiterState{}, limiterBackoff: map[string]time.Time{},
 		table: route.Table{Hall: s.Hall, Gateway: s.Listen, DelistGrace: delistGrace(&s.RelayReloadable)}, conns: connPool{Dial: o.Dial},
 		endProbes: endProbes{Dial: o.Dial}, admissions: admissions{refused: make(chan struct{}, 1)},
 	}
 	g.headers = &g.options.Headers
 	g.bounds.Store(&s.RelayReloadable)
+	g.retries.start(g.startedAt, s.FirstStart)
 	g.suspects.IsTurn, g.suspects.StartedAt = g.isTrialTurn, g.startedAt
 	g.mirror.KeepsHistory, g.mirror.HoldPolicy, g.mirror.OnEvent = o.KeepsHistory, o.HoldPolicy, peers.LogMirrorEvent
 	g.ctx, g.cancel = context.WithCancel(context.Background())
@@ -145,6 +149,8 @@
 	wire.On(g.handlers, g.serveReplicaEnds)
 	wire.On(g.handlers, g.serveAdmissionState)
 	wire.On(g.handlers, g.serveExpectedReturns)
+	wire.On(g.handlers, g.serveRetryReport)
+	wire.On(g.handlers, g.serveRetryQuery)
 	g.options.Follower.Mirror = &g.mirror
 	g.options.Follower.Needed = g.shouldWatch
 	g.options.Follower.Standby = g.gossip.Standby
@@ -226,6 +232,7 @@
 	k.AddTask(g.notifyEnds)
 	k.AddTask(g.announceAdmission)
 	k.AddTask(g.notifyExpectedRetries)
+	k.AddTask(g.reportRetries)
 	k.AddTask(g.logRetryUsage)
 	k.AddTask(g.sweep)
 }
@@ -335,11 +342,6 @@
 	}
 	g.bounds.Store(&s.RelayReloadable)
 	g.table.SetDelistGrace(delistGrace(&s.RelayReloadable))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, w := range g.retryWindows {
-		w.SetRatio(s.RetryRatio * retryShare)
-	}
 	return nil
 }
 
--- a/internal/relay/retry_bound_test.go
+++ b/internal/relay/retry_bound_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -25,12 +26,14 @@
 // retryPlay sends requests to the gateways of a cluster while its replicas shed most of them and
 // gateways restart, and counts requests and retries.
 type retryPlay struct {
-	cl   *testCluster
-	rng  *rand.Rand
-	rate int // Requests a second.
+	cl  *testCluster
+	rng *rand.Rand
 
 	mu       sync.Mutex
-	shedding bool
+	rate     float64 // Requests a second.
+	shedding bool    // Three in four replicas shed 0.7 of what they get,
+	shedAll  bool    // or all of them everything.
+	sheds    *rand.Rand
 	sent     []time.Time
 	arrived  map[string]bool // Attempt IDs of which an attempt has reached a replica.
 	retries  []time.Time     // Arrivals past the first of each request.
@@ -48,17 +51,20 @@
 }
 
 // runRetryPlay runs test on gateways in three halls, with replicas that shed from now on.
-func runRetryPlay(t *testing.T, gateways, rate int, seed uint64, test func(p *retryPlay)) *retryPlay {
-	p := &retryPlay{rng: rand.New(rand.NewPCG(seed, 1)), rate: rate, arrived: map[string]bool{}}
+func runRetryPlay(t *testing.T, gateways int, rate float64, seed uint64, test func(p *retryPlay)) *retryPlay {
+	p := &retryPlay{rng: rand.New(rand.NewPCG(seed, 1)), sheds: rand.New(rand.NewPCG(seed, 2)), rate: rate, arrived: map[string]bool{}}
 	replicas := plainReplicas(12)
-	shedding := rand.New(rand.NewPCG(seed, 2))
 	for i, r := range replicas {
+		part := 0.7
+		if i%4 == 3 {
+			part = 0
+		}
 		r.Handle = func(_ int, x *platformtest.Exchange) bool {
-			if !p.arrival(x.Request.Header.Get("X-Attempt-Id")) || i%4 == 3 || shedding.Float64() > 0.7 {
-				return false
+			sheds := p.arrival(x.Request.Header.Get("X-Attempt-Id"), part)
+			if sheds {
+				x.Reject("")
 			}
-			x.Reject("")
-			return true
+			return sheds
 		}
 	}
 	runCluster(t, 0, replicas, func(_ *is.I, cl *testCluster) {
@@ -101,15 +107,22 @@
 	p.lives[i] = l
 }
 
-// arrival counts a request that reached a replica, and reports whether replicas shed.
-func (p *retryPlay) arrival(id string) bool {
+// arrival counts a request that reached a replica which sheds some part of them, and reports whether it
+// is shed.
+func (p *retryPlay) arrival(id string, part float64) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.arrived[id] {
 		p.retries = append(p.retries, time.Now())
 	}
 	p.arrived[id] = true
-	return p.shedding
+	return p.shedding && (p.shedAll || p.sheds.Float64() < part)
+}
+
+func (p *retryPlay) setRate(rate float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rate = rate
 }
 
 func (p *retryPlay) setShedding(shedding bool) {
@@ -123,7 +136,7 @@
 	rng := rand.New(rand.NewPCG(p.rng.Uint64(), 3))
 	for n := 0; ; n++ {
 		p.mu.Lock()
-		gap := time.Duration(rng.ExpFloat64() / float64(p.rate) * float64(time.Second))
+		gap := time.Duration(rng.ExpFloat64() / p.rate * float64(time.Second))
 		p.mu.Unlock()
 		select {
 		case <-end:
@@ -194,6 +207,28 @@
 	p.live(i)
 }
 
+// add adds a gateway.
+func (p *retryPlay) add() {
+	p.mu.Lock()
+	i := len(p.lives)
+	p.mu.Unlock()
+	p.cl.startGateway(i, p.cl.store, false)
+	p.mu.Lock()
+	p.lives = append(p.lives, &gatewayLife{})
+	p.mu.Unlock()
+	p.live(i)
+}
+
+// some returns the indices of about a part of the gateways.
+func (p *retryPlay) some(part float64) (out []int) {
+	for _, i := range p.all() {
+		if p.rng.Float64() < part {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // all returns the indices of all gateways.
 func (p *retryPlay) all() []int {
 	p.mu.Lock()
@@ -273,10 +308,116 @@
 				tc.restart(p)
 				time.Sleep(9 * time.Second)
 			})
-			retries, allowed := p.worst()
-			t.Logf("%d retries in a window, %.0f allowed; %d in all", retries, allowed, len(p.retries))
-			if float64(retries) > allowed {
-				t.Errorf("%d retries in a window, allowed %.0f", retries, allowed)
+			p.checkBound(t)
+		})
+	}
+}
+
+// checkBound reports an error if a window has more retries than the bound allows.
+func (p *retryPlay) checkBound(t *testing.T) {
+	retries, allowed := p.worst()
+	t.Logf("%d retries in a window, %.0f allowed; %d of %d requests", retries, allowed, len(p.retries), len(p.sent))
+	if float64(retries) > allowed {
+		t.Errorf("%d retries in a window, allowed %.0f", retries, allowed)
+	}
+}
+
+// Whatever restarts, is cut off or added meanwhile, and however many requests there are, all gateways
+// together keep the bound on retries.
+func TestRetryBoundAmongDrawnRestarts(t *testing.T) {
+	for _, seed := range drawnSeeds(t, 4, 7) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 4))
+			gateways := []int{1, 2, 3, 6, 9, 30, 100}[rng.IntN(7)]
+			rate := []float64{2, 20, 200}[rng.IntN(3)]
+			t.Logf("%d gateways, %.0f requests a second", gateways, rate)
+			p := runRetryPlay(t, gateways, rate, seed, func(p *retryPlay) {
+				var work sync.WaitGroup
+				for began := time.Now(); time.Since(began) < 14*time.Second; {
+					time.Sleep(time.Duration(p.rng.Float64() * 3 * float64(time.Second)))
+					p.drawAction(&work, rate)
+				}
+				work.Wait()
+				time.Sleep(5 * time.Second)
+			})
+			p.checkBound(t)
+		})
+	}
+}
+
+// drawnSeeds returns the seeds of drawn plays, or those that POSTSTAND_SEEDS=FROM-TO names.
+func drawnSeeds(t *testing.T, from, to uint64) (out []uint64) {
+	if v := os.Getenv("POSTSTAND_SEEDS"); v != "" {
+		if _, err := fmt.Sscanf(v, "%d-%d", &from, &to); err != nil {
+			t.Fatalf("POSTSTAND_SEEDS: %v", err)
+		}
+	}
+	for seed := from; seed <= to; seed++ {
+		out = append(out, seed)
+	}
+	return out
+}
+
+// drawAction restarts, cuts off or adds gateways, or changes the rate of requests.
+func (p *retryPlay) drawAction(work *sync.WaitGroup, rate float64) {
+	down := time.Duration((0.2 + 4*p.rng.Float64()*p.rng.Float64()) * float64(time.Second))
+	gateways := p.all()
+	switch action := p.rng.IntN(9); action {
+	case 0:
+		work.Go(func() { p.kill(down, gateways...) })
+	case 1, 2:
+		killed := p.some([]float64{0.1, 0.6}[action-1])
+		work.Go(func() { p.kill(down, killed...) })
+	case 3, 4:
+		for _, i := range p.some([]float64{0.3, 1}[action-3]) {
+			gap := time.Duration(p.rng.Float64() * float64(3*time.Second))
+			work.Go(func() {
+				time.Sleep(gap)
+				p.stop(i, down)
+			})
+		}
+	case 5:
+		p.cl.cutHall(p.rng.IntN(p.cl.hallCount), len(gateways), 2*down)
+	case 6:
+		p.add()
+	case 7:
+		p.setRate(4 * rate)
+	case 8:
+		p.setRate(rate / 10)
+	}
+}
+
+// A gateway that starts while nothing was retried has its part of the retries at once: its past is
+// known to others.
+func TestRestartedGatewayHasItsRetriesAtOnce(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		restart func(p *retryPlay)
+		least   float64 // Of what others are allowed.
+	}{
+		{"killed", func(p *retryPlay) { p.kill(500*time.Millisecond, 0) }, 0.5},
+		{"stopped", func(p *retryPlay) { p.stop(0, 500*time.Millisecond) }, 0.5},
+		// By then it has requests of half a second only.
+		{"stopped, and back after long", func(p *retryPlay) { p.stop(0, 6*time.Second) }, 0.1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var allowed []float64
+			runRetryPlay(t, 9, 200, 1, func(p *retryPlay) {
+				p.setShedding(false)
+				time.Sleep(retryWindow + time.Second)
+				tc.restart(p)
+				time.Sleep(500 * time.Millisecond)
+				for i := range p.all() {
+					allowed = append(allowed, p.cl.metric(i, "poststand_retries_allowed"))
+				}
+			})
+			others := 0.0
+			for _, n := range allowed[1:] {
+				others += n / float64(len(allowed)-1)
+			}
+			t.Logf("%.1f retries allowed to the gateway, %.1f to others", allowed[0], others)
+			if allowed[0] < tc.least*others {
+				t.Errorf("%.1f retries allowed to the gateway, %.1f to others", allowed[0], others)
 			}
 		})
 	}
--- a/internal/relay/retrybudget.go
+++ b/internal/relay/retrybudget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/poststand/poststand/internal/telemetry"
@@ -10,32 +11,185 @@
 	"github.com/poststand/poststand/limit"
 )
 
-// retryWindow returns the retry budget of a service.
-func (g *Relay) retryWindow(service string) *limit.RetryWindow {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	w, ok := g.retryWindows[service]
+// retryBudgets holds the retries of this gateway's box by service. Call start before use.
+type retryBudgets struct {
+	spent chan struct{} // Receives a value after a retry was made.
+
+	mu      sync.Mutex
+	windows map[string]*limit.RetryWindow // Keyed by service; bounded by the configuration.
+	// knownSince is when the first process of the box started of which all retries are known, or zero if
+	// all are known.
+	knownSince time.Time
+	// unconfirmedUntil is until when retries that other gateways have not confirmed are limited.
+	unconfirmedUntil time.Time
+	inheritedFrom    limit.RetryRecord // What is known of earlier processes.
+	seq              int               // Of the last report.
+	handedOver       bool              // The last report was sent: no more retries may be made.
+	// answered holds the gateways that said what they know of earlier processes. A report replaces
+	// that, so others get none until askingUntil.
+	answered    map[string]bool
+	askingUntil time.Time
+}
+
+// start begins the retries of a process. On the first start of the system there was none before.
+func (b *retryBudgets) start(now time.Time, first bool) {
+	b.spent, b.windows, b.answered = make(chan struct{}, 1), map[string]*limit.RetryWindow{}, map[string]bool{}
+	b.unconfirmedUntil = now.Add(limit.UnconfirmedFor)
+	if !first {
+		b.knownSince, b.askingUntil = now, now.Add(takeOverFor)
+	}
+}
+
+// recordAnswer records that a gateway has said what it knows of earlier processes.
+func (b *retryBudgets) recordAnswer(addr string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.answered[addr] = true
+}
+
+// mayReport reports whether a gateway may get a report.
+func (b *retryBudgets) mayReport(now time.Time, addr string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.answered[addr] || !now.Before(b.askingUntil)
+}
+
+// window returns the retries to a service.
+func (b *retryBudgets) window(service string) *limit.RetryWindow {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.windowLocked(service)
+}
+
+func (b *retryBudgets) windowLocked(service string) *limit.RetryWindow {
+	w, ok := b.windows[service]
 	if !ok {
-		s := g.bounds.Load()
-		w = &limit.RetryWindow{Length: s.RetryWindow, Ratio: s.RetryRatio * retryShare}
-		g.retryWindows[service] = w
+		w = &limit.RetryWindow{KnownSince: b.knownSince}
+		b.windows[service] = w
 	}
 	return w
 }
 
-// retryShare is the fraction of the retry budget that is used, because gateways do not share
-// their counts and callers' requests are counted where they arrive.
-const retryShare = 0.8
+// all returns the retries by service.
+func (b *retryBudgets) all() map[string]*limit.RetryWindow {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.windows)
+}
 
-// retrySlack returns this gateway's share of the retries that are allowed beyond the ratio. A
-// gateway with few known peers may be cut off, so it takes a third at most, and peers count
-// for a while after they have stopped. It is unknown how many retries the previous process of
-// this gateway used, so the share of a new process grows from zero over one window.
-func (g *Relay) retrySlack() float64 {
-	const minPeers = 3
+// signalSpent has the retries reported.
+func (b *retryBudgets) signalSpent() {
+	select {
+	case b.spent <- struct{}{}:
+	default:
+	}
+}
+
+// boundsUnconfirmed reports whether unconfirmed retries are limited.
+func (b *retryBudgets) boundsUnconfirmed(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return now.Before(b.unconfirmedUntil)
+}
+
+// confirm records that other gateways have received a report that was sent at sentAt, with the given
+// numbers of retries by service.
+func (b *retryBudgets) confirm(sentAt time.Time, retries map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unconfirmedUntil = sentAt.Add(limit.UnconfirmedFor)
+	for service, n := range retries {
+		b.windowLocked(service).Confirm(n)
+	}
+}
+
+// inherit counts the retries of earlier processes of the box, if the record is newer than what is
+// known of them. It reports whether it did.
+func (b *retryBudgets) inherit(r limit.RetryRecord) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.knownSince.IsZero() || !r.Newer(&b.inheritedFrom) {
+		return false
+	}
+	b.inheritedFrom, b.knownSince = r, r.KnownSince
+	for service := range r.Services {
+		b.windowLocked(service)
+	}
+	for service, w := range b.windows {
+		w.Inherit(r.Services[service].Steps, r.KnownSince)
+	}
+	return true
+}
+
+// inherited reports whether the retries of earlier processes are known, or there were none.
+func (b *retryBudgets) inherited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return !b.inheritedFrom.HeardAt.IsZero() || b.knownSince.IsZero()
+}
+
+// handOver ends all retries.
+func (b *retryBudgets) handOver() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.handedOver = true
+}
+
+func (b *retryBudgets) ended() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.handedOver
+}
+
+// report returns what is known of the retries of this box, and the number of retries of this process
+// by service.
+func (b *retryBudgets) report(now time.Time, l limit.RetryLimit) (limit.RetryRecord, map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.seq++
+	r := limit.RetryRecord{Seq: b.seq, HeardAt: now, KnownSince: b.knownSince, Final: b.handedOver, Services: map[string]limit.RetryHistory{}}
+	retries := map[string]int{}
+	for service, w := range b.windows {
+		h, n := w.History(now, l)
+		if len(h.Steps) > 0 {
+			r.Services[service] = h
+		}
+		retries[service] = n
+	}
+	return r, retries
+}
+
+// retryLimit returns this gateway's part of the limit on retries of each service.
+func (g *Relay) retryLimit(now time.Time) limit.RetryLimit {
 	b := g.bounds.Load()
-	ramp := min(1, float64(time.Since(g.startedAt))/float64(b.RetryWindow))
-	return ramp * retryShare * float64(b.RetrySlack) / float64(max(minPeers, g.gossip.KnownCount()))
+	return limit.RetryLimit{
+		Window: b.RetryWindow, Ratio: b.RetryRatio, Slack: g.retrySlack(b.RetrySlack),
+		BoundsUnconfirmed: g.retries.boundsUnconfirmed(now),
+	}
+}
+
+// retrySlack returns this gateway's part of the retries that are allowed beyond the ratio. A gateway
+// with few known peers may be cut off, so it takes a third at most, and peers count for a while
+// after they have stopped.
+func (g *Relay) retrySlack(slack int) float64 {
+	const minPeers = 3
+	return float64(slack) / float64(max(minPeers, g.gossip.KnownCount()))
+}
+
+// recordRequest counts a request for the limit on retries.
+func (g *Relay) recordRequest(rq *request) {
+	g.retries.window(rq.service).RecordRequest(rq.arrivedAt, g.bounds.Load().RetryWindow)
+}
+
+// spendRetry counts a retry of a request that has reached replicas before, and reports whether it is
+// within the limit. When there are few, first retries go before further ones, which are refused again
+// more often.
+func (g *Relay) spendRetry(now time.Time, rq *request, arrivals int) bool {
+	if g.retries.ended() || !g.retries.window(rq.service).TrySpend(now, g.retryLimit(now), rq.rank+arrivals-1) {
+		return false
+	}
+	g.retries.signalSpent()
+	return true
 }
 
 // retryUsageInterval is the time between two log lines about the retries of a service.
@@ -43,12 +197,9 @@
 
 // retryUsage returns how much of the retry budget of each service is used.
 func (g *Relay) retryUsage(now time.Time) map[string]limit.RetryUsage {
-	g.mu.Lock()
-	windows := maps.Clone(g.retryWindows)
-	g.mu.Unlock()
 	out := map[string]limit.RetryUsage{}
-	for service, w := range windows {
-		out[service] = w.Usage(now, g.retrySlack())
+	for service, w := range g.retries.all() {
+		out[service] = w.Usage(now, g.retryLimit(now))
 	}
 	return out
 }
@@ -58,10 +209,11 @@
 	for ctx.Err() == nil {
 		kernel.Sleep(ctx, retryUsageInterval)
 		now := time.Now()
+		l := g.retryLimit(now)
 		for service, u := range g.retryUsage(now) {
 			if u.Retries > 0 {
-				telemetry.Log("retry_budget", "service", service, "requests", u.Requests, "spent", u.Retries, "allowed", u.Allowed, "slack", g.retrySlack(),
-					"gateways", g.gossip.KnownCount(), "up_ms", now.Sub(g.startedAt).Milliseconds())
+				telemetry.Log("retry_budget", "service", service, "requests", u.Requests, "spent", u.Retries, "allowed", u.Allowed, "known", u.Known, "slack", l.Slack,
+					"gateways", g.gossip.KnownCount(), "confirmed_only", l.BoundsUnconfirmed, "up_ms", now.Sub(g.startedAt).Milliseconds())
 			}
 		}
 	}
--- /dev/null
+++ b/internal/relay/retryreport.go
@@ -0,0 +1,230 @@
+package relay
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/kernel"
+	"github.com/poststand/poststand/limit"
+	"github.com/poststand/poststand/rendezvous"
+	"github.com/poststand/poststand/wire"
+)
+
+// The retries of a box count in the window after its process has ended. So a gateway reports them to
+// a few others, its holders, and a process that starts asks them for those of its predecessor.
+const (
+	localRetryHolders   = 2                       // Of the same hall; one while there are no retries in the window.
+	remoteRetryHolders  = 1                       // Of other halls.
+	maxAskedForRetries  = 8                       // Gateways that a process asks: its view may differ from its predecessor's.
+	retryReportInterval = 1500 * time.Millisecond // Between reports without retries. Less than limit.RetryRecordTTL, with time for a restart.
+	minReportInterval   = 250 * time.Millisecond  // Between reports after retries.
+	retryReportTimeout  = 400 * time.Millisecond  // Less than limit.UnconfirmedFor exceeds limit.RetryRecordTTL by.
+	handOverTimeout     = 200 * time.Millisecond  // Less than exitMargin.
+	retryHolderPause    = 2 * time.Second         // A holder that did not answer is left out for this long.
+	takeOverFor         = 3 * time.Second         // A process that starts asks others for this long,
+	takeOverInterval    = 50 * time.Millisecond   // looking for further ones at this interval.
+)
+
+// retryHolders returns the first gateways of this hall and of others in the order in which those that
+// hold this gateway's retries are chosen: as many as given, and more of one kind if the other has few.
+func (g *Relay) retryHolders(local, remote int) []string {
+	var here, elsewhere []string
+	for _, m := range g.gossip.Live() {
+		switch {
+		case m.Addr == g.Settings.Listen:
+		case m.Hall == g.Settings.Hall:
+			here = append(here, m.Addr)
+		default:
+			elsewhere = append(elsewhere, m.Addr)
+		}
+	}
+	key := "retries/" + g.Settings.Listen
+	here, elsewhere = rendezvous.Rank(key, here), rendezvous.Rank(key, elsewhere)
+	local, remote = min(local+max(0, remote-len(elsewhere)), len(here)), min(remote+max(0, local-len(here)), len(elsewhere))
+	return slices.Concat(here[:local], elsewhere[:remote])
+}
+
+// reportRetries takes over the retries of the previous process of the box, and reports those of the
+// box until ctx ends.
+func (g *Relay) reportRetries(ctx context.Context) error {
+	go g.takeOverRetries(ctx)
+	pausedUntil := map[string]time.Time{}
+	for ctx.Err() == nil {
+		began := time.Now()
+		g.sendRetryReport(ctx, pausedUntil)
+		t := time.NewTimer(retryReportInterval)
+		select {
+		case <-g.retries.spent:
+			kernel.Sleep(ctx, minReportInterval-time.Since(began))
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	return nil
+}
+
+// sendRetryReport reports the retries of this box to its holders, except those that are paused since
+// they did not answer.
+func (g *Relay) sendRetryReport(ctx context.Context, pausedUntil map[string]time.Time) {
+	now, local := time.Now(), localRetryHolders
+	if !g.hasRetries(now) {
+		local = 1
+	}
+	holders := slices.DeleteFunc(g.retryHolders(local, remoteRetryHolders), func(addr string) bool {
+		return now.Before(pausedUntil[addr]) || !g.retries.mayReport(now, addr)
+	})
+	if len(holders) == 0 {
+		return
+	}
+	own, retries := g.ownRetryRecord(now)
+	errs := g.sendRecords(ctx, retryReportTimeout, holders, []peers.RetryRecord{own})
+	received := false
+	for i, addr := range holders {
+		if errs[i] == nil {
+			received = true
+			delete(pausedUntil, addr)
+		} else {
+			pausedUntil[addr] = time.Now().Add(retryHolderPause)
+		}
+	}
+	if received {
+		g.retries.confirm(now, retries)
+	}
+}
+
+// hasRetries reports whether there are retries in the window.
+func (g *Relay) hasRetries(now time.Time) bool {
+	for _, u := range g.retryUsage(now) {
+		if u.Retries > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// ownRetryRecord returns the record of this box, and the number of retries of this process by service.
+func (g *Relay) ownRetryRecord(now time.Time) (peers.RetryRecord, map[string]int) {
+	r, retries := g.retries.report(now, g.retryLimit(now))
+	r.Process = g.pool.Local.Incarnation
+	return peers.NewRetryRecord(g.Settings.Listen, r, g.bounds.Load().RetryWindow, now), retries
+}
+
+// sendRecords sends records to gateways and returns the error of each.
+func (g *Relay) sendRecords(ctx context.Context, within time.Duration, to []string, records []peers.RetryRecord) []error {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	errs := make([]error, len(to))
+	var wg sync.WaitGroup
+	for i, addr := range to {
+		wg.Go(func() { errs[i] = g.gossip.ReportRetries(ctx, addr, records) })
+	}
+	wg.Wait()
+	return errs
+}
+
+// handOverRetries reports, before a planned end, that this process makes no more retries. Others may
+// have told this gateway the same a moment ago, so it passes on what it holds.
+func (g *Relay) handOverRetries(ctx context.Context) {
+	g.retries.handOver()
+	now, window := time.Now(), g.bounds.Load().RetryWindow
+	own, _ := g.ownRetryRecord(now)
+	records := []peers.RetryRecord{own}
+	for gateway, held := range g.retryRecords.All(now) {
+		if now.Sub(held.HeardAt) < window {
+			records = append(records, peers.NewRetryRecord(gateway, held, window, now))
+		}
+	}
+	to := g.retryHolders(maxAskedForRetries/2, maxAskedForRetries/2)
+	received := 0
+	for _, err := range g.sendRecords(ctx, handOverTimeout, to, records) {
+		if err == nil {
+			received++
+		}
+	}
+	telemetry.Log("retries_handed_over", "to", len(to), "received", received, "records", len(records))
+}
+
+// takeOverRetries asks other gateways for the retries of the previous process of the box, until one
+// of them knows all or takeOverFor is over.
+func (g *Relay) takeOverRetries(ctx context.Context) {
+	if g.retries.inherited() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, g.startedAt.Add(takeOverFor))
+	defer cancel()
+	asked := map[string]bool{}
+	for ; ctx.Err() == nil && !g.retries.inherited(); kernel.Sleep(ctx, takeOverInterval) {
+		for _, addr := range g.retryHolders(maxAskedForRetries/2, maxAskedForRetries/2) {
+			if !asked[addr] && len(asked) < 2*maxAskedForRetries {
+				asked[addr] = true
+				go g.takeOverFrom(ctx, addr)
+			}
+		}
+	}
+}
+
+// takeOverFrom asks one gateway for the retries of the previous process.
+func (g *Relay) takeOverFrom(ctx context.Context, addr string) {
+	askedAt := time.Now()
+	a, err := g.gossip.QueryRetries(ctx, addr, g.startedAt)
+	if err != nil {
+		return
+	}
+	defer g.retries.recordAnswer(addr)
+	if !a.Found {
+		return
+	}
+	g.inheritRetries(a.Record.Received(askedAt, g.bounds.Load().RetryWindow/limit.WindowSteps), addr)
+}
+
+func (g *Relay) inheritRetries(r limit.RetryRecord, from string) {
+	if !g.retries.inherit(r) {
+		return
+	}
+	retries := map[string]int{}
+	for service, h := range r.Services {
+		for _, s := range h.Steps {
+			retries[service] += s.Retries
+		}
+	}
+	telemetry.Log("retries_taken_over", "from", from, "retries", retries, "heard_ago", g.startedAt.Sub(r.HeardAt), "known_for", g.startedAt.Sub(r.KnownSince), "up_ms", time.Since(g.startedAt).Milliseconds())
+}
+
+// serveRetryReport holds the records of other gateways. One of an earlier process of this box counts
+// here: its sender may have learnt it after it was asked.
+func (g *Relay) serveRetryReport(ctx context.Context, s *wire.Stream, m *peers.RetryReport) {
+	now := time.Now()
+	stepLength := g.bounds.Load().RetryWindow / limit.WindowSteps
+	for i := range m.Records {
+		rec := &m.Records[i]
+		if !rec.Valid() {
+			telemetry.Log("retry_record_ignored", "from", s.Conn().Remote().Box, "gateway", rec.Gateway)
+			continue
+		}
+		r := rec.Received(now, stepLength)
+		switch {
+		case rec.Gateway != g.Settings.Listen:
+			g.retryRecords.Store(now, rec.Gateway, r)
+		case r.Complete(g.startedAt) && r.HeardAt.Before(g.startedAt):
+			g.inheritRetries(r, s.Conn().Remote().Box)
+		}
+	}
+	_ = s.SendLast(ctx, &peers.RetryReportReceived{})
+}
+
+// serveRetryQuery tells a process that has started of the retries of its predecessor.
+func (g *Relay) serveRetryQuery(ctx context.Context, s *wire.Stream, m *peers.RetryQuery) {
+	now := time.Now()
+	a := &peers.RetryAnswer{}
+	if m.Gateway != "" && m.Up >= 0 {
+		var r limit.RetryRecord
+		r, a.Found = g.retryRecords.Take(now, now.Add(-m.Up), m.Gateway)
+		a.Record = peers.NewRetryRecord(m.Gateway, r, g.bounds.Load().RetryWindow, now)
+	}
+	_ = s.SendLast(ctx, a)
+}
--- a/internal/settings/direct.go
+++ b/internal/settings/direct.go
@@ -26,7 +26,10 @@
 	Ready        string `yaml:"ready"` // IP and port of the load balancer's readiness check.
 	// AgentPort is the port of the agents' listen addresses, at the IPs of their replicas. Without
 	// it agents are not queried for the load of their replicas.
-	AgentPort       int `yaml:"agent_port"`
+	AgentPort int `yaml:"agent_port"`
+	// FirstStart reports that no gateway of the system has run before, so that none can have made
+	// retries.
+	FirstStart      bool `yaml:"first_start"`
 	RelayReloadable `yaml:",inline"`
 }
 
--- a/limit/permits.go
+++ b/limit/permits.go
@@ -2,15 +2,11 @@
 
 import "time"
 
-// NumRanks is the number of ranks that requests have; rank 0 is the most urgent.
-const NumRanks = 10
-
 // Bounds of Permits.
 const (
-	minBurst        = 2.0             // Least bound on accumulated permits, so that one can be reserved for urgent requests.
-	burstSeconds    = 0.25            // Bound on accumulated permits, in seconds of the limit, if that is more.
-	reservedPermits = 1.0             // Permits reserved after a more urgent request was denied one,
-	reserveFor      = 4 * time.Second // for this long.
+	minBurst        = 2.0  // Least bound on accumulated permits, so that one can be reserved for urgent requests.
+	burstSeconds    = 0.25 // Bound on accumulated permits, in seconds of the limit, if that is more.
+	reservedPermits = 1.0  // Permits reserved after a more urgent request was denied one.
 	// minRate is the rate at which permits are granted if the limit is lower, even if it is 0:
 	// the answers to these requests show when the limit is lifted.
 	minRate = 0.1
@@ -20,9 +16,9 @@
 // gateway holds the Permits of a limit, and all request permits from it. New Permits have none
 // available, because it is not known what was sent before.
 type Permits struct {
-	available float64             // Permits that can be granted now.
-	updatedAt time.Time           // When available was computed; zero before the first request.
-	deniedAt  [NumRanks]time.Time // When a request of each rank was last denied a permit.
+	available float64     // Permits that can be granted now.
+	updatedAt time.Time   // When available was computed; zero before the first request.
+	denied    deniedRanks // Ranks that were denied a permit.
 }
 
 // Take grants a permit to a request of a rank, or returns when one will be available to it. The
@@ -40,23 +36,13 @@
 	}
 	p.available = min(burst, p.available)
 	needed := 1.0
-	if p.moreUrgentDenied(now, rank) {
+	if p.denied.moreUrgent(now, rank) {
 		needed += reservedPermits
 	}
 	if p.available < needed {
-		p.deniedAt[rank] = now
+		p.denied[rank] = now
 		return false, now.Add(time.Duration((needed - p.available) / rate * float64(time.Second)))
 	}
 	p.available--
 	return true, time.Time{}
 }
-
-// moreUrgentDenied reports whether a more urgent request was recently denied a permit.
-func (p *Permits) moreUrgentDenied(now time.Time, rank int) bool {
-	for _, at := range p.deniedAt[:rank] {
-		if !at.IsZero() && now.Sub(at) < reserveFor {
-			return true
-		}
-	}
-	return false
-}
