internal/peers, internal/relay: gateways that are not seen keep their part of the retry slack

Cause: the slack was divided by the gateways heard of in 30 s. Halls that are cut off from each other for longer each took all of it, and a process that has just started divided it by the few that it knew. Class: as for restarts, a bound held by memory that ends too early.

Change: gateways count for ten minutes after they were last heard of, and the answer to a process that starts says how many those are.

Beyond ten minutes it does not hold, as the design note says.

--- a/internal/peers/gossip.go
+++ b/internal/peers/gossip.go
@@ -22,9 +22,12 @@
 	announceTimeout     = time.Second             // Time allowed for the answer to an announcement.
 	liveTimeout         = 2500 * time.Millisecond // A gateway not seen for this long is not live; longer if announcements pass through other gateways.
 	forgetAfter         = 30 * time.Second
-	pullDelay           = 150 * time.Millisecond // Delay before a pull, as the platform itself usually sends the change sooner.
-	crossHallPullDelay  = 800 * time.Millisecond // Delay before a pull from another hall, as a gateway of this hall usually sends the change sooner.
-	pullTimeout         = 2 * time.Second
+	// RememberFor is how long a gateway counts in RecentCount. Parts of the fleet lose each other for
+	// minutes.
+	RememberFor        = 10 * time.Minute
+	pullDelay          = 150 * time.Millisecond // Delay before a pull, as the platform itself usually sends the change sooner.
+	crossHallPullDelay = 800 * time.Millisecond // Delay before a pull from another hall, as a gateway of this hall usually sends the change sooner.
+	pullTimeout        = 2 * time.Second
 	// A gateway that watches the platform pushes changes to its hall up to this size. Larger
 	// changes are announced, and the others pull them from one another.
 	maxPushBytes = 16 << 10
@@ -71,7 +74,8 @@
 	Suspects *quarantine.Table
 
 	mu          sync.Mutex
-	members     map[string]*member // By address.
+	members     map[string]*member   // By address.
+	heard       map[string]time.Time // When each gateway was last heard of in RememberFor, by address.
 	pulling     bool
 	pullDelayed bool // A pull from another hall waits, since a gateway of this hall may send the changes.
 	// pulledAt is the newest position that was pulled: other gateways may lack its changes as
@@ -103,6 +107,7 @@
 func (g *Gossip) init() {
 	g.initOnce.Do(func() {
 		g.members = map[string]*member{}
+		g.heard = map[string]time.Time{}
 		g.joinAttempted = make(chan struct{})
 	})
 }
@@ -157,6 +162,15 @@
 	return n
 }
 
+// RecentCount returns the number of gateways that were heard of in the last minutes, including this
+// one: those that have fallen silent may be cut off and go on.
+func (g *Gossip) RecentCount() int {
+	g.init()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return 1 + len(g.heard)
+}
+
 // ManyGateways reports whether there are so many gateways that agents report to some of them
 // only.
 func (g *Gossip) ManyGateways() bool { return g.manyGateways.Load() }
@@ -239,6 +253,7 @@
 		return
 	}
 	e.lastHeard, e.at, e.suspectsDigest = now, max(e.at, a.At), a.SuspectsDigest
+	g.heard[a.From.Addr] = now
 	e.watching = a.Watching && a.At.Era() >= g.Mirror.At().Era() // Otherwise it sends no changes that apply here.
 	if !e.live {
 		e.live = true
@@ -248,6 +263,7 @@
 	for _, k := range a.Known {
 		if e := g.recordMember(k.Member, now); e != nil && now.Add(-k.Age).After(e.lastHeard) {
 			e.lastHeard, e.watching = now.Add(-k.Age), k.Watching
+			g.heard[k.Addr] = e.lastHeard
 		}
 	}
 	behind := a.At > g.Mirror.At() && !g.pulling
--- a/internal/peers/message_test.go
+++ b/internal/peers/message_test.go
@@ -47,8 +47,9 @@
 		Services map[string]sentRetries
 	}
 	sentRetryAnswer struct {
-		Found  bool
-		Record sentRetryRecord
+		Found    bool
+		Record   sentRetryRecord
+		Gateways int
 	}
 	sentRecords struct {
 		Delta     mirror.Delta
@@ -82,8 +83,8 @@
 		},
 		{
 			"retry answer",
-			&sentRetryAnswer{true, sentRetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]sentRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}},
-			&RetryAnswer{true, RetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]ServiceRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}},
+			&sentRetryAnswer{true, sentRetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]sentRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}, 10},
+			&RetryAnswer{true, RetryRecord{"g", 1, 2, 3, 4, true, 5, map[string]ServiceRetries{"s": {[]int{6}, []int{7}, []int{8}, 9}}}, 10},
 		},
 		{
 			"held records",
--- a/internal/peers/neighbours.go
+++ b/internal/peers/neighbours.go
@@ -22,6 +22,11 @@
 			delete(g.members, addr)
 		}
 	}
+	for addr, at := range g.heard {
+		if now.Sub(at) > RememberFor {
+			delete(g.heard, addr)
+		}
+	}
 }
 
 // chooseNeighbours returns the gateways to announce to: all of them if they are few, otherwise
--- a/internal/peers/retries.go
+++ b/internal/peers/retries.go
@@ -14,6 +14,7 @@
 	maxRetrySteps = 256
 	maxStepCount  = 1 << 24
 	maxStepAge    = 1 << 16 // In units.
+	maxGateways   = 1 << 16
 	// maxGatewayLength is the longest address, in bytes.
 	maxGatewayLength = 64
 )
@@ -58,8 +59,9 @@
 
 // RetryAnswer answers a RetryQuery.
 type RetryAnswer struct {
-	Found  bool // Whether Record includes all retries of earlier processes.
-	Record RetryRecord
+	Found    bool // Whether Record includes all retries of earlier processes.
+	Record   RetryRecord
+	Gateways int // See Gossip.RecentCount.
 }
 
 // Valid reports whether the record is plausible: its values are within bounds.
@@ -153,7 +155,7 @@
 		return nil, err
 	}
 	a, ok := m.(*RetryAnswer)
-	if !ok || a.Found && (a.Record.Gateway != g.Self.Addr || !a.Record.Valid()) {
+	if !ok || a.Gateways < 0 || a.Gateways > maxGateways || a.Found && (a.Record.Gateway != g.Self.Addr || !a.Record.Valid()) {
 		return nil, fault.New(fault.Garbage, "invalid answer to a query of retries")
 	}
 	return a, nil
--- a/internal/relay/retrybudget.go
+++ b/internal/relay/retrybudget.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/limit"
@@ -25,6 +26,7 @@
 	inheritedFrom    limit.RetryRecord // What is known of earlier processes.
 	seq              int               // Of the last report.
 	handedOver       bool              // The last report was sent: no more retries may be made.
+	gatewaysTold     int               // The most gateways that others had heard of when this process started.
 	// answered holds the gateways that said what they know of earlier processes. A report replaces
 	// that, so others get none until askingUntil.
 	answered    map[string]bool
@@ -40,11 +42,20 @@
 	}
 }
 
-// recordAnswer records that a gateway has said what it knows of earlier processes.
-func (b *retryBudgets) recordAnswer(addr string) {
+// recordAnswer records that a gateway has said what it knows of earlier processes, and how many
+// gateways it has heard of.
+func (b *retryBudgets) recordAnswer(addr string, gateways int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.answered[addr] = true
+	b.gatewaysTold = max(b.gatewaysTold, gateways)
+}
+
+// toldGateways returns how many gateways others had heard of when this process started.
+func (b *retryBudgets) toldGateways() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.gatewaysTold
 }
 
 // mayReport reports whether a gateway may get a report.
@@ -169,11 +180,20 @@
 }
 
 // retrySlack returns this gateway's part of the retries that are allowed beyond the ratio. A gateway
-// with few known peers may be cut off, so it takes a third at most, and peers count for a while
-// after they have stopped.
+// with few known peers may be cut off, so it takes a third at most.
 func (g *Relay) retrySlack(slack int) float64 {
 	const minPeers = 3
-	return float64(slack) / float64(max(minPeers, g.gossip.KnownCount()))
+	return float64(slack) / float64(max(minPeers, g.retryGateways()))
+}
+
+// retryGateways returns how many gateways may make retries. Those that have been silent for a while may
+// be cut off, and a process that has just started knows of them from others.
+func (g *Relay) retryGateways() int {
+	n := g.gossip.RecentCount()
+	if time.Since(g.startedAt) < peers.RememberFor {
+		n = max(n, g.retries.toldGateways())
+	}
+	return n
 }
 
 // recordRequest counts a request for the limit on retries.
@@ -213,7 +233,7 @@
 		for service, u := range g.retryUsage(now) {
 			if u.Retries > 0 {
 				telemetry.Log("retry_budget", "service", service, "requests", u.Requests, "spent", u.Retries, "allowed", u.Allowed, "known", u.Known, "slack", l.Slack,
-					"gateways", g.gossip.KnownCount(), "confirmed_only", l.BoundsUnconfirmed, "up_ms", now.Sub(g.startedAt).Milliseconds())
+					"gateways", g.retryGateways(), "confirmed_only", l.BoundsUnconfirmed, "up_ms", now.Sub(g.startedAt).Milliseconds())
 			}
 		}
 	}
--- a/internal/relay/retryreport.go
+++ b/internal/relay/retryreport.go
@@ -175,7 +175,7 @@
 	if err != nil {
 		return
 	}
-	defer g.retries.recordAnswer(addr)
+	defer g.retries.recordAnswer(addr, a.Gateways)
 	if !a.Found {
 		return
 	}
@@ -220,7 +220,7 @@
 // serveRetryQuery tells a process that has started of the retries of its predecessor.
 func (g *Relay) serveRetryQuery(ctx context.Context, s *wire.Stream, m *peers.RetryQuery) {
 	now := time.Now()
-	a := &peers.RetryAnswer{}
+	a := &peers.RetryAnswer{Gateways: g.gossip.RecentCount()}
 	if m.Gateway != "" && m.Up >= 0 {
 		var r limit.RetryRecord
 		r, a.Found = g.retryRecords.Take(now, now.Add(-m.Up), m.Gateway)
