internal/relay: an absurd number of tokens does not end the gateway

Cause: the tokens of requests in progress at a replica are summed; the sum overflowed, and Table.Done takes a negative sum for a request that ended twice, and panics in an attempt's goroutine. Times predicted from such numbers overflowed too.

Change: a request is taken to have 2^24 tokens at most, whatever its headers state. What is sent on is unchanged. The deadline was bounded before, and no other header of callers is summed.

Why it holds: with 2^24 for each of a replica's requests no sum or duration comes near its limits.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -114,6 +114,16 @@
 	return func(hall string) bool { return r.Allows(regions[hall]) }
 }
 
+// maxStatedTokens bounds the tokens that a request is taken to have, whatever its caller states: sums
+// and durations of such requests do not overflow. No model reads as many.
+const maxStatedTokens = 1 << 24
+
+// statedTokens parses a number of tokens, and reports whether it is one.
+func statedTokens(s string) (int, bool) {
+	n, err := strconv.Atoi(strings.TrimSpace(s))
+	return min(n, maxStatedTokens), err == nil && n >= 0
+}
+
 // parseWorkload returns the workload of a request, with the engine's usual values for what its
 // headers do not specify.
 func parseWorkload(names *Headers, h http.Header, e config.Engine) route.Workload {
@@ -122,14 +132,13 @@
 	}
 	w := route.Workload{PromptTokens: e.MeanPromptTokens, AnswerTokens: e.MeanAnswerTokens}
 	prompt, maxAnswer, _ := strings.Cut(h.Get(names.Tokens), ",")
-	if n, err := strconv.Atoi(strings.TrimSpace(prompt)); err == nil && n >= 0 {
+	if n, ok := statedTokens(prompt); ok {
 		w.PromptTokens = n
 	}
-	maxTokens, err := strconv.Atoi(strings.TrimSpace(maxAnswer))
-	if hint, herr := strconv.Atoi(h.Get(names.LengthHint)); herr == nil && hint > 0 {
+	if hint, ok := statedTokens(h.Get(names.LengthHint)); ok && hint > 0 {
 		w.AnswerTokens = hint
 	}
-	if err == nil && maxTokens > 0 {
+	if maxTokens, ok := statedTokens(maxAnswer); ok && maxTokens > 0 {
 		w.AnswerTokens, w.MaxAnswerTokens = min(w.AnswerTokens, maxTokens), maxTokens
 	}
 	return w
