internal/relay: a request that crashes replicas at once is quarantined on reused connections

Cause: on a reused connection, a break within 30 ms of the send was taken for one of a replica that had terminated before, so that no strike was recorded. A busy gateway nearly always reuses one.

Change: such a break counts if the connection was seen open at most 5 ms before the request was written. The check itself is not new: each connection is looked at before it is reused. The time in progress now counts from the write, not from the choice. Simulated connections can tell the same.

Why it holds: a replica that terminated before the send has closed its connections, and the check finds that, but for a close that is on its way. Requests sent in that moment are as suspect as those that the replica was running.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -59,6 +59,7 @@
 	conn        *conn
 	stopAbort   func() bool // Stops the abort of conn when the attempt is cancelled.
 	idleTimeout time.Duration
+	sentAt      time.Time // When the request was written; zero before.
 	// firstAt is when the first event or the complete answer arrived; zero before.
 	firstAt     time.Time
 	harmCheck   *time.Timer // Set with firstAt if the answer is a success; see checkHarm.
@@ -241,7 +242,8 @@
 	b.WriteString("\r\n")
 	b.Write(rq.body)
 	_ = a.conn.SetDeadline(rq.deadline)
-	a.recentSends = a.relay.table.RecordSend(time.Now(), a.to.Reservation)
+	a.sentAt = time.Now()
+	a.recentSends = a.relay.table.RecordSend(a.sentAt, a.to.Reservation)
 	return a.conn.Write(b.Bytes())
 }
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -33,6 +33,7 @@
 	idleSince     time.Time
 	reusableUntil time.Time
 	uses          int
+	seenOpenAt    time.Time // When the connection was last seen open before a request; zero if that can't be told.
 }
 
 // abort closes a connection whose request was abandoned. Bytes that have not left the box are
@@ -145,22 +146,34 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	quiet, known := isOpenWithoutData(c.Conn)
+	if quiet && known {
+		c.seenOpenAt = time.Now()
+	}
+	return quiet
+}
+
+// isOpenWithoutData reports whether the other end of a connection has neither sent unread data nor
+// closed it; known is false if that can't be told.
+func isOpenWithoutData(nc net.Conn) (quiet, known bool) {
+	if q, ok := nc.(interface{ Quiet() bool }); ok {
+		return q.Quiet(), true
+	}
+	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true
+		return true, false
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return false, true
 	}
-	quiet := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		quiet = errors.Is(rerr, syscall.EAGAIN)
 		return true
 	})
-	return err == nil && quiet
+	return err == nil && quiet, true
 }
 
 // keepAliveTimeout returns how long a connection may stay idle, given the upstream's
--- a/internal/relay/crash_injector_test.go
+++ b/internal/relay/crash_injector_test.go
@@ -35,7 +35,8 @@
 
 // crashInjector crashes and restarts replicas, and records the runs of fatal requests.
 type crashInjector struct {
-	cl *testCluster
+	cl    *testCluster
+	after time.Duration // Run time of a fatal request before its replica crashes.
 
 	mu         sync.Mutex
 	crashTimes []time.Time // When replicas crashed under a fatal request.
@@ -45,7 +46,7 @@
 
 // injectCrashes makes all replicas crash under fatal requests.
 func (cl *testCluster) injectCrashes() *crashInjector {
-	c := &crashInjector{cl: cl}
+	c := &crashInjector{cl: cl, after: crashAfter}
 	for _, r := range cl.replicas {
 		r.CrashOn = c.crashIfFatal
 	}
@@ -60,7 +61,7 @@
 	c.mu.Lock()
 	c.runTimes = append(c.runTimes, time.Now())
 	c.mu.Unlock()
-	time.Sleep(crashAfter)
+	time.Sleep(c.after)
 	c.mu.Lock()
 	c.crashTimes = append(c.crashTimes, time.Now())
 	c.mu.Unlock()
--- a/internal/relay/quarantine_test.go
+++ b/internal/relay/quarantine_test.go
@@ -1,7 +1,9 @@
 package relay_test
 
 import (
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -28,6 +30,40 @@
 	})
 }
 
+// A request that crashes replicas as soon as it begins to run breaks a reused connection at once, like
+// one whose replica had terminated before.
+func TestRequestThatCrashesReplicasAtOnceIsQuarantined(t *testing.T) {
+	for _, after := range []time.Duration{0, time.Millisecond, 15 * time.Millisecond, 60 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			runCluster(t, 2, engines(8, 3), func(is *is.I, cl *testCluster) {
+				c := cl.injectCrashes()
+				c.after = after
+				stop := make(chan struct{})
+				var sound sync.WaitGroup
+				sound.Go(func() { // Keeps connections in use.
+					for n := 0; ; n++ {
+						select {
+						case <-stop:
+							return
+						case <-time.After(5 * time.Millisecond):
+						}
+						sound.Go(func() {
+							cl.send(n%2, "POST", fmt.Sprint("/s/sound", n), map[string]string{"X-Attempt-Id": fmt.Sprint("s", n)})
+						})
+					}
+				})
+				time.Sleep(time.Second)
+				cl.sendRepeatedly(fatalTarget, callerRetrySpan, 0, 1)
+				close(stop)
+				sound.Wait()
+				c.checkLateRuns()
+				is.True(cl.isQuarantined(0, fatalTarget))
+				is.True(cl.isQuarantined(1, fatalTarget))
+			})
+		})
+	}
+}
+
 // On a route with one attempt per request, a fatal request crashes one replica each time that its
 // caller sends it. Each of the first three may do so.
 func TestFatalRequestOnARouteWithOneAttempt(t *testing.T) {
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -18,11 +18,14 @@
 // begins. One whose replica has run on for this long did no harm.
 const suspectWindow = 500 * time.Millisecond
 
-// minRunTime is how long a request must have been in progress on a reused connection to be a
-// suspect. If the replica terminated shortly before, the connection breaks as soon as the
-// request is sent, and the request has not run. Without this minimum, when all replicas
-// terminate at once, one request would get strikes for two of them.
-const minRunTime = 30 * time.Millisecond
+// A replica that terminated before a request was sent on a reused connection has not run it, and the
+// connection breaks as soon as it is used. Without this distinction, when all replicas terminate at
+// once, one request would get strikes for two of them. So either the connection was seen open at most
+// maxSeenOpenAge before, or the request was in progress for minRunTime.
+const (
+	minRunTime     = 30 * time.Millisecond
+	maxSeenOpenAge = 5 * time.Millisecond
+)
 
 // struckRound is the highest strike round of the attempts at a request after which a replica may
 // have terminated, for one of its keys. Such a termination counts before it is confirmed.
@@ -126,7 +129,7 @@
 // mayBeCause reports whether the request can be the cause if its replica has terminated. Its
 // connection broke at now.
 func (a *attempt) mayBeCause(now time.Time) bool {
-	if a.conn == nil || a.conn.uses > 0 && now.Sub(a.startedAt) < minRunTime {
+	if a.conn == nil || a.conn.uses > 0 && now.Sub(a.sentAt) < minRunTime && a.sentAt.Sub(a.conn.seenOpenAt) > maxSeenOpenAge {
 		return false
 	}
 	return a.firstAt.IsZero() || now.Sub(a.firstAt) < suspectWindow
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -93,6 +93,15 @@
 	return c.Conn.Close()
 }
 
+// Quiet reports whether the other side has not closed the connection. Data that is on its way does not
+// count.
+func (c *conn) Quiet() bool {
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	_, err := c.Conn.Read(nil)
+	_ = c.Conn.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
