internal/relay: a surplus refusal without an ID is not the answer to a running request

Cause: a faulty replica sends a second refusal, late and without X-Attempt-Id, where the next answer of the connection is expected. An answer without an ID was taken for the answer to the request; the refusal in it had the request, which was running, sent again, or its caller told that it had not run.

Change: on a connection that has carried another request, a refusal without an ID is skipped like one with another ID. A misdirected request (421) is still answered without one, as replicas do.

Why it holds: replicas echo the ID in all answers but those; a refusal without it on such a connection belongs to no request. On a new connection there is no earlier one that it could follow.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -307,7 +307,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := resp.Header.Get(names.RequestID); id == "" || id == a.rq.id {
+		if id := resp.Header.Get(names.RequestID); id == a.rq.id || id == "" && !a.mayBeSurplus(resp) {
 			return resp, dispatch.Result{}
 		}
 		a.relay.Metrics.Event("stray_answer", "")
@@ -318,6 +318,13 @@
 	return nil, unknown(fault.Garbage)
 }
 
+// mayBeSurplus reports whether a response without an ID may belong to an earlier request of the
+// connection and says that its request has not run. Believed, it would have a request that is running
+// sent again. Misdirected requests are answered without an ID.
+func (a *attempt) mayBeSurplus(resp *http.Response) bool {
+	return a.conn.uses > 0 && resp.StatusCode != http.StatusMisdirectedRequest && resp.Header.Get(a.relay.headers.NotRun) != ""
+}
+
 // recordFirst records the arrival of the first data.
 func (a *attempt) recordFirst() {
 	if a.firstAt.IsZero() {
