internal/relay: a framed stream that stops inside an event is not complete

Cause: the end of a stream without framing was checked for an event that had begun; that of a framed one was not, and what was left was passed on.

Change: both are checked alike: a stream that ends inside an event, or without one, has been broken off, and goes on elsewhere where its route allows that. White space after the last event is passed on.

Measured: relay TestFramedStreamThatEndsInsideAnEventIsNotWhole: the three cases that end early failed before and hold now, whole streams stay byte for byte.

--- a/internal/relay/badanswer_test.go
+++ b/internal/relay/badanswer_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +53,49 @@
 	check.Equal(got[http.StatusOK], len(runs)) // Whoever was refused was not run.
 	check.True(len(runs) >= requests*2/3) // The bound on retries leaves some refused.
 }
+
+// A replica stops partway through an event, and the framing of its answer ends as usual. The caller
+// must not get the piece, nor a complete end: the stream goes on at another replica.
+func TestFramedStreamThatEndsInsideAnEventIsNotWhole(t *testing.T) {
+	const all = 4
+	for _, tc := range []struct {
+		name, sent string
+		runs       int
+	}{
+		{"inside an event", events(1, 2) + "id: 3\nda", 2},
+		{"inside its first event", "id: 1\nda", 2},
+		{"before its first event", "", 2},
+		{"whole", events(1, all), 1},
+		{"whole, with another newline", events(1, all) + "\n", 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			rs, got := engines(2, all), reply{}
+			first := make(chan bool, 1)
+			first <- true
+			for _, r := range rs {
+				r.Handle = func(_ int, x *platformtest.Exchange) bool {
+					select {
+					case <-first:
+					default:
+						return false
+					}
+					x.RecordRun()
+					x.Printf("%s", x.Head(http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+					if tc.sent != "" {
+						x.Printf("%x\r\n%s\r\n", len(tc.sent), tc.sent)
+					}
+					x.Printf("0\r\n\r\n")
+					return true
+				}
+			}
+			runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) { got = cl.send(0, "POST", "/s/x", nil) })
+			check := is.New(t)
+			check.Equal(strings.TrimSpace(got.body), strings.TrimSpace(events(1, all)))
+			if tc.runs == 1 {
+				check.Equal(got.body, tc.sent)
+			}
+			check.True(!got.truncated)
+			check.Equal(countRuns(rs), tc.runs)
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,7 +18,7 @@
 	idField  = []byte("id:")
 )
 
-// stream passes on complete events as they arrive, and returns those at the end of the stream. A
+// stream passes on complete events as they arrive, and returns what follows the last one. A
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
@@ -44,26 +44,26 @@
 			buf = append(buf[:0], buf[end:]...)
 		}
 		switch {
-		case err == io.EOF && !framed:
-			return nil, a.unframedEnd(ctx, len(buf) > 0)
 		case err == io.EOF:
-			return buf, nil
+			if err = a.endOfEvents(len(bytes.TrimSpace(buf)) > 0); err == nil && !framed {
+				err = a.endedWithReplica(ctx)
+			}
+			return buf, err
 		case err != nil:
 			return nil, err
 		}
 	}
 }
 
-// unframedEnd returns the error of a stream that has ended with its connection, or nil if it is
-// complete.
-func (a *attempt) unframedEnd(ctx context.Context, insideEvent bool) error {
+// endOfEvents returns an error if a stream that has ended is not complete.
+func (a *attempt) endOfEvents(insideEvent bool) error {
 	switch {
 	case insideEvent:
 		return fault.New(fault.Truncated, "stream ended inside an event")
 	case a.firstAt.IsZero() && !a.continues:
 		return fault.New(fault.Truncated, "stream ended without an event")
 	}
-	return a.endedWithReplica(ctx)
+	return nil
 }
 
 // parseLastID returns the ID of the last event in b that has one.
