internal/relay: a probe from before a connection broke does not say that its replica lives

Cause: whether a replica has ended is probed by a connection, and the result is used for 200 ms. A probe that another request had caused just before the crash found the replica alive, and its result was used for the break after it; the strike was lost.

Change: a probe that found the replica alive counts only for connections that had broken by then.

--- a/internal/relay/endprobe.go
+++ b/internal/relay/endprobe.go
@@ -37,25 +37,29 @@
 	ended bool // The replica has terminated; set before done is closed.
 }
 
-// ended reports whether the replica at an address has terminated. It reuses the result of a
-// recent probe.
-func (e *endProbes) ended(id, addr string) bool {
-	p, isNew := e.probe(id)
-	if isNew {
-		p.ended = e.refusesConnection(addr)
-		close(p.done)
+// ended reports whether the replica at an address has terminated. It reuses the result of a recent
+// probe, but not of one that began before since and found the replica alive.
+func (e *endProbes) ended(id, addr string, since time.Time) bool {
+	for {
+		p, isNew := e.probe(id, since)
+		if isNew {
+			p.ended = e.refusesConnection(addr)
+			close(p.done)
+		}
+		<-p.done
+		if p.ended || !p.at.Before(since) {
+			return p.ended
+		}
 	}
-	<-p.done
-	return p.ended
 }
 
-// probe returns the most recent probe of a replica, or a new one whose result the caller must
-// set.
-func (e *endProbes) probe(id string) (p *endProbe, isNew bool) {
+// probe returns the most recent probe of a replica that may answer for since, or a new one whose
+// result the caller must set.
+func (e *endProbes) probe(id string, since time.Time) (p *endProbe, isNew bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if p := e.probes[id]; p != nil && now.Sub(p.at) <= endProbeTTL {
+	if p := e.probes[id]; p != nil && now.Sub(p.at) <= endProbeTTL && !p.foundAliveBefore(since) {
 		return p, false
 	}
 	if e.probes == nil {
@@ -66,6 +70,16 @@
 	return p, true
 }
 
+// foundAliveBefore reports whether the probe began before a time and found the replica alive.
+func (p *endProbe) foundAliveBefore(t time.Time) bool {
+	select {
+	case <-p.done:
+		return !p.ended && p.at.Before(t)
+	default:
+		return false
+	}
+}
+
 // refusesConnection reports whether no process listens at an address.
 func (e *endProbes) refusesConnection(addr string) bool {
 	dial := e.Dial
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -147,7 +147,7 @@
 // when its replica crashes.
 func (a *attempt) checkHarm() {
 	g, rq, now := a.relay, a.rq, time.Now()
-	if a.complete.Load() && (g.suspects.HasTerminated(a.to.ID, a.firstAt) || g.anySuspect(now, rq) && g.endProbes.ended(a.to.ID, a.to.Addr)) {
+	if a.complete.Load() && (g.suspects.HasTerminated(a.to.ID, a.firstAt) || g.anySuspect(now, rq) && g.endProbes.ended(a.to.ID, a.to.Addr, a.firstAt)) {
 		a.recordStrikes(now)
 		return
 	}
@@ -174,7 +174,7 @@
 // recordEnd records the termination of a replica whose connection broke at the given time, if it
 // has terminated.
 func (a *attempt) recordEnd(at time.Time) {
-	if a.relay.endProbes.ended(a.to.ID, a.to.Addr) {
+	if a.relay.endProbes.ended(a.to.ID, a.to.Addr, at) {
 		a.relay.recordEnd(a.to.ID, at)
 	}
 }
@@ -183,7 +183,7 @@
 // and a strike against each key of the request.
 func (a *attempt) recordStrikes(at time.Time) {
 	g, rq := a.relay, a.rq
-	if !g.endProbes.ended(a.to.ID, a.to.Addr) {
+	if !g.endProbes.ended(a.to.ID, a.to.Addr, at) {
 		return
 	}
 	var notices []endNotice
