internal/relay: a stream without its replica's signature is not an answer

Cause: the signature was looked for in plain answers only.

Change: a stream without it counts as failed before anything is passed on, and goes elsewhere.

--- a/internal/relay/badanswer_test.go
+++ b/internal/relay/badanswer_test.go
@@ -99,3 +99,30 @@
 		})
 	}
 }
+
+// A faulty replica answers at once, and what it sends is no answer: it has no signature. A caller must
+// not get that as its stream, and the replica must not draw the requests of the sound ones.
+func TestStreamWithoutASignatureIsNotAnAnswer(t *testing.T) {
+	const requests = 40
+	rs, whole := engines(3, 3), 0
+	rs[0].Handle = func(_ int, x *platformtest.Exchange) bool {
+		const garbage = "data: garbage\n\n"
+		x.Printf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(garbage), garbage)
+		return true
+	}
+	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
+		for i := range requests {
+			got := cl.send(0, "POST", "/s/x", map[string]string{"X-Attempt-Id": fmt.Sprint("s", i)})
+			switch {
+			case got.status != http.StatusOK:
+			case got.body == events(1, 3):
+				whole++
+			default:
+				t.Errorf("a caller got %q", got.body)
+			}
+		}
+	})
+	check := is.New(t)
+	check.True(whole >= requests*9/10)
+	check.True(rs[0].RequestCount() < requests/2)
+}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -37,6 +37,9 @@
 		}
 	}
 	if a.rq.route.Kind == streamKind && resp.StatusCode == http.StatusOK {
+		if resp.Header.Get(names.Signature) == "" {
+			return part{result: unknown(fault.UpstreamFailed)}, false
+		}
 		rest, err := a.stream(ctx, resp, framed)
 		return part{resp: resp, stream: true, data: rest, result: a.bodyResult(ctx, err)}, reusable && err == nil
 	}
