internal/relay: a probe of a terminating replica is not deceived by its listener

Cause: the system closes the connections of a process that ends before its listener. A probe that is made as soon as a connection breaks is at times still accepted, and the replica was taken for alive. The check of a connection before its reuse may also be more than 5 ms old on a busy machine.

Change: a probe looks for 30 ms whether the new connection stays open, and dials once more if not. A connection that was seen open 25 ms before the request is enough, less than the 30 ms in progress.

--- a/internal/relay/badanswer_test.go
+++ b/internal/relay/badanswer_test.go
@@ -51,7 +51,7 @@
 		}
 	}
 	check.Equal(got[http.StatusOK], len(runs)) // Whoever was refused was not run.
-	check.True(len(runs) >= requests*2/3) // The bound on retries leaves some refused.
+	check.True(len(runs) >= requests*2/3)      // The bound on retries leaves some refused.
 }
 
 // A replica stops partway through an event, and the framing of its answer ends as usual. The caller
--- a/internal/relay/endprobe.go
+++ b/internal/relay/endprobe.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +16,9 @@
 	// endProbeTimeout is how long a replica may take to refuse a connection. One that does not
 	// respond may be cut off and does not count as terminated.
 	endProbeTimeout = 200 * time.Millisecond
+	// endProbeSettleTime is how long after its connections a terminating process may close its
+	// listener.
+	endProbeSettleTime = 30 * time.Millisecond
 	// endProbeTTL is how long the result of a probe is valid: all connections of a replica
 	// break at the same moment when it terminates.
 	endProbeTTL = endProbeTimeout
@@ -80,20 +84,42 @@
 	}
 }
 
-// refusesConnection reports whether no process listens at an address.
+// refusesConnection reports whether no process listens at an address. A process that terminates may
+// close its connections before its listener, and then ends one that it has just accepted.
 func (e *endProbes) refusesConnection(addr string) bool {
+	const tries = 2
+	for range tries {
+		c, err := e.dial(addr)
+		if err != nil {
+			return errors.Is(err, syscall.ECONNREFUSED)
+		}
+		stays := staysOpen(c)
+		_ = c.Close()
+		if stays {
+			return false
+		}
+	}
+	return false
+}
+
+func (e *endProbes) dial(addr string) (net.Conn, error) {
 	dial := e.Dial
 	if dial == nil {
 		dial = link.Dial
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), endProbeTimeout)
 	defer cancel()
-	c, err := dial(ctx, addr)
-	if err == nil {
-		_ = c.Close()
+	return dial(ctx, addr)
+}
+
+// staysOpen reports whether the other end of a new connection does not close it at once.
+func staysOpen(c net.Conn) bool {
+	if c.SetReadDeadline(time.Now().Add(endProbeSettleTime)) != nil {
 		return false
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	var b [1]byte
+	_, err := c.Read(b[:])
+	return err == nil || errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // sweep deletes expired probes.
--- a/internal/relay/endprobe_test.go
+++ b/internal/relay/endprobe_test.go
@@ -37,3 +37,31 @@
 		is.Equal(dials, 2)
 	})
 }
+
+// The system closes the connections of a process that terminates before its listener, so that a probe in
+// between is still accepted.
+func TestProbeOfAListenerThatIsAboutToClose(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		closes time.Duration // When the accepted connection is closed; never if 0.
+		ended  bool
+	}{{"terminates", 5 * time.Millisecond, true}, {"lives", 0, false}, {"closes idle connections", time.Second, false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				dials := 0
+				e := endProbes{Dial: func(context.Context, string) (net.Conn, error) {
+					dials++
+					if dials > 1 {
+						return nil, syscall.ECONNREFUSED
+					}
+					c, accepted := net.Pipe()
+					if tc.closes > 0 {
+						time.AfterFunc(tc.closes, func() { _ = accepted.Close() })
+					}
+					return c, nil
+				}}
+				is.New(t).Equal(e.ended("r", "addr", time.Now()), tc.ended)
+			})
+		})
+	}
+}
--- a/internal/relay/suspect.go
+++ b/internal/relay/suspect.go
@@ -24,7 +24,7 @@
 // maxSeenOpenAge before, or the request was in progress for minRunTime.
 const (
 	minRunTime     = 30 * time.Millisecond
-	maxSeenOpenAge = 5 * time.Millisecond
+	maxSeenOpenAge = 25 * time.Millisecond // The attempt may have waited for a processor in between.
 )
 
 // struckRound is the highest strike round of the attempts at a request after which a replica may
