limit, internal/relay: a longer window does not pass for known at the next process

Found by reading the change. When retry_window is made longer by a reload, a gateway takes the time before the old window for unknown, but its reports still said that all was known since its start, so that a process which took over would have used the whole part.

A report now says the latest time since which each service's retries are known. The check in limit TestLongerWindowIsNotKnown could not be written before: History did not say it.

--- a/internal/relay/retrybudget.go
+++ b/internal/relay/retrybudget.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/limit"
 )
 
@@ -159,6 +160,7 @@
 	retries := map[string]int{}
 	for service, w := range b.windows {
 		h, n := w.History(now, l)
+		r.KnownSince = times.Later(r.KnownSince, h.KnownSince)
 		if len(h.Steps) > 0 {
 			r.Services[service] = h
 		}
--- a/limit/retryrecords_test.go
+++ b/limit/retryrecords_test.go
@@ -249,6 +249,8 @@
 	l.Window = 20 * time.Second
 	u := w.Usage(now, l)
 	is.True(!u.Known)
+	h, _ := w.History(now, l)
+	is.Equal(h.KnownSince, epoch.Add(time.Second)) // The next process must not take it for known.
 	is.True(u.Allowed <= 0.15*l.Slack)
 	is.True(w.Usage(epoch.Add(22*time.Second), l).Known)
 	l.Window = 5 * time.Second
--- a/limit/window.go
+++ b/limit/window.go
@@ -136,7 +136,8 @@
 
 // RetryHistory is what a gateway knows of the requests and retries of its box to one service.
 type RetryHistory struct {
-	Steps []RetryStep // The oldest first.
+	KnownSince time.Time   // See RetryWindow; not reported for each service.
+	Steps      []RetryStep // The oldest first.
 	// Unconfirmed is how many retries the gateway may make beyond those in Steps before it reports
 	// again.
 	Unconfirmed int
@@ -155,6 +156,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.advance(now, l.Window)
+	h.KnownSince = w.KnownSince
 	h.Steps = append(append(h.Steps, w.inherited...), w.own...)
 	h.Unconfirmed = maxUnconfirmed(w.usage(now, l).Allowed)
 	return h, w.retries
