--- a/internal/relay/retrytakeover.go
+++ b/internal/relay/retrytakeover.go
@@ -50,6 +50,8 @@
 	g.inheritRetries(a.Record.Received(askedAt, g.bounds.Load().RetryWindow/limit.WindowSteps), addr)
 }
 
+// inheritRetries counts the retries of earlier processes of the box from a record that another gateway
+// held.
 func (g *Relay) inheritRetries(r limit.RetryRecord, from string) {
 	if !g.retries.inherit(r) {
 		return
