--- a/internal/relay/retry_bound_test.go
+++ b/internal/relay/retry_bound_test.go
@@ -40,9 +40,9 @@
 			}
 			stops.Wait()
 		}},
-		{"stopped and killed", 12, func(p *retryPlay) {
+		{"stopped and killed", 30, func(p *retryPlay) {
 			var stops sync.WaitGroup
-			for i := range 6 {
+			for i := range 10 {
 				stops.Go(func() { p.stop(i, down) })
 			}
 			stops.Wait()
