--- a/internal/relay/retryusage.go
+++ b/internal/relay/retryusage.go
@@ -14,9 +14,9 @@
 
 // retryUsage returns how much of the retry budget of each service is used.
 func (g *Relay) retryUsage(now time.Time) map[string]limit.RetryUsage {
-	out := map[string]limit.RetryUsage{}
+	l, out := g.retryLimit(now), map[string]limit.RetryUsage{}
 	for service, w := range g.retries.all() {
-		out[service] = w.Usage(now, g.retryLimit(now))
+		out[service] = w.Usage(now, l)
 	}
 	return out
 }
