internal/eventstream, internal/relay: streams whose lines end in CRLF or CR are passed on

What callers saw: a whole stream with CRLF line ends was run, thrown away, run again where the route allows that, and answered 502; where it was passed on, it was only at its end.

Cause: relay looked for two LF to find the end of an event. Since what follows the last event ends the stream as broken, and in such a stream that is everything.

Change: a package of its own splits streams by the three line ends of text/event-stream, also mixed, looks at each byte once, and changes none. An event that ends with CR is passed on at once; an LF after it belongs to that line. Comments are no events.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -9,46 +8,33 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/eventstream"
 )
 
 const streamKind = config.RouteStream
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
-
 // stream passes on complete events as they arrive, and returns what follows the last one. A
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
-	buf := make([]byte, 0, 4<<10)
+	s := &eventstream.Splitter{MaxEvent: maxEventBytes}
 	for {
-		if len(buf) == cap(buf) {
-			if len(buf) > maxEventBytes {
-				return nil, fault.New(fault.TooLarge, "stream event exceeds the size limit")
-			}
-			buf = append(buf, make([]byte, len(buf))...)[:len(buf)]
-		}
-		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
+		n, err := s.Fill(resp.Body)
 		if n > 0 {
 			a.lastDataAt = time.Now()
 		}
-		if end := bytes.LastIndex(buf, eventEnd); end >= 0 {
-			end += len(eventEnd)
+		if events := s.Take(); len(events.Data) > 0 {
 			a.recordFirst()
-			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: buf[:end], lastEventID: parseLastID(buf[:end])}) {
+			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: events.Data, lastEventID: events.LastID}) {
 				return nil, ctx.Err()
 			}
-			buf = append(buf[:0], buf[end:]...)
 		}
 		switch {
 		case err == io.EOF:
-			if err = a.endOfEvents(len(bytes.TrimSpace(buf)) > 0); err == nil && !framed {
+			if err = a.endOfEvents(s.InsideEvent()); err == nil && !framed {
 				err = a.endedWithReplica(ctx)
 			}
-			return buf, err
+			return s.Rest(), err
 		case err != nil:
 			return nil, err
 		}
@@ -65,19 +51,3 @@
 	}
 	return nil
 }
-
-// parseLastID returns the ID of the last event in b that has one.
-func parseLastID(b []byte) string {
-	for len(b) > 0 {
-		lineEnd := bytes.LastIndexByte(bytes.TrimRight(b, "\n"), '\n')
-		line := bytes.TrimRight(b[lineEnd+1:], "\r\n")
-		if id, ok := bytes.CutPrefix(line, idField); ok {
-			return string(bytes.TrimSpace(id))
-		}
-		if lineEnd < 0 {
-			return ""
-		}
-		b = b[:lineEnd+1]
-	}
-	return ""
-}
