internal/relay: a continuation without an event does not end a stream of which more is known

What callers saw: a stream breaks off inside an event after event 2 of 6; the replica that is to go on answers 200, signed, with no event, by chunks, length or the end of its connection.

Cause: an answer that continues another one was whole without any event, since the first one may have lacked its end only. The piece of an event that had come before was dropped, and with it the proof that there is more.

Change: an attempt remembers that its replica has begun an event or announced more bytes than it sent, and what continues it must bring an event. eventstream.End.Verdict decides, for streams and plain answers. An empty continuation after all events stays a sound end.

Why it holds: the decision has what the request knows and not only what the last attempt read; the proof is withdrawn only when a later event is passed on.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -34,10 +34,12 @@
 	to        route.Choice
 	startedAt time.Time
 	// lastEventID, version and continues are what the caller has of the answer: its last event,
-	// the version that made it (0 for any), and whether it has any part.
+	// the version that made it (0 for any), and whether it has any part. moreKnown is set if it is
+	// known that events follow.
 	lastEventID string
 	version     uint64
 	continues   bool
+	moreKnown   bool
 	isBackup    bool // Another attempt is open, which is silent.
 	number      int  // Number of this attempt, from 1.
 	// struck are the strike rounds of the attempts before this one, and strikes what is recorded if
@@ -69,7 +71,9 @@
 	recentSends int // Recent requests of this gateway to the replica, including this one.
 	// lastDataAt is when the request was sent or data last arrived; zero before.
 	lastDataAt time.Time
-	broken     breakdown
+	// moreFollows is set if the replica has begun, or announced, more of a stream than was passed on.
+	moreFollows bool
+	broken      breakdown
 }
 
 // part is something that a replica sent for the caller.
@@ -77,6 +81,7 @@
 	resp        *http.Response // Header of the answer that it belongs to; nil if there is none.
 	stream      bool           // The answer is a stream that may be passed on in parts.
 	data        []byte         // Complete events of a stream, or any other answer as a whole.
+	events      int            // Number of events in data.
 	lastEventID string         // Of the last event in data that has one.
 	last        bool           // The attempt has ended with result.
 	result      dispatch.Result
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -113,7 +113,7 @@
 	d.relay.inFlight.SetUpstream(&rq.inFlight, choice.ID)
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &attempt{
-		relay: d.relay, rq: rq, to: choice, startedAt: now, lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started,
+		relay: d.relay, rq: rq, to: choice, startedAt: now, lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started, moreKnown: rq.moreKnown,
 		isBackup: slices.ContainsFunc(d.open, func(o *attempt) bool { return o.silent }), number: rq.attempts, struck: slices.Clone(rq.struck), onTrial: rq.verdict.Trial,
 		cancel: cancel, parts: d.parts, resume: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
@@ -188,6 +188,9 @@
 	if !p.stream {
 		return d.out.writeWhole(p.resp, p.data)
 	}
+	if p.events > 0 {
+		rq.moreKnown = false
+	}
 	a.gotData, a.silent = true, false
 	if p.lastEventID != "" {
 		rq.lastEventID = p.lastEventID
@@ -211,6 +214,7 @@
 	d.open = slices.DeleteFunc(d.open, func(o *attempt) bool { return o == a })
 	a.cancel()
 	d.rq.recordAttempt(a, res)
+	d.rq.moreKnown = d.rq.moreKnown || a.moreFollows
 	a.updateSuspects(res)
 	if reached(res) {
 		d.arrivals++
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -2,15 +2,14 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/eventstream"
 )
 
 // receive passes on an answer. It returns the last part, and whether the connection can be
@@ -52,8 +51,8 @@
 // receiveWhole reads an answer that is passed on as a whole.
 func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
-	if err == nil && !framed {
-		err = a.endedWithReplica(ctx)
+	if err == nil {
+		err = a.checkEnd(ctx, &eventstream.End{Framed: framed})
 	}
 	if err != nil || len(data) > maxAnswerBytes {
 		if err == nil {
@@ -88,20 +87,3 @@
 	}
 	return a.connectionResult(ctx, err)
 }
-
-// endedWithReplica returns an error if the replica of an answer that has ended with its connection
-// has terminated: its connections end just so, and the answer may not be complete. The new connection
-// by which this is found out takes the place of the one that has ended.
-func (a *attempt) endedWithReplica(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-	defer cancel()
-	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
-	switch {
-	case err == nil:
-		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
-	case errors.Is(err, syscall.ECONNREFUSED):
-		a.relay.recordRefusal(a.to.ID)
-		return fault.New(fault.Truncated, "answer ended with its replica")
-	}
-	return nil
-}
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -38,6 +38,7 @@
 	retriesBefore   int // Retries expected before the one that the caller was told to make.
 	workload        route.Workload
 	lastEventID     string             // ID of the last stream event sent to the caller.
+	moreKnown       bool               // Replicas have begun or announced more of the stream than was sent to the caller.
 	version         uint64             // Version of the first part of the answer; all further parts must match it.
 	attempts        int                // Attempts made so far.
 	predicted       time.Duration      // Time until the first event, at the replica chosen last.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/poststand/poststand/config"
-	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
@@ -18,36 +17,29 @@
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
 	s := &eventstream.Splitter{MaxEvent: maxEventBytes}
+	end := eventstream.End{Framed: framed, Stream: true, Continues: a.continues, MoreKnown: a.moreKnown}
+	received := int64(0)
 	for {
 		n, err := s.Fill(resp.Body)
+		received += int64(n)
 		if n > 0 {
 			a.lastDataAt = time.Now()
 		}
 		if events := s.Take(); len(events.Data) > 0 {
 			a.recordFirst()
-			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: events.Data, lastEventID: events.LastID}) {
+			end.Events += events.Count
+			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: events.Data, events: events.Count, lastEventID: events.LastID}) {
 				return nil, ctx.Err()
 			}
 		}
-		switch {
-		case err == io.EOF:
-			if err = a.endOfEvents(s.InsideEvent()); err == nil && !framed {
-				err = a.endedWithReplica(ctx)
-			}
-			return s.Rest(), err
-		case err != nil:
+		if err == nil {
+			continue
+		}
+		end.InsideEvent = s.InsideEvent()
+		a.moreFollows = end.InsideEvent || received < resp.ContentLength
+		if err != io.EOF {
 			return nil, err
 		}
+		return s.Rest(), a.checkEnd(ctx, &end)
 	}
 }
-
-// endOfEvents returns an error if a stream that has ended is not complete.
-func (a *attempt) endOfEvents(insideEvent bool) error {
-	switch {
-	case insideEvent:
-		return fault.New(fault.Truncated, "stream ended inside an event")
-	case a.firstAt.IsZero() && !a.continues:
-		return fault.New(fault.Truncated, "stream ended without an event")
-	}
-	return nil
-}
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -125,3 +125,35 @@
 	}
 }
 
+// A stream broke off inside an event, and the replica that was to continue it answered without an event:
+// the caller got two of six events and a complete end.
+func TestContinuationWithoutAnEventDoesNotEndAStreamWithMore(t *testing.T) {
+	piece := events(1, 2) + "id: 3\nda"
+	for _, f := range framings {
+		empty := func(x *platformtest.Exchange) { answerStream(x, f, "") }
+		for name, first := range map[string]func(x *platformtest.Exchange){
+			"ends inside an event":        func(x *platformtest.Exchange) { answerStream(x, f, piece) },
+			"connection breaks inside it": func(x *platformtest.Exchange) { cutStream(x, piece) },
+			"shorter than its length": func(x *platformtest.Exchange) {
+				x.RecordRun()
+				x.Printf("%s%s", x.Head(http.StatusOK, "Content-Type: text/event-stream\r\nContent-Length: 200\r\n\r\n"), events(1, 2))
+				_ = x.Conn.Close()
+			},
+		} {
+			t.Run(fmt.Sprint(f, ", ", name), func(t *testing.T) {
+				got, runs := sendStream(t, "/s/x", nil, first, empty)
+				requireAll(t, got, events(1, 6))
+				is.New(t).Equal(runs, 3)
+			})
+		}
+		t.Run(fmt.Sprint(f, ", all events were there"), func(t *testing.T) {
+			got, runs := sendStream(t, "/s/x", nil, func(x *platformtest.Exchange) { cutStream(x, events(1, 6)) }, empty)
+			requireAll(t, got, events(1, 6))
+			is.New(t).Equal(runs, 2)
+		})
+		t.Run(fmt.Sprint(f, ", no other replica"), func(t *testing.T) {
+			got, _ := sendStream(t, "/s/x", nil, func(x *platformtest.Exchange) { cutStream(x, piece) }, empty, empty)
+			is.New(t).True(got.truncated)
+		})
+	}
+}
