internal/relay: a replica that begins a stream again does not continue it

Cause: what a replica answers to a request to go on was passed on whatever its events were.

Change: an attempt whose first identified event does not come after the caller's last one fails, and another replica is asked. IDs rise by the protocol and are compared as whole numbers; where they are none, an equal one counts. Only on routes whose streams may be continued: on others the header is the caller's own affair. It holds for a caller's own Last-Event-Id too.

Why it holds: dropping what the caller has would join two runs, so the attempt ends before anything of it is passed on; IDs within one run rise, so the first one decides.

--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -81,7 +81,7 @@
 	switch {
 	case err == nil:
 		return dispatch.Result{Outcome: dispatch.Done}
-	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge):
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge), fault.Is(err, fault.Garbage):
 		a.recordBreakdown(ctx, err)
 		return unknown(fault.CodeOf(err))
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/poststand/poststand/config"
+	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
@@ -26,6 +27,9 @@
 			a.lastDataAt = time.Now()
 		}
 		if events := s.Take(); len(events.Data) > 0 {
+			if a.beginsAgain(events.FirstID) {
+				return nil, fault.New(fault.Garbage, "stream begins again instead of going on")
+			}
 			a.recordFirst()
 			end.Events += events.Count
 			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: events.Data, events: events.Count, lastEventID: events.LastID}) {
@@ -43,3 +47,9 @@
 		return s.Rest(), a.checkEnd(ctx, &end)
 	}
 }
+
+// beginsAgain reports whether a stream whose first ID is given has ignored the ID after which it was to go
+// on. Its events can't be told from those that the caller has, and may be another run's.
+func (a *attempt) beginsAgain(firstID string) bool {
+	return a.lastEventID != "" && a.rq.route.Resumable && firstID != "" && !eventstream.Follows(firstID, a.lastEventID)
+}
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -157,3 +157,35 @@
 		})
 	}
 }
+
+// A replica ignored Last-Event-Id and began again: the caller got events twice.
+func TestReplicaThatBeginsAgainDoesNotContinueAStream(t *testing.T) {
+	for _, f := range framings {
+		for _, last := range []int{1, 2} {
+			t.Run(fmt.Sprint(f, ", after event ", last), func(t *testing.T) {
+				got, runs := sendStream(
+					t, "/s/x", nil,
+					func(x *platformtest.Exchange) { cutStream(x, events(1, last)) },
+					func(x *platformtest.Exchange) { answerStream(x, f, events(1, 6)) },
+				)
+				requireAll(t, got, events(1, 6))
+				is.New(t).Equal(runs, 3)
+			})
+		}
+	}
+	t.Run("for the caller", func(t *testing.T) {
+		got, _ := sendStream(
+			t, "/s/x", map[string]string{"Last-Event-Id": "4"},
+			func(x *platformtest.Exchange) { answerStream(x, byChunks, events(1, 6)) },
+		)
+		requireAll(t, got, events(5, 6))
+	})
+	t.Run("not on a route whose streams can't be continued", func(t *testing.T) {
+		got, runs := sendStream(
+			t, "/once/x", map[string]string{"Last-Event-Id": "4"},
+			func(x *platformtest.Exchange) { answerStream(x, byChunks, events(1, 6)) },
+		)
+		requireAll(t, got, events(1, 6))
+		is.New(t).Equal(runs, 1)
+	})
+}
