internal/relay: a stream is not continued after an event without an ID

What callers saw: a replica sends events 1 and 2 and one without an ID, and breaks off. Found by asking of each place that continues a stream which bytes would make it repeat one.

Cause: a stream could go on if any event had an ID, not if the last one had.

Change: mayContinue also requires that the last event passed on is identified, for retries, moves and second attempts alike. Else the caller's answer is aborted, as for streams that can't be continued.

Why it holds: a replica that goes on after an ID sends all that followed it, so a stream can go on only if nothing followed it yet.

TestStreamIsNotContinuedAfterAnEventWithoutID was red before, and holds.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/eventstream"
 	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
@@ -78,13 +79,12 @@
 
 // part is something that a replica sent for the caller.
 type part struct {
-	resp        *http.Response // Header of the answer that it belongs to; nil if there is none.
-	stream      bool           // The answer is a stream that may be passed on in parts.
-	data        []byte         // Complete events of a stream, or any other answer as a whole.
-	events      int            // Number of events in data.
-	lastEventID string         // Of the last event in data that has one.
-	last        bool           // The attempt has ended with result.
-	result      dispatch.Result
+	resp   *http.Response     // Header of the answer that it belongs to; nil if there is none.
+	stream bool               // The answer is a stream that may be passed on in parts.
+	events eventstream.Events // Of a stream; in its last part, Data is what follows the last event.
+	data   []byte             // Any other answer as a whole.
+	last   bool               // The attempt has ended with result.
+	result dispatch.Result
 }
 
 // receivedPart is a part with its attempt.
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -188,18 +188,13 @@
 	if !p.stream {
 		return d.out.writeWhole(p.resp, p.data)
 	}
-	if p.events > 0 {
-		rq.moreKnown = false
-	}
 	a.gotData, a.silent = true, false
-	if p.lastEventID != "" {
-		rq.lastEventID = p.lastEventID
-	}
-	if rq.version == 0 && len(p.data) > 0 {
-		rq.version = a.result.Version
-	}
-	if len(p.data) > 0 {
-		if err := d.out.writeEvents(p.resp, p.data); err != nil {
+	rq.recordEvents(&p.events)
+	if len(p.events.Data) > 0 {
+		if rq.version == 0 {
+			rq.version = a.result.Version
+		}
+		if err := d.out.writeEvents(p.resp, p.events.Data); err != nil {
 			return err
 		}
 	}
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -21,7 +21,7 @@
 // shouldMove reports whether a stream should move from the replica of an attempt to another one.
 func (d *delivery) shouldMove(a *attempt) bool {
 	rq := d.rq
-	return rq.route.Resumable && rq.lastEventID != "" && rq.attempts < max(1, rq.route.MaxAttempts) &&
+	return rq.mayContinue() && rq.attempts < max(1, rq.route.MaxAttempts) &&
 		d.relay.table.ChangingFor(time.Now(), a.to.Reservation) >= moveAfter
 }
 
--- a/internal/relay/process.go
+++ b/internal/relay/process.go
@@ -117,7 +117,7 @@
 	if !rq.repeatable() {
 		return false
 	}
-	return !out.started || rq.route.Resumable && rq.lastEventID != ""
+	return !out.started || rq.mayContinue()
 }
 
 // recordAttempt adds the result of an attempt for the log.
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -40,7 +40,7 @@
 			return part{result: unknown(fault.UpstreamFailed)}, false
 		}
 		rest, err := a.stream(ctx, resp, framed)
-		return part{resp: resp, stream: true, data: rest, result: a.bodyResult(ctx, err)}, reusable && err == nil
+		return part{resp: resp, stream: true, events: eventstream.Events{Data: rest}, result: a.bodyResult(ctx, err)}, reusable && err == nil
 	}
 	if a.continues {
 		return part{result: unknown(fault.UpstreamFailed)}, false
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -10,6 +10,7 @@
 	"github.com/poststand/poststand/catalog"
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/internal/drain"
+	"github.com/poststand/poststand/internal/eventstream"
 	"github.com/poststand/poststand/mirror"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
@@ -37,7 +38,8 @@
 	admission       admissionRecord
 	retriesBefore   int // Retries expected before the one that the caller was told to make.
 	workload        route.Workload
-	lastEventID     string             // ID of the last stream event sent to the caller.
+	lastEventID     string             // ID of the last stream event sent to the caller that has one.
+	lastHasNoID     bool               // The last stream event sent to the caller has no ID.
 	moreKnown       bool               // Replicas have begun or announced more of the stream than was sent to the caller.
 	version         uint64             // Version of the first part of the answer; all further parts must match it.
 	attempts        int                // Attempts made so far.
@@ -72,6 +74,23 @@
 	rq.struck = make([]struckRound, len(rq.keys))
 }
 
+// recordEvents records events that are sent to the caller.
+func (rq *request) recordEvents(e *eventstream.Events) {
+	if e.Count == 0 {
+		return
+	}
+	rq.moreKnown, rq.lastHasNoID = false, !e.Identified
+	if e.LastID != "" {
+		rq.lastEventID = e.LastID
+	}
+}
+
+// mayContinue reports whether the stream can go on at another replica after what its caller has. After an
+// event without an ID it can't: that event would come again.
+func (rq *request) mayContinue() bool {
+	return rq.route.Resumable && rq.lastEventID != "" && !rq.lastHasNoID
+}
+
 // repeatable reports whether the request may run more than once.
 func (rq *request) repeatable() bool { return rq.route.Repeatable() }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -32,7 +32,7 @@
 			}
 			a.recordFirst()
 			end.Events += events.Count
-			if !a.sendEvents(ctx, part{resp: resp, stream: true, data: events.Data, events: events.Count, lastEventID: events.LastID}) {
+			if !a.sendEvents(ctx, part{resp: resp, stream: true, events: events}) {
 				return nil, ctx.Err()
 			}
 		}
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -189,3 +189,13 @@
 		is.New(t).Equal(runs, 1)
 	})
 }
+
+// A stream was continued after its last ID, though the caller had events without an ID since: it got
+// them twice.
+func TestStreamIsNotContinuedAfterAnEventWithoutID(t *testing.T) {
+	const unnamed = "data: e3\n\n"
+	got, _ := sendStream(t, "/s/x", nil, func(x *platformtest.Exchange) { cutStream(x, events(1, 2)+unnamed) })
+	is := is.New(t)
+	is.True(got.truncated)
+	is.Equal(got.body, events(1, 2)+unnamed)
+}
