internal/relay: a caller that has all events of a stream gets its end

What callers saw: a stream breaks between its last event and its end; the caller asks again with the last ID, and is answered 502, however often. A sound replica has nothing to send but the end.

Cause: a stream without an event was whole only if this gateway had passed on a part of it before.

Change: a request that asks for a stream to go on counts as a continuation as well, on routes whose streams may be continued.

Why it holds: the same decision as for a continuation by the gateway: whole, unless more is known.

TestCallerThatHasAllEventsGetsTheEnd was red before (502 after two runs), and holds.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -18,7 +18,7 @@
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
 	s := &eventstream.Splitter{MaxEvent: maxEventBytes}
-	end := eventstream.End{Framed: framed, Stream: true, Continues: a.continues, MoreKnown: a.moreKnown}
+	end := eventstream.End{Framed: framed, Stream: true, Continues: a.mustGoOn(), MoreKnown: a.moreKnown}
 	received := int64(0)
 	for {
 		n, err := s.Fill(resp.Body)
@@ -48,8 +48,12 @@
 	}
 }
 
+// mustGoOn reports whether the stream is to go on after lastEventID, for this gateway or for a caller that
+// has asked for it. Either may have all events and lack the end.
+func (a *attempt) mustGoOn() bool { return a.lastEventID != "" && a.rq.route.Resumable }
+
 // beginsAgain reports whether a stream whose first ID is given has ignored the ID after which it was to go
 // on. Its events can't be told from those that the caller has, and may be another run's.
 func (a *attempt) beginsAgain(firstID string) bool {
-	return a.lastEventID != "" && a.rq.route.Resumable && firstID != "" && !eventstream.Follows(firstID, a.lastEventID)
+	return a.mustGoOn() && firstID != "" && !eventstream.Follows(firstID, a.lastEventID)
 }
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -199,3 +199,10 @@
 	is.True(got.truncated)
 	is.Equal(got.body, events(1, 2)+unnamed)
 }
+
+// A caller that has all events and lacks the end of its stream was answered 502 whenever it asked.
+func TestCallerThatHasAllEventsGetsTheEnd(t *testing.T) {
+	got, runs := sendStream(t, "/s/x", map[string]string{"Last-Event-Id": "6"})
+	requireAll(t, got, "")
+	is.New(t).Equal(runs, 1)
+}
