internal/relay: an answer without an event does not end a silent stream

What callers saw: a replica falls silent for two seconds after event 1; a second one is asked to go on, and answers 200, signed, without an event. The caller got 1 of 6 events and a complete end (ORDER), though the first replica went on a second later. The same where a stream moves to another replica.

Cause: an answer without an event may end a stream whose first replica has sent all events and lacked its end only. Here the first replica had not ended.

Change: such an answer fails while an attempt that has delivered events is open; that one goes on.

Why it holds: the second replica knows only the ID it was told; the open connection is the better witness, and if it breaks, the stream is continued as usual.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -146,6 +146,9 @@
 // take handles a part. It reports whether no attempt is left or the answer is complete, with the
 // result.
 func (d *delivery) take(p receivedPart) (dispatch.Result, bool) {
+	if d.endsOtherStream(p) {
+		p.result = unknown(fault.Truncated)
+	}
 	if p.last && p.result.Outcome != dispatch.Done {
 		done := d.takeFailure(p)
 		return p.result, done
@@ -165,6 +168,12 @@
 	return dispatch.Result{}, false
 }
 
+// endsOtherStream reports whether a part ends, without an event, the stream that another open attempt has
+// begun. That one may be silent or about to move, but has not ended.
+func (d *delivery) endsOtherStream(p receivedPart) bool {
+	return p.last && p.stream && !p.from.gotData && slices.ContainsFunc(d.open, func(a *attempt) bool { return a != p.from && a.gotData })
+}
+
 // takeFailure handles the last part of an attempt that failed. It reports whether no attempt is
 // left that may yet answer.
 func (d *delivery) takeFailure(p receivedPart) bool {
--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -206,3 +206,26 @@
 	requireAll(t, got, "")
 	is.New(t).Equal(runs, 1)
 }
+
+// A replica falls silent within a stream, and a second one answers without an event: that ended the
+// stream, though the first one had not.
+func TestAnswerWithoutAnEventDoesNotEndASilentStream(t *testing.T) {
+	const silence = 2 * time.Second
+	first := func(x *platformtest.Exchange) {
+		x.RecordRun()
+		x.Printf("%s", x.Head(http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"))
+		x.Event(1)
+		time.Sleep(silence)
+		for i := 2; i <= 6; i++ {
+			x.Event(i)
+		}
+		x.Printf("0\r\n\r\n")
+	}
+	for _, f := range framings {
+		t.Run(f.String(), func(t *testing.T) {
+			empty := func(x *platformtest.Exchange) { answerStream(x, f, "") }
+			got, _ := sendStream(t, "/s/x", nil, first, empty, empty)
+			requireAll(t, got, events(1, 6))
+		})
+	}
+}
