internal/relay: an unframed answer of a replica that may have been replaced is not whole

What callers saw: a replica is killed within a stream that has neither a length nor chunks, while the gateway stands still, and is back when it wakes. The same holds for plain answers.

Cause: such an answer counted as whole if a new connection to the replica's address was accepted. That shows that a process listens there, not that it is the one that answered.

Change: while such an answer is read, the gateway notes when its connection was last seen open and empty. If that is half a second ago or more at the end, or no connection can be opened, the replica may have been replaced. If the list shows a later start (born), the answer is broken off. Else a stream that may go on does so at another replica, and any other answer waits 0.2 s for the list. Simulated connections keep their deadline when asked whether they are quiet.

Why it holds: a replica needs longer than that to come back, so a connection that was open less than that ago ended with a process that is still there; any standstill, of the gateway or of a link, makes that time longer.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"syscall"
+	"time"
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
+	"github.com/poststand/poststand/kernel"
 )
 
 // checkEnd returns an error unless an answer whose bytes have ended is whole.
@@ -36,19 +39,74 @@
 	return "answer ended with its replica"
 }
 
-// replicaLife tells whether the replica of an answer that has ended with its connection has terminated:
-// its connections end just so. The new connection by which this is found out takes the place of the one
-// that has ended.
+const (
+	// minRestartTime is the least time from the end of a replica until it accepts connections again.
+	minRestartTime = 500 * time.Millisecond
+	// lifeNoticeTime is how long the list of replicas may take to show that one has been replaced.
+	lifeNoticeTime = 200 * time.Millisecond
+)
+
+// replicaLife tells whether the replica of an answer that has ended with its connection is still the same
+// process: its connections end just so when it terminates. A new connection shows that a process listens
+// at its address, not which one. The replica may have been replaced meanwhile if the gateway, or a link,
+// stood still; then the list of replicas decides.
 func (a *attempt) replicaLife(ctx context.Context) eventstream.Life {
-	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
-	defer cancel()
-	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
-	switch {
-	case err == nil:
-		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
+	mayBeReplaced := time.Since(a.seenOpenAt) >= minRestartTime
+	switch err := a.reconnect(ctx); {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		a.relay.recordRefusal(a.to.ID)
 		return eventstream.LifeEnded
+	case err == nil && !mayBeReplaced:
+		return eventstream.LifeSame
+	}
+	if a.isReplaced() {
+		return eventstream.LifeEnded
+	}
+	if a.rq.route.Kind == streamKind && a.rq.repeatable() {
+		return eventstream.LifeUnclear // Another replica can tell whether more events follow.
+	}
+	kernel.Sleep(ctx, min(lifeNoticeTime, time.Until(a.rq.deadline)/2))
+	if a.isReplaced() {
+		return eventstream.LifeEnded
 	}
 	return eventstream.LifeSame
 }
+
+// reconnect opens a connection to the replica, which takes the place of the one that has ended.
+func (a *attempt) reconnect(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
+	defer cancel()
+	c, err := a.relay.conns.dialNew(ctx, a.to.Addr)
+	if err == nil {
+		a.relay.conns.put(a.to.Incarnation, c, a.idleTimeout)
+	}
+	return err
+}
+
+// isReplaced reports whether the list of replicas shows a later incarnation of the replica.
+func (a *attempt) isReplaced() bool {
+	u, ok := a.relay.catalog.Get().Upstreams[a.to.ID]
+	return ok && a.to.Incarnation.Before(u.Incarnation)
+}
+
+// unframedBody is the body of an answer that ends with its connection. It notes when that was last seen
+// open.
+type unframedBody struct {
+	io.ReadCloser
+	attempt *attempt
+}
+
+func (b *unframedBody) Read(p []byte) (int, error) {
+	b.attempt.noteOpen()
+	return b.ReadCloser.Read(p)
+}
+
+// noteOpen notes whether the connection of the attempt is open.
+func (a *attempt) noteOpen() {
+	if a.conn.r.Buffered() > 0 {
+		return
+	}
+	if quiet, known := isOpenWithoutData(a.conn.Conn); quiet || !known {
+		a.seenOpenAt = time.Now()
+	}
+}
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -37,6 +37,7 @@
 	closed        chan struct{}
 	refused       chan struct{} // Closed when the other side accepts no more bytes.
 	closeOnce     sync.Once
+	readDeadline  time.Time   // Set by the goroutine that reads.
 	dropPending   atomic.Bool // Close drops writes that are not yet delivered.
 }
 
@@ -79,7 +80,7 @@
 			err = c.closePipe()
 			return
 		}
-		err = c.SetReadDeadline(time.Unix(1, 0))
+		err = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	})
 	return err
 }
@@ -98,10 +99,25 @@
 func (c *conn) Quiet() bool {
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	_, err := c.Conn.Read(nil)
-	_ = c.Conn.SetReadDeadline(time.Time{})
+	_ = c.Conn.SetReadDeadline(c.readDeadline)
+	if c.isClosed() {
+		_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.readDeadline = t
+	return c.Conn.SetDeadline(t)
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.readDeadline = t
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/soak/ends_test.go
+++ b/internal/soak/ends_test.go
@@ -160,3 +160,41 @@
 		})
 	}
 }
+
+// A replica ends within an unframed stream while its gateway stands still, and is back when that wakes: the
+// stream counted as whole.
+func TestStreamGoesOnIfItsReplicaWasReplacedDuringAFreeze(t *testing.T) {
+	t.Parallel()
+	const eventCount, interval, frozen = 30, 100 * time.Millisecond, 1500 * time.Millisecond
+	const earnsRetries = 6 * time.Second // A process that knows nothing of its box earns its retries.
+	// The gateway that wakes may try a second replica before it sees that the first one's stream has ended.
+	w := newWorld(t, 1, platformtest.Config(1, platformtest.Route("s", "/s/", "stream", "llm", platformtest.Body{"attempts": 3})))
+	g := w.gateways[0]
+	first := make(chan bool, 1)
+	first <- true
+	for _, id := range []string{"e0", "e1", "e2"} {
+		r := &platformtest.Replica{ID: id, Service: "llm", Hall: "h1", Version: 1, Events: eventCount, EventInterval: interval}
+		r.Handle = func(_ int, x *platformtest.Exchange) bool {
+			select {
+			case <-first:
+			default:
+				return false
+			}
+			x.Printf("%s", x.Head(http.StatusOK, "Content-Type: text/event-stream\r\nConnection: close\r\n\r\n"))
+			x.Printf("%s", events(1, 5))
+			time.Sleep(interval)
+			g.signal(syscall.SIGSTOP)
+			time.Sleep(interval)
+			x.Printf("%s", events(6, 8))
+			_ = x.Conn.Close()
+			time.Sleep(frozen)
+			g.signal(syscall.SIGCONT)
+			return true
+		}
+		w.addReplica(r)
+	}
+	w.awaitReady()
+	c := &caller{addr: g.callers()}
+	time.Sleep(earnsRetries)
+	requireWhole(t, g, c.send("a1", "/s/", 6*time.Second))
+}
