internal/agent: streams of engines whose lines end in CRLF or CR are passed on

What callers saw: a stream of an engine with CRLF line ends had no event for the agent; it was refused as without a last event, after up to three resumptions.

Cause: the agent's splitter knew one line end, as the relay's did, in code of its own.

Change: the agent uses eventstream.Splitter, event by event (TakeOne), and passes the bytes on unchanged. The splitter looks at bytes when events are taken and no longer when they are read.

Why it holds: one splitter for both, with its fuzz test.

TestStreamOfAnEngineWithAnyLineEnd was red before, and holds.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -13,6 +12,7 @@
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/engine"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/eventstream"
 )
 
 // Limits of an answer.
@@ -165,30 +165,24 @@
 
 // readEvents appends complete events to the answer up to the last event of the stream.
 func (r *runner) readEvents(body io.Reader) error {
-	sc := bufio.NewScanner(body)
-	sc.Buffer(make([]byte, 0, 4<<10), maxEventBytes)
-	sc.Split(splitEvents)
-	for sc.Scan() {
-		event := bytes.Clone(sc.Bytes())
-		r.rec.Answer.Append(append(event, "\n\n"...))
-		if bytes.Equal(event, endOfStream) {
-			return nil
+	s := eventstream.Splitter{MaxEvent: maxEventBytes}
+	for {
+		_, err := s.Fill(body)
+		for event := s.TakeOne(); event.Count > 0; event = s.TakeOne() {
+			r.rec.Answer.Append(bytes.Clone(event.Data))
+			if bytes.Equal(bytes.TrimSpace(event.Data), endOfStream) {
+				return nil
+			}
+			r.events++
+		}
+		if err == nil {
+			continue
+		}
+		if err == io.EOF {
+			return fault.New(fault.Truncated, "no last event")
 		}
-		r.events++
-	}
-	if err := sc.Err(); err != nil {
 		return fault.Wrap(fault.ConnectionLost, err, "stream")
 	}
-	return fault.New(fault.Truncated, "no last event")
-}
-
-// splitEvents is a bufio.SplitFunc that splits at empty lines. It drops an event at the
-// end of the input that no empty line follows.
-func splitEvents(data []byte, _ bool) (int, []byte, error) {
-	if i := bytes.Index(data, []byte("\n\n")); i >= 0 {
-		return i + 2, data[:i], nil
-	}
-	return 0, nil, nil
 }
 
 // cancelOnEngine cancels a request on the engine because no process waits for its answer.
--- /dev/null
+++ b/internal/agent/run_test.go
@@ -0,0 +1,78 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/internal/settings"
+)
+
+// scriptedEngine answers requests with raw responses, one after the other.
+type scriptedEngine struct {
+	answers []string
+	state   string // Answer to a question for its state.
+}
+
+// RoundTrip implements http.RoundTripper.
+func (e *scriptedEngine) RoundTrip(req *http.Request) (*http.Response, error) {
+	raw := e.state
+	if req.URL.Path != "/state" {
+		raw, e.answers = e.answers[0], e.answers[1:]
+	}
+	return http.ReadResponse(bufio.NewReader(strings.NewReader(raw)), req)
+}
+
+// chunked returns an answer in chunks that ends as usual after body.
+func chunked(body string) string {
+	chunk := ""
+	if body != "" {
+		chunk = fmt.Sprintf("%x\r\n%s\r\n", len(body), body)
+	}
+	return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Engine-Digest: d\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk + "0\r\n\r\n"
+}
+
+// runScript has an agent run a request on an engine, and returns what follows the head of the answer.
+func runScript(t *testing.T, e *scriptedEngine, stream bool) (body string, err error) {
+	a, err := New(&settings.Agent{}, Options{Engine: &http.Client{Transport: e}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer a.Close()
+	rec := &dispatch.Record{Dispatch: &dispatch.Dispatch{Digest: "d", Method: "POST", Path: "/", Stream: stream}, Answer: &dispatch.Answer{}}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if err := a.execute(ctx, rec); err != nil {
+		return "", err
+	}
+	err = rec.Answer.Follow(ctx, dispatch.RequestID{}, 0, func(m any, _ bool) error {
+		if d, ok := m.(*dispatch.AnswerData); ok {
+			body += string(d.Data)
+		}
+		return nil
+	})
+	return body, err
+}
+
+const (
+	firstEvent = "data: a\n\n"
+	lastEvents = "data: b\n\ndata: [DONE]\n\n"
+)
+
+// A stream of an engine that ends its lines in CRLF or CR was refused as without a last event.
+func TestStreamOfAnEngineWithAnyLineEnd(t *testing.T) {
+	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
+		want := strings.ReplaceAll(firstEvent+lastEvents, "\n", lineEnd)
+		got, err := runScript(t, &scriptedEngine{answers: []string{chunked(want)}}, true)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(strings.TrimSpace(got), strings.TrimSpace(want))
+	}
+}
--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -26,10 +26,11 @@
 	MaxEvent int
 
 	buf       []byte // Bytes that were not taken, or were taken last.
-	taken     int    // buf[:taken] was returned by the last Take.
+	taken     int    // buf[:taken] was returned before.
 	complete  int    // buf[:complete] ends with an empty line, or is empty. At least taken.
 	scanned   int    // buf[:scanned] has been looked at.
 	lineStart int    // Start of the line at scanned.
+	mayHaveCR bool   // The stream has a CR.
 	afterCR   bool   // buf[scanned-1] is a CR; if an LF follows, it belongs to the same line end.
 	inStream  bool   // The first line has ended.
 
@@ -72,13 +73,29 @@
 		s.buf = slices.Grow(s.buf, max(minBuffer, len(s.buf)))
 	}
 	n, err := r.Read(s.buf[len(s.buf):cap(s.buf)])
+	// Most streams have no CR: one search in all that is read saves one in each line.
+	s.mayHaveCR = s.mayHaveCR || bytes.IndexByte(s.buf[len(s.buf):len(s.buf)+n], '\r') >= 0
 	s.buf = s.buf[:len(s.buf)+n]
-	s.scan()
 	return n, err
 }
 
 // Take returns the events that are complete and were not returned before.
 func (s *Splitter) Take() Events {
+	for s.scanLine() {
+		continue
+	}
+	return s.take()
+}
+
+// TakeOne is like Take, but returns one event at most; Count is 0 if none is complete.
+func (s *Splitter) TakeOne() Events {
+	for s.count == 0 && s.scanLine() {
+		continue
+	}
+	return s.take()
+}
+
+func (s *Splitter) take() Events {
 	out := Events{
 		Data: s.buf[s.taken:s.complete], Count: s.count, FirstID: s.firstID, LastID: string(s.lastID),
 		Identified: s.identified,
@@ -90,7 +107,8 @@
 // Rest returns the bytes after the last complete event.
 func (s *Splitter) Rest() []byte { return s.buf[s.complete:] }
 
-// InsideEvent reports whether the bytes read so far end inside an event.
+// InsideEvent reports whether the bytes that were read end inside an event, once all that are complete were
+// taken.
 func (s *Splitter) InsideEvent() bool {
 	return s.event.begun || isField(s.line(s.buf[s.lineStart:]))
 }
@@ -105,28 +123,24 @@
 	s.taken, s.complete, s.scanned, s.lineStart = 0, s.complete-n, s.scanned-n, s.lineStart-n
 }
 
-// scan looks at the bytes that were read last.
-func (s *Splitter) scan() {
-	// Most streams have no CR: one search in all that was read saves one in each line.
-	hasCR := s.afterCR || bytes.IndexByte(s.buf[s.scanned:], '\r') >= 0
-	for s.scanned < len(s.buf) {
-		if s.afterCR {
-			s.afterCR = false
-			if s.buf[s.scanned] == '\n' {
-				s.skipLF()
-				continue
-			}
-		}
-		n := lineLen(s.buf[s.scanned:], hasCR)
-		if n < 0 {
-			s.scanned = len(s.buf)
-			return
+// scanLine looks at the bytes up to the end of a line, and reports whether there was one.
+func (s *Splitter) scanLine() bool {
+	if s.afterCR && s.scanned < len(s.buf) {
+		s.afterCR = false
+		if s.buf[s.scanned] == '\n' {
+			s.skipLF()
 		}
-		end := s.scanned + n
-		s.scanned, s.afterCR = end+1, s.buf[end] == '\r'
-		s.endLine(s.line(s.buf[s.lineStart:end]))
-		s.lineStart = s.scanned
 	}
+	n := s.lineLen()
+	if n < 0 {
+		s.scanned = len(s.buf)
+		return false
+	}
+	end := s.scanned + n
+	s.scanned, s.afterCR = end+1, s.buf[end] == '\r'
+	s.endLine(s.line(s.buf[s.lineStart:end]))
+	s.lineStart = s.scanned
+	return true
 }
 
 // skipLF skips the second byte of a CRLF. If the CR has ended an event, the LF belongs to that event.
@@ -138,10 +152,11 @@
 	s.lineStart = s.scanned
 }
 
-// lineLen returns the index of the first byte in b that ends a line, or -1.
-func lineLen(b []byte, mayHaveCR bool) int {
+// lineLen returns the index of the first byte that ends a line among those that were not looked at, or -1.
+func (s *Splitter) lineLen() int {
+	b := s.buf[s.scanned:]
 	lf := bytes.IndexByte(b, '\n')
-	if !mayHaveCR {
+	if !s.mayHaveCR {
 		return lf
 	}
 	if lf >= 0 {
--- a/internal/eventstream/splitter_test.go
+++ b/internal/eventstream/splitter_test.go
@@ -93,6 +93,17 @@
 	}
 }
 
+// Events that arrive together must also come one by one.
+func TestTakeOne(t *testing.T) {
+	is := is.New(t)
+	var s eventstream.Splitter
+	_, _ = s.Fill(strings.NewReader("id: 1\r\n\r\n: c\n\nid: 2\n\nid"))
+	is.Equal(string(s.TakeOne().Data), "id: 1\r\n\r")
+	is.Equal(string(s.TakeOne().Data), "\n: c\n\nid: 2\n\n")
+	is.Equal(s.TakeOne().Count, 0)
+	is.True(s.InsideEvent())
+}
+
 func TestEventOverTheLimitIsRefused(t *testing.T) {
 	s := eventstream.Splitter{MaxEvent: 10 << 10}
 	_, _, err := split(&s, strings.NewReader("data: "+strings.Repeat("x", 100<<10)))
