internal/agent: a last event does not end a stream of which more is known

What callers saw: an engine breaks off inside an event; asked to go on, it sends its last event at once. The caller got a complete stream without the event that had been begun.

Change: the agent remembers that an event was begun, and a last event before any other is not the end; the stream is resumed again, three times at most. eventstream.End.Verdict decides.

Why it holds: the proof that there is more is withdrawn only when a later event is appended. An engine that sent all events and lacked the last one only may still end the stream.

TestLastEventOfAnEngineDoesNotEndAStreamWithMore was red before, and holds.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -74,6 +74,8 @@
 	agent  *Agent
 	rec    *dispatch.Record
 	events int // Events of a stream that were appended to the answer.
+	// moreKnown is set if the engine has begun an event that was not appended yet.
+	moreKnown bool
 }
 
 // send sends the request to the engine. If from is positive, it requests that the
@@ -169,15 +171,17 @@
 	for {
 		_, err := s.Fill(body)
 		for event := s.TakeOne(); event.Count > 0; event = s.TakeOne() {
-			r.rec.Answer.Append(bytes.Clone(event.Data))
 			if bytes.Equal(bytes.TrimSpace(event.Data), endOfStream) {
-				return nil
+				return r.endStream(event.Data)
 			}
+			r.rec.Answer.Append(bytes.Clone(event.Data))
 			r.events++
+			r.moreKnown = false
 		}
 		if err == nil {
 			continue
 		}
+		r.moreKnown = r.moreKnown || s.InsideEvent()
 		if err == io.EOF {
 			return fault.New(fault.Truncated, "no last event")
 		}
@@ -185,6 +189,19 @@
 	}
 }
 
+// endStream appends the last event of a stream, unless others must come before it.
+func (r *runner) endStream(last []byte) error {
+	end := eventstream.End{Framed: true, Stream: true, Events: r.events, Continues: true, MoreKnown: r.moreKnown}
+	if r.moreKnown {
+		end.Events = 0 // None since the one that was begun.
+	}
+	if end.Verdict() != eventstream.Whole {
+		return fault.New(fault.Truncated, "stream ended without the event that was begun before")
+	}
+	r.rec.Answer.Append(bytes.Clone(last))
+	return nil
+}
+
 // cancelOnEngine cancels a request on the engine because no process waits for its answer.
 func (a *Agent) cancelOnEngine(d *dispatch.Dispatch) {
 	const timeout = time.Second
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -76,3 +76,18 @@
 		is.Equal(strings.TrimSpace(got), strings.TrimSpace(want))
 	}
 }
+
+// An engine broke off inside an event and, asked to go on, sent the last event at once: the stream was whole
+// without the event that it had begun.
+func TestLastEventOfAnEngineDoesNotEndAStreamWithMore(t *testing.T) {
+	const last = "data: [DONE]\n\n"
+	is := is.New(t)
+	got, err := runScript(t, &scriptedEngine{answers: []string{chunked(firstEvent + "data"), chunked(last), chunked(lastEvents)}}, true)
+	is.NoErr(err)
+	is.Equal(got, firstEvent+lastEvents)
+	got, err = runScript(t, &scriptedEngine{answers: []string{chunked(firstEvent), chunked(last)}}, true)
+	is.NoErr(err)
+	is.Equal(got, firstEvent+last)
+	_, err = runScript(t, &scriptedEngine{answers: []string{chunked(firstEvent + "data"), chunked(last), chunked(last), chunked(last)}}, true)
+	is.True(err != nil)
+}
