internal/agent: an engine's answer that ends with the engine is not whole

What callers saw: an engine answers with neither a length nor chunks and ends halfway; the caller got the half as a whole answer.

Cause: the agent took the end of the connection for the end of the answer.

Change: at the end of such an answer the agent asks the engine for its state. One that doesn't answer, or doesn't hold the version that the answer was made with, has ended. Plain services have no state to ask for; that is left.

Why it holds: an engine that was started again holds no version until the agent loads it.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -66,7 +66,7 @@
 	if d.Stream && resp.StatusCode == http.StatusOK {
 		return r.readStream(ctx, resp)
 	}
-	return r.readBody(resp)
+	return r.readBody(ctx, resp)
 }
 
 // runner is the state of one request while it runs.
@@ -104,7 +104,7 @@
 	return fault.New(fault.MixedVersion, resp.Header.Get(engine.HeaderDigest))
 }
 
-func (r *runner) readBody(resp *http.Response) error {
+func (r *runner) readBody(ctx context.Context, resp *http.Response) error {
 	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return fault.Wrap(fault.Truncated, err, "")
@@ -112,6 +112,13 @@
 	if len(data) > maxAnswerBytes {
 		return fault.New(fault.TooLarge, "answer")
 	}
+	end := eventstream.End{Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed}
+	if !end.Framed {
+		end.Replica = r.engineLife(ctx)
+	}
+	if end.Verdict() != eventstream.Whole {
+		return fault.New(fault.Truncated, "answer ended with its engine")
+	}
 	const partBytes = 256 << 10
 	for len(data) > 0 {
 		n := min(partBytes, len(data))
@@ -122,6 +129,20 @@
 	return nil
 }
 
+// engineLife tells whether the engine of an answer that has ended with its connection is still the same
+// process: one that was started again holds no version until the agent loads it. Nothing is known of the
+// life of plain services.
+func (r *runner) engineLife(ctx context.Context) eventstream.Life {
+	digest := r.rec.Dispatch.Digest
+	if digest == "" {
+		return eventstream.LifeSame
+	}
+	if state, err := r.agent.engine.State(ctx); err != nil || state.Digest != digest {
+		return eventstream.LifeEnded
+	}
+	return eventstream.LifeSame
+}
+
 // readStream appends the events of a stream to the answer, and resumes the stream where
 // it was interrupted.
 func (r *runner) readStream(ctx context.Context, resp *http.Response) error {
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -91,3 +91,26 @@
 	_, err = runScript(t, &scriptedEngine{answers: []string{chunked(firstEvent + "data"), chunked(last), chunked(last), chunked(last)}}, true)
 	is.True(err != nil)
 }
+
+// An answer with neither a length nor chunks that ended with its engine was passed on as whole.
+func TestUnframedAnswerThatEndsWithItsEngineIsNotWhole(t *testing.T) {
+	const half = "HTTP/1.1 200 OK\r\nX-Engine-Digest: d\r\n\r\nhalf"
+	state := func(status int, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	}
+	for name, tc := range map[string]struct {
+		state string
+		whole bool
+	}{
+		"same engine":     {state(200, `{"digest":"d"}`), true},
+		"started again":   {state(200, `{"digest":""}`), false},
+		"does not answer": {state(503, ""), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got, err := runScript(t, &scriptedEngine{answers: []string{half}, state: tc.state}, false)
+			is.Equal(err == nil, tc.whole)
+			is.Equal(got == "half", tc.whole)
+		})
+	}
+}
