internal/soak: engines end streams early by every framing

One in ten streams of the soak with faults ends whole but unframed, inside an event by chunks, at its length or with its connection, or begins again in spite of Last-Event-Id. Checks are as before: whole answers are whole, of one version.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -38,6 +39,7 @@
 	// withFaults also draws kills and pauses of gateways, resets of links and refusals of the
 	// store. Answers may be broken off then, but nothing that is told to callers may be false.
 	withFaults bool
+	endSeed    uint64 // Of how engines end streams, if withFaults is set.
 	// scarce is set if there are so many gateways that they query agents for load, some callers
 	// read slowly, and for a while there are more requests than the engines can run.
 	scarce bool
@@ -82,7 +84,7 @@
 	s := &soak{
 		withFaults: withFaults, scarce: scarce,
 		rand: rand.New(rand.NewPCG(seed, 1)), runs: map[string]int{}, balancer: balancer{missed: map[*gateway]int{}},
-		configVersion: 1, target: 1,
+		configVersion: 1, target: 1, endSeed: seed,
 	}
 	if s.scarce {
 		s.world = newWorldWithAgents(t, scarceGateways, listenPort, soakConfig(1))
@@ -125,6 +127,9 @@
 		ID: fmt.Sprintf("e%d", i), Hall: fmt.Sprintf("h%d", 1+i%3), Slots: engineSlots, QueueLimit: engineQueue, Weights: weights,
 		LoadTime: 300 * time.Millisecond, OnRun: s.recordRun,
 	}
+	if s.withFaults {
+		e.DrawEnd = s.drawEnd
+	}
 	e.Start(1)
 	agentIP := loopback()
 	direct := s.serveHTTP(agentIP, e)
@@ -180,6 +185,19 @@
 	s.stops = append(s.stops, p.close)
 }
 
+// drawEnd draws how an engine ends a stream. It is drawn by the ID of the run, so that a seed draws the same
+// ends again.
+func (s *soak) drawEnd(run platformtest.EngineRun) platformtest.StreamEnd {
+	const earlyShare = 0.1
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, s.endSeed, run.ID, run.Engine)
+	r := rand.New(rand.NewPCG(h.Sum64(), 0))
+	if r.Float64() >= earlyShare {
+		return platformtest.EndsWhole
+	}
+	return platformtest.StreamEnd(r.IntN(int(platformtest.NumStreamEnds)))
+}
+
 func (s *soak) recordRun(r platformtest.EngineRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
