catalog: an entry of a service that is not configured replaces no replica

What callers saw: as above, by an entry whose service no configuration names.

Cause: of two entries at one address the later one was kept, whatever its service.

Change: one of a configured service goes first. Entries of other services are kept where they replace nothing, since their service may be configured later.

Why it holds: routes name configured services only, so such an entry can serve no request, while the one that it replaced could.

TestEntryOfAnUnconfiguredServiceReplacesNothing: 1 of 3 cases was red before, all hold.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -88,11 +88,12 @@
 
 // DropReplaced removes each upstream that one listed later with the same address replaces. A crashed
 // incarnation stays listed for a while beside its successor, and information about the address
-// would be attributed to either. It must be called before c is published.
+// would be attributed to either. An upstream of a service that is not configured replaces none of one that
+// is. It must be called before c is published.
 func (c *Catalog) DropReplaced() {
 	newest := map[string]fleet.Upstream{}
 	for _, u := range c.Upstreams {
-		if o, ok := newest[u.Addr]; !ok || u.ListedAt > o.ListedAt {
+		if o, ok := newest[u.Addr]; !ok || c.replaces(&u, &o) {
 			newest[u.Addr] = u
 		}
 	}
@@ -103,6 +104,23 @@
 	}
 }
 
+// replaces reports whether u, rather than o, is the upstream at the address of both.
+func (c *Catalog) replaces(u, o *fleet.Upstream) bool {
+	if known := c.hasService(u.Service); known != c.hasService(o.Service) {
+		return known
+	}
+	return u.ListedAt > o.ListedAt
+}
+
+// hasService reports whether a service is configured.
+func (c *Catalog) hasService(name string) bool {
+	if c.Config == nil {
+		return false
+	}
+	_, ok := c.Config.Services[name]
+	return ok
+}
+
 // Holder keeps the newest Catalog. The zero value holds an empty one.
 type Holder struct {
 	mu      sync.Mutex
