limit, internal/gateway: a restart does not refill an organisation's rate and the retry budget

Each process of the product's own gateway began with a whole burst of requests for each organisation and ten retries, so restarts multiplied both.

Cause: what was used died with the process, and the next one began full.

Change: Since, the start of the process; the rate and the budget begin empty then and are earned. The zero value is as before.

Why it holds: what processes of a box earn one after the other can't exceed what one process would have earned.

TestRestartsDoNotMultiplyTheRate and TestRestartsDoNotMultiplyTheRetryBudget, both red with Since set and not used.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -39,6 +39,7 @@
 	router      route.Router
 	rollout     route.Rollout
 	budget      limit.RetryBudget
+	startedAt   time.Time
 	lifetime    context.Context
 	cancel      context.CancelFunc
 	draining    atomic.Bool
@@ -73,9 +74,10 @@
 		return nil, err
 	}
 	g := &Gateway{
-		Settings: s, Metrics: m, incarnation: rand.Uint64() | 1, holder: &view.Holder{},
+		Settings: s, Metrics: m, startedAt: time.Now(), incarnation: rand.Uint64() | 1, holder: &view.Holder{},
 		queues: map[string]*admission.Queue{}, rates: map[string]*limit.Rate{},
 	}
+	g.budget.Since = g.startedAt
 	g.lifetime, g.cancel = context.WithCancel(context.Background())
 	g.pool = &wire.Pool{Local: g.hello(), Codec: Codec, Options: g.options(), Lifetime: g.lifetime}
 	g.pool.Dial = o.Dial
@@ -261,7 +263,7 @@
 	defer g.mu.Unlock()
 	r, ok := g.rates[organisation]
 	if !ok {
-		r = &limit.Rate{}
+		r = &limit.Rate{Since: g.startedAt}
 		g.rates[organisation] = r
 	}
 	return r
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -52,3 +52,43 @@
 	is.True(granted <= 1000*10/100+budgetBurst)
 	is.True(granted >= 100)
 }
+
+// A process began with a whole burst, whatever the one before it had used: restarts multiplied the limit.
+func TestRestartsDoNotMultiplyTheRate(t *testing.T) {
+	const perSecond, seconds, restarts = 10, 60, 60
+	is := is.New(t)
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	admitted := 0
+	for range restarts {
+		r := &Rate{Since: now}
+		for end := now.Add(time.Second * seconds / restarts); now.Before(end); now = now.Add(10 * time.Millisecond) {
+			if _, err := r.Acquire(now, GatewayLimit{PerSecond: perSecond}); err == nil {
+				admitted++
+				r.Release()
+			}
+		}
+	}
+	is.True(admitted <= perSecond*(seconds+1))
+	is.True(admitted >= perSecond*seconds*8/10)
+}
+
+// A process began with a whole burst of retries, whatever the one before it had spent.
+func TestRestartsDoNotMultiplyTheRetryBudget(t *testing.T) {
+	const percent, restarts, requests = 10, 20, 100
+	is := is.New(t)
+	now := time.Date(2026, 12, 2, 18, 0, 0, 0, time.UTC)
+	granted := 0
+	for range restarts {
+		b := &RetryBudget{Since: now}
+		for range requests {
+			now = now.Add(10 * time.Millisecond)
+			b.RecordRequest(now, percent)
+			if b.TrySpend(now) {
+				granted++
+			}
+		}
+	}
+	const bound = restarts*requests*percent/100 + restarts*budgetPerSecond + budgetBurst
+	is.True(granted <= bound)
+	is.True(granted >= bound/2)
+}
--- a/limit/rate.go
+++ b/limit/rate.go
@@ -12,7 +12,14 @@
 // together. The limits are split evenly between the live gateways of the view. While views
 // differ, or part of the fleet is unreachable, the sum of the parts differs from the limit by
 // at most the ratio of the gateways that exist to those that each one sees.
+//
+// The zero value has had no requests before its first one. A process that may follow another one of its box
+// sets Since.
 type Rate struct {
+	// Since is when the process started, if it does not know what earlier ones of its box have used: the
+	// rate is earned from then on. Zero if there were none. It is set before first use.
+	Since time.Time
+
 	mu       sync.Mutex
 	tokens   float64
 	filledAt time.Time
@@ -59,6 +66,9 @@
 }
 
 func (r *Rate) refill(now time.Time, l GatewayLimit) {
+	if r.filledAt.IsZero() {
+		r.filledAt = r.Since
+	}
 	if r.filledAt.IsZero() {
 		r.tokens = burstSize(l.PerSecond)
 	} else if now.After(r.filledAt) {
@@ -79,6 +89,10 @@
 // RetryBudget limits retries to a percentage of requests, plus a few a second for when there
 // are few requests. The zero value is a full budget.
 type RetryBudget struct {
+	// Since is when the process started, if it does not know what earlier ones of its box have spent: the
+	// budget is earned from then on. Zero if there were none. It is set before first use.
+	Since time.Time
+
 	mu        sync.Mutex
 	debt      float64 // Retries spent and not yet regained; at least 0.
 	updatedAt time.Time
@@ -91,6 +105,9 @@
 
 // earn regains n retries plus those for the time since the last call. The caller holds b.mu.
 func (b *RetryBudget) earn(now time.Time, n float64) {
+	if b.updatedAt.IsZero() && !b.Since.IsZero() {
+		b.debt, b.updatedAt = budgetBurst, b.Since
+	}
 	if now.After(b.updatedAt) {
 		if !b.updatedAt.IsZero() {
 			n += now.Sub(b.updatedAt).Seconds() * budgetPerSecond
