--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -113,7 +113,8 @@
 	d.relay.inFlight.SetUpstream(&rq.inFlight, choice.ID)
 	ctx, cancel := context.WithCancel(d.ctx)
 	a := &attempt{
-		relay: d.relay, rq: rq, to: choice, startedAt: now, lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started, moreKnown: rq.moreKnown,
+		relay: d.relay, rq: rq, to: choice, startedAt: now,
+		lastEventID: rq.lastEventID, version: rq.version, continues: d.out.started, moreKnown: rq.moreKnown,
 		isBackup: slices.ContainsFunc(d.open, func(o *attempt) bool { return o.silent }), number: rq.attempts, struck: slices.Clone(rq.struck), onTrial: rq.verdict.Trial,
 		cancel: cancel, parts: d.parts, resume: make(chan struct{}, 1), ended: make(chan struct{}),
 	}
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -12,6 +12,13 @@
 	"github.com/poststand/poststand/kernel"
 )
 
+const (
+	// minRestartTime is the least time from the end of a replica until it accepts connections again.
+	minRestartTime = 500 * time.Millisecond
+	// lifeNoticeTime is how long the list of replicas may take to show that one has been replaced.
+	lifeNoticeTime = 200 * time.Millisecond
+)
+
 // checkEnd returns an error unless an answer whose bytes have ended is whole.
 func (a *attempt) checkEnd(ctx context.Context, end *eventstream.End) error {
 	if !end.Framed {
@@ -39,13 +46,6 @@
 	return "answer ended with its replica"
 }
 
-const (
-	// minRestartTime is the least time from the end of a replica until it accepts connections again.
-	minRestartTime = 500 * time.Millisecond
-	// lifeNoticeTime is how long the list of replicas may take to show that one has been replaced.
-	lifeNoticeTime = 200 * time.Millisecond
-)
-
 // replicaLife tells whether the replica of an answer that has ended with its connection is still the same
 // process: its connections end just so when it terminates. A new connection shows that a process listens
 // at its address, not which one. The replica may have been replaced meanwhile if the gateway, or a link,
