internal/relay: streams of a test arrive before their connection ends

By reading: the stand-in closed its connection right after its event, which may be lost then, so that nothing had to be continued and the second replica's stream was a sound one. The stand-in now waits, as the older tests do; the checks are as before. Suspected, not proved by a trace.

--- a/internal/relay/streamend_test.go
+++ b/internal/relay/streamend_test.go
@@ -50,6 +50,7 @@
 func cutStream(x *platformtest.Exchange, body string) {
 	x.RecordRun()
 	x.Printf("%s%x\r\n%s\r\n", x.Head(http.StatusOK, "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"), len(body), body)
+	time.Sleep(10 * endArrives) // What was sent arrives before the end of the connection.
 	_ = x.Conn.Close()
 }
 
