internal/relay: log how the end of an unframed answer was judged

The line unframed_end has the verdict and its inputs: the events, the life of the replica, how long ago the connection was last seen open, and what the look at the connection before the last read found.

--- a/internal/eventstream/end.go
+++ b/internal/eventstream/end.go
@@ -26,6 +26,8 @@
 	LifeSame
 )
 
+func (l Life) String() string { return [...]string{"unclear", "ended", "same"}[l] }
+
 // End is what is known when the bytes of an answer have ended, without an error of its connection.
 type End struct {
 	// Framed is set if a length or chunks tell where the answer ends. Any other answer ends with its
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -73,6 +73,7 @@
 	// seenOpenAt is when the connection was last seen open, for an answer that ends with it; before, when
 	// the request was sent.
 	seenOpenAt time.Time
+	lookErr    error // What the last look at the connection found.
 	// lastDataAt is when the request was sent or data last arrived; zero before.
 	lastDataAt time.Time
 	// moreFollows is set if the replica has begun, or announced, more of a stream than was passed on.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -146,7 +146,7 @@
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	quiet, known := isOpenWithoutData(c.Conn)
+	quiet, known, _ := isOpenWithoutData(c.Conn)
 	if quiet && known {
 		c.seenOpenAt = time.Now()
 	}
@@ -154,26 +154,29 @@
 }
 
 // isOpenWithoutData reports whether the other end of a connection has neither sent unread data nor
-// closed it; known is false if that can't be told.
-func isOpenWithoutData(nc net.Conn) (quiet, known bool) {
+// closed it; known is false if that can't be told. The error is that of the connection, if it has failed.
+func isOpenWithoutData(nc net.Conn) (quiet, known bool, err error) {
 	if q, ok := nc.(interface{ Quiet() bool }); ok {
-		return q.Quiet(), true
+		return q.Quiet(), true, nil
 	}
 	sc, ok := nc.(syscall.Conn)
 	if !ok {
-		return true, false
+		return true, false, nil
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false, true
+		return false, true, err
 	}
+	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = errors.Is(rerr, syscall.EAGAIN)
+		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		return true
 	})
-	return err == nil && quiet, true
+	if errors.Is(peekErr, syscall.EAGAIN) {
+		quiet, peekErr = err == nil, nil
+	}
+	return quiet, true, errors.Join(err, peekErr)
 }
 
 // keepAliveTimeout returns how long a connection may stay idle, given the upstream's
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -9,6 +9,7 @@
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
+	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/kernel"
 )
 
@@ -21,10 +22,8 @@
 
 // checkEnd returns an error unless an answer whose bytes have ended is whole.
 func (a *attempt) checkEnd(ctx context.Context, end *eventstream.End) error {
-	if !end.Framed {
-		end.Replica = a.replicaLife(ctx)
-	}
-	switch end.Verdict() {
+	verdict := a.judgeEnd(ctx, end)
+	switch verdict {
 	case eventstream.Whole:
 		return nil
 	case eventstream.Unclear:
@@ -33,6 +32,19 @@
 	return fault.New(fault.Truncated, describeEnd(end))
 }
 
+// judgeEnd returns the verdict on an answer whose bytes have ended.
+func (a *attempt) judgeEnd(ctx context.Context, end *eventstream.End) eventstream.Verdict {
+	if end.Framed {
+		return end.Verdict()
+	}
+	openAgo := time.Since(a.seenOpenAt)
+	end.Replica = a.replicaLife(ctx)
+	verdict := end.Verdict()
+	telemetry.Log("unframed_end", "id", a.rq.id, "replica", a.to.ID, "stream", end.Stream, "events", end.Events,
+		"life", end.Replica, "verdict", verdict, "seen_open_ms_ago", openAgo.Milliseconds(), "look_err", a.lookErr)
+	return verdict
+}
+
 // describeEnd tells why an answer is broken off.
 func describeEnd(end *eventstream.End) string {
 	switch {
@@ -106,7 +118,9 @@
 	if a.conn.r.Buffered() > 0 {
 		return
 	}
-	if quiet, known := isOpenWithoutData(a.conn.Conn); quiet || !known {
+	quiet, known, err := isOpenWithoutData(a.conn.Conn)
+	if quiet || !known {
 		a.seenOpenAt = time.Now()
 	}
+	a.lookErr = err
 }
