internal/relay, internal/simnet: a reset within an answer without length or chunks is not lost

Cause: before each read of such an answer the gateway looked at the connection by recvfrom with MSG_PEEK, to note when it was last open. The kernel gives the error of a connection to one caller only. If the reset had arrived, the look took it and dropped it, and the read after it got the end of the connection. The replica still ran, so the answer counted as whole. Evidence: life="same" and look_err="connection reset by peer" in the line of each such answer.

Class: a check that changes what it looks at; a sign that can be read once, read where nobody acts on it. The same look would have lost any error of the connection, such as that of its timeouts.

Change: nothing looks at the connection while an answer is read. conn.Read itself notes when it has to wait, which is when the connection is open and has no data. Asking poll for its state was weighed: it takes no error away, but is a second system call before each read whose result is old when the read begins. An idle connection is still looked at before it is used again; one that is not quiet is closed there, so its error is acted on.

Simulated connections can be reset with the last bytes that they carry, and report a reset once, to whichever call comes first.

Why it holds: the only caller that the kernel can give the error to is the one that returns it to the reader.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -70,10 +70,6 @@
 	result      route.RequestResult
 	status      int
 	recentSends int // Recent requests of this gateway to the replica, including this one.
-	// seenOpenAt is when the connection was last seen open, for an answer that ends with it; before, when
-	// the request was sent.
-	seenOpenAt time.Time
-	lookErr    error // What the last look at the connection found.
 	// lastDataAt is when the request was sent or data last arrived; zero before.
 	lastDataAt time.Time
 	// moreFollows is set if the replica has begun, or announced, more of a stream than was passed on.
@@ -202,7 +198,6 @@
 	a.stopAbort = context.AfterFunc(ctx, c.abort)
 	n, err := a.write()
 	a.lastDataAt = time.Now()
-	a.seenOpenAt = a.lastDataAt
 	if err != nil {
 		if n == 0 {
 			return nil, notRun(fault.Unreachable)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -33,7 +33,9 @@
 	idleSince     time.Time
 	reusableUntil time.Time
 	uses          int
-	seenOpenAt    time.Time // When the connection was last seen open before a request; zero if that can't be told.
+	seenOpenAt    time.Time       // When the connection was last seen open before a request; zero if that can't be told.
+	waitedAt      time.Time       // When a read last found it open and without data; zero before.
+	raw           syscall.RawConn // Set by rawConn.
 }
 
 // abort closes a connection whose request was abandoned. Bytes that have not left the box are
@@ -81,7 +83,9 @@
 		return nil, fault.Wrap(fault.Unreachable, err, addr)
 	}
 	const buffer = 8 << 10
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, buffer)}, nil
+	c := &conn{Conn: nc}
+	c.r = bufio.NewReaderSize(c, buffer)
+	return c, nil
 }
 
 func (p *connPool) take(from fleet.Incarnation) *conn {
@@ -141,42 +145,36 @@
 }
 
 // isQuiet reports whether the upstream has neither sent anything nor closed the connection
-// since the last answer. Data received while idle belongs to no request.
+// since the last answer. Data received while idle belongs to no request. A connection that is not
+// quiet must be closed: its error may have been taken.
 func (c *conn) isQuiet() bool {
 	if c.r.Buffered() > 0 {
 		return false
 	}
-	quiet, known, _ := isOpenWithoutData(c.Conn)
+	quiet, known := c.isOpenWithoutData()
 	if quiet && known {
 		c.seenOpenAt = time.Now()
 	}
 	return quiet
 }
 
-// isOpenWithoutData reports whether the other end of a connection has neither sent unread data nor
-// closed it; known is false if that can't be told. The error is that of the connection, if it has failed.
-func isOpenWithoutData(nc net.Conn) (quiet, known bool, err error) {
-	if q, ok := nc.(interface{ Quiet() bool }); ok {
-		return q.Quiet(), true, nil
+// isOpenWithoutData reports whether the other end of the connection has neither sent unread data nor
+// closed it; known is false if that can't be told.
+func (c *conn) isOpenWithoutData() (quiet, known bool) {
+	if q, ok := c.Conn.(interface{ Quiet() bool }); ok {
+		return q.Quiet(), true
 	}
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return true, false, nil
-	}
-	raw, err := sc.SyscallConn()
+	raw, err := c.rawConn()
 	if err != nil {
-		return false, true, err
+		return errors.Is(err, errors.ErrUnsupported), !errors.Is(err, errors.ErrUnsupported)
 	}
-	var peekErr error
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, _, peekErr = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, _, rerr := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(rerr, syscall.EAGAIN)
 		return true
 	})
-	if errors.Is(peekErr, syscall.EAGAIN) {
-		quiet, peekErr = err == nil, nil
-	}
-	return quiet, true, errors.Join(err, peekErr)
+	return err == nil && quiet, true
 }
 
 // keepAliveTimeout returns how long a connection may stay idle, given the upstream's
--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
 	"github.com/poststand/poststand/internal/telemetry"
+	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/kernel"
 )
 
@@ -37,11 +37,11 @@
 	if end.Framed {
 		return end.Verdict()
 	}
-	openAgo := time.Since(a.seenOpenAt)
+	openAgo := time.Since(a.seenOpenAt())
 	end.Replica = a.replicaLife(ctx)
 	verdict := end.Verdict()
 	telemetry.Log("unframed_end", "id", a.rq.id, "replica", a.to.ID, "stream", end.Stream, "events", end.Events,
-		"life", end.Replica, "verdict", verdict, "seen_open_ms_ago", openAgo.Milliseconds(), "look_err", a.lookErr)
+		"life", end.Replica, "verdict", verdict, "seen_open_ms_ago", openAgo.Milliseconds())
 	return verdict
 }
 
@@ -63,7 +63,7 @@
 // at its address, not which one. The replica may have been replaced meanwhile if the gateway, or a link,
 // stood still; then the list of replicas decides.
 func (a *attempt) replicaLife(ctx context.Context) eventstream.Life {
-	mayBeReplaced := time.Since(a.seenOpenAt) >= minRestartTime
+	mayBeReplaced := time.Since(a.seenOpenAt()) >= minRestartTime
 	switch err := a.reconnect(ctx); {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		a.relay.recordRefusal(a.to.ID)
@@ -84,6 +84,10 @@
 	return eventstream.LifeSame
 }
 
+// seenOpenAt returns when the connection of the answer was last seen open; before its first read, when the
+// request was sent.
+func (a *attempt) seenOpenAt() time.Time { return times.Later(a.sentAt, a.conn.waitedAt) }
+
 // reconnect opens a connection to the replica, which takes the place of the one that has ended.
 func (a *attempt) reconnect(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, endProbeTimeout)
@@ -100,27 +104,3 @@
 	u, ok := a.relay.catalog.Get().Upstreams[a.to.ID]
 	return ok && a.to.Incarnation.Before(u.Incarnation)
 }
-
-// unframedBody is the body of an answer that ends with its connection. It notes when that was last seen
-// open.
-type unframedBody struct {
-	io.ReadCloser
-	attempt *attempt
-}
-
-func (b *unframedBody) Read(p []byte) (int, error) {
-	b.attempt.noteOpen()
-	return b.ReadCloser.Read(p)
-}
-
-// noteOpen notes whether the connection of the attempt is open.
-func (a *attempt) noteOpen() {
-	if a.conn.r.Buffered() > 0 {
-		return
-	}
-	quiet, known, err := isOpenWithoutData(a.conn.Conn)
-	if quiet || !known {
-		a.seenOpenAt = time.Now()
-	}
-	a.lookErr = err
-}
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -25,9 +25,6 @@
 	}
 	a.idleTimeout = keepAliveTimeout(resp.Header.Get("Keep-Alive"))
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
-	if !framed {
-		resp.Body = &unframedBody{resp.Body, a}
-	}
 	reusable := framed && !resp.Close
 	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(names.NotRun) != "" {
 		return part{result: a.refusal(resp)}, reusable
--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -6,6 +6,7 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -42,8 +43,9 @@
 }
 
 type packet struct {
-	data []byte
-	due  time.Time // When its first byte reaches the other side.
+	data  []byte
+	due   time.Time // When its first byte reaches the other side.
+	reset bool      // A reset arrives with it.
 }
 
 // silent reports whether what is written is lost.
@@ -91,12 +93,30 @@
 		return nil
 	}
 	c.net.removePath(c.path)
+	if c.dropPending.Load() {
+		c.path.reset[c.direction].Store(true)
+	}
 	return c.Conn.Close()
 }
 
+// takeReset reports whether the other side has reset the connection. Later calls report false.
+func (c *conn) takeReset() bool { return c.path.reset[1-c.direction].Swap(false) }
+
 // Quiet reports whether the other side has not closed the connection. Data that is on its way does not
-// count.
+// count. A reset that it finds is not reported again.
 func (c *conn) Quiet() bool {
+	open := c.isOpen()
+	if !open {
+		c.takeReset()
+	}
+	return open
+}
+
+// isOpen reports whether the other side has not closed the connection.
+func (c *conn) isOpen() bool {
+	if c.path.reset[1-c.direction].Load() {
+		return false
+	}
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0))
 	_, err := c.Conn.Read(nil)
 	_ = c.Conn.SetReadDeadline(c.readDeadline)
@@ -121,15 +141,37 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if err != nil && c.isClosed() {
+	switch {
+	case err == nil:
+	case c.isClosed():
 		err = net.ErrClosed
+	case !errors.Is(err, os.ErrDeadlineExceeded) && c.takeReset():
+		err = syscall.ECONNRESET
 	}
 	return n, err
 }
 
+// ReadNotingWait is Read. It calls waits before that if the connection is open.
+func (c *conn) ReadNotingWait(b []byte, waits func()) (int, error) {
+	if c.isOpen() {
+		waits()
+	}
+	return c.Read(b)
+}
+
 // Write implements net.Conn. It returns once the bytes have passed the up link and the queue has
 // room for them.
-func (c *conn) Write(b []byte) (int, error) {
+func (c *conn) Write(b []byte) (int, error) { return c.write(packet{data: append([]byte(nil), b...)}) }
+
+// WriteAndReset writes b and closes the connection. The other side can read b, and finds the reset as soon
+// as it has.
+func (c *conn) WriteAndReset(b []byte) error {
+	_, err := c.write(packet{data: append([]byte(nil), b...), reset: true})
+	return errors.Join(err, c.Close())
+}
+
+func (c *conn) write(p packet) (int, error) {
+	b := p.data
 	if err := c.waitPassable(); err != nil {
 		return 0, err
 	}
@@ -137,7 +179,6 @@
 		c.queue = make(chan packet, maxInFlight)
 		go c.deliver()
 	})
-	p := packet{data: append([]byte(nil), b...)}
 	if len(b) >= c.net.Small {
 		time.Sleep(time.Until(c.from.Up.reserve(time.Now(), len(b))))
 	} else {
@@ -235,6 +276,9 @@
 		if c.silent() {
 			continue
 		}
+		if p.reset {
+			c.path.reset[c.direction].Store(true)
+		}
 		if c.writeToPipe(p.data) != nil {
 			close(c.refused)
 			return
--- a/internal/simnet/simnet.go
+++ b/internal/simnet/simnet.go
@@ -112,6 +112,7 @@
 type path struct {
 	dialer, listener string
 	lost             [2]atomic.Bool // By direction: whether what is written is lost.
+	reset            [2]atomic.Bool // By direction: whether the sender has reset the connection and the receiver is not told yet.
 	ends             [2]net.Conn
 }
 
@@ -197,10 +198,12 @@
 // still arrives.
 func (n *Network) SilenceToDialer(selects func(from, to string) bool) { n.silence(selects, toDialer) }
 
-// Reset closes open connections on both sides and drops what is under way.
+// Reset resets open connections for both sides and drops what is under way.
 func (n *Network) Reset(selects func(from, to string) bool) {
 	for _, p := range n.openPaths(selects) {
 		n.removePath(p)
+		p.reset[toListener].Store(true)
+		p.reset[toDialer].Store(true)
 		_, _ = p.ends[toListener].Close(), p.ends[toDialer].Close()
 	}
 }
