internal/relay, fault: an answer that is too large is the replica's fault, not the caller's

What callers saw: 413 for a proper request whose answer exceeded 16 MiB, or had an event of over 1 MiB. It blames the caller, who does not ask again, and hides that the request may have run.

Cause: the answer's error had the code of a request that is too large, which is mapped to 413. Such replicas did not count as failing either.

Change: a code of its own, answer_too_large. Its caller gets 502, the replica's failure counts, and a request that may be repeated is, as before.

--- a/fault/fault.go
+++ b/fault/fault.go
@@ -62,7 +62,8 @@
 	UpstreamFailed     Code = "upstream_failed"
 	MixedVersion       Code = "mixed_version"
 	Truncated          Code = "answer_truncated"
-	Moved              Code = "moved" // The stream continues on another replica because its replica changes version.
+	AnswerTooLarge     Code = "answer_too_large" // The header or body of an answer exceeds its size limit, or has no end.
+	Moved              Code = "moved"            // The stream continues on another replica because its replica changes version.
 	OutcomeUnknown     Code = "outcome_unknown"
 	Quarantined        Code = "request_quarantined" // Replicas terminated each time that they ran the request.
 )
--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -58,7 +58,7 @@
 	Identified bool
 }
 
-// Fill reads once from r. It returns the number of bytes and the error of r, or fault.TooLarge if an
+// Fill reads once from r. It returns the number of bytes and the error of r, or fault.AnswerTooLarge if an
 // event exceeds MaxEvent.
 func (s *Splitter) Fill(r io.Reader) (int, error) {
 	s.discardTaken()
@@ -68,7 +68,7 @@
 			limit = defaultMaxEvent
 		}
 		if len(s.buf) > limit {
-			return 0, fault.New(fault.TooLarge, "stream event exceeds the size limit")
+			return 0, fault.New(fault.AnswerTooLarge, "stream event exceeds the size limit")
 		}
 		s.buf = slices.Grow(s.buf, max(minBuffer, len(s.buf)))
 	}
--- a/internal/eventstream/splitter_test.go
+++ b/internal/eventstream/splitter_test.go
@@ -107,7 +107,7 @@
 func TestEventOverTheLimitIsRefused(t *testing.T) {
 	s := eventstream.Splitter{MaxEvent: 10 << 10}
 	_, _, err := split(&s, strings.NewReader("data: "+strings.Repeat("x", 100<<10)))
-	is.New(t).True(fault.Is(err, fault.TooLarge))
+	is.New(t).True(fault.Is(err, fault.AnswerTooLarge))
 }
 
 // FuzzSplitter cuts streams anywhere: no byte is changed or lost, what is passed on ends with an empty line,
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -127,7 +127,7 @@
 	now := time.Now()
 	a.result.Answered = a.status != 0
 	switch res.Reason {
-	case fault.Unreachable, fault.ConnectionLost, fault.LinkStalled, fault.Truncated, fault.Garbage, fault.UpstreamFailed, fault.MixedVersion:
+	case fault.Unreachable, fault.ConnectionLost, fault.LinkStalled, fault.Truncated, fault.Garbage, fault.AnswerTooLarge, fault.UpstreamFailed, fault.MixedVersion:
 		a.result.Failed = ctx.Err() == nil
 	case fault.QueueFull:
 		a.result.Full = true
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -56,7 +56,7 @@
 	}
 	if err != nil || len(data) > maxAnswerBytes {
 		if err == nil {
-			err = fault.New(fault.TooLarge, "answer exceeds the size limit")
+			err = fault.New(fault.AnswerTooLarge, "body exceeds the size limit")
 		}
 		return part{result: a.bodyResult(ctx, err)}, false
 	}
@@ -81,7 +81,7 @@
 	switch {
 	case err == nil:
 		return dispatch.Result{Outcome: dispatch.Done}
-	case fault.Is(err, fault.Truncated), fault.Is(err, fault.TooLarge), fault.Is(err, fault.Garbage):
+	case fault.Is(err, fault.Truncated), fault.Is(err, fault.AnswerTooLarge), fault.Is(err, fault.Garbage):
 		a.recordBreakdown(ctx, err)
 		return unknown(fault.CodeOf(err))
 	}
