internal/relay: headers and stray answers of replicas are limited

What callers saw: a replica that sends a header without end is read until the caller's deadline, in memory, up to 96 MB where it stops there; its request is not tried elsewhere.

Cause: http.ReadResponse has no limit, and answers to other requests were read up to 16 MiB each and then parsed from the middle.

Change: of all headers up to the one of the answer, interim and stray ones included, a connection gives out at most 32 KiB, and of the bodies of stray answers 1 MiB. Beyond that the answer is broken off with answer_too_large and its text, which answer_broken logs; a request that may be repeated is sent elsewhere.

Why it holds: the limit is where bytes leave the connection, so no parser can pass it by.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -23,6 +23,8 @@
 const (
 	maxStrayAnswers = 3 // Responses read in search of the matching one before the connection is abandoned.
 	maxAnswerBytes  = 16 << 20
+	maxHeadBytes    = 32 << 10 // Of all headers that are read in search of the matching one.
+	maxStrayBytes   = 1 << 20  // Of the bodies of responses to other requests.
 	maxEventBytes   = 1 << 20
 )
 
@@ -301,11 +303,11 @@
 // readHead reads the header of the response to this request, skipping responses to others.
 func (a *attempt) readHead(ctx context.Context) (*http.Response, dispatch.Result) {
 	names := a.relay.headers
-	req := &http.Request{Method: a.rq.method}
+	headLeft, strayLeft := maxHeadBytes, int64(maxStrayBytes)
 	for range maxStrayAnswers {
-		resp, err := http.ReadResponse(a.conn.r, req)
+		resp, err := a.readNextHead(&headLeft)
 		if err != nil {
-			return nil, a.connectionResult(ctx, err)
+			return nil, a.bodyResult(ctx, err)
 		}
 		a.lastDataAt = time.Now()
 		a.recordHeaders(resp)
@@ -316,13 +318,24 @@
 			return resp, dispatch.Result{}
 		}
 		a.relay.Metrics.Event("stray_answer", "")
-		if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxAnswerBytes)); err != nil {
-			return nil, a.connectionResult(ctx, err)
+		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayLeft+1))
+		if strayLeft -= n; strayLeft < 0 {
+			err = fault.New(fault.AnswerTooLarge, "answers to other requests exceed the size limit")
+		}
+		if err != nil {
+			return nil, a.bodyResult(ctx, err)
 		}
 	}
 	return nil, unknown(fault.Garbage)
 }
 
+// readNextHead reads the header of the next response on the connection, of which left bytes may be read.
+func (a *attempt) readNextHead(left *int) (*http.Response, error) {
+	a.conn.headLeft = left
+	defer func() { a.conn.headLeft = nil }()
+	return http.ReadResponse(a.conn.r, &http.Request{Method: a.rq.method})
+}
+
 // mayBeSurplus reports whether a response without an ID may belong to an earlier request of the
 // connection and says that its request has not run. Believed, it would have a request that is running
 // sent again. Misdirected requests are answered without an ID.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -36,6 +36,8 @@
 	seenOpenAt    time.Time       // When the connection was last seen open before a request; zero if that can't be told.
 	waitedAt      time.Time       // When a read last found it open and without data; zero before.
 	raw           syscall.RawConn // Set by rawConn.
+	// headLeft, if set, is how many more bytes may be read while the header of an answer is read.
+	headLeft *int
 }
 
 // abort closes a connection whose request was abandoned. Bytes that have not left the box are
--- a/internal/relay/connread.go
+++ b/internal/relay/connread.go
@@ -7,6 +7,8 @@
 	"os"
 	"syscall"
 	"time"
+
+	"github.com/poststand/poststand/fault"
 )
 
 // A waitNotingReader reads like a net.Conn and calls waits when there is no data and the connection is
@@ -15,9 +17,22 @@
 	ReadNotingWait(p []byte, waits func()) (int, error)
 }
 
-// Read implements io.Reader and notes in waitedAt when it has to wait. The kernel gives the error of a
-// connection to one caller only, so nothing but reading may look at it while an answer is read.
+// Read implements io.Reader. It fails with fault.AnswerTooLarge beyond the limit on headers.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.headLeft == nil {
+		return c.readNotingWait(p)
+	}
+	if *c.headLeft <= 0 {
+		return 0, fault.New(fault.AnswerTooLarge, "header exceeds the size limit")
+	}
+	n, err := c.readNotingWait(p[:min(len(p), *c.headLeft)])
+	*c.headLeft -= n
+	return n, err
+}
+
+// readNotingWait reads and notes in waitedAt when it has to wait. The kernel gives the error of a
+// connection to one caller only, so nothing but reading may look at it while an answer is read.
+func (c *conn) readNotingWait(p []byte) (int, error) {
 	noteWait := func() { c.waitedAt = time.Now() }
 	if r, ok := c.Conn.(waitNotingReader); ok {
 		return r.ReadNotingWait(p, noteWait)
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -76,7 +76,7 @@
 	return notRun(fault.QueueFull)
 }
 
-// bodyResult returns the result of an answer whose body ended with err.
+// bodyResult returns the result of an answer that ended with err.
 func (a *attempt) bodyResult(ctx context.Context, err error) dispatch.Result {
 	switch {
 	case err == nil:
