internal/relay: the memory of all plain answers that are read is limited

What callers saw: with a hundred replicas' answers without end at once, a gateway holds up to 16 MiB of each, and copies that grow, far beyond the 136 MB of the smallest box; it would be ended, with all its callers.

Cause: each plain answer had a limit and nothing held them together.

Change: answerMemory counts what all answers hold beyond 64 KiB each, 18 MiB in all, until they are written to their callers. If that is used up, the largest one that is being read is broken off with answer_too_large; one that would itself be the largest is. Answers are read in parts that are not copied. A body that states a length over the limit is not read at all. A header whose limit is reached keeps that reason when the parser replaces it by one of its own.

Why it holds: an answer that ends frees what it holds, and the one that holds the most gives way, so small answers go on beside any number of large ones. Ways weighed: a smaller limit on each (refuses sound answers when there is room), waiting for room (a hundred answers that never end wait for one another).

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -22,7 +22,8 @@
 	// The failure response of a replica, kept in case no other attempt does better.
 	failureHeader http.Header
 	failureStatus int
-	failureBody   []byte
+	failureBody   [][]byte
+	failureHeld   *answerReader // Holds the memory of failureBody; nil if there is none.
 }
 
 // callerWriteTimeout is how long a caller may take to read what is written to it.
@@ -53,15 +54,37 @@
 }
 
 // writeWhole writes a complete answer to the caller.
-func (o *answer) writeWhole(resp *http.Response, data []byte) error {
-	o.writeHead(resp.StatusCode, resp.Header, len(data))
-	_, err := o.w.Write(data)
-	return err
+func (o *answer) writeWhole(resp *http.Response, body [][]byte) error {
+	return o.write(resp.StatusCode, resp.Header, body)
+}
+
+func (o *answer) write(status int, header http.Header, body [][]byte) error {
+	length := 0
+	for _, part := range body {
+		length += len(part)
+	}
+	o.writeHead(status, header, length)
+	for _, part := range body {
+		if _, err := o.w.Write(part); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // keepFailure stores the failure response of a replica.
-func (o *answer) keepFailure(resp *http.Response, data []byte) {
-	o.failureHeader, o.failureStatus, o.failureBody = resp.Header, resp.StatusCode, data
+func (o *answer) keepFailure(p *part) {
+	o.releaseFailure()
+	o.failureHeader, o.failureStatus, o.failureBody = p.resp.Header, p.resp.StatusCode, p.body
+	o.failureHeld, p.held = p.held, nil
+}
+
+// releaseFailure gives back the memory of the stored failure response.
+func (o *answer) releaseFailure() {
+	if o.failureHeld != nil {
+		o.failureHeld.release()
+		o.failureHeld = nil
+	}
 }
 
 // writeFailure sends the stored failure response to the caller if its status is at least 500
@@ -74,8 +97,7 @@
 	if o.failureStatus < http.StatusInternalServerError {
 		return false
 	}
-	o.writeHead(o.failureStatus, o.failureHeader, len(o.failureBody))
-	_, _ = o.w.Write(o.failureBody)
+	_ = o.write(o.failureStatus, o.failureHeader, o.failureBody)
 	return true
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -21,8 +21,7 @@
 
 // Limits of one attempt.
 const (
-	maxStrayAnswers = 3 // Responses read in search of the matching one before the connection is abandoned.
-	maxAnswerBytes  = 16 << 20
+	maxStrayAnswers = 3        // Responses read in search of the matching one before the connection is abandoned.
 	maxHeadBytes    = 32 << 10 // Of all headers that are read in search of the matching one.
 	maxStrayBytes   = 1 << 20  // Of the bodies of responses to other requests.
 	maxEventBytes   = 1 << 20
@@ -84,11 +83,19 @@
 	resp   *http.Response     // Header of the answer that it belongs to; nil if there is none.
 	stream bool               // The answer is a stream that may be passed on in parts.
 	events eventstream.Events // Of a stream; in its last part, Data is what follows the last event.
-	data   []byte             // Any other answer as a whole.
+	body   [][]byte           // Any other answer as a whole, in parts.
+	held   *answerReader      // Holds the memory of body; nil if there is none.
 	last   bool               // The attempt has ended with result.
 	result dispatch.Result
 }
 
+// release gives back the memory of the part, once it was passed on or dropped.
+func (p *part) release() {
+	if p.held != nil {
+		p.held.release()
+	}
+}
+
 // receivedPart is a part with its attempt.
 type receivedPart struct {
 	part
@@ -109,6 +116,7 @@
 	select {
 	case a.parts <- receivedPart{p, a}:
 	case <-ctx.Done():
+		p.release()
 	}
 }
 
@@ -333,7 +341,11 @@
 func (a *attempt) readNextHead(left *int) (*http.Response, error) {
 	a.conn.headLeft = left
 	defer func() { a.conn.headLeft = nil }()
-	return http.ReadResponse(a.conn.r, &http.Request{Method: a.rq.method})
+	resp, err := http.ReadResponse(a.conn.r, &http.Request{Method: a.rq.method})
+	if err != nil && *left <= 0 {
+		err = errHeadTooLarge() // The parser may have replaced it by an error of its own.
+	}
+	return resp, err
 }
 
 // mayBeSurplus reports whether a response without an ID may belong to an earlier request of the
--- a/internal/relay/connread.go
+++ b/internal/relay/connread.go
@@ -23,13 +23,17 @@
 		return c.readNotingWait(p)
 	}
 	if *c.headLeft <= 0 {
-		return 0, fault.New(fault.AnswerTooLarge, "header exceeds the size limit")
+		return 0, errHeadTooLarge()
 	}
 	n, err := c.readNotingWait(p[:min(len(p), *c.headLeft)])
 	*c.headLeft -= n
 	return n, err
 }
 
+func errHeadTooLarge() error {
+	return fault.New(fault.AnswerTooLarge, "header exceeds the size limit")
+}
+
 // readNotingWait reads and notes in waitedAt when it has to wait. The kernel gives the error of a
 // connection to one caller only, so nothing but reading may look at it while an answer is read.
 func (c *conn) readNotingWait(p []byte) (int, error) {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -50,18 +50,17 @@
 
 // receiveWhole reads an answer that is passed on as a whole.
 func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	r := &answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
+	body, err := r.readAll(resp.Body, resp.ContentLength)
 	if err == nil {
 		err = a.checkEnd(ctx, &eventstream.End{Framed: framed})
 	}
-	if err != nil || len(data) > maxAnswerBytes {
-		if err == nil {
-			err = fault.New(fault.AnswerTooLarge, "body exceeds the size limit")
-		}
+	if err != nil {
+		r.release()
 		return part{result: a.bodyResult(ctx, err)}, false
 	}
 	a.recordFirst()
-	p = part{resp: resp, data: data, result: dispatch.Result{Outcome: dispatch.Done}}
+	p = part{resp: resp, body: body, held: r, result: dispatch.Result{Outcome: dispatch.Done}}
 	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(a.relay.headers.Signature) == "" {
 		p.result = unknown(fault.UpstreamFailed)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,6 +73,7 @@
 	endProbes      endProbes
 	loads          loadReader
 	heldForCallers atomic.Int64 // Bytes in all callerBuffers.
+	answerMemory   answerMemory
 	// memberViews are the recent views of which gateways are live.
 	memberViews memberViews
 	// limitQueue holds the replicas whose limits are to be sent to other gateways.
--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -63,6 +63,7 @@
 	log  lockedBuffer // Output since it was last started.
 	// descriptors limits how many descriptors it may have open; 0 for no limit of its own.
 	descriptors int
+	binary      string // Program to run; binary() if empty.
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -110,7 +111,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.log.reset()
-	p.cmd = exec.Command(binary(), p.args...)
+	program := p.binary
+	if program == "" {
+		program = binary()
+	}
+	p.cmd = exec.Command(program, p.args...)
 	p.cmd.Env = append(os.Environ(), runAsPoststand+"=1", fmt.Sprintf("%s=%d", descriptorLimit, p.descriptors))
 	r, out, err := os.Pipe()
 	if err != nil {
@@ -136,6 +141,25 @@
 	}(p.cmd)
 }
 
+// pid returns the ID of the process, which must have been started.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd.Process.Pid
+}
+
+// buildBinary builds poststand without the race detector, which takes several times the memory, and
+// returns its path.
+func buildBinary(t *testing.T) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "poststand")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/poststand/poststand/cmd/poststand").CombinedOutput()
+	if err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
 // closeLog closes the reading end of the log, as when its reader ends.
 func (p *process) closeLog() {
 	p.mu.Lock()
