internal/relay, internal/eventstream: a stream that brings no event is broken off

What callers saw: a replica that sends empty lines or comments without end keeps a stream open until its caller's deadline (96 MB and 6 s), and no other replica is tried.

Cause: only an incomplete event had a limit; empty lines and comments are complete. An event could also hold 2 MiB, since the buffer doubled beyond its limit, and nothing bounded all streams together.

Change: a stream ends with answer_too_large after 1 MiB without an event. The buffer of an event grows to its limit and no further, and counts in answerMemory beyond 64 KiB.

--- a/internal/eventstream/splitter.go
+++ b/internal/eventstream/splitter.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"slices"
 
 	"github.com/poststand/poststand/fault"
 )
@@ -24,6 +23,8 @@
 type Splitter struct {
 	// MaxEvent limits the bytes that are held for an incomplete event; 1 MiB if zero.
 	MaxEvent int
+	// Reserve, if set, is called before a buffer of held bytes grows by n. It returns an error if it may not.
+	Reserve func(held, n int) error
 
 	buf       []byte // Bytes that were not taken, or were taken last.
 	taken     int    // buf[:taken] was returned before.
@@ -58,19 +59,14 @@
 	Identified bool
 }
 
-// Fill reads once from r. It returns the number of bytes and the error of r, or fault.AnswerTooLarge if an
-// event exceeds MaxEvent.
+// Fill reads once from r. It returns the number of bytes and the error of r, or fault.AnswerTooLarge if
+// an event exceeds MaxEvent.
 func (s *Splitter) Fill(r io.Reader) (int, error) {
 	s.discardTaken()
 	if len(s.buf) == cap(s.buf) {
-		limit := s.MaxEvent
-		if limit == 0 {
-			limit = defaultMaxEvent
+		if err := s.grow(); err != nil {
+			return 0, err
 		}
-		if len(s.buf) > limit {
-			return 0, fault.New(fault.AnswerTooLarge, "stream event exceeds the size limit")
-		}
-		s.buf = slices.Grow(s.buf, max(minBuffer, len(s.buf)))
 	}
 	n, err := r.Read(s.buf[len(s.buf):cap(s.buf)])
 	// Most streams have no CR: one search in all that is read saves one in each line.
@@ -79,6 +75,27 @@
 	return n, err
 }
 
+// grow makes room in a full buffer. It doubles, up to the largest event and a byte more.
+func (s *Splitter) grow() error {
+	limit := s.MaxEvent
+	if limit == 0 {
+		limit = defaultMaxEvent
+	}
+	n := min(max(minBuffer, len(s.buf)), limit+1-len(s.buf))
+	if n <= 0 {
+		return fault.New(fault.AnswerTooLarge, "stream event exceeds the size limit")
+	}
+	if s.Reserve != nil {
+		if err := s.Reserve(len(s.buf), n); err != nil {
+			return err
+		}
+	}
+	larger := make([]byte, len(s.buf), len(s.buf)+n)
+	copy(larger, s.buf)
+	s.buf = larger
+	return nil
+}
+
 // Take returns the events that are complete and were not returned before.
 func (s *Splitter) Take() Events {
 	for s.scanLine() {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,12 +17,18 @@
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
-	s := &eventstream.Splitter{MaxEvent: maxEventBytes}
+	r := answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
+	defer r.memory.release(&r)
+	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.reserve}
 	end := eventstream.End{Framed: framed, Stream: true, Continues: a.mustGoOn(), MoreKnown: a.moreKnown}
-	received := int64(0)
+	received, withoutEvent := int64(0), 0 // Bytes; the second, since the last event.
 	for {
 		n, err := s.Fill(resp.Body)
 		received += int64(n)
+		withoutEvent += n
+		if err != nil && r.memory.isRevoked(&r) {
+			err = errNoAnswerMemory()
+		}
 		if n > 0 {
 			a.lastDataAt = time.Now()
 		}
@@ -32,13 +38,19 @@
 			}
 			a.recordFirst()
 			end.Events += events.Count
+			if events.Count > 0 {
+				withoutEvent = 0
+			}
 			if !a.sendEvents(ctx, part{resp: resp, stream: true, events: events}) {
 				return nil, ctx.Err()
 			}
 		}
-		if err == nil {
+		if err == nil && withoutEvent <= maxEventBytes {
 			continue
 		}
+		if err == nil {
+			err = fault.New(fault.AnswerTooLarge, "stream brings no event")
+		}
 		end.InsideEvent = s.InsideEvent()
 		a.moreFollows = end.InsideEvent || received < resp.ContentLength
 		if err != io.EOF {
