internal/relay: a stream that brought only comments begins at another replica

What callers saw: a stream whose replica sent a comment or an empty line and then broke off, or went on with nothing else, was aborted though it may run again and its caller had no event yet.

Cause: a stream went on elsewhere only after an event with an ID; comments that were passed on made it count as begun.

Change: until its caller has an event, a stream that may be repeated can begin at another replica, within the same answer.

Why it holds: nothing of the first run has reached the caller, so no two runs are joined.

--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -39,6 +39,7 @@
 	retriesBefore   int // Retries expected before the one that the caller was told to make.
 	workload        route.Workload
 	lastEventID     string             // ID of the last stream event sent to the caller that has one.
+	hasEvents       bool               // A stream event has been sent to the caller.
 	lastHasNoID     bool               // The last stream event sent to the caller has no ID.
 	moreKnown       bool               // Replicas have begun or announced more of the stream than was sent to the caller.
 	version         uint64             // Version of the first part of the answer; all further parts must match it.
@@ -79,16 +80,16 @@
 	if e.Count == 0 {
 		return
 	}
-	rq.moreKnown, rq.lastHasNoID = false, !e.Identified
+	rq.moreKnown, rq.hasEvents, rq.lastHasNoID = false, true, !e.Identified
 	if e.LastID != "" {
 		rq.lastEventID = e.LastID
 	}
 }
 
 // mayContinue reports whether the stream can go on at another replica after what its caller has. After an
-// event without an ID it can't: that event would come again.
+// event without an ID it can't: that event would come again. Comments and empty lines are no part of it.
 func (rq *request) mayContinue() bool {
-	return rq.route.Resumable && rq.lastEventID != "" && !rq.lastHasNoID
+	return rq.route.Resumable && (!rq.hasEvents || rq.lastEventID != "" && !rq.lastHasNoID)
 }
 
 // repeatable reports whether the request may run more than once.
