internal/relay: the time at which a connection was last open is taken before the read

A gateway that stood still between a read that found a connection open and the reading of the clock noted a time at which the replica may have been gone, so that one that was replaced meanwhile counted as the same. The clock is read before. By reading; no test can stop a process at that point.

--- a/internal/relay/connread.go
+++ b/internal/relay/connread.go
@@ -37,9 +37,8 @@
 // readNotingWait reads and notes in waitedAt when it has to wait. The kernel gives the error of a
 // connection to one caller only, so nothing but reading may look at it while an answer is read.
 func (c *conn) readNotingWait(p []byte) (int, error) {
-	noteWait := func() { c.waitedAt = time.Now() }
 	if r, ok := c.Conn.(waitNotingReader); ok {
-		return r.ReadNotingWait(p, noteWait)
+		return r.ReadNotingWait(p, func() { c.waitedAt = time.Now() })
 	}
 	raw, err := c.rawConn()
 	if err != nil || len(p) == 0 {
@@ -48,9 +47,10 @@
 	var n int
 	var readErr error
 	err = raw.Read(func(fd uintptr) bool {
+		at := time.Now() // The process may stand still after the read.
 		n, readErr = readIgnoringEINTR(int(fd), p)
 		if errors.Is(readErr, syscall.EAGAIN) {
-			noteWait()
+			c.waitedAt = at
 			return false
 		}
 		return true
