platform, cmd/poststand: what the platform and replicas send has limits

What callers would see: a platform's store, an origin or a box's own replica that sends bytes without end is read for 64 MB a call, then drained without end; a header for 10 MB. A box's agent has 152 MB.

Cause: one limit of 64 MB for every JSON body, bodies that were drained without a limit, and the default limit of net/http on headers.

Change: a limit for each kind: 16 MB for answers of the store, 256 KiB for reports and lists of staged pieces, 1 MiB for manifests, 32 KiB for headers; at most 4 KiB are drained. Beyond it a call fails with too_large, which names the URL and the limit, where it was garbage.

--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/relay"
@@ -83,7 +84,7 @@
 // paths, see package link, and keeps idle connections.
 func newPlatformClient() *http.Client {
 	const idle = 90 * time.Second
-	return &http.Client{Transport: &http.Transport{
+	return bounded.HTTP(&http.Transport{
 		DialContext: link.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: idle,
-	}}
+	})
 }
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -6,6 +6,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/stager"
@@ -57,9 +58,9 @@
 // newOriginClient returns the HTTP client for the origin of weights. It keeps no idle
 // connections: the origin accepts few in total, and an idle one would block other boxes.
 func newOriginClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return bounded.HTTP(&http.Transport{
 		DialContext: (&link.RetryDialer{}).DialContext, DisableCompression: true, DisableKeepAlives: true,
-	}}
+	})
 }
 
 func newOrigin(c *http.Client) stager.Origin {
