internal/relay: one place decides how the reading of a stream ends

The read-through of the change: three checks after each read stand in one switch. No change of behaviour; the tests of relay with Stream, WithoutEnd, Drawn, Ends or Reset in their names pass.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -17,39 +17,40 @@
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
-	r := answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
-	defer r.memory.release(&r)
+	r := &answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
+	defer r.release()
 	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.reserve}
 	end := eventstream.End{Framed: framed, Stream: true, Continues: a.mustGoOn(), MoreKnown: a.moreKnown}
-	received, withoutEvent := int64(0), 0 // Bytes; the second, since the last event.
+	var received int64 // Bytes.
+	withoutEvent := 0  // Bytes since the last event.
 	for {
 		n, err := s.Fill(resp.Body)
 		received += int64(n)
 		withoutEvent += n
-		if err != nil && r.memory.isRevoked(&r) {
-			err = errNoAnswerMemory()
-		}
 		if n > 0 {
 			a.lastDataAt = time.Now()
 		}
-		if events := s.Take(); len(events.Data) > 0 {
+		events := s.Take()
+		if events.Count > 0 {
+			withoutEvent = 0
+		}
+		if len(events.Data) > 0 {
 			if a.beginsAgain(events.FirstID) {
 				return nil, fault.New(fault.Garbage, "stream begins again instead of going on")
 			}
 			a.recordFirst()
 			end.Events += events.Count
-			if events.Count > 0 {
-				withoutEvent = 0
-			}
 			if !a.sendEvents(ctx, part{resp: resp, stream: true, events: events}) {
 				return nil, ctx.Err()
 			}
 		}
-		if err == nil && withoutEvent <= maxEventBytes {
-			continue
-		}
-		if err == nil {
+		switch {
+		case err == nil && withoutEvent > maxEventBytes:
 			err = fault.New(fault.AnswerTooLarge, "stream brings no event")
+		case err == nil:
+			continue
+		case r.memory.isRevoked(r):
+			err = errNoAnswerMemory()
 		}
 		end.InsideEvent = s.InsideEvent()
 		a.moreFollows = end.InsideEvent || received < resp.ContentLength
