--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -22,6 +22,9 @@
 	maxTail = 4 << 10
 )
 
+// DefaultClient is http.DefaultClient with the limit on headers.
+var DefaultClient = HTTP(http.DefaultTransport.(*http.Transport).Clone())
+
 // HTTP sets the limit on headers of t and returns a client that uses it.
 func HTTP(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeader
