engine: what engines and sources of weights send has limits

What callers would see: an engine that sends a header without end is read for 10 MB a call, and a source of weights without any limit, 96 MB of 96 in the test, by Pull. A state that was cut at 1 MB was reported as garbage.

Cause: http.DefaultClient, io.ReadAll on the body of a piece, and a LimitReader whose end looks like that of the body.

Change: bounded.DefaultClient, 256 KiB for a state, 64 MiB for a manifest or chunk.

--- /dev/null
+++ b/engine/endless_test.go
@@ -0,0 +1,31 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"testing"
+
+	"github.com/poststand/poststand/internal/bounded/boundedtest"
+)
+
+// What an engine, or the source of its weights, sent was read for 10 MB, or without end.
+func TestBytesWithoutEndAreBrokenOff(t *testing.T) {
+	t.Run("state", func(t *testing.T) {
+		boundedtest.Run(t, maxState, func(ctx context.Context, c *http.Client, addr string) error {
+			_, err := (&Client{URL: "http://" + addr, HTTP: c}).State(ctx)
+			return err
+		})
+	})
+	t.Run("order", func(t *testing.T) {
+		boundedtest.Run(t, maxState, func(ctx context.Context, c *http.Client, addr string) error {
+			_, err := (&Client{URL: "http://" + addr, HTTP: c}).Order(ctx, Order{})
+			return err
+		})
+	})
+	t.Run("pull", func(t *testing.T) {
+		boundedtest.Run(t, maxBlob, func(_ context.Context, c *http.Client, addr string) error {
+			_, err := Pull(c, "http://"+addr, "digest")
+			return err
+		})
+	})
+}
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,10 +11,10 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 // Headers between agent and engine.
@@ -25,6 +25,12 @@
 	HeaderDigest  = "X-Engine-Digest"      // Digest of the version that answers.
 )
 
+// Limits of what is read, in bytes.
+const (
+	maxState = 256 << 10
+	maxBlob  = 64 << 20 // A manifest or chunk.
+)
+
 // Fence determines which of two orders is newer: first by the incarnation of the agent,
 // then by the revision of the configuration.
 type Fence struct {
@@ -77,7 +83,7 @@
 
 func (c *Client) client() *http.Client {
 	if c.HTTP == nil {
-		return http.DefaultClient
+		return bounded.DefaultClient
 	}
 	return c.HTTP
 }
@@ -110,9 +116,8 @@
 		return nil, fault.New(fault.UpstreamFailed, path+": "+resp.Status)
 	}
 	var s State
-	const maxState = 1 << 20
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxState)).Decode(&s); err != nil {
-		return nil, fault.Wrap(fault.Garbage, err, "engine state")
+	if err := bounded.DecodeJSON(resp.Body, maxState, "engine state", &s); err != nil {
+		return nil, err
 	}
 	return &s, nil
 }
@@ -149,7 +154,7 @@
 // Pull downloads a manifest or chunk from the source of an order. Engines use it.
 func Pull(c *http.Client, source, digest string) ([]byte, error) {
 	if c == nil {
-		c = http.DefaultClient
+		c = bounded.DefaultClient
 	}
 	resp, err := c.Get(source + "/blobs/" + digest)
 	if err != nil {
@@ -159,9 +164,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.NotHeld, digest)
 	}
-	data, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return nil, fault.Wrap(fault.ConnectionLost, err, digest)
-	}
-	return data, nil
+	return bounded.ReadAll(resp.Body, maxBlob, digest)
 }
