weights: a chunk of the origin that is too large fails, headers have a limit

What callers would see: a chunk without end was cut at 64 MiB and a byte and returned as whole, which only its digest showed; a header was read for 10 MB.

Cause: a LimitReader without a check of its end, and http.DefaultClient.

Change: bounded.ReadAll and bounded.DefaultClient. A chunk that is too large fails with too_large, which names the limit.

It still reads up to 64 MiB for one chunk: the caller's manifest knows the size, which isn't passed on.

--- a/weights/origin.go
+++ b/weights/origin.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/kernel"
 )
 
@@ -27,7 +27,7 @@
 	}
 	c := o.HTTP
 	if c == nil {
-		c = http.DefaultClient
+		c = bounded.DefaultClient
 	}
 	resp, err := c.Do(req)
 	if err != nil {
@@ -42,11 +42,7 @@
 	default:
 		return nil, fault.New(fault.UpstreamFailed, "origin: "+resp.Status)
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, MaxChunk+1))
-	if err != nil {
-		return nil, fault.Wrap(fault.ConnectionLost, err, "origin")
-	}
-	return data, nil
+	return bounded.ReadAll(resp.Body, MaxChunk, "origin")
 }
 
 func retryAfter(resp *http.Response) time.Duration {
