internal/feed: headers of the platform have a limit

What callers would see: a header of the platform without end was read for 10 MB. Bodies had a limit by hand.

Change: bounded.DefaultClient, and bounded.ReadAll in place of the limit by hand.

TestPlatformBytesWithoutEndAreBrokenOff, two calls and twelve kinds: 8 of 24 failed before (the heads), all hold.

--- a/internal/feed/platform.go
+++ b/internal/feed/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -12,8 +11,12 @@
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
+// maxList limits a head or list of the platform, in bytes.
+const maxList = 8 << 20
+
 // PlatformHead is the platform's answer to a request for the configuration.
 type PlatformHead struct {
 	Revision uint64            `json:"revision"`
@@ -58,7 +61,6 @@
 }
 
 func (p *Platform) get(ctx context.Context, path string, out any) error {
-	const maxList = 8 << 20
 	data, err := p.fetch(ctx, path, maxList)
 	if err != nil {
 		return err
@@ -76,7 +78,7 @@
 	}
 	c := p.Client
 	if c == nil {
-		c = http.DefaultClient
+		c = bounded.DefaultClient
 	}
 	resp, err := c.Do(req)
 	if err != nil {
@@ -90,12 +92,5 @@
 		}
 		return nil, fault.New(code, "platform answered "+strconv.Itoa(resp.StatusCode))
 	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
-	if err != nil {
-		return nil, fault.Wrap(fault.ConnectionLost, err, "platform")
-	}
-	if int64(len(data)) > limit {
-		return nil, fault.New(fault.TooLarge, "platform answer exceeds the size limit")
-	}
-	return data, nil
+	return bounded.ReadAll(resp.Body, limit, "platform")
 }
