--- a/cmd/poststand/cmd/status.go
+++ b/cmd/poststand/cmd/status.go
@@ -12,6 +12,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 // summary holds the fields that all statuses share, and the state of weight transfers.
@@ -93,7 +94,7 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			results[i].data, results[i].err = fetchStatus(ctx, addr)
+			results[i].data, results[i].err = fetchStatus(ctx, nil, addr)
 		})
 	}
 	wg.Wait()
@@ -128,22 +129,25 @@
 	return line
 }
 
-func fetchStatus(ctx context.Context, addr string) ([]byte, error) {
-	const timeout, maxBytes = 3 * time.Second, 16 << 20
+// maxStatus limits a status, in bytes.
+const maxStatus = 4 << 20
+
+// fetchStatus requests a status with c, or bounded.DefaultClient if c is nil.
+func fetchStatus(ctx context.Context, c *http.Client, addr string) ([]byte, error) {
+	const timeout = 3 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/status", nil)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, addr)
 	}
-	resp, err := http.DefaultClient.Do(req)
+	if c == nil {
+		c = bounded.DefaultClient
+	}
+	resp, err := c.Do(req)
 	if err != nil {
 		return nil, fault.Wrap(fault.Unreachable, err, addr)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBytes))
-	if err != nil {
-		return nil, fault.Wrap(fault.ConnectionLost, err, addr)
-	}
-	return data, nil
+	return bounded.ReadAll(resp.Body, maxStatus, addr)
 }
