internal/agent: headers of the engine and the origin have a limit

What callers would see: an engine or origin that sends a header without end is read for 10 MB a call by an agent whose box has 152 MB, one for each slot.

Cause: transports without MaxResponseHeaderBytes.

Change: both clients are made by bounded.HTTP, 32 KiB.

TestHeadersWithoutEndAreBrokenOff, four kinds on real sockets through execute and FetchOrigin: 4 of 4 failed before, all hold.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/engine"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/feed"
 	"github.com/poststand/poststand/internal/settings"
 	"github.com/poststand/poststand/internal/telemetry"
@@ -64,12 +65,10 @@
 	a.lifetime, a.cancel = context.WithCancel(context.Background())
 	a.gate = &dispatch.Gate{Incarnation: uint64(a.started.UnixNano()), Slots: s.Slots, Queue: s.Queue}
 	if o.Engine == nil {
-		o.Engine = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: s.Slots + s.Queue, IdleConnTimeout: time.Minute,
-		}}
+		o.Engine = bounded.HTTP(&http.Transport{MaxIdleConnsPerHost: s.Slots + s.Queue, IdleConnTimeout: time.Minute})
 	}
 	if o.Origin == nil {
-		o.Origin = &http.Client{Transport: &http.Transport{DialContext: a.dialFromListenAddr()}}
+		o.Origin = bounded.HTTP(&http.Transport{DialContext: a.dialFromListenAddr()})
 	}
 	a.engine = &engine.Client{URL: s.Engine, HTTP: o.Engine}
 	a.peerPool = a.newPool(wire.Options{})
