internal/bounded: answerMemory, moved from internal/relay

Agents need the same bound: each of their slots reads up to 16 MiB. The type and its tests move without a change of what they do; Err tells why a reader was broken off, in place of isRevoked and errNoAnswerMemory in stream.go.

Run: internal/bounded with the race detector, and the tests of internal/relay that match WithoutEnd, Largest or Stream, hold.

--- a/internal/relay/answermemory.go
+++ b/internal/bounded/answermemory.go
@@ -1,4 +1,4 @@
-package relay
+package bounded
 
 import (
 	"io"
@@ -10,7 +10,7 @@
 // Bounds on what is held of answers, in bytes.
 const (
 	maxAnswerBytes = 16 << 20
-	// freeAnswerBytes of each answer do not count in answerMemory.
+	// freeAnswerBytes of each answer do not count in AnswerMemory.
 	freeAnswerBytes = 64 << 10
 	// maxAnswerMemory is a little more than one answer of maxAnswerBytes holds.
 	maxAnswerMemory = maxAnswerBytes + 2*maxAnswerPart
@@ -18,31 +18,32 @@
 	maxAnswerPart   = 1 << 20
 )
 
-// answerMemory bounds the memory of all answers that are being read or written. If there is none left for
+// AnswerMemory bounds the memory of all answers that are being read or written. If there is none left for
 // an answer, larger ones that are being read are broken off. The zero value is ready to use.
-type answerMemory struct {
+type AnswerMemory struct {
 	mu      sync.Mutex
 	held    int
-	readers map[*answerReader]bool // Those that hold memory and read.
+	readers map[*AnswerReader]bool // Those that hold memory and read.
 }
 
-// answerReader reads one answer, or holds the memory of one stream.
-type answerReader struct {
-	memory  *answerMemory
-	abort   func() // Ends a read in progress.
-	held    int    // Guarded by memory.mu.
-	revoked bool   // Guarded by memory.mu; the answer is broken off.
+// AnswerReader reads one answer, or holds the memory of one stream.
+type AnswerReader struct {
+	Memory *AnswerMemory
+	Abort  func() // Ends a read in progress.
+
+	held    int  // Guarded by Memory.mu.
+	revoked bool // Guarded by Memory.mu; the answer is broken off.
 }
 
-// readAll returns all bytes of a body, of which length are announced, or -1 if that is not known. They
-// count until release is called.
-func (r *answerReader) readAll(body io.Reader, length int64) (parts [][]byte, err error) {
+// ReadAll returns all bytes of a body, of which length are announced, or -1 if that is not known. They
+// count until Release is called.
+func (r *AnswerReader) ReadAll(body io.Reader, length int64) (parts [][]byte, err error) {
 	if length > maxAnswerBytes {
 		return nil, fault.New(fault.AnswerTooLarge, "body exceeds the size limit by the length that it states")
 	}
 	defer func() {
 		if err != nil {
-			r.release()
+			r.Release()
 		}
 	}()
 	part := make([]byte, 0, firstPartSize(length))
@@ -50,7 +51,7 @@
 		if len(part) == cap(part) {
 			parts = append(parts, part)
 			size := min(maxAnswerPart, max(total, minAnswerPart))
-			if err := r.reserve(total, size); err != nil {
+			if err := r.Reserve(total, size); err != nil {
 				return nil, err
 			}
 			part = make([]byte, 0, size)
@@ -61,7 +62,7 @@
 		switch {
 		case total > maxAnswerBytes:
 			return nil, fault.New(fault.AnswerTooLarge, "body exceeds the size limit")
-		case r.memory.isRevoked(r) || err == io.EOF && !r.memory.keep(r):
+		case r.Memory.isRevoked(r) || err == io.EOF && !r.Memory.keep(r):
 			return nil, errNoAnswerMemory()
 		case err == io.EOF:
 			return append(parts, part), nil
@@ -83,13 +84,21 @@
 	return fault.New(fault.AnswerTooLarge, "answer is the largest of all that are read, which exceed the memory for them")
 }
 
-// release gives back what the answer holds.
-func (r *answerReader) release() { r.memory.release(r) }
+// Err returns why the answer is broken off, or nil if it isn't.
+func (r *AnswerReader) Err() error {
+	if r.Memory.isRevoked(r) {
+		return errNoAnswerMemory()
+	}
+	return nil
+}
+
+// Release gives back what the answer holds.
+func (r *AnswerReader) Release() { r.Memory.release(r) }
 
-// reserve fails with fault.AnswerTooLarge if the answer, of which total bytes are held, may not hold n
+// Reserve fails with fault.AnswerTooLarge if the answer, of which total bytes are held, may not hold n
 // bytes more.
-func (r *answerReader) reserve(total, n int) error {
-	if total+n > freeAnswerBytes && !r.memory.reserve(r, n) {
+func (r *AnswerReader) Reserve(total, n int) error {
+	if total+n > freeAnswerBytes && !r.Memory.reserve(r, n) {
 		return errNoAnswerMemory()
 	}
 	return nil
@@ -97,7 +106,7 @@
 
 // reserve reports whether a reader may hold n bytes more. Readers that hold more than it would are
 // broken off for that, the largest first.
-func (m *answerMemory) reserve(r *answerReader, n int) bool {
+func (m *AnswerMemory) reserve(r *AnswerReader, n int) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for !r.revoked && m.held+n > maxAnswerMemory {
@@ -111,7 +120,7 @@
 		return false
 	}
 	if m.readers == nil {
-		m.readers = map[*answerReader]bool{}
+		m.readers = map[*AnswerReader]bool{}
 	}
 	m.readers[r] = true
 	r.held += n
@@ -120,8 +129,8 @@
 }
 
 // largest returns the reader that holds the most, or nil. The caller holds m.mu.
-func (m *answerMemory) largest() *answerReader {
-	var out *answerReader
+func (m *AnswerMemory) largest() *AnswerReader {
+	var out *AnswerReader
 	for r := range m.readers {
 		if out == nil || r.held > out.held {
 			out = r
@@ -131,34 +140,34 @@
 }
 
 // revoke breaks off an answer. The caller holds m.mu.
-func (m *answerMemory) revoke(r *answerReader) {
+func (m *AnswerMemory) revoke(r *AnswerReader) {
 	r.revoked = true
 	m.drop(r)
-	r.abort()
+	r.Abort()
 }
 
 // drop forgets what a reader holds. The caller holds m.mu.
-func (m *answerMemory) drop(r *answerReader) {
+func (m *AnswerMemory) drop(r *AnswerReader) {
 	m.held -= r.held
 	r.held = 0
 	delete(m.readers, r)
 }
 
 // keep ends reading: the answer can't be broken off any more. It reports false if it was before.
-func (m *answerMemory) keep(r *answerReader) bool {
+func (m *AnswerMemory) keep(r *AnswerReader) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.readers, r)
 	return !r.revoked
 }
 
-func (m *answerMemory) release(r *answerReader) {
+func (m *AnswerMemory) release(r *AnswerReader) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.drop(r)
 }
 
-func (m *answerMemory) isRevoked(r *answerReader) bool {
+func (m *AnswerMemory) isRevoked(r *AnswerReader) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return r.revoked
--- a/internal/relay/answermemory_test.go
+++ b/internal/bounded/answermemory_test.go
@@ -1,4 +1,4 @@
-package relay
+package bounded
 
 import (
 	"errors"
@@ -14,7 +14,7 @@
 
 // endlessBody is a body without end, until it is closed.
 type endlessBody struct {
-	memory *answerMemory
+	memory *AnswerMemory
 	closed atomic.Bool
 	over   *atomic.Bool // Set if more memory was held than allowed.
 }
@@ -35,15 +35,15 @@
 func TestManyAnswersWithoutEndHoldLittleMemory(t *testing.T) {
 	const answers = 100
 	is := is.New(t)
-	var m answerMemory
+	var m AnswerMemory
 	var over atomic.Bool
 	var wg sync.WaitGroup
 	errs := make(chan error, answers)
 	for range answers {
 		wg.Go(func() {
 			b := &endlessBody{memory: &m, over: &over}
-			r := answerReader{memory: &m, abort: func() { b.closed.Store(true) }}
-			_, err := r.readAll(b, -1)
+			r := AnswerReader{Memory: &m, Abort: func() { b.closed.Store(true) }}
+			_, err := r.ReadAll(b, -1)
 			errs <- err
 		})
 	}
@@ -60,15 +60,15 @@
 // A small answer was refused for memory that larger ones hold.
 func TestLargestAnswerIsBrokenOffForSmallerOnes(t *testing.T) {
 	is := is.New(t)
-	var m answerMemory
+	var m AnswerMemory
 	aborted := 0
-	large := &answerReader{memory: &m, abort: func() { aborted++ }}
-	is.NoErr(large.reserve(freeAnswerBytes, maxAnswerMemory-freeAnswerBytes))
-	small := &answerReader{memory: &m}
-	is.NoErr(small.reserve(freeAnswerBytes, 4*freeAnswerBytes))
+	large := &AnswerReader{Memory: &m, Abort: func() { aborted++ }}
+	is.NoErr(large.Reserve(freeAnswerBytes, maxAnswerMemory-freeAnswerBytes))
+	small := &AnswerReader{Memory: &m}
+	is.NoErr(small.Reserve(freeAnswerBytes, 4*freeAnswerBytes))
 	is.Equal(aborted, 1)
-	is.True(fault.Is(large.reserve(freeAnswerBytes, 1), fault.AnswerTooLarge))
-	is.True(fault.Is(small.reserve(freeAnswerBytes, maxAnswerMemory), fault.AnswerTooLarge)) // Itself the largest.
+	is.True(fault.Is(large.Reserve(freeAnswerBytes, 1), fault.AnswerTooLarge))
+	is.True(fault.Is(small.Reserve(freeAnswerBytes, maxAnswerMemory), fault.AnswerTooLarge)) // Itself the largest.
 	m.release(large)
 	m.release(small)
 	is.Equal(m.held, 0)
--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -4,6 +4,9 @@
 // An HTTP client that uses HTTP reads headers of at most MaxHeader. ReadAll and DecodeJSON read bodies, and fail
 // with fault.TooLarge beyond their limit; a body that is cut there never counts as malformed. Drain reads what
 // follows an answer, so that its connection can be reused.
+//
+// An AnswerMemory bounds what many answers to callers hold together while AnswerReaders read them; beyond it the
+// largest is broken off with fault.AnswerTooLarge.
 package bounded
 
 import (
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 // answer writes the response to one caller: a plain answer only once it is complete, a stream
@@ -23,7 +25,7 @@
 	failureHeader http.Header
 	failureStatus int
 	failureBody   [][]byte
-	failureHeld   *answerReader // Holds the memory of failureBody; nil if there is none.
+	failureHeld   *bounded.AnswerReader // Holds the memory of failureBody; nil if there is none.
 }
 
 // callerWriteTimeout is how long a caller may take to read what is written to it.
@@ -82,7 +84,7 @@
 // releaseFailure gives back the memory of the stored failure response.
 func (o *answer) releaseFailure() {
 	if o.failureHeld != nil {
-		o.failureHeld.release()
+		o.failureHeld.Release()
 		o.failureHeld = nil
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/quarantine"
@@ -80,19 +81,19 @@
 
 // part is something that a replica sent for the caller.
 type part struct {
-	resp   *http.Response     // Header of the answer that it belongs to; nil if there is none.
-	stream bool               // The answer is a stream that may be passed on in parts.
-	events eventstream.Events // Of a stream; in its last part, Data is what follows the last event.
-	body   [][]byte           // Any other answer as a whole, in parts.
-	held   *answerReader      // Holds the memory of body; nil if there is none.
-	last   bool               // The attempt has ended with result.
+	resp   *http.Response        // Header of the answer that it belongs to; nil if there is none.
+	stream bool                  // The answer is a stream that may be passed on in parts.
+	events eventstream.Events    // Of a stream; in its last part, Data is what follows the last event.
+	body   [][]byte              // Any other answer as a whole, in parts.
+	held   *bounded.AnswerReader // Holds the memory of body; nil if there is none.
+	last   bool                  // The attempt has ended with result.
 	result dispatch.Result
 }
 
 // release gives back the memory of the part, once it was passed on or dropped.
 func (p *part) release() {
 	if p.held != nil {
-		p.held.release()
+		p.held.Release()
 	}
 }
 
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -9,6 +9,7 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
@@ -50,13 +51,13 @@
 
 // receiveWhole reads an answer that is passed on as a whole.
 func (a *attempt) receiveWhole(ctx context.Context, resp *http.Response, framed, reusable bool) (p part, reuse bool) {
-	r := &answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
-	body, err := r.readAll(resp.Body, resp.ContentLength)
+	r := &bounded.AnswerReader{Memory: &a.relay.answerMemory, Abort: a.conn.abort}
+	body, err := r.ReadAll(resp.Body, resp.ContentLength)
 	if err == nil {
 		err = a.checkEnd(ctx, &eventstream.End{Framed: framed})
 	}
 	if err != nil {
-		r.release()
+		r.Release()
 		return part{result: a.bodyResult(ctx, err)}, false
 	}
 	a.recordFirst()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -17,6 +17,7 @@
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/fleet"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/drain"
 	"github.com/poststand/poststand/internal/link"
 	"github.com/poststand/poststand/internal/peers"
@@ -73,7 +74,7 @@
 	endProbes      endProbes
 	loads          loadReader
 	heldForCallers atomic.Int64 // Bytes in all callerBuffers.
-	answerMemory   answerMemory
+	answerMemory   bounded.AnswerMemory
 	// memberViews are the recent views of which gateways are live.
 	memberViews memberViews
 	// limitQueue holds the replicas whose limits are to be sent to other gateways.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
@@ -17,17 +18,17 @@
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
-	r := answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
-	defer r.memory.release(&r)
-	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.reserve}
+	r := bounded.AnswerReader{Memory: &a.relay.answerMemory, Abort: a.conn.abort}
+	defer r.Release()
+	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.Reserve}
 	end := eventstream.End{Framed: framed, Stream: true, Continues: a.mustGoOn(), MoreKnown: a.moreKnown}
 	received, withoutEvent := int64(0), 0 // Bytes; the second, since the last event.
 	for {
 		n, err := s.Fill(resp.Body)
 		received += int64(n)
 		withoutEvent += n
-		if err != nil && r.memory.isRevoked(&r) {
-			err = errNoAnswerMemory()
+		if err != nil && r.Err() != nil {
+			err = r.Err()
 		}
 		if n > 0 {
 			a.lastDataAt = time.Now()
