internal/agent: the memory of all answers that are read is limited, streams without events end

What callers would see: an engine that sends bytes without end takes 16 MiB for each plain answer and all that comes for each stream, on a box of 152 MB; a stream of empty lines is read until its deadline. An answer that was too large was told to its caller as 413, as if the request were. An event that was too large was asked for three times more.

Cause: limits of single plain answers only, nothing for all of them or for a stream; only events counted.

A stream that brings 1 MiB without an event ends. The reason is answer_too_large, which is not resumed on the engine; the engine is told to cancel.

Why it holds: every buffer is reserved before it is made, and each appended event before it is copied. What finished answers hold is limited by the gate, as before.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -35,6 +35,7 @@
 	feed          *feed.Feed
 	gate          *dispatch.Gate
 	engine        *engine.Client
+	answerMemory  bounded.AnswerMemory
 	exchange      *weights.Exchange
 	peerPool      *wire.Pool // Connections to gateways and other agents.
 	homes         homeTracker
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -6,21 +6,21 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/engine"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
 // Limits of an answer.
 const (
-	maxEventBytes  = 1 << 20 // Size of one event of a stream.
-	maxAnswerBytes = 16 << 20
-	maxTailBytes   = 4 << 10 // Bytes that are read after the last event of a stream.
-	maxResumes     = 3       // How often an interrupted stream is resumed on the engine.
+	maxEventBytes = 1 << 20 // Size of one event of a stream, and of what comes without an event.
+	maxResumes    = 3       // How often an interrupted stream is resumed on the engine.
 )
 
 // endOfStream is the last event of a complete stream in the chat completions protocol.
@@ -47,8 +47,20 @@
 // execute runs a request on the engine or plain service of this box. Once it is
 // called, the request may have run, even if it returns an error.
 func (a *Agent) execute(ctx context.Context, rec *dispatch.Record) error {
-	d := rec.Dispatch
-	r := &runner{agent: a, rec: rec}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	r := &runner{agent: a, rec: rec, memory: bounded.AnswerReader{Memory: &a.answerMemory, Abort: cancel}}
+	defer r.memory.Release()
+	err := r.run(ctx)
+	if reason := r.memory.Err(); err != nil && reason != nil {
+		return reason
+	}
+	return err
+}
+
+// run sends the request and reads its answer.
+func (r *runner) run(ctx context.Context) error {
+	d := r.rec.Dispatch
 	resp, err := r.send(ctx, 0)
 	if err != nil {
 		return err
@@ -60,7 +72,7 @@
 	if err := r.checkVersion(resp); err != nil {
 		return err
 	}
-	rec.Answer.Begin(&dispatch.AnswerHead{
+	r.rec.Answer.Begin(&dispatch.AnswerHead{
 		ID: d.ID, Digest: d.Digest, Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"),
 	})
 	if d.Stream && resp.StatusCode == http.StatusOK {
@@ -73,7 +85,9 @@
 type runner struct {
 	agent  *Agent
 	rec    *dispatch.Record
-	events int // Events of a stream that were appended to the answer.
+	memory bounded.AnswerReader // Holds the memory of what is read.
+	events int                  // Events of a stream that were appended to the answer.
+	bytes  int                  // Bytes of these events.
 	// moreKnown is set if the engine has begun an event that was not appended yet.
 	moreKnown bool
 }
@@ -105,13 +119,13 @@
 }
 
 func (r *runner) readBody(ctx context.Context, resp *http.Response) error {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	parts, err := r.memory.ReadAll(resp.Body, resp.ContentLength)
+	if fault.Is(err, fault.AnswerTooLarge) {
+		return err
+	}
 	if err != nil {
 		return fault.Wrap(fault.Truncated, err, "")
 	}
-	if len(data) > maxAnswerBytes {
-		return fault.New(fault.TooLarge, "answer")
-	}
 	end := eventstream.End{Framed: resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0 || resp.Uncompressed}
 	if !end.Framed {
 		end.Replica = r.engineLife(ctx)
@@ -120,10 +134,10 @@
 		return fault.New(fault.Truncated, "answer ended with its engine")
 	}
 	const partBytes = 256 << 10
-	for len(data) > 0 {
-		n := min(partBytes, len(data))
-		r.rec.Answer.Append(data[:n])
-		data = data[n:]
+	for _, part := range parts {
+		for data := range slices.Chunk(part, partBytes) {
+			r.rec.Answer.Append(data)
+		}
 	}
 	r.rec.Answer.End()
 	return nil
@@ -154,6 +168,10 @@
 			return nil
 		}
 		_ = resp.Body.Close()
+		if fault.Is(err, fault.AnswerTooLarge) {
+			r.agent.cancelOnEngine(r.rec.Dispatch)
+			return err
+		}
 		if ctx.Err() != nil {
 			r.agent.cancelOnEngine(r.rec.Dispatch)
 			return fault.Wrap(fault.Timeout, ctx.Err(), "")
@@ -182,26 +200,35 @@
 	const timeout = 50 * time.Millisecond
 	closed := time.AfterFunc(timeout, func() { _ = body.Close() })
 	defer closed.Stop()
-	_, _ = io.CopyN(io.Discard, body, maxTailBytes)
+	bounded.Drain(body)
 	_ = body.Close()
 }
 
 // readEvents appends complete events to the answer up to the last event of the stream.
 func (r *runner) readEvents(body io.Reader) error {
-	s := eventstream.Splitter{MaxEvent: maxEventBytes}
+	s := eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.memory.Reserve}
+	withoutEvent := 0 // Bytes since the last event.
 	for {
-		_, err := s.Fill(body)
+		n, err := s.Fill(body)
+		withoutEvent += n
 		for event := s.TakeOne(); event.Count > 0; event = s.TakeOne() {
 			if bytes.Equal(bytes.TrimSpace(event.Data), endOfStream) {
 				return r.endStream(event.Data)
 			}
-			r.rec.Answer.Append(bytes.Clone(event.Data))
-			r.events++
-			r.moreKnown = false
+			if err := r.appendEvent(event.Data); err != nil {
+				return err
+			}
+			withoutEvent = 0
 		}
-		if err == nil {
+		if err == nil && withoutEvent <= maxEventBytes {
 			continue
 		}
+		if err == nil {
+			return fault.New(fault.AnswerTooLarge, "stream brings no event")
+		}
+		if fault.Is(err, fault.AnswerTooLarge) {
+			return err
+		}
 		r.moreKnown = r.moreKnown || s.InsideEvent()
 		if err == io.EOF {
 			return fault.New(fault.Truncated, "no last event")
@@ -210,6 +237,18 @@
 	}
 }
 
+// appendEvent appends an event to the answer, which holds all of a stream.
+func (r *runner) appendEvent(event []byte) error {
+	if err := r.memory.Reserve(r.bytes, len(event)); err != nil {
+		return err
+	}
+	r.rec.Answer.Append(bytes.Clone(event))
+	r.events++
+	r.bytes += len(event)
+	r.moreKnown = false
+	return nil
+}
+
 // endStream appends the last event of a stream, unless others must come before it.
 func (r *runner) endStream(last []byte) error {
 	end := eventstream.End{Framed: true, Stream: true, Events: r.events, Continues: true, MoreKnown: r.moreKnown}
