internal/gateway: an answer that is too large is a failure of its box

What callers would see: the commit before gives answers that exceed their limits the reason answer_too_large, where streams had truncated. A gateway took each reason that it does not list for a refusal, so that the box was not avoided after it.

Change: answer_too_large is listed with truncated.

TestAnswerTooLargeIsAFailureOfItsBox failed with the list of before; all tests of internal/gateway hold.

--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -139,9 +139,9 @@
 		dr.FirstData = a.firstDataAt.Sub(start)
 		g.Metrics.FirstData(dr.FirstData.Seconds())
 	}
-	switch res.Reason {
-	case "", fault.Cancelled, codeCallerGone:
-	case fault.Unreachable, fault.ConnectionLost, fault.LinkStalled, fault.UpstreamFailed, fault.Truncated, fault.MixedVersion, fault.Timeout:
+	switch {
+	case res.Reason == "", res.Reason == fault.Cancelled, res.Reason == codeCallerGone:
+	case isBoxFailure(res.Reason):
 		dr.Failed = true
 	default:
 		g.router.RecordRefusal(u.Box.Name, u.Report.Incarnation, res.Reason)
@@ -149,6 +149,16 @@
 	g.router.Done(time.Now(), u.Box.Name, u.Report.Incarnation, dr)
 }
 
+// isBoxFailure reports whether a reason tells of a failure of the box, and not of a refusal.
+func isBoxFailure(reason fault.Code) bool {
+	switch reason {
+	case fault.Unreachable, fault.ConnectionLost, fault.LinkStalled, fault.UpstreamFailed, fault.Truncated,
+		fault.AnswerTooLarge, fault.MixedVersion, fault.Timeout:
+		return true
+	}
+	return false
+}
+
 // targetVersion returns the digest of the version to dispatch for in this hall,
 // which is empty for a plain service.
 func (g *Gateway) targetVersion(rq *request) string {
