wire: the buffer of a frame grows with what has come

What callers would see: a peer that announces a frame and never sends it has 9 MiB held for it until the connection fails after 15 s without data; 16 such connections fill the box of an agent.

Cause: readFrame made the buffer of the length that the header states.

Change: 64 KiB at first, then twice what has come. Frames up to 64 KiB are read as before.

Not measured: the cost of the copies for frames over 64 KiB.

--- a/wire/conn.go
+++ b/wire/conn.go
@@ -218,11 +218,29 @@
 	if n > maxBody {
 		return frame{}, fault.New(fault.TooLarge, "frame")
 	}
-	f := frame{kind: Kind(h[4]), stream: binary.BigEndian.Uint64(h[5:]), body: make([]byte, n)}
-	if _, err := io.ReadFull(r, f.body); err != nil {
+	body, err := readBody(r, n)
+	if err != nil {
 		return frame{}, ioError(err)
 	}
-	return f, nil
+	return frame{kind: Kind(h[4]), stream: binary.BigEndian.Uint64(h[5:]), body: body}, nil
+}
+
+// readBody reads n bytes. Its buffer grows with what has come, since a peer may announce a body and never send it.
+func readBody(r io.Reader, n int) ([]byte, error) {
+	const firstBytes = 64 << 10
+	body := make([]byte, min(n, firstBytes))
+	for read := 0; ; {
+		if _, err := io.ReadFull(r, body[read:]); err != nil {
+			return nil, err
+		}
+		if len(body) == n {
+			return body, nil
+		}
+		read = len(body)
+		larger := make([]byte, min(n, 2*read))
+		copy(larger, body)
+		body = larger
+	}
 }
 
 // ioError returns the typed error for a failed read or write of the connection.
