--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -4,6 +4,9 @@
 // An HTTP client that uses HTTP reads headers of at most MaxHeader. ReadAll and DecodeJSON read bodies, and fail
 // with fault.TooLarge beyond their limit; a body that is cut there never counts as malformed. Drain reads what
 // follows an answer, so that its connection can be reused.
+//
+// An AnswerMemory bounds what many answers to callers hold together while AnswerReaders read them; beyond it the
+// largest is broken off with fault.AnswerTooLarge.
 package bounded
 
 import (
@@ -22,6 +25,9 @@
 	maxTail = 4 << 10
 )
 
+// DefaultClient is http.DefaultClient with the limit on headers.
+var DefaultClient = HTTP(http.DefaultTransport.(*http.Transport).Clone())
+
 // HTTP sets the limit on headers of t and returns a client that uses it.
 func HTTP(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeader
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 )
 
@@ -17,9 +18,9 @@
 // partial event of a truncated stream is not passed on, so that the stream can continue on
 // another replica.
 func (a *attempt) stream(ctx context.Context, resp *http.Response, framed bool) (rest []byte, err error) {
-	r := &answerReader{memory: &a.relay.answerMemory, abort: a.conn.abort}
-	defer r.release()
-	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.reserve}
+	r := &bounded.AnswerReader{Memory: &a.relay.answerMemory, Abort: a.conn.abort}
+	defer r.Release()
+	s := &eventstream.Splitter{MaxEvent: maxEventBytes, Reserve: r.Reserve}
 	end := eventstream.End{Framed: framed, Stream: true, Continues: a.mustGoOn(), MoreKnown: a.moreKnown}
 	var received int64 // Bytes.
 	withoutEvent := 0  // Bytes since the last event.
@@ -49,8 +50,8 @@
 			err = fault.New(fault.AnswerTooLarge, "stream brings no event")
 		case err == nil:
 			continue
-		case r.memory.isRevoked(r):
-			err = errNoAnswerMemory()
+		case r.Err() != nil:
+			err = r.Err()
 		}
 		end.InsideEvent = s.InsideEvent()
 		a.moreFollows = end.InsideEvent || received < resp.ContentLength
