wire: a stream that has overflowed brings nothing after the gap

What was seen: a reader that goes on after its stream's buffer was full gets later messages and a clean end (io.EOF), without the messages that were dropped. Answers are safe by their numbers and sum; streams of reports and of weights have none.

Cause: Recv prefers what is in the buffer to the error of the stream. Frames that arrived after the overflow were put into the room that the reader had made, so the error was never returned.

Change: a frame for a stream that has ended with an error is dropped and counted under that error.

Why it holds: overflow and receipt happen in one goroutine, the reader of the connection; so nothing is queued after a gap, and once the buffer is empty Recv has the error only.

--- a/wire/conn_test.go
+++ b/wire/conn_test.go
@@ -115,6 +115,37 @@
 	})
 }
 
+// A reader that went on after its buffer had been full got later messages and a clean end, without those
+// that were dropped.
+func TestStreamThatOverflowedHasNoEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		h := &Handlers{}
+		On(h, func(ctx context.Context, s *Stream, _ *echo) {
+			for _, text := range []string{"1", "2", "3"} {
+				_ = s.Send(ctx, &echo{text})
+				time.Sleep(time.Second)
+			}
+			_ = s.SendLast(ctx, &echo{"4"})
+		})
+		c, _ := connPair(t, h, Options{StreamBuffer: 2})
+		defer c.Close()
+		s, err := c.Open(t.Context(), &echo{})
+		is.NoErr(err)
+		time.Sleep(2500 * time.Millisecond) // The third message is dropped.
+		m, err := s.Recv(t.Context())
+		is.NoErr(err)
+		is.Equal(m, &echo{"1"})
+		time.Sleep(time.Second) // The last one arrives.
+		m, err = s.Recv(t.Context())
+		is.NoErr(err)
+		is.Equal(m, &echo{"2"})
+		_, err = s.Recv(t.Context())
+		is.Equal(fault.CodeOf(err), fault.StreamOverflow)
+		is.True(!s.Finished())
+	})
+}
+
 func TestStalledLinkEndsTheConnection(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/wire/doc.go
+++ b/wire/doc.go
@@ -11,6 +11,6 @@
 // another cluster is refused with a typed error before any stream is opened.
 //
 // Each stream has a bounded buffer of received messages. If its reader does not keep up, that
-// stream ends with fault.StreamOverflow; others are not delayed. A frame for an unknown stream is
-// dropped and counted.
+// stream ends with fault.StreamOverflow after what the buffer holds; others are not delayed. A frame
+// for an unknown stream is dropped and counted.
 package wire
--- a/wire/stream.go
+++ b/wire/stream.go
@@ -102,6 +102,10 @@
 		s.cancel(fault.New(fault.Cancelled, "by the peer"))
 		return nil
 	}
+	if s.ctx.Err() != nil { // After a gap, a last message would pass for the end.
+		c.opts.OnFault(fault.CodeOf(context.Cause(s.ctx)))
+		return nil
+	}
 	select {
 	case s.in <- f:
 	default:
