internal/relay: a connection whose refusal was not read to its end is not used again

What callers saw: the answer to a request could be bytes that its replica had sent as the rest of an earlier refusal.

Cause: the body of a refusal (421, or one that says that the request has not run) was read up to 1 MiB, the error of that read and whether more followed were dropped, and the connection went back to the pool. The look at an idle connection finds the rest only if it arrives before the next request.

Evidence: in the test, a replica refuses with a body of 1 MiB whose last part, a header and a body, comes 50 ms later; the next request, which may not be repeated, was answered with 200 and that body.

Change: the connection is kept only if the refusal was read to its end without an error.

Why it holds: readRefusal reads one byte more than the limit and returns the error of the body, which net/http ends at the framing; what is not whole closes the connection.

--- a/internal/relay/badanswer_test.go
+++ b/internal/relay/badanswer_test.go
@@ -54,6 +54,35 @@
 	check.True(len(runs) >= requests*2/3)      // The bound on retries leaves some refused.
 }
 
+// A replica sent a refusal that was longer than what is read of one. Its rest was taken for the answer to the next
+// request on the connection.
+func TestRestOfALongRefusalIsNotTheNextAnswer(t *testing.T) {
+	const read, pause = 1 << 20, 50 * time.Millisecond
+	rs := plainReplicas(1)
+	first := true
+	const rest = "HTTP/1.1 200 OK\r\nX-Replica-Signature: sig\r\nContent-Length: 5\r\n\r\nstale"
+	rs[0].Handle = func(_ int, x *platformtest.Exchange) bool {
+		if !first {
+			return false
+		}
+		first = false
+		x.Printf("HTTP/1.1 503 Service Unavailable\r\nX-Attempt-Id: %s\r\nX-Not-Executed: 1\r\nContent-Length: %d\r\n\r\n%s",
+			x.Request.Header.Get("X-Attempt-Id"), read+len(rest), strings.Repeat("x", read))
+		time.Sleep(pause)
+		x.Printf("%s", rest)
+		return true
+	}
+	var got []reply
+	runCluster(t, 1, rs, func(_ *is.I, cl *testCluster) {
+		for range 2 {
+			got = append(got, cl.send(0, "POST", "/unsafe/x", nil))
+		}
+	})
+	check := is.New(t)
+	check.Equal(got[1].status, http.StatusOK)
+	check.True(strings.HasPrefix(got[1].body, "answer of "))
+}
+
 // A replica stops partway through an event, and the framing of its answer ends as usual. The caller
 // must not get the piece, nor a complete end: the stream goes on at another replica.
 func TestFramedStreamThatEndsInsideAnEventIsNotWhole(t *testing.T) {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -27,7 +27,8 @@
 	framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 	reusable := framed && !resp.Close
 	if resp.StatusCode == http.StatusMisdirectedRequest || resp.Header.Get(names.NotRun) != "" {
-		return part{result: a.refusal(resp)}, reusable
+		whole := readRefusal(resp)
+		return part{result: refusal(resp)}, reusable && whole
 	}
 	if v, err := strconv.ParseUint(resp.Header.Get(names.Version), 10, 64); err == nil {
 		a.result.Version = v
@@ -67,8 +68,14 @@
 	return p, reusable
 }
 
-func (a *attempt) refusal(resp *http.Response) dispatch.Result {
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes))
+// readRefusal reads the body of a refusal and reports whether it is whole. The rest of one that is not would
+// be read as the answer to the next request on the connection.
+func readRefusal(resp *http.Response) bool {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxEventBytes+1))
+	return err == nil && n <= maxEventBytes
+}
+
+func refusal(resp *http.Response) dispatch.Result {
 	if resp.StatusCode == http.StatusMisdirectedRequest {
 		return notRun(fault.WrongVersion)
 	}
