internal/soak, platform/platformtest: engines reset connections in the middle of answers

What it guards: an answer whose connection was reset reached its caller as whole (docs/incidents/reset-taken-for-end.md). Early ends in the soak closed connections in order.

Change: in soaks with faults an engine resets the connection of one answer in ten between two events, plain answers and streams, by length, chunks and the end of the connection. It is drawn by the run's ID from a second generator, so that a seed draws the disturbances and ends that it drew before. The check is the one that was there: a caller that gets a complete success has the whole answer; a soak with faults in which nothing was reset fails. Framing of answers stands once, in platformtest; TestAnswerThatIsResetIsNotWhole of the soak uses it, and its cases and checks are as they were.

TestAnswerThatIsResetIsNotWhole of the soak passes once.

--- a/internal/soak/reset_test.go
+++ b/internal/soak/reset_test.go
@@ -12,40 +12,10 @@
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
-// framing is how an answer tells where it ends.
-type framing string
-
-// Values of framing.
-const (
-	byLength     framing = "length"
-	byChunks     framing = "chunks"
-	byConnection framing = "connection"
-)
-
-// head returns the header of a successful answer of length bytes.
-func (f framing) head(x *platformtest.Exchange, contentType string, length int) string {
-	more := "Content-Type: " + contentType + "\r\n"
-	switch f {
-	case byLength:
-		more += fmt.Sprintf("Content-Length: %d\r\n", length)
-	case byChunks:
-		more += "Transfer-Encoding: chunked\r\n"
-	}
-	return x.Head(http.StatusOK, more+"\r\n")
-}
-
-// frame returns a part of the body as it is sent.
-func (f framing) frame(part string) string {
-	if f == byChunks && part != "" {
-		return fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
-	}
-	return part
-}
-
 // resetAnswer sends the first part of a body and resets the connection after a pause.
-func resetAnswer(x *platformtest.Exchange, f framing, contentType, part string, length int, pause time.Duration) {
+func resetAnswer(x *platformtest.Exchange, f platformtest.Framing, contentType, part string, length int, pause time.Duration) {
 	x.RecordRun()
-	x.Printf("%s%s", f.head(x, contentType, length), f.frame(part))
+	x.Printf("%s%s", x.Head(http.StatusOK, "Content-Type: "+contentType+"\r\n"+f.Header(length)+"\r\n"), f.Frame(part))
 	time.Sleep(pause)
 	_ = x.Conn.(interface{ SetLinger(seconds int) error }).SetLinger(0)
 	_ = x.Conn.Close()
@@ -95,7 +65,7 @@
 		{"/s/", "text/event-stream", events(1, 2) + "id: 3\nda", all},
 		{"/once/", "text/event-stream", events(1, 2), all},
 	} {
-		for _, f := range []framing{byLength, byChunks, byConnection} {
+		for _, f := range platformtest.Framings {
 			for _, pause := range []time.Duration{0, 20 * time.Millisecond} {
 				t.Run(fmt.Sprintf("%s%q, %s, %v", tc.target, tc.part, f, pause), func(t *testing.T) {
 					is := is.New(t)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,8 +62,9 @@
 	violations []string
 
 	sent, whole, refused, returned, failed, unread atomic.Int64
-	notRun                                         []string // IDs of the attempts that were refused as not run. Guarded by mu.
-	lost                                           []string // Requests of a scarce soak that got neither an answer nor a refusal. Guarded by mu.
+	resets                                         atomic.Int64 // Answers whose connection engines reset.
+	notRun                                         []string     // IDs of the attempts that were refused as not run. Guarded by mu.
+	lost                                           []string     // Requests of a scarce soak that got neither an answer nor a refusal. Guarded by mu.
 	disturbances                                   []string
 }
 
@@ -128,7 +129,7 @@
 		LoadTime: 300 * time.Millisecond, OnRun: s.recordRun,
 	}
 	if s.withFaults {
-		e.DrawEnd = s.drawEnd
+		e.DrawEnd, e.DrawReset = s.drawEnd, s.drawReset
 	}
 	e.Start(1)
 	agentIP := loopback()
@@ -189,15 +190,31 @@
 // ends again.
 func (s *soak) drawEnd(run platformtest.EngineRun) platformtest.StreamEnd {
 	const earlyShare = 0.1
-	h := fnv.New64a()
-	_, _ = fmt.Fprint(h, s.endSeed, run.ID, run.Engine)
-	r := rand.New(rand.NewPCG(h.Sum64(), 0))
+	r := s.randOf(run, 0)
 	if r.Float64() >= earlyShare {
 		return platformtest.EndsWhole
 	}
 	return platformtest.StreamEnd(r.IntN(int(platformtest.NumStreamEnds)))
 }
 
+// drawReset draws whether an engine resets the connection of an answer, and how that answer is framed.
+func (s *soak) drawReset(run platformtest.EngineRun) platformtest.Framing {
+	const resetShare = 0.1
+	r := s.randOf(run, 1)
+	if r.Float64() >= resetShare {
+		return platformtest.NoFraming
+	}
+	s.resets.Add(1)
+	return platformtest.Framings[r.IntN(len(platformtest.Framings))]
+}
+
+// randOf returns the generator of a draw for a run.
+func (s *soak) randOf(run platformtest.EngineRun, draw uint64) *rand.Rand {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, s.endSeed, run.ID, run.Engine)
+	return rand.New(rand.NewPCG(h.Sum64(), draw))
+}
+
 func (s *soak) recordRun(r platformtest.EngineRun) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -253,8 +270,8 @@
 			s.violate("%s: refused as not run, but it ran", id)
 		}
 	}
-	s.t.Logf("sent %d, whole %d, refused %d, returned %d, failed %d, unread %d; configuration %d, version %d; %d disturbances: %s",
-		s.sent.Load(), s.whole.Load(), s.refused.Load(), s.returned.Load(), s.failed.Load(), s.unread.Load(), s.configVersion, s.target,
+	s.t.Logf("sent %d, whole %d, refused %d, returned %d, failed %d, unread %d; reset %d; configuration %d, version %d; %d disturbances: %s",
+		s.sent.Load(), s.whole.Load(), s.refused.Load(), s.returned.Load(), s.failed.Load(), s.unread.Load(), s.resets.Load(), s.configVersion, s.target,
 		len(s.disturbances), strings.Join(s.disturbances, ", "))
 	if s.scarce {
 		s.checkScarcity()
@@ -265,6 +282,9 @@
 	if s.whole.Load() == 0 {
 		s.t.Error("no request was answered in full")
 	}
+	if s.withFaults && s.resets.Load() == 0 {
+		s.t.Error("no answer was reset")
+	}
 }
 
 // Planned work and silences, in series and overlapping, cut off no answer.
