internal/relay: drawn ends of streams reset connections, by every framing

What it guards: the drawn ends closed connections in order only, so they could not meet a reset that is lost.

Change: a quarter of the drawn answers is reset, at once or while the gateway waits, also between two events, drawn from a second generator; what a seed drew before stays. No replica begins an event after the last one: only after a reset behind all events could one be asked for it, and draws before had none. resetAnswer sends no empty chunk, which would be the end. Checks are unchanged; a play without resets fails.

--- a/internal/relay/reset_test.go
+++ b/internal/relay/reset_test.go
@@ -20,7 +20,9 @@
 	switch f {
 	case byChunks:
 		head += "Transfer-Encoding: chunked\r\n"
-		part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		if part != "" { // An empty chunk would be the end.
+			part = fmt.Sprintf("%x\r\n%s\r\n", len(part), part)
+		}
 	case byLength:
 		head += fmt.Sprintf("Content-Length: %d\r\n", length)
 	}
--- a/internal/relay/streamdraw_test.go
+++ b/internal/relay/streamdraw_test.go
@@ -14,6 +14,9 @@
 	"github.com/poststand/poststand/platform/platformtest"
 )
 
+// allDrawn is how many events a whole stream has in plays of drawn ends.
+const allDrawn = 6
+
 // drawnEnd is how a faulty replica answers a stream.
 type drawnEnd struct {
 	framing framing
@@ -22,15 +25,39 @@
 	piece   int  // Bytes of the next event.
 	breaks  bool // The connection breaks before the framing ends.
 	lineEnd string
+	reset   drawnReset
+}
+
+// drawnReset is whether and when a replica resets its connection in place of the end of an answer.
+type drawnReset int
+
+// Values of drawnReset.
+const (
+	notReset     drawnReset = iota
+	resetAtOnce             // Before the gateway reads on.
+	resetWaiting            // When the gateway has read all and waits.
+)
+
+// drawReset draws whether the answer is reset. One that is ends anywhere, also between two events.
+func (e drawnEnd) drawReset(r *rand.Rand) drawnEnd {
+	const resetShare = 4
+	if r.IntN(resetShare) > 0 {
+		return e
+	}
+	e.reset = resetAtOnce + drawnReset(r.IntN(2))
+	if r.IntN(2) == 0 {
+		e.piece = 0
+	}
+	return e
 }
 
-func drawEnd(r *rand.Rand, all int) drawnEnd {
-	e := drawnEnd{framing: framings[r.IntN(len(framings))], to: r.IntN(all), lineEnd: []string{"\n", "\r\n", "\r"}[r.IntN(3)]}
+func drawEnd(r *rand.Rand) drawnEnd {
+	e := drawnEnd{framing: framings[r.IntN(len(framings))], to: r.IntN(allDrawn), lineEnd: []string{"\n", "\r\n", "\r"}[r.IntN(3)]}
 	// At least one byte of the next event: nothing tells an answer that ends between two events by its
 	// framing from a whole one.
 	e.piece = 1 + r.IntN(len(events(1, 1))-2)
 	if r.IntN(3) == 0 {
-		e.from, e.to, e.piece = 1, all, 0 // It begins again, and ends as a whole stream does.
+		e.from, e.to, e.piece = 1, allDrawn, 0 // It begins again, and ends as a whole stream does.
 	}
 	e.breaks = e.piece > 0 && r.IntN(2) == 0
 	return e
@@ -44,7 +71,16 @@
 		first = last + 1
 	}
 	to := max(e.to, first-1)
-	body := withLineEnds(events(first, to)+events(to+1, to+1)[:e.piece], e.lineEnd)
+	piece := ""
+	if to < allDrawn { // A reset may have come after the last event; none follows that.
+		piece = events(to+1, to+1)[:e.piece]
+	}
+	body := withLineEnds(events(first, to)+piece, e.lineEnd)
+	if e.reset != notReset {
+		announced := max(len(body), len(withLineEnds(events(first, allDrawn), e.lineEnd)))
+		resetAnswer(x, e.framing, "text/event-stream", body, announced, e.reset == resetWaiting)
+		return
+	}
 	if e.breaks {
 		cutStream(x, body)
 		return
@@ -53,16 +89,16 @@
 }
 
 // checkEvents returns how what a caller got breaks the rules on streams.
-func checkEvents(got reply, all int) string {
+func checkEvents(got reply) string {
 	body := strings.ReplaceAll(strings.ReplaceAll(got.body, "\r\n", "\n"), "\r", "\n")
 	switch {
 	case got.status == http.StatusBadGateway:
 		return ""
 	case got.status != http.StatusOK:
 		return fmt.Sprint("status ", got.status)
-	case got.truncated && strings.HasPrefix(events(1, all), body) && (body == "" || strings.HasSuffix(body, "\n\n")):
+	case got.truncated && strings.HasPrefix(events(1, allDrawn), body) && (body == "" || strings.HasSuffix(body, "\n\n")):
 		return ""
-	case !got.truncated && body == events(1, all):
+	case !got.truncated && body == events(1, allDrawn):
 		return ""
 	}
 	return fmt.Sprintf("truncated %t, %q", got.truncated, got.body)
@@ -78,23 +114,26 @@
 		draws = 2000
 	}
 	for seed := from; seed <= to; seed++ {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playDrawnEnds(t, rand.New(rand.NewPCG(seed, 0)), draws) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { playDrawnEnds(t, seed, draws) })
 	}
 }
 
-func playDrawnEnds(t *testing.T, r *rand.Rand, draws int) {
-	const all = 6
-	whole := 0
+func playDrawnEnds(t *testing.T, seed uint64, draws int) {
+	r, resets := rand.New(rand.NewPCG(seed, 0)), rand.New(rand.NewPCG(seed, 1))
+	whole, reset := 0, 0
 	for n := range draws {
 		var plays []func(x *platformtest.Exchange)
 		var drawn []drawnEnd
 		for range r.IntN(4) {
-			e := drawEnd(r, all)
+			e := drawEnd(r).drawReset(resets)
+			if e.reset != notReset {
+				reset++
+			}
 			plays, drawn = append(plays, e.play), append(drawn, e)
 		}
 		target := []string{"/s/x", "/once/x"}[r.IntN(2)]
 		got, _ := sendStream(t, target, nil, plays...)
-		if wrong := checkEvents(got, all); wrong != "" {
+		if wrong := checkEvents(got); wrong != "" {
 			t.Errorf("draw %d: %s: %+v: %s", n, target, drawn, wrong)
 		}
 		if !got.truncated && got.status == http.StatusOK {
@@ -103,6 +142,7 @@
 			t.Errorf("draw %d: %s: %+v: a sound replica was left, status %d", n, target, drawn, got.status)
 		}
 	}
-	t.Logf("%d of %d streams were whole", whole, draws)
+	t.Logf("%d of %d streams were whole, %d answers were reset", whole, draws, reset)
 	is.New(t).True(whole > draws/3)
+	is.New(t).True(reset > draws/10)
 }
