internal/relay: a replica that the list shows as replaced is never the same

An answer without length or chunks whose connection was seen open less than half a second ago counted as whole without a look at the list, even if that showed a later start of its replica: after a link that stood still, the end may come a round trip after the last data. The look costs a lookup in a map.

--- a/internal/relay/end.go
+++ b/internal/relay/end.go
@@ -68,12 +68,11 @@
 	case errors.Is(err, syscall.ECONNREFUSED):
 		a.relay.recordRefusal(a.to.ID)
 		return eventstream.LifeEnded
+	case a.isReplaced():
+		return eventstream.LifeEnded
 	case err == nil && !mayBeReplaced:
 		return eventstream.LifeSame
 	}
-	if a.isReplaced() {
-		return eventstream.LifeEnded
-	}
 	if a.rq.route.Kind == streamKind && a.rq.repeatable() {
 		return eventstream.LifeUnclear // Another replica can tell whether more events follow.
 	}
