internal/bounded, internal/relay: whole answers and sound replicas do not pay for the memory of others

What callers would have seen: while one of them read a whole answer of 16 MiB slowly, for up to 10 s, other answers over 64 KiB were refused with answer_too_large, and their replicas counted as failing.

Cause: an answer counted in AnswerMemory until it was written, when it can no longer be broken off; and the lack of memory had the effect of a replica's own failure.

Change: an answer counts while it is read. One that is broken off for lack of memory does not count as its replica's failure. The parts that carried the reservation to the caller are gone.

TestWholeAnswerTakesNoMemoryFromOthers: two answers of 16 MiB one after the other; the second was refused before by construction (18 MiB in all, reservation kept), it holds now. bounded, agent and the tests of relay on answers and streams pass.

--- a/internal/bounded/answermemory.go
+++ b/internal/bounded/answermemory.go
@@ -18,12 +18,12 @@
 	maxAnswerPart   = 1 << 20
 )
 
-// AnswerMemory bounds the memory of all answers that are being read or written. If there is none left for
-// an answer, larger ones that are being read are broken off. The zero value is ready to use.
+// AnswerMemory bounds the memory of all answers that are being read. If there is none left for an answer,
+// larger ones are broken off. The zero value is ready to use.
 type AnswerMemory struct {
 	mu      sync.Mutex
 	held    int
-	readers map[*AnswerReader]bool // Those that hold memory and read.
+	readers map[*AnswerReader]bool // Those that hold memory.
 }
 
 // AnswerReader reads one answer, or holds the memory of one stream.
@@ -35,17 +35,13 @@
 	revoked bool // Guarded by Memory.mu; the answer is broken off.
 }
 
-// ReadAll returns all bytes of a body, of which length are announced, or -1 if that is not known. They
-// count until Release is called.
+// ReadAll returns all bytes of a body, of which length are announced, or -1 if that is not known. Once it
+// returns they count no more: a caller that reads a whole answer slowly takes no memory from other answers.
 func (r *AnswerReader) ReadAll(body io.Reader, length int64) (parts [][]byte, err error) {
 	if length > maxAnswerBytes {
 		return nil, fault.New(fault.AnswerTooLarge, "body exceeds the size limit by the length that it states")
 	}
-	defer func() {
-		if err != nil {
-			r.Release()
-		}
-	}()
+	defer r.Release()
 	part := make([]byte, 0, firstPartSize(length))
 	for total := 0; ; {
 		if len(part) == cap(part) {
@@ -62,8 +58,8 @@
 		switch {
 		case total > maxAnswerBytes:
 			return nil, fault.New(fault.AnswerTooLarge, "body exceeds the size limit")
-		case r.Memory.isRevoked(r) || err == io.EOF && !r.Memory.keep(r):
-			return nil, errNoAnswerMemory()
+		case r.Err() != nil:
+			return nil, r.Err()
 		case err == io.EOF:
 			return append(parts, part), nil
 		case err != nil:
@@ -84,7 +80,8 @@
 	return fault.New(fault.AnswerTooLarge, "answer is the largest of all that are read, which exceed the memory for them")
 }
 
-// Err returns why the answer is broken off, or nil if it isn't.
+// Err returns why the answer is broken off for lack of memory, or nil if it isn't. The lack is no failure of
+// whoever sends the answer.
 func (r *AnswerReader) Err() error {
 	if r.Memory.isRevoked(r) {
 		return errNoAnswerMemory()
@@ -112,9 +109,11 @@
 	for !r.revoked && m.held+n > maxAnswerMemory {
 		largest := m.largest()
 		if largest == nil || largest.held <= r.held+n {
-			return false
+			m.revoke(r)
+			break
 		}
 		m.revoke(largest)
+		largest.Abort()
 	}
 	if r.revoked {
 		return false
@@ -143,7 +142,6 @@
 func (m *AnswerMemory) revoke(r *AnswerReader) {
 	r.revoked = true
 	m.drop(r)
-	r.Abort()
 }
 
 // drop forgets what a reader holds. The caller holds m.mu.
@@ -153,14 +151,6 @@
 	delete(m.readers, r)
 }
 
-// keep ends reading: the answer can't be broken off any more. It reports false if it was before.
-func (m *AnswerMemory) keep(r *AnswerReader) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.readers, r)
-	return !r.revoked
-}
-
 func (m *AnswerMemory) release(r *AnswerReader) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/bounded/answermemory_test.go
+++ b/internal/bounded/answermemory_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -73,3 +74,16 @@
 	m.release(small)
 	is.Equal(m.held, 0)
 }
+
+// A whole answer that its caller read slowly took the memory from others.
+func TestWholeAnswerTakesNoMemoryFromOthers(t *testing.T) {
+	is := is.New(t)
+	var m AnswerMemory
+	for range 2 {
+		r := &AnswerReader{Memory: &m}
+		parts, err := r.ReadAll(strings.NewReader(strings.Repeat("a", maxAnswerBytes)), -1)
+		is.NoErr(err)
+		is.True(len(parts) > 0)
+	}
+	is.Equal(m.held, 0)
+}
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -5,7 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/poststand/poststand/internal/bounded"
 )
 
 // answer writes the response to one caller: a plain answer only once it is complete, a stream
@@ -25,7 +24,6 @@
 	failureHeader http.Header
 	failureStatus int
 	failureBody   [][]byte
-	failureHeld   *bounded.AnswerReader // Holds the memory of failureBody; nil if there is none.
 }
 
 // callerWriteTimeout is how long a caller may take to read what is written to it.
@@ -75,18 +73,8 @@
 }
 
 // keepFailure stores the failure response of a replica.
-func (o *answer) keepFailure(p *part) {
-	o.releaseFailure()
-	o.failureHeader, o.failureStatus, o.failureBody = p.resp.Header, p.resp.StatusCode, p.body
-	o.failureHeld, p.held = p.held, nil
-}
-
-// releaseFailure gives back the memory of the stored failure response.
-func (o *answer) releaseFailure() {
-	if o.failureHeld != nil {
-		o.failureHeld.Release()
-		o.failureHeld = nil
-	}
+func (o *answer) keepFailure(resp *http.Response, body [][]byte) {
+	o.failureHeader, o.failureStatus, o.failureBody = resp.Header, resp.StatusCode, body
 }
 
 // writeFailure sends the stored failure response to the caller if its status is at least 500
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -13,7 +13,6 @@
 
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
-	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/eventstream"
 	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/quarantine"
@@ -76,27 +75,20 @@
 	lastDataAt time.Time
 	// moreFollows is set if the replica has begun, or announced, more of a stream than was passed on.
 	moreFollows bool
+	lacksMemory bool // The answer was broken off for lack of memory, not for what the replica did.
 	broken      breakdown
 }
 
 // part is something that a replica sent for the caller.
 type part struct {
-	resp   *http.Response        // Header of the answer that it belongs to; nil if there is none.
-	stream bool                  // The answer is a stream that may be passed on in parts.
-	events eventstream.Events    // Of a stream; in its last part, Data is what follows the last event.
-	body   [][]byte              // Any other answer as a whole, in parts.
-	held   *bounded.AnswerReader // Holds the memory of body; nil if there is none.
-	last   bool                  // The attempt has ended with result.
+	resp   *http.Response     // Header of the answer that it belongs to; nil if there is none.
+	stream bool               // The answer is a stream that may be passed on in parts.
+	events eventstream.Events // Of a stream; in its last part, Data is what follows the last event.
+	body   [][]byte           // Any other answer as a whole, in parts.
+	last   bool               // The attempt has ended with result.
 	result dispatch.Result
 }
 
-// release gives back the memory of the part, once it was passed on or dropped.
-func (p *part) release() {
-	if p.held != nil {
-		p.held.Release()
-	}
-}
-
 // receivedPart is a part with its attempt.
 type receivedPart struct {
 	part
@@ -117,7 +109,6 @@
 	select {
 	case a.parts <- receivedPart{p, a}:
 	case <-ctx.Done():
-		p.release()
 	}
 }
 
@@ -139,7 +130,7 @@
 	a.result.Answered = a.status != 0
 	switch res.Reason {
 	case fault.Unreachable, fault.ConnectionLost, fault.LinkStalled, fault.Truncated, fault.Garbage, fault.AnswerTooLarge, fault.UpstreamFailed, fault.MixedVersion:
-		a.result.Failed = ctx.Err() == nil
+		a.result.Failed = ctx.Err() == nil && !a.lacksMemory
 	case fault.QueueFull:
 		a.result.Full = true
 	case fault.WrongVersion:
--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -63,7 +63,6 @@
 	for _, a := range d.open {
 		a.abandon()
 	}
-	d.out.releaseFailure()
 }
 
 // abandon cancels the attempt and waits until it has ended.
@@ -148,12 +147,11 @@
 // take handles a part. It reports whether no attempt is left or the answer is complete, with the
 // result.
 func (d *delivery) take(p receivedPart) (dispatch.Result, bool) {
-	defer func() { p.release() }()
 	if d.endsOtherStream(p) {
 		p.result = unknown(fault.Truncated)
 	}
 	if p.last && p.result.Outcome != dispatch.Done {
-		done := d.takeFailure(&p)
+		done := d.takeFailure(p)
 		return p.result, done
 	}
 	d.abandonOthers(p.from)
@@ -179,9 +177,9 @@
 
 // takeFailure handles the last part of an attempt that failed. It reports whether no attempt is
 // left that may yet answer.
-func (d *delivery) takeFailure(p *receivedPart) bool {
+func (d *delivery) takeFailure(p receivedPart) bool {
 	if p.result.Reason == fault.UpstreamFailed && p.resp != nil {
-		d.out.keepFailure(&p.part)
+		d.out.keepFailure(p.resp, p.body)
 	}
 	d.recordEnd(p.from, p.result)
 	if d.ctx.Err() != nil || len(d.open) == 0 {
--- a/internal/relay/receive.go
+++ b/internal/relay/receive.go
@@ -57,12 +57,12 @@
 	if err == nil {
 		err = a.checkEnd(ctx, &eventstream.End{Framed: framed})
 	}
+	a.lacksMemory = r.Err() != nil
 	if err != nil {
-		r.Release()
 		return part{result: a.bodyResult(ctx, err)}, false
 	}
 	a.recordFirst()
-	p = part{resp: resp, body: body, held: r, result: dispatch.Result{Outcome: dispatch.Done}}
+	p = part{resp: resp, body: body, result: dispatch.Result{Outcome: dispatch.Done}}
 	if resp.StatusCode >= http.StatusInternalServerError || resp.Header.Get(a.relay.headers.Signature) == "" {
 		p.result = unknown(fault.UpstreamFailed)
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -51,7 +51,7 @@
 		case err == nil:
 			continue
 		case r.Err() != nil:
-			err = r.Err()
+			a.lacksMemory, err = true, r.Err()
 		}
 		end.InsideEvent = s.InsideEvent()
 		a.moreFollows = end.InsideEvent || received < resp.ContentLength
