--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strconv"
 	"time"
-
 )
 
 // answer writes the response to one caller: a plain answer only once it is complete, a stream
