--- a/internal/bounded/answermemory.go
+++ b/internal/bounded/answermemory.go
@@ -11,11 +11,11 @@
 const (
 	maxAnswerBytes = 16 << 20
 	// freeAnswerBytes of each answer do not count in AnswerMemory.
-	freeAnswerBytes = 64 << 10
+	freeAnswerBytes = 32 << 10
 	// maxAnswerMemory is a little more than one answer of maxAnswerBytes holds.
 	maxAnswerMemory = maxAnswerBytes + 2*maxAnswerPart
 	minAnswerPart   = 1 << 10
-	maxAnswerPart   = 1 << 20
+	maxAnswerPart   = 256 << 10
 )
 
 // AnswerMemory bounds the memory of all answers that are being read. If there is none left for an answer,
