internal/simnet: what was written before Close is delivered

Cause: deliver looked into the queue, found it empty, and then selected among the queue, the close and the ends of the processes. A write and a Close between the two made several cases ready, and select takes any of them: the bytes were dropped, and the reader saw the end of the connection 1 ms after its request. No gateway is at fault: the header never came.

Change: nextPacket looks into the queue again after any other case was taken.

--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -251,20 +251,9 @@
 // or one of the processes ends.
 func (c *conn) deliver() {
 	for {
-		var p packet
-		select {
-		case p = <-c.queue:
-		default:
-			select {
-			case p = <-c.queue:
-			case <-c.closed:
-				_ = c.closePipe()
-				return
-			case <-c.from.ctx.Done():
-				return
-			case <-c.to.ctx.Done():
-				return
-			}
+		p, ok := c.nextPacket()
+		if !ok {
+			return
 		}
 		time.Sleep(time.Until(p.due))
 		if len(p.data) >= c.net.Small {
@@ -285,3 +274,25 @@
 		}
 	}
 }
+
+// nextPacket waits for the next write. ok is false, and the connection closed for the other side, once this
+// side has closed it and nothing is queued; ok is false too if one of the processes has ended.
+func (c *conn) nextPacket() (p packet, ok bool) {
+	select {
+	case p = <-c.queue:
+		return p, true
+	case <-c.closed:
+	case <-c.from.ctx.Done():
+	case <-c.to.ctx.Done():
+	}
+	// A select takes any case that is ready, so writes may still be queued.
+	select {
+	case p = <-c.queue:
+		return p, true
+	default:
+	}
+	if c.isClosed() {
+		_ = c.closePipe()
+	}
+	return packet{}, false
+}
