wire: a message that came before the end of a connection is received

Seen: callers of a box that answers and ends its connection right after could get an error for an answer that had come whole.

Cause: Stream.Recv looked into its buffer, found it empty, and then selected among the buffer, the caller's context and the end of the stream. If the last message and the end came between the two, either was taken, and the message was lost.

Change: the buffer is looked into again after any other case was taken. Messages are buffered before the stream ends, so nothing that came before the end is missed.

--- a/wire/stream.go
+++ b/wire/stream.go
@@ -231,16 +231,19 @@
 	select {
 	case f := <-s.in:
 		return s.decode(f)
-	default:
+	case <-ctx.Done():
+	case <-s.ctx.Done():
 	}
+	// A select takes any case that is ready, so messages that came before the end may still be there.
 	select {
 	case f := <-s.in:
 		return s.decode(f)
-	case <-ctx.Done():
-		return nil, fault.Wrap(fault.Timeout, context.Cause(ctx), "receive")
-	case <-s.ctx.Done():
+	default:
+	}
+	if s.ctx.Err() != nil {
 		return nil, s.cause()
 	}
+	return nil, fault.Wrap(fault.Timeout, context.Cause(ctx), "receive")
 }
 
 func (s *Stream) decode(f frame) (any, error) {
