weights, platform, engine: a piece is read up to its size, not up to 64 MiB

Seen: nothing yet by callers. The origin and the replica of a box could send 64 MiB for a piece of 24 KiB: two of them at once are more than an agent's 152 MB, and the process ends.

Cause: a manifest tells the size of each piece, but the calls that fetch one did not know it and had the limit of the largest piece.

Change: FetchOrigin, stager.Origin.Piece, stager.Replica.ReadStaged, engine.Pull and what is behind them take the most bytes that are read; callers give the size in the manifest, and MaxManifest (8 MiB, as between machines) for a manifest. An answer that is longer fails with fault.TooLarge, which the lines that tell of failed fetches name, and the plan asks another source.

--- a/cmd/poststand/cmd/origin_test.go
+++ b/cmd/poststand/cmd/origin_test.go
@@ -35,7 +35,7 @@
 	srv.Start()
 	defer srv.Close()
 
-	data, err := newOrigin(newOriginClient()).Piece(t.Context(), srv.Listener.Addr().String(), "m", 2, 0)
+	data, err := newOrigin(newOriginClient()).Piece(t.Context(), srv.Listener.Addr().String(), "m", 2, 0, 5)
 	is.NoErr(err)
 	is.Equal(string(data), "piece")
 
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -68,8 +68,8 @@
 		Manifest: func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error) {
 			return (&platform.Origin{Addr: addr, HTTP: c}).Manifest(ctx, model, version)
 		},
-		Piece: func(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error) {
-			return (&platform.Origin{Addr: addr, HTTP: c}).Piece(ctx, model, version, piece)
+		Piece: func(ctx context.Context, addr, model string, version uint64, piece, maxBytes int) ([]byte, error) {
+			return (&platform.Origin{Addr: addr, HTTP: c}).Piece(ctx, model, version, piece, maxBytes)
 		},
 	}
 }
--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -23,8 +23,9 @@
 		})
 	})
 	t.Run("pull", func(t *testing.T) {
-		boundedtest.Run(t, maxBlob, func(_ context.Context, c *http.Client, addr string) error {
-			_, err := Pull(c, "http://"+addr, "digest")
+		const size = 24 << 10
+		boundedtest.Run(t, size, func(_ context.Context, c *http.Client, addr string) error {
+			_, err := Pull(c, "http://"+addr, "digest", size)
 			return err
 		})
 	})
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -25,11 +25,8 @@
 	HeaderDigest  = "X-Engine-Digest"      // Digest of the version that answers.
 )
 
-// Limits of what is read, in bytes.
-const (
-	maxState = 256 << 10
-	maxBlob  = 64 << 20 // A manifest or chunk.
-)
+// maxState limits the state that is read, in bytes.
+const maxState = 256 << 10
 
 // Fence determines which of two orders is newer: first by the incarnation of the agent,
 // then by the revision of the configuration.
@@ -151,8 +148,8 @@
 	}
 }
 
-// Pull downloads a manifest or chunk from the source of an order. Engines use it.
-func Pull(c *http.Client, source, digest string) ([]byte, error) {
+// Pull downloads a manifest or chunk, of at most maxBytes, from the source of an order. Engines use it.
+func Pull(c *http.Client, source, digest string, maxBytes int) ([]byte, error) {
 	if c == nil {
 		c = bounded.DefaultClient
 	}
@@ -164,5 +161,5 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.NotHeld, digest)
 	}
-	return bounded.ReadAll(resp.Body, maxBlob, digest)
+	return bounded.ReadAll(resp.Body, int64(maxBytes), digest)
 }
--- a/internal/agent/endless_test.go
+++ b/internal/agent/endless_test.go
@@ -46,7 +46,7 @@
 			a, err := New(&settings.Agent{Origin: "http://" + boundedtest.Serve(t, k)}, Options{})
 			is.NoErr(err)
 			defer a.Close()
-			_, err = a.exchange.FetchOrigin(t.Context(), "digest")
+			_, err = a.exchange.FetchOrigin(t.Context(), "digest", 1)
 			is.True(err != nil && strings.Contains(err.Error(), limit))
 		})
 	}
--- a/internal/direct/process_test.go
+++ b/internal/direct/process_test.go
@@ -97,8 +97,8 @@
 			Manifest: func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error) {
 				return (&platform.Origin{Addr: addr, HTTP: originClient}).Manifest(ctx, model, version)
 			},
-			Piece: func(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error) {
-				return (&platform.Origin{Addr: addr, HTTP: originClient}).Piece(ctx, model, version, piece)
+			Piece: func(ctx context.Context, addr, model string, version uint64, piece, maxBytes int) ([]byte, error) {
+				return (&platform.Origin{Addr: addr, HTTP: originClient}).Piece(ctx, model, version, piece, maxBytes)
 			},
 		},
 		Platform: f, Catalog: t.Catalog, KeepsHistory: platform.KeepsHistory, HoldPolicy: platform.HoldPolicy, Dial: w.dialer(b.agent()),
--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -252,8 +252,8 @@
 			Manifest: func(ctx context.Context, _, model string, version uint64) (*weights.Manifest, error) {
 				return origin.Manifest(ctx, model, version)
 			},
-			Piece: func(ctx context.Context, _, model string, version uint64, piece int) ([]byte, error) {
-				return origin.Piece(ctx, model, version, piece)
+			Piece: func(ctx context.Context, _, model string, version uint64, piece, maxBytes int) ([]byte, error) {
+				return origin.Piece(ctx, model, version, piece, maxBytes)
 			},
 		},
 		Platform: &peers.Follower{ReadAll: store.ReadAll, Watch: store.Watch, Newest: store.NewestPosition},
--- a/internal/stager/backoff.go
+++ b/internal/stager/backoff.go
@@ -69,11 +69,11 @@
 			out, err := rep.ListStaged(ctx, model)
 			return out, b.observe(err)
 		},
-		ReadStaged: func(ctx context.Context, model string, piece int) ([]byte, error) {
+		ReadStaged: func(ctx context.Context, model string, piece, maxBytes int) ([]byte, error) {
 			if err := b.check(time.Now()); err != nil {
 				return nil, err
 			}
-			out, err := rep.ReadStaged(ctx, model, piece)
+			out, err := rep.ReadStaged(ctx, model, piece, maxBytes)
 			return out, b.observe(err)
 		},
 	}
--- a/internal/stager/backoff_test.go
+++ b/internal/stager/backoff_test.go
@@ -22,7 +22,7 @@
 		"order":  func(rep Replica) error { return rep.Order(ctx, "m", 2, 0) },
 		"stage":  func(rep Replica) error { return rep.Stage(ctx, "m", 0, nil) },
 		"staged": func(rep Replica) error { _, err := rep.ListStaged(ctx, "m"); return err },
-		"read":   func(rep Replica) error { _, err := rep.ReadStaged(ctx, "m", 0); return err },
+		"read":   func(rep Replica) error { _, err := rep.ReadStaged(ctx, "m", 0, 1); return err },
 	}
 	for name, first := range calls {
 		t.Run(name, func(t *testing.T) {
@@ -42,7 +42,7 @@
 					Order:      func(context.Context, string, uint64, uint64) error { return answer() },
 					Stage:      func(context.Context, string, int, []byte) error { return answer() },
 					ListStaged: func(context.Context, string) ([]int, error) { return nil, answer() },
-					ReadStaged: func(context.Context, string, int) ([]byte, error) { return nil, answer() },
+					ReadStaged: func(context.Context, string, int, int) ([]byte, error) { return nil, answer() },
 				})
 				is.Equal(fault.CodeOf(first(rep)), fault.Throttled)
 				for range 29 {
--- a/internal/stager/cluster_test.go
+++ b/internal/stager/cluster_test.go
@@ -104,7 +104,7 @@
 				}
 				return m, nil
 			},
-			Piece: func(_ context.Context, _, _ string, version uint64, n int) ([]byte, error) {
+			Piece: func(_ context.Context, _, _ string, version uint64, n, _ int) ([]byte, error) {
 				if err := s.send(); err != nil {
 					return nil, err
 				}
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -127,8 +127,8 @@
 	return out
 }
 
-// fetchFromOrigin fetches a manifest by the name of its artifact, or a piece by its digest.
-func (s *Stager) fetchFromOrigin(ctx context.Context, name string) ([]byte, error) {
+// fetchFromOrigin fetches a manifest by the name of its artifact, or a piece of at most maxBytes by its digest.
+func (s *Stager) fetchFromOrigin(ctx context.Context, name string, maxBytes int) ([]byte, error) {
 	const timeout = 5 * time.Second
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -138,7 +138,7 @@
 	}
 	if p, ok := s.pieces.find(name); ok {
 		began := time.Now()
-		data, err := s.options.Origin.Piece(ctx, a.Origin, p.model, p.version, p.number)
+		data, err := s.options.Origin.Piece(ctx, a.Origin, p.model, p.version, p.number, maxBytes)
 		telemetry.Log("origin_asked", "model", p.model, "version", p.version, "piece", p.number, "took", time.Since(began), "reason", fault.CodeOf(err))
 		return data, err
 	}
--- a/internal/stager/replica.go
+++ b/internal/stager/replica.go
@@ -28,11 +28,13 @@
 	Order      func(ctx context.Context, model string, version, orders uint64) error
 	Stage      func(ctx context.Context, model string, piece int, data []byte) error
 	ListStaged func(ctx context.Context, model string) ([]int, error)
-	ReadStaged func(ctx context.Context, model string, piece int) ([]byte, error)
+	// ReadStaged returns a staged piece. It fails with fault.TooLarge if that is larger than maxBytes.
+	ReadStaged func(ctx context.Context, model string, piece, maxBytes int) ([]byte, error)
 }
 
 // Origin holds the calls to the origin server of weights.
 type Origin struct {
 	Manifest func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error)
-	Piece    func(ctx context.Context, addr, model string, version uint64, piece int) ([]byte, error)
+	// Piece fails with fault.TooLarge if the piece is larger than maxBytes.
+	Piece func(ctx context.Context, addr, model string, version uint64, piece, maxBytes int) ([]byte, error)
 }
--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -109,7 +109,7 @@
 			}
 			return held, nil
 		},
-		ReadStaged: func(ctx context.Context, _ string, n int) ([]byte, error) {
+		ReadStaged: func(ctx context.Context, _ string, n, _ int) ([]byte, error) {
 			if err := r.maybeHang(ctx); err != nil {
 				return nil, err
 			}
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -28,7 +28,7 @@
 		if n < 0 || n >= len(chunks) {
 			continue
 		}
-		data, err := s.readStaged(ctx, model, n)
+		data, err := s.readStaged(ctx, model, n, chunks[n].Size)
 		if err == nil && s.exchange.Store.Put(chunks[n].Digest, data) == nil {
 			kept++
 		}
@@ -84,10 +84,10 @@
 	return s.options.Replica.Stage(ctx, model, n, data)
 }
 
-func (s *Stager) readStaged(ctx context.Context, model string, n int) ([]byte, error) {
+func (s *Stager) readStaged(ctx context.Context, model string, n, maxBytes int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	return s.options.Replica.ReadStaged(ctx, model, n)
+	return s.options.Replica.ReadStaged(ctx, model, n, maxBytes)
 }
 
 // listStaged lists the staged pieces, with one retry: without the list all pieces would be
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -132,7 +132,7 @@
 		digests = append(digests, d)
 	}
 	for _, d := range digests {
-		data, err := engine.Pull(e.HTTP, o.Source, d)
+		data, err := engine.Pull(e.HTTP, o.Source, d, weights.MaxManifest)
 		if err != nil {
 			return err
 		}
@@ -141,7 +141,7 @@
 			return err
 		}
 		for _, c := range m.Chunks() {
-			if _, err := engine.Pull(e.HTTP, o.Source, c.Digest); err != nil {
+			if _, err := engine.Pull(e.HTTP, o.Source, c.Digest, c.Size); err != nil {
 				return err
 			}
 		}
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -37,8 +37,9 @@
 	AdaptiveParallel bool
 	OriginParallel   int           // Concurrent fetches from the origin; 2 by default.
 	FlushInterval    time.Duration // Minimum interval of Have messages to a neighbour; 100 ms by default.
-	// FetchOrigin fetches a chunk or manifest from the origin by its digest.
-	FetchOrigin func(ctx context.Context, digest string) ([]byte, error)
+	// FetchOrigin fetches a chunk or manifest from the origin by its digest. It fails with fault.TooLarge if
+	// that is larger than maxBytes.
+	FetchOrigin func(ctx context.Context, digest string, maxBytes int) ([]byte, error)
 	// Pace delays each part before it is sent, to leave capacity for other traffic. If nil,
 	// parts are not delayed.
 	Pace func(ctx context.Context, bytes int) error
--- a/weights/manifestfetch.go
+++ b/weights/manifestfetch.go
@@ -13,8 +13,8 @@
 // maxManifests is the number of manifests above which an Exchange evicts unused ones.
 const maxManifests = 64
 
-// maxManifest is the maximum size of a manifest in bytes.
-const maxManifest = 8 << 20
+// MaxManifest is the maximum size of a manifest in bytes.
+const MaxManifest = 8 << 20
 
 // Intervals and limits of fetching a manifest.
 const (
@@ -74,7 +74,7 @@
 func (t *Transfer) fetchManifest(ctx context.Context, order []Member, position int, turn time.Time) ([]byte, error) {
 	x := t.Exchange
 	if !time.Now().Before(turn) {
-		return x.FetchOrigin(ctx, t.Artifact)
+		return x.FetchOrigin(ctx, t.Artifact, MaxManifest)
 	}
 	sources, parent := t.manifestSources(order, position)
 	if len(sources) == 0 {
@@ -153,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	data, _, err := fetchFromPeer(ctx, c, t.Artifact, maxManifest, receiveOptions{firstTimeout: manifestReplyTimeout, nextTimeout: manifestReplyTimeout})
+	data, _, err := fetchFromPeer(ctx, c, t.Artifact, MaxManifest, receiveOptions{firstTimeout: manifestReplyTimeout, nextTimeout: manifestReplyTimeout})
 	return data, err
 }
 
--- a/weights/origin.go
+++ b/weights/origin.go
@@ -17,10 +17,10 @@
 	HTTP *http.Client
 }
 
-// Get fetches the data with the given digest. If the origin answers 429 or 503, Get waits for
+// Get fetches the data with the given digest, of at most maxBytes. If the origin answers 429 or 503, Get waits for
 // the time in Retry-After, bounded by a few seconds, and fails with fault.Throttled, so that
 // the plan can use another source.
-func (o *OriginClient) Get(ctx context.Context, digest string) ([]byte, error) {
+func (o *OriginClient) Get(ctx context.Context, digest string, maxBytes int) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, o.URL+"/blobs/"+digest, nil)
 	if err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, digest)
@@ -42,7 +42,7 @@
 	default:
 		return nil, fault.New(fault.UpstreamFailed, "origin: "+resp.Status)
 	}
-	return bounded.ReadAll(resp.Body, MaxChunk, "origin")
+	return bounded.ReadAll(resp.Body, int64(maxBytes), "origin")
 }
 
 func retryAfter(resp *http.Response) time.Duration {
--- a/weights/origin_test.go
+++ b/weights/origin_test.go
@@ -43,7 +43,7 @@
 					Find: func(string) http.Handler { return h },
 				}}}
 				began := time.Now()
-				_, err := o.Get(t.Context(), "sha256:x")
+				_, err := o.Get(t.Context(), "sha256:x", 1)
 				is.Equal(fault.CodeOf(err), tc.want)
 				is.Equal(time.Since(began), tc.waits)
 			})
--- a/weights/sim_test.go
+++ b/weights/sim_test.go
@@ -230,8 +230,8 @@
 	return s.members
 }
 
-func (s *sim) fromOrigin(b *simBox) func(context.Context, string) ([]byte, error) {
-	return func(ctx context.Context, digest string) ([]byte, error) {
+func (s *sim) fromOrigin(b *simBox) func(context.Context, string, int) ([]byte, error) {
+	return func(ctx context.Context, digest string, _ int) ([]byte, error) {
 		s.mu.Lock()
 		down := s.originDown || s.originCut[b.Hall]
 		s.mu.Unlock()
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -262,7 +262,7 @@
 
 func (t *Transfer) fetch(ctx context.Context, a Action, c Chunk, s *session) (EventKind, []byte, error) {
 	if a.From == Origin {
-		data, err := t.Exchange.FetchOrigin(ctx, c.Digest)
+		data, err := t.Exchange.FetchOrigin(ctx, c.Digest, c.Size)
 		return EventOrigin, data, err
 	}
 	if s == nil {
