internal/telemetry: headers of requests for health, metrics and weights have a limit

Seen: nothing yet by callers. Whoever can reach the port of health checks, metrics, status or an agent's weights could have the process hold 1 MB of header for each connection, and 100 of them are 100 MB on a box of 136 MB.

Cause: these servers had the limit of net/http. Only the port for callers had one of its own.

Change: ServeHTTP, through which all of them run, sets bounded.MaxHeader unless the server has a limit. A client gets 431.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -19,7 +19,7 @@
 )
 
 const (
-	// MaxHeader limits the header of an HTTP answer, in bytes.
+	// MaxHeader limits the header of an HTTP answer, or of a request to a server for operators, in bytes.
 	MaxHeader = 32 << 10
 	// maxTail limits what is read after an answer, in bytes.
 	maxTail = 4 << 10
--- a/internal/telemetry/admin.go
+++ b/internal/telemetry/admin.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 // Admin serves a process's metrics, health and status.
@@ -38,13 +39,16 @@
 // Server returns an HTTP server for the admin endpoints.
 func (a *Admin) Server() *http.Server { return &http.Server{Handler: a.Handler()} }
 
-// ServeHTTP runs srv on ln until ctx is cancelled.
+// ServeHTTP runs srv on ln until ctx is cancelled. Headers of requests have a limit of time and size.
 func ServeHTTP(ctx context.Context, ln net.Listener, srv *http.Server) error {
 	stop := context.AfterFunc(ctx, func() { _ = srv.Close() })
 	defer stop()
 	if srv.ReadHeaderTimeout == 0 {
 		srv.ReadHeaderTimeout = 5 * time.Second
 	}
+	if srv.MaxHeaderBytes == 0 {
+		srv.MaxHeaderBytes = bounded.MaxHeader
+	}
 	if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 		return fault.Wrap(fault.ConnectionLost, err, "http")
 	}
