internal/load, cmd/poststand-standin: what the load and experiment tools read has limits

Seen: nothing by callers. The process that sends load, and publish, read answers, refusals, ledgers and replies without a limit and headers of up to 10 MB. docs/incidents/bytes-without-end.md had them as read, not run.

Change: answers and refusals are read up to 4 MiB, ledgers up to 64 MiB, the reply to a publication up to 1 MiB, headers up to bounded.MaxHeader. What is longer is an answer that is not whole, or fault.TooLarge.

--- a/cmd/poststand-standin/cmd/publish.go
+++ b/cmd/poststand-standin/cmd/publish.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 func publishCommand() *cobra.Command {
@@ -65,14 +65,20 @@
 	return b, nil
 }
 
+// maxReply limits the platform's reply to a publication, in bytes.
+const maxReply = 1 << 20
+
 func post(c *cobra.Command, url string, body []byte) error {
-	resp, err := http.Post(url, "application/json", bytes.NewReader(body))
+	resp, err := bounded.DefaultClient.Post(url, "application/json", bytes.NewReader(body))
 	if err != nil {
 		return fault.Wrap(fault.Unreachable, err, url)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	out, err := io.ReadAll(resp.Body)
-	if err != nil || resp.StatusCode != http.StatusOK {
+	out, err := bounded.ReadAll(resp.Body, maxReply, url)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
 		return fault.New(fault.UpstreamFailed, fmt.Sprintf("%s: %s %s", url, resp.Status, out))
 	}
 	_, err = c.OutOrStdout().Write(out)
--- a/internal/load/compare.go
+++ b/internal/load/compare.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
+// maxLedger limits the ledger of one engine or service, in bytes.
+const maxLedger = 64 << 20
+
 // compareLedgers reads the ledgers and compares them with the results of the requests.
 func (r *Run) compareLedgers(ctx context.Context) error {
 	runs := map[string]int{}
@@ -50,8 +53,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	var ledger map[string]int
-	if err := json.NewDecoder(resp.Body).Decode(&ledger); err != nil {
-		return nil, fault.Wrap(fault.Garbage, err, url)
+	if err := bounded.DecodeJSON(resp.Body, maxLedger, "ledger", &ledger); err != nil {
+		return nil, err
 	}
 	return ledger, nil
 }
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -11,6 +11,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 )
 
 // Mix holds the relative weight of each kind of request.
@@ -91,7 +92,7 @@
 	}
 	r.client = r.Client
 	if r.client == nil {
-		r.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+		r.client = bounded.HTTP(&http.Transport{MaxIdleConnsPerHost: 512})
 	}
 	r.results = map[string]requestResult{}
 	r.summary = Summary{Refused: map[string]int{}, Versions: map[string]int{}}
--- a/internal/load/send.go
+++ b/internal/load/send.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/poststand/poststand/fault"
+	"github.com/poststand/poststand/internal/bounded"
 	"github.com/poststand/poststand/internal/gateway"
 	"github.com/poststand/poststand/internal/standin"
 )
@@ -68,6 +69,9 @@
 	r.results[q.ref] = t
 }
 
+// maxAnswer limits what is read of an answer, in bytes.
+const maxAnswer = 4 << 20
+
 func (r *Run) sendTo(ctx context.Context, q requestSpec, gw string) reply {
 	req, prompt, err := r.newRequest(ctx, q, gw)
 	if err != nil {
@@ -87,19 +91,20 @@
 		return reply{code: codeConnection}
 	}
 	defer func() { _ = resp.Body.Close() }()
+	body := bounded.NewReader(resp.Body, maxAnswer, "answer")
 	if resp.Header.Get(gateway.HeaderOutcome) != "ran" {
-		return readRefusal(resp)
+		return readRefusal(resp.Status, body)
 	}
 	p := reply{version: resp.Header.Get(gateway.HeaderVersion)}
 	var text string
 	switch q.kind {
 	case kindStream:
-		text, p = r.readStream(resp.Body, start, p)
+		text, p = r.readStream(body, start, p)
 	case kindWhole:
-		text, p = r.readChat(resp.Body, start, p)
+		text, p = r.readChat(body, start, p)
 	default:
 		var a standin.PlainAnswer
-		if json.NewDecoder(resp.Body).Decode(&a) != nil {
+		if json.NewDecoder(body).Decode(&a) != nil {
 			return reply{code: codeTruncated}
 		}
 		p.complete = true
@@ -175,10 +180,10 @@
 	return req, string(data), nil
 }
 
-func readRefusal(resp *http.Response) reply {
+func readRefusal(status string, body io.Reader) reply {
 	var e gateway.ErrorBody
-	if json.NewDecoder(resp.Body).Decode(&e) != nil {
-		return reply{code: resp.Status}
+	if json.NewDecoder(body).Decode(&e) != nil {
+		return reply{code: status}
 	}
 	return reply{outcome: e.Error.Outcome, code: string(e.Error.Code)}
 }
