--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/poststand/poststand/dispatch"
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/eventstream"
+	"github.com/poststand/poststand/internal/telemetry"
 	"github.com/poststand/poststand/internal/times"
 	"github.com/poststand/poststand/quarantine"
 	"github.com/poststand/poststand/route"
@@ -314,10 +315,12 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if id := resp.Header.Get(names.RequestID); id == a.rq.id || id == "" && !a.mayBeSurplus(resp) {
+		id := resp.Header.Get(names.RequestID)
+		if id == a.rq.id || id == "" && !a.mayBeSurplus(resp) {
 			return resp, dispatch.Result{}
 		}
 		a.relay.Metrics.Event("stray_answer", "")
+		telemetry.Log("stray_answer", "id", a.rq.id, "replica", a.to.ID, "status", resp.StatusCode, "answer_id", id, "uses", a.conn.uses)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayLeft+1))
 		if strayLeft -= n; strayLeft < 0 {
 			err = fault.New(fault.AnswerTooLarge, "answers to other requests exceed the size limit")
