--- a/internal/bounded/boundedtest/boundedtest.go
+++ b/internal/bounded/boundedtest/boundedtest.go
@@ -127,6 +127,18 @@
 	}
 }
 
+// A CountingListener accepts connections that add the bytes that they read to Read.
+type CountingListener struct {
+	net.Listener
+	Read atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l *CountingListener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	return &countingConn{nc, &l.Read}, err
+}
+
 // countingConn counts the bytes that are read.
 type countingConn struct {
 	net.Conn
--- a/internal/telemetry/admin_test.go
+++ b/internal/telemetry/admin_test.go
@@ -5,37 +5,15 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/internal/bounded"
+	"github.com/poststand/poststand/internal/bounded/boundedtest"
 	"github.com/poststand/poststand/internal/telemetry"
 )
 
-// countingListener counts the bytes that its connections read.
-type countingListener struct {
-	net.Listener
-	read atomic.Int64
-}
-
-type countingConn struct {
-	net.Conn
-	read *atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	return &countingConn{nc, &l.read}, err
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.read.Add(int64(n))
-	return n, err
-}
-
 // The servers of health, metrics and weights held 1 MB of each request's header.
 func TestRequestHeaderWithoutEndIsBrokenOff(t *testing.T) {
 	const readAhead = 8 << 10 // Bytes of buffers, and what net/http adds to the limit.
@@ -44,7 +22,7 @@
 			is := is.New(t)
 			inner, err := net.Listen("tcp", "127.0.0.1:0")
 			is.NoErr(err)
-			ln := &countingListener{Listener: inner}
+			ln := &boundedtest.CountingListener{Listener: inner}
 			ctx, cancel := context.WithCancel(t.Context())
 			ended := make(chan error, 1)
 			go func() { ended <- telemetry.ServeHTTP(ctx, ln, &http.Server{Handler: http.NotFoundHandler()}) }()
@@ -58,7 +36,7 @@
 			_ = nc.Close()
 			cancel()
 			is.NoErr(<-ended)
-			is.True(ln.read.Load() <= bounded.MaxHeader+readAhead)
+			is.True(ln.Read.Load() <= bounded.MaxHeader+readAhead)
 		})
 	}
 }
