weights: a chunk of the origin that is too long counts as spoilt, not as an outage

The plan knows that code from the origin only as a failure, so that the origin counted as down and the box waited to probe it. Before, such a chunk did not match its digest and was asked for again at once.

Change: a transfer takes TooLarge from the origin for fault.Corrupt, which is retried at once, counted, and left to other boxes after some.

--- a/weights/endless_test.go
+++ b/weights/endless_test.go
@@ -5,6 +5,9 @@
 	"net/http"
 	"testing"
 
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/bounded/boundedtest"
 )
 
@@ -16,3 +19,10 @@
 		return err
 	})
 }
+
+// A spoilt chunk that was longer than its manifest says counted as an outage of the origin.
+func TestChunkThatIsTooLargeIsCorrupt(t *testing.T) {
+	x := &Exchange{FetchOrigin: func(context.Context, string, int) ([]byte, error) { return nil, fault.New(fault.TooLarge, "chunk") }}
+	_, _, err := (&Transfer{Exchange: x}).fetch(t.Context(), Action{From: Origin}, Chunk{Size: 1}, nil)
+	is.New(t).Equal(fault.CodeOf(err), fault.Corrupt)
+}
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -263,6 +263,9 @@
 func (t *Transfer) fetch(ctx context.Context, a Action, c Chunk, s *session) (EventKind, []byte, error) {
 	if a.From == Origin {
 		data, err := t.Exchange.FetchOrigin(ctx, c.Digest, c.Size)
+		if fault.Is(err, fault.TooLarge) { // A spoilt chunk; the origin still serves.
+			err = fault.Wrap(fault.Corrupt, err, "origin")
+		}
 		return EventOrigin, data, err
 	}
 	if s == nil {
