internal/relay: the last part of an abandoned attempt is dropped

Cause: an attempt closes its ended channel before it hands over its last part. One that is abandoned in between finds its context done and its receiver ready; a select takes either. The delivery did not ask whether the part's attempt is still open: it gave up the attempt that went on and wrote the part, or counted the end of the abandoned one a second time.

Change: take drops parts of attempts that are not open. Attempts leave that list when they are given up or have handed over their last part, so no part that counts is dropped.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -145,8 +145,11 @@
 }
 
 // take handles a part. It reports whether no attempt is left or the answer is complete, with the
-// result.
+// result. An attempt that was abandoned as it ended may still send its last part, which is dropped.
 func (d *delivery) take(p receivedPart) (dispatch.Result, bool) {
+	if !slices.Contains(d.open, p.from) {
+		return dispatch.Result{}, false
+	}
 	if d.endsOtherStream(p) {
 		p.result = unknown(fault.Truncated)
 	}
