internal/relay: a part that has come goes before the deadline that it missed

A process that stood still, or a busy one, finds the last part of an attempt and the deadline of its replica's version at the same moment. The caller of a request that may run once only got 502 for a refusal, which would have been sent elsewhere, or for a whole answer.

Change: when the timer has fired, a part that has come is handled first. What is due is looked at right after it.

Bytes that still wait in the socket are not covered.

--- a/internal/relay/delivery.go
+++ b/internal/relay/delivery.go
@@ -134,9 +134,8 @@
 				return res
 			}
 		case <-d.timer.C:
-			d.check(time.Now())
-			if len(d.open) == 0 {
-				return d.last
+			if res, done := d.checkUnlessPart(); done {
+				return res
 			}
 		case <-d.ctx.Done():
 			return d.cancelled(d.ctx.Err())
@@ -144,6 +143,18 @@
 	}
 }
 
+// checkUnlessPart handles a part if one has come, and otherwise what is due without one. It reports whether no
+// attempt is left or the answer is complete, with the result.
+func (d *delivery) checkUnlessPart() (dispatch.Result, bool) {
+	select {
+	case p := <-d.parts:
+		return d.take(p)
+	default:
+	}
+	d.check(time.Now())
+	return d.last, len(d.open) == 0
+}
+
 // take handles a part. It reports whether no attempt is left or the answer is complete, with the
 // result. An attempt that was abandoned as it ended may still send its last part, which is dropped.
 func (d *delivery) take(p receivedPart) (dispatch.Result, bool) {
--- a/internal/relay/delivery_test.go
+++ b/internal/relay/delivery_test.go
@@ -5,10 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/poststand/poststand/config"
 	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/fault"
 )
 
 // The last part of an attempt that was abandoned as it ended gave up the attempt that went on, and its answer was
@@ -37,3 +40,23 @@
 	is.Equal(w.Body.Len(), 0)
 	is.Equal(d.open, []*attempt{goesOn})
 }
+
+// A refusal that had come was given up as silence when the deadline of the replica's version had passed too: the
+// request was not sent elsewhere.
+func TestPartThatHasComeGoesBeforeTheDeadlineOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	const rounds = 200
+	for range rounds {
+		ended := make(chan struct{})
+		close(ended)
+		a := &attempt{cancel: func() {}, ended: ended}
+		a.to.Engine, a.to.Deadline = true, time.Now().Add(-time.Minute)
+		rq := &request{route: &config.Route{Kind: "safe"}}
+		d := &delivery{
+			relay: &Relay{}, ctx: t.Context(), rq: rq, out: &answer{rq: rq}, open: []*attempt{a},
+			parts: make(chan receivedPart, 1), timer: time.NewTimer(time.Minute), silentAt: time.Now().Add(time.Minute),
+		}
+		d.parts <- receivedPart{part{last: true, result: notRun(fault.QueueFull)}, a}
+		is.Equal(d.follow(), notRun(fault.QueueFull))
+	}
+}
