--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -26,6 +26,7 @@
 	maxHeadBytes    = 32 << 10 // Of all headers that are read in search of the matching one.
 	maxStrayBytes   = 1 << 20  // Of the bodies of responses to other requests.
 	maxEventBytes   = 1 << 20
+	maxLoggedID     = 64 // Bytes of the ID of another request.
 )
 
 // attempt is one try at sending a request to a replica. It runs in a goroutine of its own and
@@ -320,7 +321,7 @@
 			return resp, dispatch.Result{}
 		}
 		a.relay.Metrics.Event("stray_answer", "")
-		telemetry.Log("stray_answer", "id", a.rq.id, "replica", a.to.ID, "status", resp.StatusCode, "answer_id", id, "uses", a.conn.uses)
+		telemetry.Log("stray_answer", "id", a.rq.id, "replica", a.to.ID, "status", resp.StatusCode, "answer_id", id[:min(len(id), maxLoggedID)], "uses", a.conn.uses)
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayLeft+1))
 		if strayLeft -= n; strayLeft < 0 {
 			err = fault.New(fault.AnswerTooLarge, "answers to other requests exceed the size limit")
