--- a/internal/relay/delivery_test.go
+++ b/internal/relay/delivery_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -14,8 +13,7 @@
 	"github.com/poststand/poststand/fault"
 )
 
-// The last part of an attempt that was abandoned as it ended gave up the attempt that went on, and its answer was
-// written into that one's stream.
+// The answer of an attempt that was abandoned as it ended was written into the stream of the one that went on.
 func TestPartOfAnAbandonedAttemptIsDropped(t *testing.T) {
 	is := is.New(t)
 	ended := make(chan struct{})
@@ -23,10 +21,7 @@
 	givenUp := false
 	goesOn := &attempt{cancel: func() { givenUp = true }, ended: ended, gotData: true}
 	w := httptest.NewRecorder()
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	rq := &request{}
-	d := &delivery{ctx: ctx, rq: rq, out: &answer{w: w, rq: rq, started: true}, open: []*attempt{goesOn}}
+	d := &delivery{ctx: t.Context(), rq: &request{}, out: &answer{w: w, started: true}, open: []*attempt{goesOn}}
 	abandoned := receivedPart{from: &attempt{}, part: part{
 		last: true, result: dispatch.Result{Outcome: dispatch.Done},
 		resp: &http.Response{StatusCode: http.StatusNotFound, Header: http.Header{}}, body: [][]byte{[]byte("not found")},
@@ -41,8 +36,7 @@
 	is.Equal(d.open, []*attempt{goesOn})
 }
 
-// A refusal that had come was given up as silence when the deadline of the replica's version had passed too: the
-// request was not sent elsewhere.
+// A refusal that had come was given up as silence when the deadline of its version had passed too.
 func TestPartThatHasComeGoesBeforeTheDeadlineOfItsVersion(t *testing.T) {
 	is := is.New(t)
 	const rounds = 200
