internal/stager, platform: lines tell the life of a replica and calls without an answer

What callers saw: WHOLE, pieces that were missing or of another version. The lines could not tell whether a replica had started again between staging and order, nor that a call was given up that the replica may have received.

Reports carry born; a change is logged as replica_started, an order says the life that it was for, and a call that stages or orders and gets no answer is logged by itself. No decision changes.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -259,5 +259,8 @@
 	defer cancel()
 	err := s.options.Replica.Order(octx, r.model, r.version, rep.OrderCount)
 	s.status.invalidate()
-	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
+	if unanswered(err) {
+		telemetry.Log("replica_call_unanswered", "call", "order", "model", r.model, "version", r.version, "orders", rep.OrderCount, "reason", fault.CodeOf(err))
+	}
+	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
 }
--- a/internal/stager/replica.go
+++ b/internal/stager/replica.go
@@ -10,6 +10,7 @@
 type Report struct {
 	Model        string
 	Version      uint64 // The version that is loaded; 0 for none.
+	Born         int64  // When its process started, in Unix milliseconds by its own clock; 0 if it does not say.
 	OrderPending bool   // An order has been accepted and is not finished.
 	OrderCount   uint64 // Number of orders accepted since its start.
 	Queued       int
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -81,9 +81,17 @@
 func (s *Stager) stagePiece(ctx context.Context, model string, n int, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	return s.options.Replica.Stage(ctx, model, n, data)
+	err := s.options.Replica.Stage(ctx, model, n, data)
+	if unanswered(err) {
+		telemetry.Log("replica_call_unanswered", "call", "stage", "model", model, "piece", n, "reason", fault.CodeOf(err))
+	}
+	return err
 }
 
+// unanswered reports whether err is that of a call that got no answer: the replica may have
+// received it, and may still carry it out.
+func unanswered(err error) bool { return fault.Is(err, fault.Unreachable) }
+
 func (s *Stager) readStaged(ctx context.Context, model string, n, maxBytes int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -127,6 +127,9 @@
 	}
 	s.valid = err == nil
 	if err == nil {
+		if rep.Born != s.last.Born {
+			telemetry.Log("replica_started", "addr", s.current.Addr, "born", rep.Born, "before", s.last.Born, "orders", rep.OrderCount)
+		}
 		if rep.Version != s.last.Version || rep.OrderPending != s.last.OrderPending {
 			telemetry.Log("replica_holds", "addr", s.current.Addr, "model", rep.Model, "version", rep.Version, "before", s.last.Version, "ordered", rep.OrderPending, "orders", rep.OrderCount)
 		}
