--- a/internal/stager/cluster_test.go
+++ b/internal/stager/cluster_test.go
@@ -87,13 +87,25 @@
 // addWithLink adds a box whose incoming link carries down bytes a second.
 func (s *testCluster) addWithLink(t *testing.T, r *fakeReplica, down float64) {
 	i := len(s.agents)
+	s.replicas, s.agents, s.endpoints = append(s.replicas, r), append(s.agents, nil), append(s.endpoints, nil)
+	s.stops = append(s.stops, nil)
+	s.startAgent(t, i, down)
+}
+
+// restartAgent kills the agent of a box and starts it again, with no assignment.
+func (s *testCluster) restartAgent(t *testing.T, i int) {
+	s.stops[i]()
+	s.startAgent(t, i, 9e5)
+}
+
+func (s *testCluster) startAgent(t *testing.T, i int, down float64) {
 	addr := ip(i) + ":7"
 	a, err := New(&settings.Stager{
 		DirectCommon:     settings.DirectCommon{Cluster: "c", Box: ip(i), Hall: "h", Listen: addr, Join: []string{"10.9.0.1:1"}},
 		StagerReloadable: settings.StagerReloadable{VersionWithin: 8 * time.Second, Link: 7.3},
 		Replica:          ip(i) + ":80", Service: "llm",
 	}, Options{
-		Replica: r.calls(),
+		Replica: s.replicas[i].calls(),
 		Origin: Origin{
 			Manifest: func(_ context.Context, _, _ string, version uint64) (*weights.Manifest, error) {
 				m := manifestOf(version)
@@ -128,13 +140,13 @@
 		_ = k.Run(ctx)
 		close(done)
 	}()
-	s.replicas, s.agents, s.endpoints = append(s.replicas, r), append(s.agents, a), append(s.endpoints, end)
-	s.stops = append(s.stops, func() {
+	s.agents[i], s.endpoints[i] = a, end
+	s.stops[i] = func() {
 		cancel()
 		a.Close()
 		s.net.Remove(addr)
 		<-done
-	})
+	}
 }
 
 // assign gives every agent an assignment as a gateway would.
--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -37,6 +38,73 @@
 	wrongPieces int       // Staged pieces that were not of the version, over all orders.
 	upAt        time.Time // It does not answer before this time.
 	hangs       int       // Number of calls to the staging area that will get no answer.
+
+	callTime   time.Duration     // Duration of each call to the staging area.
+	stillUntil time.Time         // Its process stands still before this time.
+	spoiltAt   map[int]time.Time // When staged pieces turned bad.
+	// onPut, if set, is called when a piece has been staged, with the number of pieces so far.
+	onPut func(puts int)
+}
+
+// The users' rule on loaded pieces that have turned bad, and the time within which a process that
+// goes on carries out the calls that it has received, in any order.
+const (
+	spoiltSlack = 3 * time.Second
+	wakeSpread  = 120 * time.Millisecond
+)
+
+// receive carries out a call once the process has received it, or goes on after it stood still,
+// whether or not the caller still waits. The call is lost if the process ends before that.
+func (r *fakeReplica) receive(ctx context.Context, takes time.Duration, carryOut func() error) error {
+	r.mu.Lock()
+	life, at := r.report.Born, time.Now().Add(takes)
+	if r.stillUntil.After(at) {
+		at = r.stillUntil.Add(rand.N(wakeSpread))
+	}
+	r.mu.Unlock()
+	done := make(chan error, 1)
+	time.AfterFunc(time.Until(at), func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.report.Born != life {
+			done <- fault.New(fault.Unreachable, "replica")
+			return
+		}
+		done <- carryOut()
+	})
+	select {
+	case err := <-done:
+		return err
+	case <-ctx.Done():
+		return fault.Wrap(fault.Unreachable, ctx.Err(), "replica")
+	}
+}
+
+// countWrongPieces counts the staged pieces that are not of a version, or have not been for longer
+// than allowed. The caller holds r.mu.
+func (r *fakeReplica) countWrongPieces(version uint64) (n int) {
+	for i := range pieceCount {
+		spoiltAt, spoilt := r.spoiltAt[i]
+		if spoilt && time.Since(spoiltAt) <= spoiltSlack {
+			continue
+		}
+		if weights.Digest(r.staged[i]) != weights.Digest(pieceOf(version, i)) {
+			n++
+		}
+	}
+	return n
+}
+
+// standStill stops the process for some time. After it the process is fast. The caller holds r.mu.
+func (r *fakeReplica) standStill(d time.Duration) {
+	const fast = time.Millisecond
+	r.stillUntil, r.callTime = time.Now().Add(d), fast
+}
+
+// spoil turns a staged piece bad. The caller holds r.mu.
+func (r *fakeReplica) spoil(piece int) {
+	r.staged[piece] = []byte("spoilt")
+	r.spoiltAt[piece] = time.Now()
 }
 
 // maybeHang blocks until ctx ends if this call should get no answer.
@@ -56,79 +124,103 @@
 
 func (r *fakeReplica) calls() Replica {
 	return Replica{
-		Report: func(context.Context) (Report, error) {
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			if time.Now().Before(r.upAt) {
-				return Report{}, fault.New(fault.Unreachable, "replica")
-			}
-			return r.report, nil
-		},
-		Order: func(_ context.Context, _ string, version, orders uint64) error {
+		Report: r.handleReport, Order: r.handleOrder, Stage: r.handleStage, ListStaged: r.handleList, ReadStaged: r.handleRead,
+	}
+}
+
+func (r *fakeReplica) handleReport(ctx context.Context) (rep Report, err error) {
+	err = r.receive(ctx, 0, func() error {
+		if time.Now().Before(r.upAt) {
+			return fault.New(fault.Unreachable, "replica")
+		}
+		rep = r.report
+		return nil
+	})
+	return rep, err
+}
+
+func (r *fakeReplica) handleOrder(ctx context.Context, _ string, version, orders uint64) error {
+	return r.receive(ctx, 0, func() error {
+		if orders != r.report.OrderCount {
+			return fault.New(fault.FencedOrder, "")
+		}
+		r.wrongPieces += r.countWrongPieces(version)
+		r.orders = append(r.orders, version)
+		r.report.OrderCount++
+		r.report.OrderPending = true
+		life := r.report.Born
+		time.AfterFunc(500*time.Millisecond, func() {
 			r.mu.Lock()
 			defer r.mu.Unlock()
-			if orders != r.report.OrderCount {
-				return fault.New(fault.FencedOrder, "")
-			}
-			for n := range pieceCount {
-				if weights.Digest(r.staged[n]) != weights.Digest(pieceOf(version, n)) {
-					r.wrongPieces++
-				}
-			}
-			r.orders = append(r.orders, version)
-			r.report.OrderCount++
-			r.report.OrderPending = true
-			time.AfterFunc(500*time.Millisecond, func() {
-				r.mu.Lock()
-				defer r.mu.Unlock()
+			if r.report.Born == life {
 				r.report.Version, r.report.OrderPending = version, false
-			})
-			return nil
-		},
-		Stage: func(ctx context.Context, _ string, n int, data []byte) error {
-			if err := r.maybeHang(ctx); err != nil {
-				return err
-			}
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			r.puts++
-			r.staged[n] = data
-			return nil
-		},
-		ListStaged: func(ctx context.Context, _ string) ([]int, error) {
-			if err := r.maybeHang(ctx); err != nil {
-				return nil, err
 			}
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			var held []int
-			for n := range pieceCount {
-				if r.staged[n] != nil {
-					held = append(held, n)
-				}
-			}
-			return held, nil
-		},
-		ReadStaged: func(ctx context.Context, _ string, n, _ int) ([]byte, error) {
-			if err := r.maybeHang(ctx); err != nil {
-				return nil, err
+		})
+		return nil
+	})
+}
+
+func (r *fakeReplica) handleStage(ctx context.Context, _ string, n int, data []byte) error {
+	if err := r.maybeHang(ctx); err != nil {
+		return err
+	}
+	return r.receive(ctx, r.callTime, func() error {
+		r.puts++
+		r.staged[n] = data
+		delete(r.spoiltAt, n)
+		if r.onPut != nil {
+			r.onPut(r.puts)
+		}
+		return nil
+	})
+}
+
+func (r *fakeReplica) handleList(ctx context.Context, _ string) (held []int, err error) {
+	if err := r.maybeHang(ctx); err != nil {
+		return nil, err
+	}
+	err = r.receive(ctx, 0, func() error {
+		for n := range pieceCount {
+			if r.staged[n] != nil {
+				held = append(held, n)
 			}
-			r.mu.Lock()
-			defer r.mu.Unlock()
-			return r.staged[n], nil
-		},
+		}
+		return nil
+	})
+	return held, err
+}
+
+func (r *fakeReplica) handleRead(ctx context.Context, _ string, n, _ int) (data []byte, err error) {
+	if err := r.maybeHang(ctx); err != nil {
+		return nil, err
 	}
+	err = r.receive(ctx, r.callTime, func() error {
+		if data = r.staged[n]; data == nil {
+			return fault.New(fault.NotHeld, "")
+		}
+		return nil
+	})
+	return data, err
 }
 
 // restart simulates a crash of the replica: it has no version, and staged pieces remain.
 func (r *fakeReplica) restart() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report = Report{}
+	r.restartLocked()
+}
+
+// restartLocked is restart for a caller that holds r.mu.
+func (r *fakeReplica) restartLocked() { r.report = Report{Born: r.report.Born + 1} }
+
+// restartEmpty is restart for a replica that loses its staged pieces as well. The caller holds r.mu.
+func (r *fakeReplica) restartEmpty() {
+	r.restartLocked()
+	r.staged, r.spoiltAt = map[int][]byte{}, map[int]time.Time{}
 }
 
 func withVersion(v uint64) *fakeReplica {
-	r := &fakeReplica{report: Report{Model: "m", Version: v}, staged: map[int][]byte{}}
+	r := &fakeReplica{report: Report{Model: "m", Version: v, Born: 1}, staged: map[int][]byte{}, spoiltAt: map[int]time.Time{}}
 	for n := range pieceCount {
 		if v > 0 {
 			r.staged[n] = pieceOf(v, n)
--- /dev/null
+++ b/internal/stager/staging_test.go
@@ -0,0 +1,95 @@
+package stager
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/poststand/poststand/internal/peers"
+)
+
+// plays is how often each test plays: which call is pending at an event, and the order of late calls, differ.
+const plays = 20
+
+// playStaging plays a box whose replica has version 1, stages slowly, and has version 2 named. event is
+// called as a piece is staged, by a replica that is locked. Version 3 is named two seconds later if
+// it is the newest. The replica then has the newest version, and has never loaded a wrong piece.
+func playStaging(t *testing.T, newest uint64, event func(s *testCluster, r *fakeReplica, play, puts int)) {
+	check := is.NewRelaxed(t)
+	for play := range plays {
+		r := withVersion(1)
+		runCluster(t, func(_ *is.I, s *testCluster) {
+			r.callTime = 20 * time.Millisecond
+			r.onPut = func(puts int) { event(s, r, play, puts) }
+			s.add(t, r)
+			s.assign(1, 1)
+			time.Sleep(2 * time.Second)
+			s.assign(2, 2, peers.Step{Version: 2})
+			if newest == 3 {
+				time.Sleep(2 * time.Second)
+				s.assign(3, 3, peers.Step{Version: 2, Age: 2 * time.Second}, peers.Step{Version: 3})
+			}
+			time.Sleep(20 * time.Second)
+		})
+		check.Equal(r.wrongPieces, 0)         // Pieces that were loaded.
+		check.Equal(r.report.Version, newest) // The version that is loaded in the end.
+	}
+}
+
+// stillFor returns for how long the process stands still in a play.
+func stillFor(play int) time.Duration {
+	return 6*time.Second + time.Duration(play)*400*time.Millisecond
+}
+
+// An order was taken by a process that had started again amid staging, without the pieces staged before that.
+func TestRestartAmidStagingLosesNoPiece(t *testing.T) {
+	restarts := map[string]func(r *fakeReplica){"staged pieces are lost": (*fakeReplica).restartEmpty, "staged pieces outlast it": (*fakeReplica).restartLocked}
+	for name, restart := range restarts {
+		t.Run(name, func(t *testing.T) {
+			playStaging(t, 2, func(_ *testCluster, r *fakeReplica, play, puts int) {
+				if puts == 1+play%pieceCount {
+					restart(r)
+				}
+			})
+		})
+	}
+}
+
+// A piece whose staging was given up replaced one of the next version before that was loaded.
+func TestStagingThatWasGivenUpSpoilsNoOtherVersion(t *testing.T) {
+	playStaging(t, 3, func(_ *testCluster, r *fakeReplica, play, puts int) {
+		if puts == 1+play%(pieceCount-1) {
+			r.standStill(stillFor(play))
+		}
+	})
+}
+
+// An order that was given up was taken once the next version was staged.
+func TestOrderThatWasGivenUpFindsItsVersion(t *testing.T) {
+	playStaging(t, 3, func(_ *testCluster, r *fakeReplica, play, puts int) {
+		if puts == pieceCount {
+			r.standStill(stillFor(play))
+		}
+	})
+}
+
+// A restarted agent knows nothing of the call that the one before it gave up.
+func TestStagingOfAnEarlierAgentSpoilsNoOtherVersion(t *testing.T) {
+	playStaging(t, 3, func(s *testCluster, r *fakeReplica, play, puts int) {
+		if puts == 1+play%(pieceCount-1) {
+			r.standStill(stillFor(play))
+			time.AfterFunc(100*time.Millisecond, func() { s.restartAgent(t, 0) })
+		}
+	})
+}
+
+// A piece that turned bad while the others were staged was loaded long after that.
+func TestPieceThatTurnsBadAmidStagingIsNotLoaded(t *testing.T) {
+	playStaging(t, 2, func(_ *testCluster, r *fakeReplica, play, puts int) {
+		r.callTime = 330 * time.Millisecond
+		if puts == 2 {
+			r.spoil(play % 2)
+		}
+	})
+}
