internal/stager, platform: an order goes to the process that holds the staged pieces

What callers saw: WHOLE, answers made with pieces that were missing.

Cause: staging and order are calls of their own, and nothing bound them to one process of the replica. The order names the number of orders taken, which is 0 in a process that has just started as in one that has taken none. A replica that starts again between two calls, and has lost what was staged, took an order for which it held only the later pieces.

Change: the agent opens a connection, asks for a report on it, stages, and orders on the same connection, which is never replaced: an HTTP client whose dial function hands out that connection once. A process that ends takes its connections with it, so the order is not sent to a later one.

Ways not taken: X-Expect-Replica, as a replica may start again under its id; born, compared before the order, as the replica may start again between the comparison and the order.

--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -52,7 +52,7 @@
 
 func newReplica(addr string) stager.Replica {
 	r := &platform.Replica{Addr: addr, HTTP: newPlatformClient()}
-	return stager.Replica{Report: r.Report, Order: r.Order, Stage: r.Stage, ListStaged: r.Staged, ReadStaged: r.ReadStaged}
+	return stager.Replica{Report: r.Report, Connect: r.Connect, Stage: r.Stage, ListStaged: r.Staged, ReadStaged: r.ReadStaged}
 }
 
 // newOriginClient returns the HTTP client for the origin of weights. It keeps no idle
--- a/internal/direct/process_test.go
+++ b/internal/direct/process_test.go
@@ -85,14 +85,14 @@
 	}
 	w.checker.beginOutage(b.agent())()
 	f, t := w.follower(b.agent())
-	replica := &platform.Replica{Addr: b.replica(), HTTP: w.client(b.agent(), true)}
+	replica := &platform.Replica{Addr: b.replica(), HTTP: w.client(b.agent(), true), Dial: dialTCP(w.dialer(b.agent()))}
 	originClient := w.client(b.agent(), false)
 	st, err := stager.New(&settings.Stager{
 		DirectCommon:     settings.DirectCommon{Cluster: "c", Box: b.name, Hall: b.hall, Listen: b.agent(), Store: storeAddr, Join: w.seeds()},
 		StagerReloadable: settings.StagerReloadable{VersionWithin: versionWithin, Link: linkMegabits},
 		Replica:          b.replica(), Service: "llm",
 	}, stager.Options{
-		Replica: stager.Replica{Report: replica.Report, Order: replica.Order, Stage: replica.Stage, ListStaged: replica.Staged, ReadStaged: replica.ReadStaged},
+		Replica: stager.Replica{Report: replica.Report, Connect: replica.Connect, Stage: replica.Stage, ListStaged: replica.Staged, ReadStaged: replica.ReadStaged},
 		Origin: stager.Origin{
 			Manifest: func(ctx context.Context, addr, model string, version uint64) (*weights.Manifest, error) {
 				return (&platform.Origin{Addr: addr, HTTP: originClient}).Manifest(ctx, model, version)
--- a/internal/direct/world_test.go
+++ b/internal/direct/world_test.go
@@ -181,11 +181,15 @@
 	return func(ctx context.Context, to string) (net.Conn, error) { return w.net.Dial(ctx, from, to) }
 }
 
+// dialTCP returns dial with the parameters of net.Dialer.DialContext.
+func dialTCP(dial func(ctx context.Context, to string) (net.Conn, error)) func(ctx context.Context, network, to string) (net.Conn, error) {
+	return func(ctx context.Context, _, to string) (net.Conn, error) { return dial(ctx, to) }
+}
+
 // client returns an HTTP client that dials from an end, with the settings of the real processes.
 func (w *world) client(from string, keepAlive bool) *http.Client {
-	dial := w.dialer(from)
 	return &http.Client{Transport: &http.Transport{
-		DialContext:        func(ctx context.Context, _, to string) (net.Conn, error) { return dial(ctx, to) },
+		DialContext:        dialTCP(w.dialer(from)),
 		DisableCompression: true, DisableKeepAlives: !keepAlive, MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second,
 	}}
 }
--- a/internal/stager/backoff.go
+++ b/internal/stager/backoff.go
@@ -40,6 +40,26 @@
 	return err
 }
 
+// wrapConn is wrap for a connection.
+func (b *backoff) wrapConn(c *ReplicaConn) *ReplicaConn {
+	return &ReplicaConn{
+		Report: func(ctx context.Context) (Report, error) {
+			if err := b.check(time.Now()); err != nil {
+				return Report{}, err
+			}
+			out, err := c.Report(ctx)
+			return out, b.observe(err)
+		},
+		Order: func(ctx context.Context, model string, version, orders uint64) error {
+			if err := b.check(time.Now()); err != nil {
+				return err
+			}
+			return b.observe(c.Order(ctx, model, version, orders))
+		},
+		Close: c.Close,
+	}
+}
+
 // wrap returns calls to a replica that fail without being sent while the backoff lasts.
 func (b *backoff) wrap(rep Replica) Replica {
 	return Replica{
@@ -50,11 +70,15 @@
 			out, err := rep.Report(ctx)
 			return out, b.observe(err)
 		},
-		Order: func(ctx context.Context, model string, version, orders uint64) error {
+		Connect: func(ctx context.Context) (*ReplicaConn, error) {
 			if err := b.check(time.Now()); err != nil {
-				return err
+				return nil, err
+			}
+			c, err := rep.Connect(ctx)
+			if err != nil {
+				return nil, err
 			}
-			return b.observe(rep.Order(ctx, model, version, orders))
+			return b.wrapConn(c), nil
 		},
 		Stage: func(ctx context.Context, model string, piece int, data []byte) error {
 			if err := b.check(time.Now()); err != nil {
--- a/internal/stager/backoff_test.go
+++ b/internal/stager/backoff_test.go
@@ -17,12 +17,20 @@
 // may be sent until it ends.
 func TestReplicaBackoffIsRespected(t *testing.T) {
 	ctx := context.Background()
-	calls := map[string]func(rep Replica) error{
-		"report": func(rep Replica) error { _, err := rep.Report(ctx); return err },
-		"order":  func(rep Replica) error { return rep.Order(ctx, "m", 2, 0) },
-		"stage":  func(rep Replica) error { return rep.Stage(ctx, "m", 0, nil) },
-		"staged": func(rep Replica) error { _, err := rep.ListStaged(ctx, "m"); return err },
-		"read":   func(rep Replica) error { _, err := rep.ReadStaged(ctx, "m", 0, 1); return err },
+	calls := map[string]func(rep Replica, c *ReplicaConn) error{
+		"report":                 func(rep Replica, _ *ReplicaConn) error { _, err := rep.Report(ctx); return err },
+		"order":                  func(_ Replica, c *ReplicaConn) error { return c.Order(ctx, "m", 2, 0) },
+		"report on a connection": func(_ Replica, c *ReplicaConn) error { _, err := c.Report(ctx); return err },
+		"order on a new connection": func(rep Replica, _ *ReplicaConn) error {
+			c, err := rep.Connect(ctx)
+			if err != nil {
+				return err
+			}
+			return c.Order(ctx, "m", 2, 0)
+		},
+		"stage":  func(rep Replica, _ *ReplicaConn) error { return rep.Stage(ctx, "m", 0, nil) },
+		"staged": func(rep Replica, _ *ReplicaConn) error { _, err := rep.ListStaged(ctx, "m"); return err },
+		"read":   func(rep Replica, _ *ReplicaConn) error { _, err := rep.ReadStaged(ctx, "m", 0, 1); return err },
 	}
 	for name, first := range calls {
 		t.Run(name, func(t *testing.T) {
@@ -38,23 +46,30 @@
 				}
 				var b backoff
 				rep := b.wrap(Replica{
-					Report:     func(context.Context) (Report, error) { return Report{}, answer() },
-					Order:      func(context.Context, string, uint64, uint64) error { return answer() },
+					Report: func(context.Context) (Report, error) { return Report{}, answer() },
+					Connect: func(context.Context) (*ReplicaConn, error) {
+						return &ReplicaConn{
+							Report: func(context.Context) (Report, error) { return Report{}, answer() },
+							Order:  func(context.Context, string, uint64, uint64) error { return answer() },
+						}, nil
+					},
 					Stage:      func(context.Context, string, int, []byte) error { return answer() },
 					ListStaged: func(context.Context, string) ([]int, error) { return nil, answer() },
 					ReadStaged: func(context.Context, string, int, int) ([]byte, error) { return nil, answer() },
 				})
-				is.Equal(fault.CodeOf(first(rep)), fault.Throttled)
+				c, err := rep.Connect(ctx)
+				is.NoErr(err)
+				is.Equal(fault.CodeOf(first(rep, c)), fault.Throttled)
 				for range 29 {
 					time.Sleep(100 * time.Millisecond)
 					for _, call := range calls {
-						is.Equal(fault.CodeOf(call(rep)), fault.UpstreamBackingOff)
+						is.Equal(fault.CodeOf(call(rep, c)), fault.UpstreamBackingOff)
 					}
 				}
 				is.Equal(sent, 1)
 				time.Sleep(100 * time.Millisecond)
 				for _, call := range calls {
-					is.NoErr(call(rep))
+					is.NoErr(call(rep, c))
 				}
 				is.Equal(sent, 1+len(calls))
 			})
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -9,16 +9,14 @@
 	"github.com/poststand/poststand/fault"
 	"github.com/poststand/poststand/internal/peers"
 	"github.com/poststand/poststand/internal/telemetry"
-	"github.com/poststand/poststand/kernel"
 	"github.com/poststand/poststand/weights"
 )
 
 // Intervals and timeouts of the loader.
 const (
-	pollBusy     = 50 * time.Millisecond  // Poll interval while a transfer or a change of version is in progress.
-	pollIdle     = 500 * time.Millisecond // Poll interval otherwise.
-	noticeLead   = 60 * time.Millisecond  // Gateways are notified of a change this long before the replica is ordered to make it.
-	orderTimeout = time.Second
+	pollBusy   = 50 * time.Millisecond  // Poll interval while a transfer or a change of version is in progress.
+	pollIdle   = 500 * time.Millisecond // Poll interval otherwise.
+	noticeLead = 60 * time.Millisecond  // Gateways are notified of a change this long before the replica is ordered to make it.
 	// A link counts as slow while a transfer has less than this share of its usual number of
 	// fetches open, and for slowFor after that: requests from gateways queue on it too.
 	slowBelow = 0.7
@@ -210,8 +208,7 @@
 	if rep.OrderPending || !next.complete || now.Before(changeAt) {
 		return false
 	}
-	vs.lastOrdered = next.version
-	s.changeVersion(ctx, vs.find(next.version), rep)
+	s.changeVersion(ctx, vs, vs.find(next.version))
 	return false
 }
 
@@ -244,23 +241,3 @@
 	}
 	s.exchange.SetNoUploadQueue(single) // The other boxes limit their fetches at the same time.
 }
-
-// changeVersion stages a version and orders the replica to load it.
-func (s *Stager) changeVersion(ctx context.Context, r *versionTransfer, rep Report) {
-	s.status.set(func(st *peers.Status) { st.Changing = true })
-	began := time.Now()
-	if !s.stage(ctx, r) {
-		return
-	}
-	if left := noticeLead - time.Since(began); left > 0 && rep.Version != 0 {
-		kernel.Sleep(ctx, left)
-	}
-	octx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	err := s.options.Replica.Order(octx, r.model, r.version, rep.OrderCount)
-	s.status.invalidate()
-	if unanswered(err) {
-		telemetry.Log("replica_call_unanswered", "call", "order", "model", r.model, "version", r.version, "orders", rep.OrderCount, "reason", fault.CodeOf(err))
-	}
-	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
-}
--- a/internal/stager/replica.go
+++ b/internal/stager/replica.go
@@ -20,17 +20,27 @@
 	Slowdown     float64
 }
 
-// Replica holds the calls to the replica of this box.
+// Replica holds the calls to the replica of this box. They fail with fault.Unreachable if there is
+// no answer; one that changes something may then still be carried out.
 type Replica struct {
+	Report     func(ctx context.Context) (Report, error)
+	Connect    func(ctx context.Context) (*ReplicaConn, error)
+	Stage      func(ctx context.Context, model string, piece int, data []byte) error
+	ListStaged func(ctx context.Context, model string) ([]int, error)
+	// ReadStaged returns a staged piece. It fails with fault.NotHeld if there is none, and with
+	// fault.TooLarge if that is larger than maxBytes.
+	ReadStaged func(ctx context.Context, model string, piece, maxBytes int) ([]byte, error)
+}
+
+// ReplicaConn is one connection to the replica. Its calls reach the process that accepted it and no
+// later one: once it has ended they fail with fault.ConnectionLost and are not sent.
+type ReplicaConn struct {
 	Report func(ctx context.Context) (Report, error)
 	// Order orders the replica to load the staged version once its running requests have
 	// finished. The replica refuses the order if the number of orders that it has accepted
 	// differs from orders.
-	Order      func(ctx context.Context, model string, version, orders uint64) error
-	Stage      func(ctx context.Context, model string, piece int, data []byte) error
-	ListStaged func(ctx context.Context, model string) ([]int, error)
-	// ReadStaged returns a staged piece. It fails with fault.TooLarge if that is larger than maxBytes.
-	ReadStaged func(ctx context.Context, model string, piece, maxBytes int) ([]byte, error)
+	Order func(ctx context.Context, model string, version, orders uint64) error
+	Close func()
 }
 
 // Origin holds the calls to the origin server of weights.
--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -124,10 +124,40 @@
 
 func (r *fakeReplica) calls() Replica {
 	return Replica{
-		Report: r.handleReport, Order: r.handleOrder, Stage: r.handleStage, ListStaged: r.handleList, ReadStaged: r.handleRead,
+		Report: r.handleReport, Connect: r.connect, Stage: r.handleStage, ListStaged: r.handleList, ReadStaged: r.handleRead,
 	}
 }
 
+// connect returns a connection to the process of the replica, which ends with it.
+func (r *fakeReplica) connect(context.Context) (*ReplicaConn, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	life := r.report.Born
+	check := func() error {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.report.Born != life {
+			return fault.New(fault.ConnectionLost, "replica")
+		}
+		return nil
+	}
+	return &ReplicaConn{
+		Report: func(ctx context.Context) (Report, error) {
+			if err := check(); err != nil {
+				return Report{}, err
+			}
+			return r.handleReport(ctx)
+		},
+		Order: func(ctx context.Context, model string, version, orders uint64) error {
+			if err := check(); err != nil {
+				return err
+			}
+			return r.handleOrder(ctx, model, version, orders)
+		},
+		Close: func() {},
+	}, nil
+}
+
 func (r *fakeReplica) handleReport(ctx context.Context) (rep Report, err error) {
 	err = r.receive(ctx, 0, func() error {
 		if time.Now().Before(r.upAt) {
