internal/stager: every piece is read back before the order

What callers saw: WHOLE, answers made with pieces that were spoilt or of another version.

Cause: an order relied on pieces that had been staged, or read back, some time before it: for as long as staging took, and for a second from the end of the reading at the start, whatever was staged meanwhile. Pieces may turn bad, and a loaded one may have been bad for 3 s.

Change: every piece is read back and compared by digest right before the order, which is sent only if the first was read at most 1.5 s ago by the steady clock and by the time of day (a suspended machine stops the first). Pieces that differ are staged again. Where reading takes longer, more pieces are read at a time. What is remembered of the staging area only spares staging, so none of it needs to be dropped in time.

A replica is reported to be changing from when its pieces are staged, not before it.

--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -10,10 +10,20 @@
 	"github.com/poststand/poststand/kernel"
 )
 
-const orderTimeout = time.Second
+const (
+	orderTimeout = time.Second
+	// maxCheckAge is how long before an order the first staged piece may have been read back. A replica
+	// may load a piece that has been bad for up to 3 s; the rest is for the order.
+	maxCheckAge = 1500 * time.Millisecond
+	// If reading back takes longer than maxCheckAge, readersFactor times as many pieces are read at a
+	// time, up to maxReaders.
+	readersFactor = 4
+	maxReaders    = 16
+)
 
 // changeVersion stages a version and orders the replica to load it. The order goes to the process that
-// holds the pieces, on a connection from before they were staged.
+// holds the pieces, on a connection from before they were staged or read back, after every piece
+// was read back.
 func (s *Stager) changeVersion(ctx context.Context, vs *versions, r *versionTransfer) {
 	c, rep, err := s.connect(ctx)
 	if err != nil {
@@ -21,19 +31,25 @@
 		return
 	}
 	defer c.Close()
-	if rep.OrderPending || rep.Version == r.version {
+	if rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r) {
 		return
 	}
 	vs.lastOrdered = r.version
 	s.status.set(func(st *peers.Status) { st.Changing = true })
-	began := time.Now()
-	if !s.stage(ctx, r) {
+	checkedAt := time.Now()
+	if !s.check(ctx, r) {
 		return
 	}
-	if left := noticeLead - time.Since(began); left > 0 && rep.Version != 0 {
+	if left := noticeLead - time.Since(checkedAt); left > 0 && rep.Version != 0 {
 		kernel.Sleep(ctx, left)
 	}
-	s.order(ctx, c, r, rep, began)
+	age := elapsed(checkedAt, time.Now())
+	if age > maxCheckAge {
+		telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
+		s.readers = min(readersFactor*max(1, s.readers), maxReaders)
+		return
+	}
+	s.order(ctx, c, r, rep, age)
 }
 
 // connect opens a connection to the replica and requests its report on it.
@@ -51,8 +67,34 @@
 	return c, rep, err
 }
 
-// order orders the replica to load a version that was staged from began on.
-func (s *Stager) order(ctx context.Context, c *ReplicaConn, r *versionTransfer, rep Report, began time.Time) {
+// check reads all staged pieces back and reports whether they are those of a version. It stages those
+// that are not again.
+func (s *Stager) check(ctx context.Context, r *versionTransfer) bool {
+	wrong, err := s.findWrong(ctx, r)
+	if err != nil {
+		telemetry.LogError(err, "check_failed", "model", r.model, "version", r.version)
+		return false
+	}
+	if len(wrong) == 0 {
+		return true
+	}
+	telemetry.Log("staged_wrong", "model", r.model, "version", r.version, "pieces", len(wrong), "first", wrong[0])
+	for _, n := range wrong {
+		if !s.stagePiece(ctx, r, n) {
+			break
+		}
+	}
+	return false
+}
+
+// elapsed returns the time from one moment to another. The steady clock does not count the time for
+// which a machine is suspended, and the time of day may be set back.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
+
+// order orders the replica to load a version whose pieces were read back for the given time.
+func (s *Stager) order(ctx context.Context, c *ReplicaConn, r *versionTransfer, rep Report, checkAge time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := c.Order(ctx, r.model, r.version, rep.OrderCount)
@@ -60,5 +102,5 @@
 		telemetry.Log("replica_call_unanswered", "call", "order", "model", r.model, "version", r.version, "orders", rep.OrderCount)
 	}
 	s.status.invalidate()
-	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "staged_in", time.Since(began), "reason", fault.CodeOf(err))
+	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "check_age", checkAge, "reason", fault.CodeOf(err))
 }
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -37,39 +40,28 @@
 		}
 	}
 	if kept == len(chunks) {
-		s.verified.Store(&verifiedVersion{artifact: artifactName(model, version), validUntil: time.Now().Add(verifiedFor)})
+		s.stagedArtifact.Store(artifactName(model, version))
 	}
 	telemetry.Log("staged_read", "model", model, "version", version, "held", len(held), "kept", kept)
 }
 
-// verifiedVersion is a version of which every piece in the staging area was found intact.
-type verifiedVersion struct {
-	artifact   string
-	validUntil time.Time // Staged pieces may become corrupt later.
-}
-
-// verifiedFor is how long a verified version need not be staged again.
-const verifiedFor = time.Second
-
 // lastProbe is the index of the last staged piece that is read if none has matched.
 const lastProbe = 6
 
-// stage writes a version to the staging area of the replica, unless it has been verified
-// there, and reports whether all of it is staged.
+// stage writes all pieces of a version to the staging area of the replica, unless they were written
+// or read back there last, and reports whether it succeeded.
 func (s *Stager) stage(ctx context.Context, r *versionTransfer) bool {
-	if v := s.verified.Load(); v != nil && v.artifact == r.Artifact && time.Now().Before(v.validUntil) {
+	if s.stagedArtifact.Load() == r.Artifact {
 		return true
 	}
-	for i, c := range r.Manifest().Files[0].Chunks {
-		data, ok := s.exchange.Store.Get(c.Digest)
-		if !ok {
-			return false
-		}
-		if err := s.stagePiece(ctx, r.model, i, data); err != nil {
-			telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", i)
+	s.stagedArtifact.Store("")
+	chunks := r.Manifest().Files[0].Chunks
+	for i := range chunks {
+		if !s.stagePiece(ctx, r, i) {
 			return false
 		}
 	}
+	s.stagedArtifact.Store(r.Artifact)
 	return true
 }
 
@@ -78,20 +70,58 @@
 // comes, and the loader would block forever.
 const stageTimeout = time.Second
 
-func (s *Stager) stagePiece(ctx context.Context, model string, n int, data []byte) error {
+// stagePiece writes a piece to the staging area and reports whether it succeeded.
+func (s *Stager) stagePiece(ctx context.Context, r *versionTransfer, n int) bool {
+	data, ok := s.exchange.Store.Get(r.Manifest().Files[0].Chunks[n].Digest)
+	if !ok {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	err := s.options.Replica.Stage(ctx, model, n, data)
+	err := s.options.Replica.Stage(ctx, r.model, n, data)
 	if unanswered(err) {
-		telemetry.Log("replica_call_unanswered", "call", "stage", "model", model, "piece", n, "reason", fault.CodeOf(err))
+		telemetry.Log("replica_call_unanswered", "call", "stage", "model", r.model, "version", r.version, "piece", n)
 	}
-	return err
+	if err != nil {
+		telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", n)
+	}
+	return err == nil
 }
 
 // unanswered reports whether err is that of a call that got no answer: the replica may have
 // received it, and may still carry it out.
 func unanswered(err error) bool { return fault.Is(err, fault.Unreachable) }
 
+// findWrong reads all staged pieces back, and returns the numbers of those that are missing or do not
+// match the manifest.
+func (s *Stager) findWrong(ctx context.Context, r *versionTransfer) ([]int, error) {
+	chunks := r.Manifest().Files[0].Chunks
+	var next atomic.Int64
+	var mu sync.Mutex
+	var wrong []int
+	var failed error
+	var wg sync.WaitGroup
+	for range max(1, s.readers) {
+		wg.Go(func() {
+			for n := int(next.Add(1)) - 1; n < len(chunks); n = int(next.Add(1)) - 1 {
+				data, err := s.readStaged(ctx, r.model, n, chunks[n].Size)
+				if err == nil && weights.Digest(data) == chunks[n].Digest {
+					continue
+				}
+				mu.Lock()
+				wrong = append(wrong, n)
+				if err != nil && !fault.Is(err, fault.NotHeld) && !fault.Is(err, fault.TooLarge) {
+					failed = err
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	wg.Wait()
+	slices.Sort(wrong)
+	return wrong, failed
+}
+
 func (s *Stager) readStaged(ctx context.Context, model string, n, maxBytes int) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -70,9 +70,12 @@
 	// stagedChecked reports whether the weights that were staged before the start have
 	// been read back.
 	stagedChecked atomic.Bool
-	completed     chan struct{}                   // Receives when a version becomes complete; capacity 1.
-	upToDate      atomic.Bool                     // The box has the whole assigned version.
-	verified      atomic.Pointer[verifiedVersion] // Nil until a complete version has been read back.
+	completed     chan struct{} // Receives when a version becomes complete; capacity 1.
+	upToDate      atomic.Bool   // The box has the whole assigned version.
+	// stagedArtifact is the version that was last staged or read back whole; empty for none. It spares
+	// the staging of pieces that are there, and proves nothing: they are read back before an order.
+	stagedArtifact atomic.Value // A string.
+	readers        int          // Staged pieces that are read back at a time; used by the loader only. 0 counts as 1.
 	// quarantined holds the quarantined requests that the last gateway sent; nil before.
 	quarantined atomic.Pointer[quarantine.Table]
 	backoff     backoff
