internal/stager: a call without an answer is not taken for one that did not happen

Cause: the agent gives up a call to its replica after 1 s and goes on as if it had not been made. A replica whose process stands still has received it and carries it out when it goes on: a piece of version 2 then replaces one of version 3 between its check and the order, or an order for version 2 loads what has been staged of version 3. A call that an agent left behind as it was killed does the same to its successor.

Change: calls without an answer are remembered, and the staging area may be used for their own version only until they are over: another process of the replica answers or nothing listens, an order after them has raised the number of orders, or the replica has answered other calls for 0.5 s without a pause. A new agent takes it that its predecessor left one.

The test's replica no longer writes results that a caller has stopped waiting for (found by the race detector).

--- a/internal/stager/cluster_test.go
+++ b/internal/stager/cluster_test.go
@@ -140,6 +140,8 @@
 		_ = k.Run(ctx)
 		close(done)
 	}()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.agents[i], s.endpoints[i] = a, end
 	s.stops[i] = func() {
 		cancel()
@@ -159,6 +161,8 @@
 		a.Replicas = append(a.Replicas, peers.Replica{Addr: ip(i) + ":80", Hall: "h", Version: r.report.Version})
 		r.mu.Unlock()
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	for _, ag := range s.agents {
 		ag.assignments.set(a, "test")
 	}
--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -23,21 +23,24 @@
 
 // changeVersion stages a version and orders the replica to load it. The order goes to the process that
 // holds the pieces, on a connection from before they were staged or read back, after every piece
-// was read back.
+// was read back, and only while no earlier call can change them.
 func (s *Stager) changeVersion(ctx context.Context, vs *versions, r *versionTransfer) {
+	if !s.unanswered.allow(r.model, r.version) {
+		return
+	}
 	c, rep, err := s.connect(ctx)
 	if err != nil {
 		telemetry.LogError(err, "replica_not_connected", "addr", s.Settings.Replica)
 		return
 	}
 	defer c.Close()
-	if rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r) {
+	if rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r, rep.Born) {
 		return
 	}
 	vs.lastOrdered = r.version
 	s.status.set(func(st *peers.Status) { st.Changing = true })
 	checkedAt := time.Now()
-	if !s.check(ctx, r) {
+	if !s.check(ctx, r, rep.Born) {
 		return
 	}
 	if left := noticeLead - time.Since(checkedAt); left > 0 && rep.Version != 0 {
@@ -69,7 +72,7 @@
 
 // check reads all staged pieces back and reports whether they are those of a version. It stages those
 // that are not again.
-func (s *Stager) check(ctx context.Context, r *versionTransfer) bool {
+func (s *Stager) check(ctx context.Context, r *versionTransfer, born int64) bool {
 	wrong, err := s.findWrong(ctx, r)
 	if err != nil {
 		telemetry.LogError(err, "check_failed", "model", r.model, "version", r.version)
@@ -80,7 +83,7 @@
 	}
 	telemetry.Log("staged_wrong", "model", r.model, "version", r.version, "pieces", len(wrong), "first", wrong[0])
 	for _, n := range wrong {
-		if !s.stagePiece(ctx, r, n) {
+		if !s.stagePiece(ctx, r, n, born) {
 			break
 		}
 	}
@@ -99,7 +102,7 @@
 	defer cancel()
 	err := c.Order(ctx, r.model, r.version, rep.OrderCount)
 	if unanswered(err) {
-		telemetry.Log("replica_call_unanswered", "call", "order", "model", r.model, "version", r.version, "orders", rep.OrderCount)
+		s.giveUp(call{model: r.model, version: r.version, born: rep.Born, order: true, orders: rep.OrderCount})
 	}
 	s.status.invalidate()
 	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "check_age", checkAge, "reason", fault.CodeOf(err))
--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/fault"
@@ -55,28 +56,33 @@
 
 // receive carries out a call once the process has received it, or goes on after it stood still,
 // whether or not the caller still waits. The call is lost if the process ends before that.
-func (r *fakeReplica) receive(ctx context.Context, takes time.Duration, carryOut func() error) error {
+func receive[T any](ctx context.Context, r *fakeReplica, takes time.Duration, carryOut func() (T, error)) (T, error) {
+	type answer struct {
+		value T
+		err   error
+	}
 	r.mu.Lock()
 	life, at := r.report.Born, time.Now().Add(takes)
 	if r.stillUntil.After(at) {
 		at = r.stillUntil.Add(rand.N(wakeSpread))
 	}
 	r.mu.Unlock()
-	done := make(chan error, 1)
+	done := make(chan answer, 1)
 	time.AfterFunc(time.Until(at), func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
-		if r.report.Born != life {
-			done <- fault.New(fault.Unreachable, "replica")
-			return
+		a := answer{err: fault.New(fault.Unreachable, "replica")}
+		if r.report.Born == life {
+			a.value, a.err = carryOut()
 		}
-		done <- carryOut()
+		done <- a
 	})
 	select {
-	case err := <-done:
-		return err
+	case a := <-done:
+		return a.value, a.err
 	case <-ctx.Done():
-		return fault.Wrap(fault.Unreachable, ctx.Err(), "replica")
+		var none T
+		return none, fault.Wrap(fault.Unreachable, ctx.Err(), "replica")
 	}
 }
 
@@ -158,21 +164,19 @@
 	}, nil
 }
 
-func (r *fakeReplica) handleReport(ctx context.Context) (rep Report, err error) {
-	err = r.receive(ctx, 0, func() error {
+func (r *fakeReplica) handleReport(ctx context.Context) (Report, error) {
+	return receive(ctx, r, 0, func() (Report, error) {
 		if time.Now().Before(r.upAt) {
-			return fault.New(fault.Unreachable, "replica")
+			return Report{}, fault.Wrap(fault.Unreachable, syscall.ECONNREFUSED, "replica")
 		}
-		rep = r.report
-		return nil
+		return r.report, nil
 	})
-	return rep, err
 }
 
 func (r *fakeReplica) handleOrder(ctx context.Context, _ string, version, orders uint64) error {
-	return r.receive(ctx, 0, func() error {
+	_, err := receive(ctx, r, 0, func() (struct{}, error) {
 		if orders != r.report.OrderCount {
-			return fault.New(fault.FencedOrder, "")
+			return struct{}{}, fault.New(fault.FencedOrder, "")
 		}
 		r.wrongPieces += r.countWrongPieces(version)
 		r.orders = append(r.orders, version)
@@ -186,51 +190,58 @@
 				r.report.Version, r.report.OrderPending = version, false
 			}
 		})
-		return nil
+		return struct{}{}, nil
 	})
+	return err
 }
 
 func (r *fakeReplica) handleStage(ctx context.Context, _ string, n int, data []byte) error {
 	if err := r.maybeHang(ctx); err != nil {
 		return err
 	}
-	return r.receive(ctx, r.callTime, func() error {
+	_, err := receive(ctx, r, r.callDuration(), func() (struct{}, error) {
 		r.puts++
 		r.staged[n] = data
 		delete(r.spoiltAt, n)
 		if r.onPut != nil {
 			r.onPut(r.puts)
 		}
-		return nil
+		return struct{}{}, nil
 	})
+	return err
 }
 
-func (r *fakeReplica) handleList(ctx context.Context, _ string) (held []int, err error) {
+func (r *fakeReplica) handleList(ctx context.Context, _ string) ([]int, error) {
 	if err := r.maybeHang(ctx); err != nil {
 		return nil, err
 	}
-	err = r.receive(ctx, 0, func() error {
+	return receive(ctx, r, 0, func() ([]int, error) {
+		var held []int
 		for n := range pieceCount {
 			if r.staged[n] != nil {
 				held = append(held, n)
 			}
 		}
-		return nil
+		return held, nil
 	})
-	return held, err
 }
 
-func (r *fakeReplica) handleRead(ctx context.Context, _ string, n, _ int) (data []byte, err error) {
+func (r *fakeReplica) handleRead(ctx context.Context, _ string, n, _ int) ([]byte, error) {
 	if err := r.maybeHang(ctx); err != nil {
 		return nil, err
 	}
-	err = r.receive(ctx, r.callTime, func() error {
-		if data = r.staged[n]; data == nil {
-			return fault.New(fault.NotHeld, "")
+	return receive(ctx, r, r.callDuration(), func() ([]byte, error) {
+		if r.staged[n] == nil {
+			return nil, fault.New(fault.NotHeld, "")
 		}
-		return nil
+		return r.staged[n], nil
 	})
-	return data, err
+}
+
+func (r *fakeReplica) callDuration() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.callTime
 }
 
 // restart simulates a crash of the replica: it has no version, and staged pieces remain.
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -50,14 +50,14 @@
 
 // stage writes all pieces of a version to the staging area of the replica, unless they were written
 // or read back there last, and reports whether it succeeded.
-func (s *Stager) stage(ctx context.Context, r *versionTransfer) bool {
+func (s *Stager) stage(ctx context.Context, r *versionTransfer, born int64) bool {
 	if s.stagedArtifact.Load() == r.Artifact {
 		return true
 	}
 	s.stagedArtifact.Store("")
 	chunks := r.Manifest().Files[0].Chunks
 	for i := range chunks {
-		if !s.stagePiece(ctx, r, i) {
+		if !s.stagePiece(ctx, r, i, born) {
 			return false
 		}
 	}
@@ -71,7 +71,7 @@
 const stageTimeout = time.Second
 
 // stagePiece writes a piece to the staging area and reports whether it succeeded.
-func (s *Stager) stagePiece(ctx context.Context, r *versionTransfer, n int) bool {
+func (s *Stager) stagePiece(ctx context.Context, r *versionTransfer, n int, born int64) bool {
 	data, ok := s.exchange.Store.Get(r.Manifest().Files[0].Chunks[n].Digest)
 	if !ok {
 		return false
@@ -80,7 +80,7 @@
 	defer cancel()
 	err := s.options.Replica.Stage(ctx, r.model, n, data)
 	if unanswered(err) {
-		telemetry.Log("replica_call_unanswered", "call", "stage", "model", r.model, "version", r.version, "piece", n)
+		s.giveUp(call{model: r.model, version: r.version, born: born})
 	}
 	if err != nil {
 		telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", n)
@@ -88,9 +88,12 @@
 	return err == nil
 }
 
-// unanswered reports whether err is that of a call that got no answer: the replica may have
-// received it, and may still carry it out.
-func unanswered(err error) bool { return fault.Is(err, fault.Unreachable) }
+// giveUp records a call that got no answer.
+func (s *Stager) giveUp(c call) {
+	s.unanswered.add(c, time.Now())
+	s.Metrics.Event("replica_call_unanswered", "")
+	telemetry.Log("replica_call_unanswered", "order", c.order, "model", c.model, "version", c.version, "born", c.born, "orders", c.orders)
+}
 
 // findWrong reads all staged pieces back, and returns the numbers of those that are missing or do not
 // match the manifest.
--- a/internal/stager/stager.go
+++ b/internal/stager/stager.go
@@ -75,7 +75,8 @@
 	// stagedArtifact is the version that was last staged or read back whole; empty for none. It spares
 	// the staging of pieces that are there, and proves nothing: they are read back before an order.
 	stagedArtifact atomic.Value // A string.
-	readers        int          // Staged pieces that are read back at a time; used by the loader only. 0 counts as 1.
+	unanswered     unansweredCalls
+	readers        int // Staged pieces that are read back at a time; used by the loader only. 0 counts as 1.
 	// quarantined holds the quarantined requests that the last gateway sent; nil before.
 	quarantined atomic.Pointer[quarantine.Table]
 	backoff     backoff
@@ -90,6 +91,7 @@
 	}
 	st := &Stager{Settings: s, Metrics: m, options: o, startedAt: time.Now(), completed: make(chan struct{}, 1)}
 	st.options.Replica = st.backoff.wrap(o.Replica)
+	st.unanswered.add(call{}, st.startedAt) // An earlier agent of the box may have left one.
 	st.bounds.Store(&s.StagerReloadable)
 	st.lifetime, st.cancel = context.WithCancel(context.Background())
 	local := wire.Hello{
--- a/internal/stager/status.go
+++ b/internal/stager/status.go
@@ -151,12 +151,14 @@
 func (s *Stager) watchReplica(ctx context.Context) error {
 	s.status.set(func(st *peers.Status) { st.Addr, st.Hall = s.Settings.Replica, s.Settings.Hall })
 	for ctx.Err() == nil {
+		sentAt := time.Now()
 		rctx, cancel := context.WithTimeout(ctx, reportTimeout)
 		rep, err := s.options.Replica.Report(rctx)
 		cancel()
 		if ctx.Err() != nil {
 			return nil
 		}
+		s.unanswered.observe(sentAt, time.Now(), rep, err)
 		s.status.update(rep, err)
 		wait := reportEvery
 		if rep.OrderPending {
