internal/stager, platform: an order needs one answer of its connection, and the life is compared as well

Change: the connection of an order carries the order alone. It is opened before the report that the order rests on, so it still ends with the process that reported. Right before the order a second report must be of the same life, with as many orders: a replica behind something that keeps connections across its restarts is covered as well but for the time of one call.

--- a/internal/stager/backoff.go
+++ b/internal/stager/backoff.go
@@ -43,13 +43,6 @@
 // wrapConn is wrap for a connection.
 func (b *backoff) wrapConn(c *ReplicaConn) *ReplicaConn {
 	return &ReplicaConn{
-		Report: func(ctx context.Context) (Report, error) {
-			if err := b.check(time.Now()); err != nil {
-				return Report{}, err
-			}
-			out, err := c.Report(ctx)
-			return out, b.observe(err)
-		},
 		Order: func(ctx context.Context, model string, version, orders uint64) error {
 			if err := b.check(time.Now()); err != nil {
 				return err
--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -28,13 +28,14 @@
 	if !s.unanswered.allow(r.model, r.version) {
 		return
 	}
-	c, rep, err := s.connect(ctx)
+	c, err := s.connect(ctx)
 	if err != nil {
 		telemetry.LogError(err, "replica_not_connected", "addr", s.Settings.Replica)
 		return
 	}
 	defer c.Close()
-	if rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r, rep.Born) {
+	rep, err := s.requestReport()
+	if err != nil || rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r, rep.Born) {
 		return
 	}
 	vs.lastOrdered = r.version
@@ -46,6 +47,9 @@
 	if left := noticeLead - time.Since(checkedAt); left > 0 && rep.Version != 0 {
 		kernel.Sleep(ctx, left)
 	}
+	if !s.unchanged(rep) {
+		return
+	}
 	age := elapsed(checkedAt, time.Now())
 	if age > maxCheckAge {
 		telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
@@ -55,19 +59,23 @@
 	s.order(ctx, c, r, rep, age)
 }
 
-// connect opens a connection to the replica and requests its report on it.
-func (s *Stager) connect(ctx context.Context) (*ReplicaConn, Report, error) {
+// connect opens a connection to the replica.
+func (s *Stager) connect(ctx context.Context) (*ReplicaConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
 	defer cancel()
-	c, err := s.options.Replica.Connect(ctx)
-	if err != nil {
-		return nil, Report{}, err
-	}
-	rep, err := c.Report(ctx)
-	if err != nil {
-		c.Close()
+	return s.options.Replica.Connect(ctx)
+}
+
+// unchanged reports whether the replica still runs as the process that reported rep and has accepted
+// no order since. The connection of the order binds it to that process only if nothing stands
+// between the two that would connect to another.
+func (s *Stager) unchanged(rep Report) bool {
+	now, err := s.requestReport()
+	same := err == nil && now.Born == rep.Born && now.OrderCount == rep.OrderCount
+	if !same {
+		telemetry.Log("replica_changed", "addr", s.Settings.Replica, "born", now.Born, "before", rep.Born, "orders", now.OrderCount, "reason", fault.CodeOf(err))
 	}
-	return c, rep, err
+	return same
 }
 
 // check reads all staged pieces back and reports whether they are those of a version. It stages those
--- a/internal/stager/replica.go
+++ b/internal/stager/replica.go
@@ -32,10 +32,9 @@
 	ReadStaged func(ctx context.Context, model string, piece, maxBytes int) ([]byte, error)
 }
 
-// ReplicaConn is one connection to the replica. Its calls reach the process that accepted it and no
-// later one: once it has ended they fail with fault.ConnectionLost and are not sent.
+// ReplicaConn is one connection to the replica, for one order. The order reaches the process to which
+// the connection was opened, and no later one.
 type ReplicaConn struct {
-	Report func(ctx context.Context) (Report, error)
 	// Order orders the replica to load the staged version once its running requests have
 	// finished. The replica refuses the order if the number of orders that it has accepted
 	// differs from orders.
