internal/link, platform: the rest of a call to the replica that was given up is not sent later

Cause: closing a connection leaves what was written to the kernel, which goes on sending it while the receiver has no room. A call that stages a piece, or an order, could so reach the replica at any time after it was given up.

Change: connections for calls that change something at the replica are reset when they are closed.

--- a/cmd/poststand/cmd/relay.go
+++ b/cmd/poststand/cmd/relay.go
@@ -80,11 +80,13 @@
 	telemetry.Log("store_era", "era", era, "before", previous, "path", path, "status", status)
 }
 
+// platformIdle is how long connections to the platform and to the replica stay open without a call.
+const platformIdle = 90 * time.Second
+
 // newPlatformClient returns the HTTP client for the platform's services. It detects dead
 // paths, see package link, and keeps idle connections.
 func newPlatformClient() *http.Client {
-	const idle = 90 * time.Second
 	return bounded.HTTP(&http.Transport{
-		DialContext: link.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: idle,
+		DialContext: link.DialContext, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdle,
 	})
 }
--- a/cmd/poststand/cmd/stager.go
+++ b/cmd/poststand/cmd/stager.go
@@ -51,10 +51,15 @@
 }
 
 func newReplica(addr string) stager.Replica {
-	r := &platform.Replica{Addr: addr, HTTP: newPlatformClient()}
+	r := &platform.Replica{Addr: addr, HTTP: newReplicaClient()}
 	return stager.Replica{Report: r.Report, Connect: r.Connect, Stage: r.Stage, ListStaged: r.Staged, ReadStaged: r.ReadStaged}
 }
 
+// newReplicaClient returns the HTTP client for calls to the replica of the box.
+func newReplicaClient() *http.Client {
+	return bounded.HTTP(&http.Transport{DialContext: link.DialReset, DisableCompression: true, MaxIdleConnsPerHost: 4, IdleConnTimeout: platformIdle})
+}
+
 // newOriginClient returns the HTTP client for the origin of weights. It keeps no idle
 // connections: the origin accepts few in total, and an idle one would block other boxes.
 func newOriginClient() *http.Client {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -75,6 +75,19 @@
 	return dial(ctx, network, addr, ackTimeout, keepAliveInterval, keepAliveProbes)
 }
 
+// DialReset is DialContext for calls that change something. Closing the connection resets it: what has
+// not been sent is dropped, and does not arrive after the call was given up.
+func DialReset(ctx context.Context, network, addr string) (net.Conn, error) {
+	c, err := DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	if tc, ok := c.(*net.TCPConn); ok {
+		_ = tc.SetLinger(0)
+	}
+	return c, nil
+}
+
 // Dial is DialContext with network "tcp".
 func Dial(ctx context.Context, addr string) (net.Conn, error) { return DialContext(ctx, "tcp", addr) }
 
