weights, internal/stager, platform: a manifest of another version, or without all pieces, is not used

No case of it was seen.

Cause: pieces are compared with the manifest alone, and the manifest was believed if two answers of the origin agreed, or from one neighbour, whatever it said: the names of its model and version and its size were not looked at. Without a file it ended the process.

Evidence: TestManifestOfAnotherVersionIsNotUsed, four wrong answers in a row, three boxes: before, a version was loaded without its last piece (1 wrong piece at each replica), another version was loaded (16 at each), and a manifest without a file ended the test with a panic.

Change: a transfer asks its owner whether a manifest can be that of its artifact before it keeps or passes on the manifest, and asks again if not. Refused manifests are logged and counted.

--- a/internal/stager/cluster_test.go
+++ b/internal/stager/cluster_test.go
@@ -30,11 +30,13 @@
 	mu         sync.Mutex
 	piecesSent int // Pieces that the origin has sent.
 	// manifests counts the manifests that the origin has sent; the one with number
-	// corruptManifest is corrupted on the way, 0 for none.
-	manifests, corruptManifest int
-	originRate                 float64 // Pieces a second that the origin sends; 0 for no limit.
-	originFreeAt               time.Time
-	originDown                 bool // The origin is unreachable.
+	// corruptManifest is corrupted on the way, 0 for none, and those up to wrongManifests are
+	// wrong as wrong makes them.
+	manifests, corruptManifest, wrongManifests int
+	wrong                                      func(m *weights.Manifest)
+	originRate                                 float64 // Pieces a second that the origin sends; 0 for no limit.
+	originFreeAt                               time.Time
+	originDown                                 bool // The origin is unreachable.
 }
 
 func (s *testCluster) setOriginDown(down bool) {
@@ -114,6 +116,9 @@
 				if s.manifests++; s.manifests == s.corruptManifest {
 					m.Files[0].Chunks[3].Digest = weights.Digest([]byte("spoilt"))
 				}
+				if s.manifests <= s.wrongManifests {
+					s.wrong(m)
+				}
 				return m, nil
 			},
 			Piece: func(_ context.Context, _, _ string, version uint64, n, _ int) ([]byte, error) {
--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/poststand/poststand/catalog"
@@ -86,6 +87,7 @@
 	r.Transfer = &weights.Transfer{
 		Exchange: s.exchange, Artifact: artifact, Window: originCopies * copyTime, OriginCopies: originCopies,
 		Members: s.members, StartAt: publishedAt,
+		Accept:  func(m *weights.Manifest) error { return acceptManifest(m, a) },
 		Prepare: func(ctx context.Context, m *weights.Manifest) { s.prepare(ctx, a.Model, a.Version, m) },
 	}
 	began := time.Now()
@@ -108,6 +110,29 @@
 	return r
 }
 
+// acceptManifest returns an error if m can't be the manifest of the assigned version: pieces are
+// compared with the manifest alone, so that one of another version, or one that lacks pieces, would
+// be staged and loaded.
+func acceptManifest(m *weights.Manifest, a *peers.Assignment) error {
+	bytes := 0
+	for _, f := range m.Files {
+		for _, c := range f.Chunks {
+			bytes += c.Size
+		}
+	}
+	var err error
+	switch {
+	case m.Model != a.Model || m.Version != strconv.FormatUint(a.Version, 10):
+		err = fault.New(fault.Garbage, fmt.Sprintf("manifest of %s/%s for %s", m.Model, m.Version, artifactName(a.Model, a.Version)))
+	case len(m.Files) != 1 || a.VersionBytes > 0 && bytes != a.VersionBytes:
+		err = fault.New(fault.Garbage, fmt.Sprintf("manifest of %d files, %d bytes for %s, which has %d", len(m.Files), bytes, artifactName(a.Model, a.Version), a.VersionBytes))
+	}
+	if err != nil {
+		telemetry.LogError(err, "manifest_refused", "artifact", artifactName(a.Model, a.Version))
+	}
+	return err
+}
+
 // members returns the boxes that need the assigned version: all with a replica of the
 // service. All agents listen on the same port.
 func (s *Stager) members() []weights.Member {
--- a/internal/stager/staging_test.go
+++ b/internal/stager/staging_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/internal/peers"
+	"github.com/poststand/poststand/weights"
 )
 
 // plays is how often each test plays: which call is pending at an event, and the order of late calls, differ.
@@ -93,3 +94,36 @@
 		}
 	})
 }
+
+// Two answers of the origin that agree, or a neighbour's, were believed whatever they said: a version was loaded without its last piece.
+func TestManifestOfAnotherVersionIsNotUsed(t *testing.T) {
+	for name, wrong := range map[string]func(m *weights.Manifest){
+		"a piece is missing":   func(m *weights.Manifest) { m.Files[0].Chunks = m.Files[0].Chunks[:pieceCount-1] },
+		"of another version":   func(m *weights.Manifest) { *m = *manifestOf(1) },
+		"of another model":     func(m *weights.Manifest) { m.Model = "other" },
+		"a second file":        func(m *weights.Manifest) { m.Files = append(m.Files, weights.File{Name: "n"}) },
+		"no file":              func(m *weights.Manifest) { m.Files = nil },
+		"a piece is too large": func(m *weights.Manifest) { m.Files[0].Chunks[0].Size += pieceBytes },
+	} {
+		t.Run(name, func(t *testing.T) {
+			check := is.NewRelaxed(t)
+			replicas := []*fakeReplica{withVersion(1), withVersion(1), withVersion(1)}
+			runCluster(t, func(_ *is.I, s *testCluster) {
+				for _, r := range replicas {
+					s.add(t, r)
+				}
+				s.assign(1, 1)
+				time.Sleep(2 * time.Second)
+				s.mu.Lock()
+				s.wrong, s.wrongManifests = wrong, s.manifests+4
+				s.mu.Unlock()
+				s.assign(2, 2, peers.Step{Version: 2})
+				time.Sleep(20 * time.Second)
+			})
+			for _, r := range replicas {
+				check.Equal(r.wrongPieces, 0)            // Pieces that were loaded.
+				check.Equal(r.report.Version, uint64(2)) // The version that is loaded in the end.
+			}
+		})
+	}
+}
--- a/weights/exchange.go
+++ b/weights/exchange.go
@@ -68,6 +68,8 @@
 	EventRefused    EventKind = "refused"        // A peer or the origin refused a fetch because of its load.
 	EventTakeover   EventKind = "claim_takeover" // This box claimed a chunk after the boxes ranked before it had missed their turns.
 	EventStoreFull  EventKind = "store_full"     // The chunk store was full.
+	// EventBadManifest: a manifest that can't be that of its artifact.
+	EventBadManifest EventKind = "bad_manifest"
 )
 
 // Event is one occurrence of an EventKind.
--- a/weights/manifestfetch.go
+++ b/weights/manifestfetch.go
@@ -47,10 +47,11 @@
 		}
 		data, err := t.fetchManifest(ctx, order, position, turn)
 		if err == nil {
-			if _, err = ParseManifest(data, t.Artifact); err == nil {
+			if err = t.accept(data); err == nil {
 				x.cacheManifest(t.Artifact, data)
 				return data, nil
 			}
+			x.event(EventBadManifest, len(data))
 		}
 		if !time.Now().Before(turn) {
 			failedAt = time.Now()
@@ -59,6 +60,15 @@
 	return nil, fault.Wrap(fault.Cancelled, context.Cause(ctx), "manifest")
 }
 
+// accept returns an error if data is not a manifest of the artifact.
+func (t *Transfer) accept(data []byte) error {
+	m, err := ParseManifest(data, t.Artifact)
+	if err != nil || t.Accept == nil {
+		return err
+	}
+	return t.Accept(m)
+}
+
 // originRetryDelay returns a random delay until a box asks the origin for the manifest again
 // after a failure. It is short for the first boxes. For the others it grows with the number of
 // boxes, so that all of them together send about as many requests as one of the first.
--- a/weights/transfer.go
+++ b/weights/transfer.go
@@ -21,6 +21,9 @@
 	// StartAt is when the artifact was assigned, so that a box that joins or restarts shortly
 	// afterwards follows the same schedule as the others. Zero means now.
 	StartAt time.Time
+	// Accept, if set, returns an error for a manifest that can't be that of the artifact. Another
+	// one is requested then. It is for artifact names that are not digests.
+	Accept func(m *Manifest) error
 	// Prepare, if set, is called once the manifest is available, so that the caller can put
 	// chunks that it already has into the store. Until it returns, chunks are fetched from
 	// other boxes only, not from the origin.
