internal/stager: a replica that can't be checked goes on serving

Cause: the version counted as ordered before its pieces were read back.

Change: it does once the order is sent. A check that fails ends the change, unless an earlier order may still be taken.

--- a/internal/stager/load.go
+++ b/internal/stager/load.go
@@ -224,9 +224,7 @@
 	next := nextVersion(now, cs, rep.Version, s.usableUntil(target, rep.Version))
 	changeAt := s.changeTime(a, rep, target, next)
 	s.status.setChangeAt(changeAt)
-	if !rep.OrderPending && rep.Version != 0 && rep.Version >= vs.lastOrdered {
-		s.status.set(func(st *peers.Status) { st.Changing = false })
-	}
+	s.endChange(vs, rep)
 	if rep.Version == a.Version && !rep.OrderPending {
 		return true
 	}
--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -38,25 +38,44 @@
 	if err != nil || rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r, rep.Born) {
 		return
 	}
-	vs.lastOrdered = r.version
 	s.status.set(func(st *peers.Status) { st.Changing = true })
-	checkedAt := time.Now()
-	if !s.check(ctx, r, rep.Born) {
+	age, ok := s.checkForOrder(ctx, r, rep)
+	if !ok {
+		s.endChange(vs, rep)
 		return
 	}
-	if left := noticeLead - time.Since(checkedAt); left > 0 && rep.Version != 0 {
+	vs.lastOrdered = r.version
+	s.order(ctx, c, r, rep, age)
+}
+
+// endChange reports that the replica is not changing, unless it has been ordered to.
+func (s *Stager) endChange(vs *versions, rep Report) {
+	if !rep.OrderPending && rep.Version != 0 && rep.Version >= vs.lastOrdered {
+		s.status.set(func(st *peers.Status) { st.Changing = false })
+	}
+}
+
+// checkForOrder checks the staged pieces, once gateways have been notified of the change, and that the
+// replica is as it reported in rep. It returns how long ago the first piece was read, and whether the
+// order may be given.
+func (s *Stager) checkForOrder(ctx context.Context, r *versionTransfer, rep Report) (age time.Duration, ok bool) {
+	began := time.Now()
+	if !s.check(ctx, r, rep.Born) {
+		return 0, false
+	}
+	if left := noticeLead - time.Since(began); left > 0 && rep.Version != 0 {
 		kernel.Sleep(ctx, left)
 	}
 	if !s.unchanged(rep) {
-		return
+		return 0, false
 	}
-	age := elapsed(checkedAt, time.Now())
+	age = elapsed(began, time.Now())
 	if age > maxCheckAge {
 		telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
 		s.readers = min(readersFactor*max(1, s.readers), maxReaders)
-		return
+		return 0, false
 	}
-	s.order(ctx, c, r, rep, age)
+	return age, true
 }
 
 // connect opens a connection to the replica.
--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -45,6 +45,8 @@
 	spoiltAt   map[int]time.Time // When staged pieces turned bad.
 	// onPut, if set, is called when a piece has been staged, with the number of pieces so far.
 	onPut func(puts int)
+	// unreadable means that staged pieces can't be read back.
+	unreadable bool
 }
 
 // The users' rule on loaded pieces that have turned bad, and the time within which a process that
@@ -218,6 +220,9 @@
 		return nil, err
 	}
 	return receive(ctx, r, r.callDuration(), func() ([]byte, error) {
+		if r.unreadable {
+			return nil, fault.New(fault.UpstreamFailed, "")
+		}
 		if r.staged[n] == nil {
 			return nil, fault.New(fault.NotHeld, "")
 		}
--- a/internal/stager/staging_test.go
+++ b/internal/stager/staging_test.go
@@ -95,6 +95,23 @@
 	})
 }
 
+// A replica whose staged pieces can't be read back was reported to be changing, and got no requests, for as long as that lasted.
+func TestReplicaServesWhileItsPiecesCannotBeChecked(t *testing.T) {
+	runCluster(t, func(is *is.I, s *testCluster) {
+		r := withVersion(1)
+		s.add(t, r)
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		r.mu.Lock()
+		r.unreadable = true
+		r.mu.Unlock()
+		s.assign(2, 2, peers.Step{Version: 2})
+		time.Sleep(10*time.Second + pollBusy/2) // Between two attempts.
+		is.True(!s.agents[0].status.get().Changing)
+		is.Equal(s.versionCounts(), map[uint64]int{1: 1})
+	})
+}
+
 // Two answers of the origin that agree, or a neighbour's, were believed whatever they said: a version was loaded without its last piece.
 func TestManifestOfAnotherVersionIsNotUsed(t *testing.T) {
 	for name, wrong := range map[string]func(m *weights.Manifest){
