catalog: an entry that does not say when its replica started replaces none that does

What callers would see: another writer's entry at the address of a replica takes its place for good, and requests go to an id that the replica refuses.

Cause: of two entries at an address the one listed later was kept, whatever they say of the start of their replicas. All that a replica says of itself has the time of its start, so an entry without it is not that of a replica that has it.

Which of two that both say it is kept does not change: a clock may be set back.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -109,6 +109,9 @@
 	if known := c.hasService(u.Service); known != c.hasService(o.Service) {
 		return known
 	}
+	if u.Born != o.Born && (u.Born == 0 || o.Born == 0) {
+		return u.Born != 0 // All that a replica says of itself has the time of its start.
+	}
 	return u.ListedAt > o.ListedAt
 }
 
