internal/relay: the test's agent orders its replica as agents do

Left over from: the package's tests did not build. The replica of this test is a handler without connections, so its order goes to the handler.

--- a/internal/relay/load_test.go
+++ b/internal/relay/load_test.go
@@ -240,6 +240,9 @@
 		return &http.Client{Transport: &simnet.Transport{Find: func(string) http.Handler { return h }}}
 	}
 	replica := &platform.Replica{Addr: e.Addr, HTTP: client(e)}
+	connect := func(context.Context) (*stager.ReplicaConn, error) {
+		return &stager.ReplicaConn{Order: replica.Order, Close: func() {}}, nil
+	}
 	origin := &platform.Origin{Addr: "origin:1", HTTP: client(o)}
 	store := &platform.Store{Addr: "store:1", HTTP: client(w.store)}
 	st, err := stager.New(&settings.Stager{
@@ -247,7 +250,7 @@
 		StagerReloadable: settings.StagerReloadable{VersionWithin: versionWithin, Link: 9.4},
 		Replica:          e.Addr, Service: "llm",
 	}, stager.Options{
-		Replica: stager.Replica{Report: replica.Report, Order: replica.Order, Stage: replica.Stage, ListStaged: replica.Staged, ReadStaged: replica.ReadStaged},
+		Replica: stager.Replica{Report: replica.Report, Connect: connect, Stage: replica.Stage, ListStaged: replica.Staged, ReadStaged: replica.ReadStaged},
 		Origin: stager.Origin{
 			Manifest: func(ctx context.Context, _, model string, version uint64) (*weights.Manifest, error) {
 				return origin.Manifest(ctx, model, version)
