--- a/engine/endless_test.go
+++ b/engine/endless_test.go
@@ -30,3 +30,20 @@
 		})
 	})
 }
+
+// A state that stopped amid its head or its body must not be taken for one with less in it.
+func TestStateThatIsCutIsNoState(t *testing.T) {
+	const state = `{"digest":"sha256:12","adapters":{"a":"sha256:1"},"role":"both","fence":{"revision":12,"incarnation":12},"running":12}`
+	for name, call := range map[string]boundedtest.Call{
+		"state": func(ctx context.Context, c *http.Client, addr string) error {
+			_, err := (&Client{URL: "http://" + addr, HTTP: c}).State(ctx)
+			return err
+		},
+		"order": func(ctx context.Context, c *http.Client, addr string) error {
+			_, err := (&Client{URL: "http://" + addr, HTTP: c}).Order(ctx, Order{})
+			return err
+		},
+	} {
+		t.Run(name, func(t *testing.T) { boundedtest.RunCut(t, state, call) })
+	}
+}
--- a/internal/agent/run_test.go
+++ b/internal/agent/run_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/poststand/poststand/dispatch"
+	"github.com/poststand/poststand/internal/bounded/boundedtest"
 	"github.com/poststand/poststand/internal/settings"
 )
 
@@ -114,3 +115,29 @@
 		})
 	}
 }
+
+// An engine that stops amid the head of its answer has answered nothing.
+func TestHeadOfAnEngineThatIsCutIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nX-Engine-Digest: d\r\n"
+	for name, answer := range map[string]string{
+		"length": head + "Content-Length: 12\r\n\r\n", "chunks": head + "Transfer-Encoding: chunked\r\n\r\n", "connection": head + "\r\n",
+		"interim answer": "HTTP/1.1 103 Early Hints\r\nX-Engine-Digest: d\r\n\r\n" + head + "Content-Length: 12\r\n\r\n",
+	} {
+		for i := range 4 {
+			stream, resets := i%2 == 1, i/2 == 1
+			t.Run(fmt.Sprintf("%s, stream %t, reset %t", name, stream, resets), func(t *testing.T) {
+				for cut := range answer {
+					a, err := New(&settings.Agent{Engine: "http://" + boundedtest.ServeOnce(t, answer[:cut], resets)}, Options{})
+					if err != nil {
+						t.Fatal(err)
+					}
+					rec := &dispatch.Record{Dispatch: &dispatch.Dispatch{Digest: "d", Method: "POST", Path: "/", Stream: stream}, Answer: &dispatch.Answer{}}
+					if a.execute(t.Context(), rec) == nil {
+						t.Errorf("cut after %q: taken for an answer", answer[:cut])
+					}
+					a.Close()
+				}
+			})
+		}
+	}
+}
