internal/soak, platformtest: replicas as processes that check the pieces of every order

No soak had replicas with a staging area as processes, nor looked at what an order loads.

Test: four boxes, each with a replica and an agent as processes, before a gateway, a store and an origin. Versions follow each other by one to five seconds. Amid staging replicas are stopped for up to 9 s or killed and started again at their address, agents too, and both at once; calls take a random time and overtake each other; staged pieces turn bad; they are lost with the process or outlast it. A replica compares every piece as it takes an order.

--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -47,6 +47,10 @@
 }
 
 func TestMain(m *testing.M) {
+	if settings := os.Getenv(runAsReplica); settings != "" {
+		runReplica(settings)
+		return
+	}
 	if os.Getenv(runAsPoststand) != "" {
 		limitDescriptors()
 		os.Exit(cmd.Main())
@@ -64,6 +68,7 @@
 	// descriptors limits how many descriptors it may have open; 0 for no limit of its own.
 	descriptors int
 	binary      string // Program to run; binary() if empty.
+	env         string // A variable in addition to those of the test.
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -117,6 +122,9 @@
 	}
 	p.cmd = exec.Command(program, p.args...)
 	p.cmd.Env = append(os.Environ(), runAsPoststand+"=1", fmt.Sprintf("%s=%d", descriptorLimit, p.descriptors))
+	if p.env != "" {
+		p.cmd.Env = append(p.cmd.Env, p.env)
+	}
 	r, out, err := os.Pipe()
 	if err != nil {
 		p.t.Error(err)
