internal/agent: an order that was given up loads nothing

What callers would see: an answer that begins on one version and goes on with another, where an engine does not check fences.

Cause: the agent gives up an order that got no answer, and orders another target. The engine may still carry the first out, and then replaces what the second has loaded while requests run on it. Only the beginning of an answer is compared with the version that was asked for.

Change: an engine pulls the weights of an order below a path of its own, which the agent withdraws when it gives the order up.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -44,6 +44,7 @@
 	linkLimiter   *rate.Limiter // Nil if the bandwidth of the link is not configured.
 	lifetime      context.Context
 	cancel        context.CancelFunc
+	source        orderSource
 	reportChanged notifier // Notified when subscribers need a new report.
 	handlers      *wire.Handlers
 }
--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -297,9 +297,10 @@
 	defer cancel()
 	s, err := a.engine.Order(orderCtx, engine.Order{
 		Kind: engine.OrderLoad, Fence: engine.Fence{Revision: t.Revision, Incarnation: a.gate.Incarnation},
-		Digest: t.Digest, Adapters: t.Adapters, Role: t.Role, Source: "http://" + a.Settings.Source,
+		Digest: t.Digest, Adapters: t.Adapters, Role: t.Role, Source: a.source.begin(a.Settings.Source, a.gate.Incarnation),
 	})
 	if err != nil || !confirms(s, t) {
+		a.source.end()
 		a.Metrics.Failure("load_failed", err)
 		telemetry.LogError(err, "load_failed", "digest", t.Digest)
 		l.setLoaded(target{})
--- a/internal/agent/source.go
+++ b/internal/agent/source.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"fmt"
 	"net/http"
 	"sync"
 
@@ -8,12 +9,13 @@
 )
 
 // SourceHandler returns the HTTP handler from which the engine of this box pulls manifests and
-// chunks that the box holds.
+// chunks that the box holds, for its last order. An order that was given up may still be carried out:
+// it finds nothing to load, so that it can't replace what a later one has loaded.
 func (a *Agent) SourceHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /blobs/{digest}", func(w http.ResponseWriter, r *http.Request) {
+	mux.HandleFunc("GET /orders/{order}/blobs/{digest}", func(w http.ResponseWriter, r *http.Request) {
 		data, ok := a.exchange.Lookup(r.PathValue("digest"))
-		if !ok {
+		if !ok || r.PathValue("order") != a.source.order() {
 			http.NotFound(w, r)
 			return
 		}
@@ -22,6 +24,35 @@
 	return mux
 }
 
+// orderSource names the order for which the engine may pull weights. The zero value names none.
+type orderSource struct {
+	mu      sync.Mutex
+	orders  uint64 // Orders so far.
+	current string // Empty for none.
+}
+
+// begin names a new order of an incarnation of the agent, and returns its URL below that of the source.
+func (s *orderSource) begin(source string, incarnation uint64) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.orders++
+	s.current = fmt.Sprintf("%x-%d", incarnation, s.orders)
+	return "http://" + source + "/orders/" + s.current
+}
+
+// end withdraws the order that was named last.
+func (s *orderSource) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.current = ""
+}
+
+func (s *orderSource) order() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
 // eventCounts counts transfer events and their bytes by kind.
 type eventCounts struct {
 	mu     sync.Mutex
