internal/stager: a check reads only those pieces again that were wrong

What callers would see: a replica whose pieces turn bad about as often as they are read back hardly ever gets a new version: the whole check began again after each one.

Change: pieces that are wrong are staged and read again in the same check, up to four times; each piece has its own time, and the oldest may be 1.5 s old at the order.

--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -15,6 +15,7 @@
 	// maxCheckAge is how long before an order the first staged piece may have been read back. A replica
 	// may load a piece that has been bad for up to 3 s; the rest is for the order.
 	maxCheckAge = 1500 * time.Millisecond
+	checkRounds = 4 // How often pieces that are wrong are staged and read again before the attempt is given up.
 	// If reading back takes longer than maxCheckAge, readersFactor times as many pieces are read at a
 	// time, up to maxReaders.
 	readersFactor = 4
@@ -60,7 +61,8 @@
 // order may be given.
 func (s *Stager) checkForOrder(ctx context.Context, r *versionTransfer, rep Report) (age time.Duration, ok bool) {
 	began := time.Now()
-	if !s.check(ctx, r, rep.Born) {
+	readAt, ok := s.check(ctx, r, rep.Born)
+	if !ok {
 		return 0, false
 	}
 	if left := noticeLead - time.Since(began); left > 0 && rep.Version != 0 {
@@ -69,7 +71,10 @@
 	if !s.unchanged(rep) {
 		return 0, false
 	}
-	age = elapsed(began, time.Now())
+	now := time.Now()
+	for _, at := range readAt {
+		age = max(age, elapsed(at, now))
+	}
 	if age > maxCheckAge {
 		telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
 		s.readers = min(readersFactor*max(1, s.readers), maxReaders)
@@ -97,24 +102,32 @@
 	return same
 }
 
-// check reads all staged pieces back and reports whether they are those of a version. It stages those
-// that are not again.
-func (s *Stager) check(ctx context.Context, r *versionTransfer, born int64) bool {
-	wrong, err := s.findWrong(ctx, r)
-	if err != nil {
-		telemetry.LogError(err, "check_failed", "model", r.model, "version", r.version)
-		return false
+// check reads all staged pieces back, and those that are not of a version again once it has staged them.
+// It returns when it asked for each, and whether all are of the version now.
+func (s *Stager) check(ctx context.Context, r *versionTransfer, born int64) (readAt []time.Time, ok bool) {
+	readAt = make([]time.Time, len(r.Manifest().Files[0].Chunks))
+	pieces := make([]int, len(readAt))
+	for n := range pieces {
+		pieces[n] = n
 	}
-	if len(wrong) == 0 {
-		return true
-	}
-	telemetry.Log("staged_wrong", "model", r.model, "version", r.version, "pieces", len(wrong), "first", wrong[0])
-	for _, n := range wrong {
-		if !s.stagePiece(ctx, r, n, born) {
-			break
+	for range checkRounds {
+		wrong, err := s.findWrong(ctx, r, pieces, readAt)
+		if err != nil {
+			telemetry.LogError(err, "check_failed", "model", r.model, "version", r.version)
+			return nil, false
+		}
+		if len(wrong) == 0 {
+			return readAt, true
+		}
+		telemetry.Log("staged_wrong", "model", r.model, "version", r.version, "pieces", len(wrong), "first", wrong[0])
+		for _, n := range wrong {
+			if !s.stagePiece(ctx, r, n, born) {
+				return nil, false
+			}
 		}
+		pieces = wrong
 	}
-	return false
+	return nil, false
 }
 
 // elapsed returns the time from one moment to another. The steady clock does not count the time for
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -95,28 +95,33 @@
 	telemetry.Log("replica_call_unanswered", "order", c.order, "model", c.model, "version", c.version, "born", c.born, "orders", c.orders)
 }
 
-// findWrong reads all staged pieces back, and returns the numbers of those that are missing or do not
-// match the manifest.
-func (s *Stager) findWrong(ctx context.Context, r *versionTransfer) ([]int, error) {
+// findWrong reads staged pieces back, and returns the numbers of those that are missing or do not match
+// the manifest. It sets in readAt when it asked for each of the others.
+func (s *Stager) findWrong(ctx context.Context, r *versionTransfer, pieces []int, readAt []time.Time) ([]int, error) {
 	chunks := r.Manifest().Files[0].Chunks
 	var next atomic.Int64
 	var mu sync.Mutex
 	var wrong []int
 	var failed error
+	read := func(n int) {
+		askedAt := time.Now()
+		data, err := s.readStaged(ctx, r.model, n, chunks[n].Size)
+		mu.Lock()
+		defer mu.Unlock()
+		switch {
+		case err == nil && weights.Digest(data) == chunks[n].Digest:
+			readAt[n] = askedAt
+		case err == nil, fault.Is(err, fault.NotHeld), fault.Is(err, fault.TooLarge):
+			wrong = append(wrong, n)
+		default:
+			failed = err
+		}
+	}
 	var wg sync.WaitGroup
 	for range max(1, s.readers) {
 		wg.Go(func() {
-			for n := int(next.Add(1)) - 1; n < len(chunks); n = int(next.Add(1)) - 1 {
-				data, err := s.readStaged(ctx, r.model, n, chunks[n].Size)
-				if err == nil && weights.Digest(data) == chunks[n].Digest {
-					continue
-				}
-				mu.Lock()
-				wrong = append(wrong, n)
-				if err != nil && !fault.Is(err, fault.NotHeld) && !fault.Is(err, fault.TooLarge) {
-					failed = err
-				}
-				mu.Unlock()
+			for i := int(next.Add(1)) - 1; i < len(pieces); i = int(next.Add(1)) - 1 {
+				read(pieces[i])
 			}
 		})
 	}
