internal/soak: a stopped replica outlasts the end of the shell that started the test

Cause: the kernel sends SIGHUP to the stopped processes of a process group that the end of its shell leaves behind. A replica that was stopped just then ended. Shown by a play whose shell ends after 10 s: 'ended: signal: hangup', one of six such plays.

Change: replicas of the soak ignore SIGHUP. A test that waits for a version in vain says how the processes ended.

--- a/internal/soak/replica_test.go
+++ b/internal/soak/replica_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/poststand/poststand/platform/platformtest"
@@ -32,6 +34,8 @@
 
 // runReplica serves a replica. It writes a line when it starts, stages a piece or takes an order.
 func runReplica(encoded string) {
+	// The kernel hangs up a stopped process when the shell that started the test ends.
+	signal.Ignore(syscall.SIGHUP)
 	var s replicaSettings
 	if err := json.Unmarshal([]byte(encoded), &s); err != nil {
 		fmt.Println("settings:", err)
@@ -57,7 +61,7 @@
 	}
 	fmt.Printf("started born=%d\n", e.Born)
 	go s.spoil(e)
-	_ = http.Serve(ln, e)
+	fmt.Println("serve:", http.Serve(ln, e))
 }
 
 // keep writes a staged piece to the directory.
--- a/internal/soak/staging_test.go
+++ b/internal/soak/staging_test.go
@@ -237,13 +237,21 @@
 	}
 }
 
+// state tells how the process has ended, if it has, and what it has written.
+func (p *process) state() string {
+	if p.ended() {
+		return fmt.Sprintf("ended: %v: %s", p.wait(), p.log.String())
+	}
+	return p.log.String()
+}
+
 // awaitVersion waits until a replica has taken an order for the last version.
 func (s *stagingSoak) awaitVersion(b *stagedBox) {
 	const poll = 50 * time.Millisecond
 	want := fmt.Sprintf("order version=%d ", s.version)
 	for deadline := time.Now().Add(catchUpTime); len(b.replica.lines(want)) == 0; time.Sleep(poll) {
 		if time.Now().After(deadline) {
-			s.t.Errorf("%s has not been ordered to load version %d: %s", b.settings.ID, s.version, b.agent.log.String())
+			s.t.Errorf("%s has not been ordered to load version %d: agent: %s\nreplica: %s", b.settings.ID, s.version, b.agent.state(), b.replica.state())
 			return
 		}
 	}
