engine, internal/agent: an unsafe request is sent to a service once

What callers would see: an unsafe request with the method GET, HEAD or OPTIONS runs twice on a plain service.

Cause: http.Transport takes a request whose connection closed before an answer for one that did not happen, and sends it again, if its method is one of these and its body can be read again.

Change: the body of such a request can't be read again if the request is unsafe. Others are sent again as before.

Why it holds: Transport repeats no other request of which a byte was written.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -11,6 +11,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
 	"net/http"
 
 	"github.com/poststand/poststand/fault"
@@ -100,7 +101,7 @@
 }
 
 func (c *Client) state(ctx context.Context, method, path string, body []byte) (*State, error) {
-	resp, err := c.do(ctx, method, path, body, nil)
+	resp, err := c.do(ctx, method, path, body, nil, false)
 	if err != nil {
 		return nil, err
 	}
@@ -119,7 +120,7 @@
 	return &s, nil
 }
 
-func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
+func (c *Client) do(ctx context.Context, method, path string, body []byte, header http.Header, once bool) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.URL+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fault.Wrap(fault.BadRequest, err, path)
@@ -127,6 +128,9 @@
 	for k, v := range header {
 		req.Header[k] = v
 	}
+	if once && methodIsRepeated(method) {
+		req.Body, req.GetBody = io.NopCloser(bytes.NewReader(body)), nil
+	}
 	resp, err := c.client().Do(req)
 	if err != nil {
 		return nil, fault.Wrap(fault.UpstreamFailed, err, path)
@@ -134,15 +138,25 @@
 	return resp, nil
 }
 
+// methodIsRepeated reports whether http.Transport sends a request with the method again if its connection
+// closes before an answer, unless its body can't be read a second time.
+func methodIsRepeated(method string) bool {
+	switch method {
+	case "", http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
 // Run sends a request to the engine or plain service. Once it is called, the
-// request may have run, even if it returns an error.
-func (c *Client) Run(ctx context.Context, method, path string, body []byte, header http.Header) (*http.Response, error) {
-	return c.do(ctx, method, path, body, header)
+// request may have run, even if it returns an error. If once is set, it has run at most once.
+func (c *Client) Run(ctx context.Context, method, path string, body []byte, header http.Header, once bool) (*http.Response, error) {
+	return c.do(ctx, method, path, body, header, once)
 }
 
 // Cancel cancels a request for whose answer no process waits any more. It ignores errors.
 func (c *Client) Cancel(ctx context.Context, id string) {
-	resp, err := c.do(ctx, http.MethodPost, "/cancel/"+id, nil, nil)
+	resp, err := c.do(ctx, http.MethodPost, "/cancel/"+id, nil, nil, false)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -105,7 +105,7 @@
 	if from > 0 {
 		h.Set(engine.HeaderResume, strconv.Itoa(from))
 	}
-	return r.agent.engine.Run(ctx, d.Method, d.Path, d.Body, h)
+	return r.agent.engine.Run(ctx, d.Method, d.Path, d.Body, h, d.Unsafe)
 }
 
 // checkVersion returns an error if the answer is from another version than that of the
