internal/agent: a 4xx answer of an engine that holds another version is not passed on

What callers would see: a 404 or 400, which they don't repeat, for a request that the version asked for would have answered.

Cause: an engine that starts again after the order that the agent confirmed holds nothing, until the agent asks for its state, up to 2 s later. The version was compared in answers with status 200 alone.

Change: an answer that names another version is refused whatever its status. One other than 200 that names none is passed on if the engine's state, asked for after it, has the version.

Why it holds: only the agent orders, and not while a request runs, so that an engine which has the version after the answer had it before. A 5xx was never passed on. An adapter that is missing at the same version is not noticed.

--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -69,7 +69,7 @@
 	if d.Digest != "" && resp.StatusCode >= http.StatusInternalServerError {
 		return fault.New(fault.UpstreamFailed, resp.Status)
 	}
-	if err := r.checkVersion(resp); err != nil {
+	if err := r.checkVersion(ctx, resp); err != nil {
 		return err
 	}
 	r.rec.Answer.Begin(&dispatch.AnswerHead{
@@ -109,13 +109,17 @@
 }
 
 // checkVersion returns an error if the answer is from another version than that of the
-// dispatch.
-func (r *runner) checkVersion(resp *http.Response) error {
-	d := r.rec.Dispatch
-	if d.Digest == "" || resp.StatusCode != http.StatusOK || resp.Header.Get(engine.HeaderDigest) == d.Digest {
+// dispatch. An engine need not name its version in an answer other than 200: it may have started again
+// and have none, so that its state is asked for.
+func (r *runner) checkVersion(ctx context.Context, resp *http.Response) error {
+	want, got := r.rec.Dispatch.Digest, resp.Header.Get(engine.HeaderDigest)
+	if want == "" || got == want {
+		return nil
+	}
+	if got == "" && resp.StatusCode != http.StatusOK && r.engineLife(ctx) == eventstream.LifeSame {
 		return nil
 	}
-	return fault.New(fault.MixedVersion, resp.Header.Get(engine.HeaderDigest))
+	return fault.New(fault.MixedVersion, got)
 }
 
 func (r *runner) readBody(ctx context.Context, resp *http.Response) error {
@@ -187,7 +191,7 @@
 			_ = resp.Body.Close()
 			return fault.New(fault.Truncated, "resume: "+resp.Status)
 		}
-		if err := r.checkVersion(resp); err != nil {
+		if err := r.checkVersion(ctx, resp); err != nil {
 			_ = resp.Body.Close()
 			return err
 		}
