engine, internal/agent: two orders of one revision have fences of their own

What callers would see: an answer that begins on one version and goes on with another, though the engine checks fences.

Cause: an order was fenced by the agent's incarnation and the revision of the configuration. A box is assigned another service at the same revision as boxes come and go. An order that was given up then had the fence of its successor, and an engine took it after that.

Change: the fence holds the number of the agent's order as well, compared last.

Why it holds: an agent orders one at a time, and each has a higher number. Engines that know no number compare as before.

Evidence: TestOrderThatWasGivenUpLoadsNothing, with the comparison of the two fences added, failed before in 3 of 3 runs; passes in 3 of 3 with -race. internal/stack passes once.

--- a/engine/engine.go
+++ b/engine/engine.go
@@ -30,10 +30,11 @@
 const maxState = 256 << 10
 
 // Fence determines which of two orders is newer: first by the incarnation of the agent,
-// then by the revision of the configuration.
+// then by the revision of the configuration, then by the number of the order.
 type Fence struct {
 	Revision    uint64 `json:"revision"`
-	Incarnation uint64 `json:"incarnation"` // Increases with each start of the agent.
+	Incarnation uint64 `json:"incarnation"`     // Increases with each start of the agent.
+	Order       uint64 `json:"order,omitempty"` // Increases with each order of an agent: a box may be assigned anew at one revision.
 }
 
 // Before reports whether f is older than g.
@@ -41,7 +42,10 @@
 	if f.Incarnation != g.Incarnation {
 		return f.Incarnation < g.Incarnation
 	}
-	return f.Revision < g.Revision
+	if f.Revision != g.Revision {
+		return f.Revision < g.Revision
+	}
+	return f.Order < g.Order
 }
 
 // OrderKind is the kind of an order.
--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -22,6 +22,7 @@
 type loader struct {
 	agent     *Agent
 	transfers map[string]*runningTransfer
+	orders    uint64 // Orders to the engine so far.
 
 	mu     sync.Mutex
 	target target
@@ -295,8 +296,9 @@
 	}
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
+	l.orders++
 	s, err := a.engine.Order(orderCtx, engine.Order{
-		Kind: engine.OrderLoad, Fence: engine.Fence{Revision: t.Revision, Incarnation: a.gate.Incarnation},
+		Kind: engine.OrderLoad, Fence: engine.Fence{Revision: t.Revision, Incarnation: a.gate.Incarnation, Order: l.orders},
 		Digest: t.Digest, Adapters: t.Adapters, Role: t.Role, Source: a.source.begin(a.Settings.Source, a.gate.Incarnation),
 	})
 	if err != nil || !confirms(s, t) {
--- a/internal/agent/source_test.go
+++ b/internal/agent/source_test.go
@@ -59,4 +59,5 @@
 	is.NoErr(pull(second))
 	giveUp()
 	<-done
+	is.True(first.Fence.Before(second.Fence)) // Both are of one revision.
 }
