internal/stager: failing tests of a call after a restart, and of attempts that hold a replica back, listed

What callers would see: WHOLE, a piece of another version; a replica that gets no requests while it can serve.

Cause: a call without an answer is recorded with the life that reported when the attempt began. The replica may have started again since: the call then counts as over at the first answer of the very process that received it. A refused order counts as one that may be taken. A replica is reported to be changing during checks that fail again and again.

No product code changes.

--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -47,6 +47,8 @@
 	onPut func(puts int)
 	// unreadable means that staged pieces can't be read back.
 	unreadable bool
+	// refusesOrders means that it refuses an order, and that staged pieces can't be read back after that.
+	refusesOrders bool
 }
 
 // The users' rule on loaded pieces that have turned bad, and the time within which a process that
@@ -164,6 +166,10 @@
 
 func (r *fakeReplica) handleOrder(ctx context.Context, _ string, version, orders uint64) error {
 	_, err := receive(ctx, r, 0, func() (struct{}, error) {
+		if r.refusesOrders {
+			r.unreadable = true
+			return struct{}{}, fault.New(fault.FencedOrder, "")
+		}
 		if orders != r.report.OrderCount {
 			return struct{}{}, fault.New(fault.FencedOrder, "")
 		}
--- a/internal/stager/staging_test.go
+++ b/internal/stager/staging_test.go
@@ -144,3 +144,55 @@
 		})
 	}
 }
+
+// A call that a later life of the replica received counted as over as soon as that life answered.
+func TestStagingGivenUpAfterARestartSpoilsNoOtherVersion(t *testing.T) {
+	playStaging(t, 3, func(_ *testCluster, r *fakeReplica, play, puts int) {
+		switch first := 1 + play%(pieceCount-2); puts {
+		case first:
+			r.restartLocked()
+		case first + 1:
+			r.standStill(stillFor(play))
+		}
+	})
+}
+
+// A replica that refused an order, and whose pieces then can't be read, was reported to be changing for as long as that lasted.
+func TestReplicaThatRefusedAnOrderGoesOnServing(t *testing.T) {
+	check := is.NewRelaxed(t)
+	runCluster(t, func(_ *is.I, s *testCluster) {
+		r := withVersion(1)
+		r.refusesOrders = true
+		s.add(t, r)
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.assign(2, 2, peers.Step{Version: 2})
+		time.Sleep(10*time.Second + pollBusy/2) // Between two attempts.
+		check.True(!s.agents[0].status.get().Changing)
+	})
+}
+
+// A replica with a piece that can't be staged was reported to be changing most of the time, and got few requests.
+func TestReplicaWithAPieceThatStaysWrongGoesOnServing(t *testing.T) {
+	check := is.NewRelaxed(t)
+	runCluster(t, func(_ *is.I, s *testCluster) {
+		r := withVersion(1)
+		r.callTime = 20 * time.Millisecond
+		r.onPut = func(int) { r.staged[3] = []byte("spoilt") }
+		s.add(t, r)
+		s.assign(1, 1)
+		time.Sleep(2 * time.Second)
+		s.assign(2, 2, peers.Step{Version: 2})
+		time.Sleep(3 * time.Second)
+		const samples = 1000
+		changing := 0
+		for range samples {
+			time.Sleep(7 * time.Millisecond)
+			if s.agents[0].status.get().Changing {
+				changing++
+			}
+		}
+		t.Logf("changing in %d of %d samples", changing, samples)
+		check.True(changing < samples/2)
+	})
+}
