internal/stager: the life that a staged piece was sent to counts as unknown

Cause: a call without an answer was recorded with the life that reported as the attempt began. After a restart amid staging the later calls go to the new process, and counted as over at the first answer of the very process that had received them.

Change: only an order, whose connection ends with its process, is recorded with a life. A staged piece is over once nothing listens, or the replica has answered for the settle time.

--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -36,7 +36,7 @@
 	}
 	defer c.Close()
 	rep, err := s.requestReport()
-	if err != nil || rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r, rep.Born) {
+	if err != nil || rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r) {
 		return
 	}
 	s.status.set(func(st *peers.Status) { st.Changing = true })
@@ -61,7 +61,7 @@
 // order may be given.
 func (s *Stager) checkForOrder(ctx context.Context, r *versionTransfer, rep Report) (age time.Duration, ok bool) {
 	began := time.Now()
-	readAt, ok := s.check(ctx, r, rep.Born)
+	readAt, ok := s.check(ctx, r)
 	if !ok {
 		return 0, false
 	}
@@ -104,7 +104,7 @@
 
 // check reads all staged pieces back, and those that are not of a version again once it has staged them.
 // It returns when it asked for each, and whether all are of the version now.
-func (s *Stager) check(ctx context.Context, r *versionTransfer, born int64) (readAt []time.Time, ok bool) {
+func (s *Stager) check(ctx context.Context, r *versionTransfer) (readAt []time.Time, ok bool) {
 	readAt = make([]time.Time, len(r.Manifest().Files[0].Chunks))
 	pieces := make([]int, len(readAt))
 	for n := range pieces {
@@ -121,7 +121,7 @@
 		}
 		telemetry.Log("staged_wrong", "model", r.model, "version", r.version, "pieces", len(wrong), "first", wrong[0])
 		for _, n := range wrong {
-			if !s.stagePiece(ctx, r, n, born) {
+			if !s.stagePiece(ctx, r, n) {
 				return nil, false
 			}
 		}
--- a/internal/stager/staged.go
+++ b/internal/stager/staged.go
@@ -50,14 +50,14 @@
 
 // stage writes all pieces of a version to the staging area of the replica, unless they were written
 // or read back there last, and reports whether it succeeded.
-func (s *Stager) stage(ctx context.Context, r *versionTransfer, born int64) bool {
+func (s *Stager) stage(ctx context.Context, r *versionTransfer) bool {
 	if s.stagedArtifact.Load() == r.Artifact {
 		return true
 	}
 	s.stagedArtifact.Store("")
 	chunks := r.Manifest().Files[0].Chunks
 	for i := range chunks {
-		if !s.stagePiece(ctx, r, i, born) {
+		if !s.stagePiece(ctx, r, i) {
 			return false
 		}
 	}
@@ -71,7 +71,7 @@
 const stageTimeout = time.Second
 
 // stagePiece writes a piece to the staging area and reports whether it succeeded.
-func (s *Stager) stagePiece(ctx context.Context, r *versionTransfer, n int, born int64) bool {
+func (s *Stager) stagePiece(ctx context.Context, r *versionTransfer, n int) bool {
 	data, ok := s.exchange.Store.Get(r.Manifest().Files[0].Chunks[n].Digest)
 	if !ok {
 		return false
@@ -80,7 +80,7 @@
 	defer cancel()
 	err := s.options.Replica.Stage(ctx, r.model, n, data)
 	if unanswered(err) {
-		s.giveUp(call{model: r.model, version: r.version, born: born})
+		s.giveUp(call{model: r.model, version: r.version}) // The replica may have started again since it last reported.
 	}
 	if err != nil {
 		telemetry.LogError(err, "stage_failed", "model", r.model, "version", r.version, "piece", n)
