internal/stager: a replica is reported to be changing from its check on, and not after a refusal

Cause: a replica was reported to be changing before its pieces were read back, in every attempt, and a refused order counted as one that may still be taken.

A refused order ends the change.

--- a/internal/stager/order.go
+++ b/internal/stager/order.go
@@ -39,14 +39,16 @@
 	if err != nil || rep.OrderPending || rep.Version == r.version || !s.stage(ctx, r) {
 		return
 	}
-	s.status.set(func(st *peers.Status) { st.Changing = true })
-	age, ok := s.checkForOrder(ctx, r, rep)
+	readAt, ok := s.check(ctx, r)
 	if !ok {
+		return
+	}
+	s.status.set(func(st *peers.Status) { st.Changing = true })
+	if !s.order(ctx, c, r, rep, readAt) {
 		s.endChange(vs, rep)
 		return
 	}
 	vs.lastOrdered = r.version
-	s.order(ctx, c, r, rep, age)
 }
 
 // endChange reports that the replica is not changing, unless it has been ordered to.
@@ -56,33 +58,6 @@
 	}
 }
 
-// checkForOrder checks the staged pieces, once gateways have been notified of the change, and that the
-// replica is as it reported in rep. It returns how long ago the first piece was read, and whether the
-// order may be given.
-func (s *Stager) checkForOrder(ctx context.Context, r *versionTransfer, rep Report) (age time.Duration, ok bool) {
-	began := time.Now()
-	readAt, ok := s.check(ctx, r)
-	if !ok {
-		return 0, false
-	}
-	if left := noticeLead - time.Since(began); left > 0 && rep.Version != 0 {
-		kernel.Sleep(ctx, left)
-	}
-	if !s.unchanged(rep) {
-		return 0, false
-	}
-	now := time.Now()
-	for _, at := range readAt {
-		age = max(age, elapsed(at, now))
-	}
-	if age > maxCheckAge {
-		telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
-		s.readers = min(readersFactor*max(1, s.readers), maxReaders)
-		return 0, false
-	}
-	return age, true
-}
-
 // connect opens a connection to the replica.
 func (s *Stager) connect(ctx context.Context) (*ReplicaConn, error) {
 	ctx, cancel := context.WithTimeout(ctx, stageTimeout)
@@ -136,8 +111,15 @@
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
 
-// order orders the replica to load a version whose pieces were read back for the given time.
-func (s *Stager) order(ctx context.Context, c *ReplicaConn, r *versionTransfer, rep Report, checkAge time.Duration) {
+// order orders the replica to load a version whose pieces were read back at the given times, once gateways
+// have been notified of the change. It reports whether the replica has taken the order, or may have.
+func (s *Stager) order(ctx context.Context, c *ReplicaConn, r *versionTransfer, rep Report, readAt []time.Time) bool {
+	if rep.Version != 0 {
+		kernel.Sleep(ctx, noticeLead)
+	}
+	if !s.unchanged(rep) || !s.inTime(r, readAt) {
+		return false
+	}
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	err := c.Order(ctx, r.model, r.version, rep.OrderCount)
@@ -145,5 +127,27 @@
 		s.giveUp(call{model: r.model, version: r.version, born: rep.Born, order: true, orders: rep.OrderCount})
 	}
 	s.status.invalidate()
-	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "check_age", checkAge, "reason", fault.CodeOf(err))
+	telemetry.Log("ordered", "addr", s.Settings.Replica, "model", r.model, "version", r.version, "from", rep.Version, "orders", rep.OrderCount, "born", rep.Born, "check_age", oldest(readAt), "reason", fault.CodeOf(err))
+	return err == nil || unanswered(err)
+}
+
+// oldest returns how long ago the first of the given times was.
+func oldest(ts []time.Time) (age time.Duration) {
+	now := time.Now()
+	for _, t := range ts {
+		age = max(age, elapsed(t, now))
+	}
+	return age
+}
+
+// inTime reports whether no piece was read back too long ago for an order. If one was, more are read at a
+// time from now on.
+func (s *Stager) inTime(r *versionTransfer, readAt []time.Time) bool {
+	age := oldest(readAt)
+	if age <= maxCheckAge {
+		return true
+	}
+	telemetry.Log("check_too_slow", "model", r.model, "version", r.version, "took", age, "readers", s.readers)
+	s.readers = min(readersFactor*max(1, s.readers), maxReaders)
+	return false
 }
