internal/stager: two seconds until a call that was given up counts as over, and refusals are no silence

Cause: the settle time was chosen by the spread of the tests. A refused report, or one not sent for a backoff, counted as silence.

Change: two seconds for calls that this agent gave up, half a second, as before, for the one that an earlier agent may have left: an empty replica waits for it (with 2 s, TestEmptyReplicaServesWithTheOlderVersion is red). Only a report without an answer begins the time anew. It stays an assumption about the replica that it carries out what it has received.

--- a/internal/stager/replica_test.go
+++ b/internal/stager/replica_test.go
@@ -1,6 +1,7 @@
 package stager
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -42,6 +43,7 @@
 
 	callTime   time.Duration     // Duration of each call to the staging area.
 	stillUntil time.Time         // Its process stands still before this time.
+	spread     time.Duration     // Replaces wakeSpread unless zero.
 	spoiltAt   map[int]time.Time // When staged pieces turned bad.
 	// onPut, if set, is called when a piece has been staged, with the number of pieces so far.
 	onPut func(puts int)
@@ -68,7 +70,7 @@
 	r.mu.Lock()
 	life, at := r.report.Born, time.Now().Add(takes)
 	if r.stillUntil.After(at) {
-		at = r.stillUntil.Add(rand.N(wakeSpread))
+		at = r.stillUntil.Add(rand.N(cmp.Or(r.spread, wakeSpread)))
 	}
 	r.mu.Unlock()
 	done := make(chan answer, 1)
--- a/internal/stager/staging_test.go
+++ b/internal/stager/staging_test.go
@@ -59,11 +59,16 @@
 
 // A piece whose staging was given up replaced one of the next version before that was loaded.
 func TestStagingThatWasGivenUpSpoilsNoOtherVersion(t *testing.T) {
-	playStaging(t, 3, func(_ *testCluster, r *fakeReplica, play, puts int) {
-		if puts == 1+play%(pieceCount-1) {
-			r.standStill(stillFor(play))
-		}
-	})
+	for _, spread := range []time.Duration{wakeSpread, settleTime / 2} {
+		t.Run(spread.String(), func(t *testing.T) {
+			playStaging(t, 3, func(_ *testCluster, r *fakeReplica, play, puts int) {
+				r.spread = spread
+				if puts == 1+play%(pieceCount-1) {
+					r.standStill(stillFor(play))
+				}
+			})
+		})
+	}
 }
 
 // An order that was given up was taken once the next version was staged.
--- a/internal/stager/unanswered.go
+++ b/internal/stager/unanswered.go
@@ -26,10 +26,22 @@
 	return otherLife || c.order && rep.OrderCount != c.orders
 }
 
-// settleTime is how long the replica must have answered other calls until a call that got no answer
-// counts as carried out or lost. A process that goes on after it stood still carries out the calls
-// that it has received within a fraction of that.
-const settleTime = 500 * time.Millisecond
+// settleTime is how long the replica must have answered reports until a call that got no answer counts
+// as carried out or lost. It assumes that a process that answers carries out within that time what it
+// has received.
+const settleTime = 2 * time.Second
+
+// startSettleTime is the same for a call that an earlier agent may have left. It is shorter, since an
+// empty replica waits for it, and in nearly all cases there is none.
+const startSettleTime = 500 * time.Millisecond
+
+// settle returns how long the replica must have answered until c is over.
+func (c call) settle() time.Duration {
+	if c == (call{}) {
+		return startSettleTime
+	}
+	return settleTime
+}
 
 // unansweredCalls holds the calls to the replica that got no answer and may still be carried out.
 // Until they are over, the staging area may only be used for their own version: one of another
@@ -71,16 +83,18 @@
 		return false
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return true // No process listens: the one that received the call has ended.
-	case err != nil:
+	case unanswered(err):
 		c.answeringSince = time.Time{}
 		return false
+	case err != nil:
+		return false // A refusal, or a backoff: it tells neither life nor orders.
 	case c.over(rep):
 		return true
 	case c.answeringSince.IsZero():
 		c.answeringSince = now
 		return false
 	}
-	return sentAt.Sub(c.answeringSince) >= settleTime
+	return sentAt.Sub(c.answeringSince) >= c.settle()
 }
 
 // allow reports whether the staging area may be used for a version.
--- a/internal/stager/unanswered_test.go
+++ b/internal/stager/unanswered_test.go
@@ -34,6 +34,8 @@
 		{"for less", staged, []report{{0, 0, same, nil}, {settleTime - 1, settleTime, same, nil}}, false},
 		{"after it stood still", staged, []report{{0, 9 * time.Second, same, nil}, {settleTime, 9 * time.Second, same, nil}}, false},
 		{"it was silent meanwhile", staged, []report{{0, 0, same, nil}, {1, 1, Report{}, silent}, {settleTime, settleTime, same, nil}}, false},
+		{"it refused a report meanwhile", staged, []report{{0, 0, same, nil}, {1, 1, Report{}, fault.New(fault.Throttled, "replica")}, {settleTime, settleTime, same, nil}}, true},
+		{"it only refuses", staged, []report{{0, 0, Report{}, fault.New(fault.Throttled, "replica")}, {settleTime, settleTime, Report{}, fault.New(fault.Throttled, "replica")}}, false},
 		{"asked before it was given up", staged, []report{{-1, 0, Report{Born: 8}, nil}}, false},
 		{"another process answers", staged, []report{{0, 0, Report{Born: 8}, nil}}, true},
 		{"no process listens", staged, []report{{0, 0, Report{}, refused}}, true},
@@ -41,7 +43,7 @@
 		{"an order was taken", ordered, []report{{0, 0, Report{Born: 7, OrderCount: 4}, nil}}, true},
 		{"a piece outlasts an order", staged, []report{{0, 0, Report{Born: 7, OrderCount: 4}, nil}}, false},
 		{"an earlier agent's, of any life", call{}, []report{{0, 0, same, nil}}, false},
-		{"an earlier agent's, after long", call{}, []report{{0, 0, same, nil}, {settleTime, settleTime, same, nil}}, true},
+		{"an earlier agent's, after long", call{}, []report{{0, 0, same, nil}, {startSettleTime, startSettleTime, same, nil}}, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
