internal/bounded: a call is not sent on to where a redirect points

What callers would see: a piece staged at, and read back from, another process than the replica (found by the review), and an unsafe request to a plain service that is sent on.

Cause: the HTTP client follows redirects by itself.

Change: the client of bounded.HTTP, which all calls of the system use, returns redirects as they are. Those of plain services reach the caller; those to calls of the system are failures.

Evidence: TestRedirectIsNotFollowed red before, passes now.

--- a/internal/bounded/bounded.go
+++ b/internal/bounded/bounded.go
@@ -28,10 +28,11 @@
 // DefaultClient is http.DefaultClient with the limit on headers.
 var DefaultClient = HTTP(http.DefaultTransport.(*http.Transport).Clone())
 
-// HTTP sets the limit on headers of t and returns a client that uses it.
+// HTTP sets the limit on headers of t and returns a client that uses it. The client returns redirects as
+// they are: a call is for the process that it was sent to.
 func HTTP(t *http.Transport) *http.Client {
 	t.MaxResponseHeaderBytes = MaxHeader
-	return &http.Client{Transport: t}
+	return &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 }
 
 // A Reader reads from R and fails with fault.TooLarge after Left bytes.
