--- a/internal/soak/process_test.go
+++ b/internal/soak/process_test.go
@@ -258,9 +258,10 @@
 	}
 }
 
-// loopback returns an IP address that nothing else in this or another test process uses.
+// loopback returns an IP address that nothing else in this test process uses, and hardly any other test
+// process: the addresses of two whose IDs differ by a multiple of 1,024 are the same.
 func loopback() string {
-	const block, hosts = 64, 250
-	n := nextAddress.Add(1)
-	return fmt.Sprintf("127.%d.%d.%d", block+os.Getpid()%block, n/hosts, 1+n%hosts)
+	const block, parts, hosts = 64, 16, 250
+	n, pid := nextAddress.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", block+pid%block, pid/block%parts*parts+int(n/hosts), 1+n%hosts)
 }
