--- a/internal/agent/loader.go
+++ b/internal/agent/loader.go
@@ -297,9 +297,10 @@
 	orderCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	l.orders++
+	fence := engine.Fence{Revision: t.Revision, Incarnation: a.gate.Incarnation, Order: l.orders}
 	s, err := a.engine.Order(orderCtx, engine.Order{
-		Kind: engine.OrderLoad, Fence: engine.Fence{Revision: t.Revision, Incarnation: a.gate.Incarnation, Order: l.orders},
-		Digest: t.Digest, Adapters: t.Adapters, Role: t.Role, Source: a.source.begin(a.Settings.Source, a.gate.Incarnation),
+		Kind: engine.OrderLoad, Fence: fence, Digest: t.Digest, Adapters: t.Adapters, Role: t.Role,
+		Source: a.source.begin(a.Settings.Source, fence),
 	})
 	if err != nil || !confirms(s, t) {
 		a.source.end()
--- a/internal/agent/source.go
+++ b/internal/agent/source.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"sync"
 
+	"github.com/poststand/poststand/engine"
 	"github.com/poststand/poststand/weights"
 )
 
@@ -27,16 +28,14 @@
 // orderSource names the order for which the engine may pull weights. The zero value names none.
 type orderSource struct {
 	mu      sync.Mutex
-	orders  uint64 // Orders so far.
 	current string // Empty for none.
 }
 
-// begin names a new order of an incarnation of the agent, and returns its URL below that of the source.
-func (s *orderSource) begin(source string, incarnation uint64) string {
+// begin names a new order by its fence, and returns its URL below that of the source.
+func (s *orderSource) begin(source string, f engine.Fence) string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.orders++
-	s.current = fmt.Sprintf("%x-%d", incarnation, s.orders)
+	s.current = fmt.Sprintf("%x-%d", f.Incarnation, f.Order)
 	return "http://" + source + "/orders/" + s.current
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -158,17 +158,7 @@
 			}
 		}
 	}()
-	a := newProcess(s.t, s.dir, fmt.Sprintf("a%d", i), "stager", fmt.Sprintf(`cluster: c
-box: a%d
-hall: %s
-listen: %s:%d
-store: %s
-join: ["%s"]
-replica: %s
-service: llm
-link: 22
-version_within: 8s
-`, i, e.Hall, agentIP, listenPort, s.storeAddr, s.gateways[0].peers(), direct))
+	a := s.newAgent(i, e.Hall, agentIP, direct)
 	a.start()
 	s.agents = append(s.agents, a)
 	s.stops = append(s.stops, a.kill)
--- a/internal/soak/staging_test.go
+++ b/internal/soak/staging_test.go
@@ -32,7 +32,7 @@
 	spoilEvery time.Duration
 }
 
-// stagedBox is a box whose replica and agent are processes of their own.
+// stagedBox is a box whose agent and replica, which has a staging area, are processes of their own.
 type stagedBox struct {
 	replica, agent *process
 	settings       replicaSettings
@@ -85,17 +85,7 @@
 		}
 	}
 	b.replica = &process{t: s.t, name: b.settings.ID, binary: os.Args[0]}
-	b.agent = newProcess(s.t, s.dir, fmt.Sprintf("a%d", i), "stager", fmt.Sprintf(`cluster: c
-box: a%d
-hall: %s
-listen: %s:%d
-store: %s
-join: ["%s"]
-replica: %s
-service: llm
-link: 22
-version_within: 8s
-`, i, b.settings.Hall, ip, listenPort, s.storeAddr, s.gateways[0].peers(), b.settings.Addr))
+	b.agent = s.newAgent(i, b.settings.Hall, ip, b.settings.Addr)
 	s.boxes = append(s.boxes, b)
 	s.startReplica(b)
 	b.agent.start()
--- a/internal/soak/world_test.go
+++ b/internal/soak/world_test.go
@@ -92,6 +92,22 @@
 	w.stops = append(w.stops, g.kill)
 }
 
+// newAgent returns the agent of a box, which is at ip and has its replica at the address replica.
+func (w *world) newAgent(i int, hall, ip, replica string) *process {
+	name := fmt.Sprintf("a%d", i)
+	return newProcess(w.t, w.dir, name, "stager", fmt.Sprintf(`cluster: c
+box: %s
+hall: %s
+listen: %s:%d
+store: %s
+join: ["%s"]
+replica: %s
+service: llm
+link: 22
+version_within: 8s
+`, name, hall, ip, listenPort, w.storeAddr, w.gateways[0].peers(), replica))
+}
+
 // isReady reports whether the gateway answers the load balancer that it is ready.
 func (g *gateway) isReady() bool {
 	c := http.Client{Timeout: time.Second}
